--- a/crates/daemon/src/members/mod.rs
+++ b/crates/daemon/src/members/mod.rs
@@ -12,11 +12,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::BoxFuture;
 use ladderstage::ids::ProcessId;
 use ladderstage_transport::{CallError, Client};
 use ladderstage_wire::messages::{Member, MemberState, Request, Response};
 use tokio::task::AbortHandle;
 
+use crate::journal::Peers;
 use crate::settings::Settings;
 
 pub use hooks::MemberHooks;
@@ -151,3 +153,18 @@
         self.shared.membership().is_isolated(self.shared.now())
     }
 }
+
+impl Peers for Members {
+    fn alive(&self) -> Vec<Member> {
+        Members::alive(self)
+    }
+
+    fn call<'a>(
+        &'a self,
+        node: &'a str,
+        request: Request,
+        timeout: Duration,
+    ) -> BoxFuture<'a, Result<Response, CallError>> {
+        Box::pin(Members::call(self, node, request, timeout))
+    }
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -135,10 +135,10 @@
         let replica_sets = ReplicaSets::new(storage.clone());
         let replica_set_task =
             replica_sets.run(&settings, Arc::new(members.clone()), key_value.clone());
-        let journal = Journal::start(
+        let journal = Journal::start_with(
             &settings,
             process,
-            members.clone(),
+            Arc::new(members.clone()),
             storage.clone(),
             replica_sets.clone(),
         );
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use ladderstage::document::{self, Finding};
 use serde::Deserialize;
@@ -163,3 +164,19 @@
         }
     }
 }
+
+impl From<&Settings> for ladderstage_journal::JournalOptions {
+    fn from(settings: &Settings) -> Self {
+        let timing = &settings.timing;
+        Self {
+            node: settings.node.clone(),
+            initial_replicas: settings.initial_replicas.clone(),
+            tended_prefix: "shard/",
+            owner_heartbeat: Duration::from_millis(timing.owner_heartbeat_ms),
+            owner_timeout: Duration::from_millis(timing.owner_timeout_ms),
+            round_timeout: Duration::from_millis(timing.journal_timeout_ms),
+            poll: Duration::from_millis(timing.key_value_poll_ms),
+            replace_after: Duration::from_millis(timing.replica_replace_after_ms),
+        }
+    }
+}
--- a/crates/daemon/src/journal/hooks.rs
+++ b/crates/journal/src/hooks.rs
@@ -1,4 +1,4 @@
-//! What the journal tells the other parts of this node.
+//! What the journal tells the other parts of its node.
 
 use std::sync::{Arc, OnceLock};
 use std::time::Instant;
--- a/crates/daemon/src/journal/mod.rs
+++ b/crates/journal/src/lib.rs
@@ -1,19 +1,23 @@
-//! The journal at this node: the replica's side, and quorum calls for writers and readers.
+//! The replicated journal: the replica's side, quorum calls for writers and readers, and changes of the replica set.
+//!
+//! The rules are state machines of the `ladderstage` crate; this crate joins them with disks, calls and timers.
 
 mod calls;
 mod confirmation;
 mod handlers;
 mod heartbeat;
 mod hooks;
+pub mod jitter;
 mod metrics;
+mod options;
 mod peers;
 mod registry;
 mod replica;
+pub mod replica_set;
 mod untended;
 mod writer;
 
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use ladderstage::ids::ProcessId;
 use ladderstage::journal::read::{LogRead, LogSurvey};
@@ -24,9 +28,7 @@
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{DescribeLogs, LogDescription, LogEntry, ReadLog, ReplicaSet};
 
-use crate::members::Members;
 use crate::replica_set::ReplicaSets;
-use crate::settings::Settings;
 use calls::{ReplicaCalls, Round};
 use heartbeat::Heartbeats;
 use hooks::HookSlot;
@@ -36,6 +38,7 @@
 
 pub use hooks::JournalHooks;
 pub use metrics::JournalMetrics;
+pub use options::JournalOptions;
 pub use peers::Peers;
 pub use writer::LogWriter;
 
@@ -96,54 +99,45 @@
 }
 
 impl Journal {
-    /// Starts the journal at this node; with `storage` it is a replica. Call within a tokio runtime.
-    pub fn start(
-        settings: &Settings,
-        process: ProcessId,
-        members: Members,
-        storage: Option<Storage>,
-        replica_sets: ReplicaSets,
-    ) -> Self {
-        Self::start_with(settings, process, Arc::new(members), storage, replica_sets)
-    }
-
-    /// As [`Journal::start`], over any way to reach the other daemons.
+    /// Starts the journal at this node, over any way to reach the other nodes; with `storage` it is a replica.
+    /// Call within a tokio runtime.
     pub fn start_with(
-        settings: &Settings,
+        options: impl Into<JournalOptions>,
         process: ProcessId,
         peers: Arc<dyn Peers>,
         storage: Option<Storage>,
         replica_sets: ReplicaSets,
     ) -> Self {
-        let timing = &settings.timing;
+        let options = options.into();
         let hooks = HookSlot::default();
         let calls = Arc::new(ReplicaCalls {
             service: Arc::new(ReplicaService::new(storage, replica_sets, hooks.clone())),
             peers,
-            timeout: Duration::from_millis(timing.journal_timeout_ms),
+            timeout: options.round_timeout,
             metrics: JournalMetrics::new(),
         });
-        let owned = Arc::new(OwnedLogs::default());
+        let owned = Arc::new(OwnedLogs::new(options.tended_prefix));
         let heartbeats = Arc::new(Heartbeats {
-            node: settings.node.clone(),
+            node: options.node.clone(),
             process,
             calls: Arc::clone(&calls),
             owned: Arc::clone(&owned),
             hooks: hooks.clone(),
         });
-        let owner_timeout = Duration::from_millis(timing.owner_timeout_ms);
+        let owner_timeout = options.owner_timeout;
         let watch = Arc::new(UntendedWatch {
-            node: settings.node.clone(),
+            node: options.node.clone(),
             calls: Arc::clone(&calls),
             hooks: hooks.clone(),
             owner_timeout,
+            tended_prefix: options.tended_prefix,
         });
-        let interval = Duration::from_millis(timing.owner_heartbeat_ms);
+        let interval = options.owner_heartbeat;
         tokio::spawn(heartbeat::run(Arc::downgrade(&heartbeats), interval));
         tokio::spawn(untended::run(Arc::downgrade(&watch), owner_timeout));
         tokio::spawn(untended::run_sweeps(Arc::downgrade(&watch)));
         let inner = Inner {
-            node: settings.node.clone(),
+            node: options.node.clone(),
             epochs: Mutex::new(EpochSource::new(process)),
             calls,
             owned,
@@ -168,7 +162,7 @@
 
     /// Seals a majority with a new epoch, reads the log and installs it there; the writer may then append.
     /// Returns the entries committed so far. Retries nothing but epochs that were too low; the caller backs off
-    /// with jitter. Logs under `shard/` are heartbeated until the writer is dropped.
+    /// with jitter. Tended logs are heartbeated until the writer is dropped.
     ///
     /// # Errors
     ///
--- /dev/null
+++ b/crates/journal/src/options.rs
@@ -0,0 +1,24 @@
+//! What the journal and its replica set are started with.
+
+use std::time::Duration;
+
+/// Names and intervals of the journal at one node.
+#[derive(Debug, Clone)]
+pub struct JournalOptions {
+    /// Name of this node; stays the same over restarts.
+    pub node: String,
+    /// Names of the nodes whose disks form the first replica set; the same at every node.
+    pub initial_replicas: Vec<String>,
+    /// Logs whose names start with this are tended: their writers send heartbeats and are replaced when silent.
+    pub tended_prefix: &'static str,
+    /// Between an owner's heartbeats to the replicas.
+    pub owner_heartbeat: Duration,
+    /// After this long without a heartbeat a log's owner is replaced.
+    pub owner_timeout: Duration,
+    /// How long one round of calls to the replicas may take.
+    pub round_timeout: Duration,
+    /// Between looks at the replica set's record.
+    pub poll: Duration,
+    /// How long a replica must be missing before another disk takes its place.
+    pub replace_after: Duration,
+}
--- a/crates/daemon/src/replica_set/bootstrap.rs
+++ b/crates/journal/src/replica_set/bootstrap.rs
@@ -1,21 +1,20 @@
 //! Makes the first replica set through the key-value service, or learns the one that is there.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use ladderstage::journal::replica_set;
-use ladderstage_platform::key_value::KeyValue;
 use ladderstage_wire::messages::ReplicaMember;
 
 use super::ReplicaSets;
-use super::record::{self, RecordError};
+use super::{RecordError, SetRecords};
 
 /// Longest pause between looks while the key-value service fails.
 const LONGEST_PAUSE: Duration = Duration::from_secs(10);
 
 /// What the first set is made from.
-#[derive(Debug, Clone)]
 pub(crate) struct Bootstrap {
-    pub key_value: KeyValue,
+    pub records: Arc<dyn SetRecords>,
     /// This node's disk, if it has one.
     pub own: Option<ReplicaMember>,
     pub initial_replicas: Vec<String>,
@@ -42,7 +41,7 @@
     }
 
     async fn look(&self, replica_sets: &ReplicaSets) -> Result<(), RecordError> {
-        let set = match record::read_set(&self.key_value).await? {
+        let set = match self.records.read().await? {
             Some(recorded) => Some(recorded.set),
             None => self.make_first().await?,
         };
@@ -57,10 +56,10 @@
     async fn make_first(
         &self,
     ) -> Result<Option<ladderstage_wire::messages::ReplicaSet>, RecordError> {
-        let candidates = record::candidates(&self.key_value).await?;
+        let candidates = self.records.candidates().await?;
         if let Some(own) = &self.own {
             if !candidates.contains(own) {
-                record::put_candidate(&self.key_value, own).await?;
+                self.records.put_candidate(own).await?;
                 return Ok(None);
             }
         }
@@ -72,7 +71,7 @@
         };
         let members: Option<Vec<_>> = self.initial_replicas.iter().map(find).collect();
         match members.and_then(replica_set::first) {
-            Some(first) => record::swap_set(&self.key_value, 0, first).await,
+            Some(first) => self.records.swap(0, first).await,
             None => Ok(None),
         }
     }
--- a/crates/daemon/src/replica_set/copy.rs
+++ b/crates/journal/src/replica_set/copy.rs
@@ -14,7 +14,7 @@
 };
 
 use super::replacement::fence;
-use crate::journal::Peers;
+use crate::Peers;
 
 /// How long one page may take.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/daemon/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -6,6 +6,7 @@
 mod bootstrap;
 mod copy;
 mod record;
+mod records;
 mod replacement;
 
 use std::collections::BTreeMap;
@@ -13,18 +14,19 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use ladderstage_platform::key_value::KeyValue;
 use ladderstage_storage::{Storage, StorageError};
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{FetchReplicaSet, ReplicaMember, ReplicaSet, Request, Response};
 use tokio::sync::watch;
 
-use crate::journal::Peers;
-use crate::settings::Settings;
+use crate::Peers;
+use crate::JournalOptions;
 use bootstrap::Bootstrap;
 use replacement::Replacement;
 
+pub use records::{RecordError, RecordedSet, SetRecords};
+
 /// How long a peer may take to answer with its replica set.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -58,27 +60,28 @@
     /// Call within a tokio runtime.
     pub fn run(
         &self,
-        settings: &Settings,
+        options: impl Into<JournalOptions>,
         peers: Arc<dyn Peers>,
-        key_value: KeyValue,
+        records: impl SetRecords,
     ) -> ReplicaSetTask {
-        let timing = &settings.timing;
-        let poll = Duration::from_millis(timing.key_value_poll_ms);
+        let options = options.into();
+        let poll = options.poll;
+        let records: Arc<dyn SetRecords> = Arc::new(records);
         let bootstrap = Bootstrap {
-            key_value: key_value.clone(),
+            records: Arc::clone(&records),
             own: self.own_replica_id().map(|replica_id| ReplicaMember {
-                node: settings.node.clone(),
+                node: options.node.clone(),
                 replica_id,
             }),
-            initial_replicas: settings.initial_replicas.clone(),
+            initial_replicas: options.initial_replicas.clone(),
             poll,
         };
         let replacement = Replacement {
-            node: settings.node.clone(),
-            key_value,
+            node: options.node.clone(),
+            records,
             peers,
             replica_sets: self.clone(),
-            replace_after: Duration::from_millis(timing.replica_replace_after_ms),
+            replace_after: options.replace_after,
             missing_since: BTreeMap::new(),
             copied_version: 0,
         };
--- a/crates/daemon/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -6,7 +6,6 @@
 
 use ladderstage::journal::{Quorum, quorum, replica_set};
 use ladderstage::routing::rendezvous_first;
-use ladderstage_platform::key_value::KeyValue;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::{
     FenceReplicaSet, Member, MemberState, ReplicaMember, ReplicaSet, Request,
@@ -14,8 +13,8 @@
 
 use super::ReplicaSets;
 use super::copy::{CopyError, LogCopy};
-use super::record::{self, RecordError};
-use crate::journal::Peers;
+use super::{RecordError, SetRecords};
+use crate::Peers;
 
 /// How long a peer may take to store a new set.
 const FENCE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -35,7 +34,7 @@
 /// Watches the replicas and changes the set when one is lost for good.
 pub(crate) struct Replacement {
     pub node: String,
-    pub key_value: KeyValue,
+    pub records: Arc<dyn SetRecords>,
     pub peers: Arc<dyn Peers>,
     pub replica_sets: ReplicaSets,
     /// How long a replica must be missing before it is replaced.
@@ -161,7 +160,7 @@
     }
 
     async fn swap(&self, from: &ReplicaSet, to: ReplicaSet) -> Result<(), RecordError> {
-        let Some(recorded) = record::read_set(&self.key_value).await? else {
+        let Some(recorded) = self.records.read().await? else {
             return Ok(());
         };
         if recorded.set.version != from.version {
@@ -169,7 +168,7 @@
             return Ok(());
         }
         let expected = recorded.mod_revision;
-        if let Some(set) = record::swap_set(&self.key_value, expected, to).await? {
+        if let Some(set) = self.records.swap(expected, to).await? {
             log::info!("event=replica_set_swapped version={}", set.version);
             self.replica_sets.learn_or_log(set.clone()).await;
             self.tell(from, &set).await;
--- a/crates/daemon/src/journal/untended.rs
+++ b/crates/journal/src/untended.rs
@@ -10,7 +10,6 @@
 
 use super::calls::ReplicaCalls;
 use super::hooks::HookSlot;
-use super::registry::TENDED_PREFIX;
 
 /// Logs in one notice at most.
 const LOGS_PER_NOTICE: usize = 256;
@@ -27,6 +26,7 @@
     pub calls: Arc<ReplicaCalls>,
     pub hooks: HookSlot,
     pub owner_timeout: Duration,
+    pub tended_prefix: &'static str,
 }
 
 /// Looks for untended logs, jittered, until the journal is dropped.
@@ -54,7 +54,7 @@
 impl UntendedWatch {
     async fn look(&self) {
         let service = &self.calls.service;
-        let untended = service.untended(TENDED_PREFIX, self.owner_timeout);
+        let untended = service.untended(self.tended_prefix, self.owner_timeout);
         let notices = self.by_successor(untended).into_iter();
         let sends = notices.map(|(successor, logs)| self.notify(successor, logs));
         futures_util::future::join_all(sends).await;
@@ -62,7 +62,7 @@
 
     /// Groups the logs by the member that rendezvous hashing names for each.
     fn by_successor(&self, logs: Vec<String>) -> BTreeMap<String, Vec<String>> {
-        let alive = self.calls.peers.alive();
+        let alive = self.calls.peers.successors();
         let mut notices = BTreeMap::<String, Vec<String>>::new();
         for log in logs {
             let names = alive.iter().map(|member| member.node.as_str());
