--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -170,7 +170,9 @@
         let timing = &settings.timing;
         Self {
             node: settings.node.clone(),
-            initial_replicas: settings.initial_replicas.clone(),
+            initial_replicas: ladderstage_journal::InitialReplicas::Named(
+                settings.initial_replicas.clone(),
+            ),
             tended_prefix: "shard/",
             owner_heartbeat: Duration::from_millis(timing.owner_heartbeat_ms),
             owner_timeout: Duration::from_millis(timing.owner_timeout_ms),
--- /dev/null
+++ b/crates/front/src/backend/choice.rs
@@ -0,0 +1,73 @@
+//! Which instance a request goes to: one cost function over what is known of each.
+
+/// Added to the cost of an instance in another zone, in shares of its capacity.
+const OTHER_ZONE: f64 = 0.02;
+
+/// Least share of the fleet's pace that counts, so that one quick answer does not draw everything.
+const LEAST_RELATIVE_PACE: f64 = 0.6;
+
+/// What is known of an instance that may be given work.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// Requests there as best known, own ones included.
+    pub load: u32,
+    /// Requests that it runs side by side.
+    pub slots: u32,
+    /// Whether it is in the chooser's zone.
+    pub is_same_zone: bool,
+    /// Recent milliseconds per unit of work; `None` while unknown.
+    pub pace_ms: Option<f64>,
+}
+
+/// What the choice is made for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Demand {
+    /// A client waits: any instance will do, a full one last.
+    Live,
+    /// An item of a batch job: only an instance with a free slot.
+    Batch,
+}
+
+/// Index of the instance to use; `None` if none fits. `random` decides among equal ones.
+pub fn choose(candidates: &[Candidate], demand: Demand, random: u64) -> Option<usize> {
+    let typical = typical_pace(candidates);
+    let fitting = candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, candidate)| demand == Demand::Live || candidate.load < candidate.slots);
+    let count = candidates.len().max(1);
+    let offset = (random % count as u64) as usize;
+    fitting
+        .min_by(|(left_index, left), (right_index, right)| {
+            let rotate = |index: usize| (index + offset) % count;
+            cost(left, typical)
+                .total_cmp(&cost(right, typical))
+                .then(rotate(*left_index).cmp(&rotate(*right_index)))
+        })
+        .map(|(index, _)| index)
+}
+
+/// Expected time of one more request against an idle typical instance.
+fn cost(candidate: &Candidate, typical: Option<f64>) -> f64 {
+    let occupancy = f64::from(candidate.load + 1) / f64::from(candidate.slots.max(1));
+    let relative_pace = match (candidate.pace_ms, typical) {
+        (Some(pace), Some(typical)) if typical > 0.0 => (pace / typical).max(LEAST_RELATIVE_PACE),
+        _ => 1.0,
+    };
+    let surcharge = if candidate.is_same_zone {
+        0.0
+    } else {
+        OTHER_ZONE
+    };
+    (0.5 + occupancy) * relative_pace + surcharge
+}
+
+/// Median of the known paces.
+fn typical_pace(candidates: &[Candidate]) -> Option<f64> {
+    let mut paces: Vec<f64> = candidates
+        .iter()
+        .filter_map(|candidate| candidate.pace_ms)
+        .collect();
+    paces.sort_by(f64::total_cmp);
+    paces.get(paces.len() / 2).copied()
+}
--- /dev/null
+++ b/crates/front/src/backend/instance.rs
@@ -0,0 +1,248 @@
+//! One instance of a service.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use super::choice::Candidate;
+use super::connection::Connections;
+
+/// How long a load that the instance told counts.
+const LOAD_TRUST: Duration = Duration::from_millis(500);
+
+/// Weight of a new pace against the known one.
+const PACE_WEIGHT: f64 = 0.25;
+
+/// How long a pace counts without a newer one.
+const PACE_TRUST: Duration = Duration::from_secs(4);
+
+/// First pause after a failure; doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest pause after failures.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Pause for a model whose weights are being loaded, unless the instance is heard to have them earlier.
+pub const LOADING_PAUSE: Duration = Duration::from_millis(150);
+
+/// An instance as discovery tells of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Discovered {
+    /// Id of this start of the instance.
+    pub id: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Zone it runs in.
+    pub zone: String,
+    /// It takes new work.
+    pub is_ready: bool,
+    /// Requests that it runs side by side.
+    pub slots: u32,
+    /// Weight versions by model.
+    pub versions: BTreeMap<String, u64>,
+}
+
+/// Load that an instance told with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that it runs side by side.
+    pub slots: u32,
+}
+
+#[derive(Debug)]
+struct Known {
+    discovered: Discovered,
+    /// Load of others: what was told less own requests then, and when.
+    others: Option<(u32, Instant)>,
+    pace: Option<(f64, Instant)>,
+    failures: u32,
+    paused_until: Option<Instant>,
+    loading_until: BTreeMap<String, Instant>,
+}
+
+/// One instance: what is known of it, and the connections to it.
+#[derive(Debug)]
+pub struct Instance {
+    id: String,
+    address: SocketAddr,
+    connections: Connections,
+    in_flight: AtomicU32,
+    known: Mutex<Known>,
+}
+
+/// Counts a request at the instance until it is dropped.
+#[derive(Debug)]
+pub struct RunGuard {
+    instance: Arc<Instance>,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.instance.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Instance {
+    /// A newly discovered instance.
+    pub fn new(discovered: Discovered) -> Self {
+        Self {
+            id: discovered.id.clone(),
+            address: discovered.address,
+            connections: Connections::new(discovered.address),
+            in_flight: AtomicU32::new(0),
+            known: Mutex::new(Known {
+                discovered,
+                others: None,
+                pace: None,
+                failures: 0,
+                paused_until: None,
+                loading_until: BTreeMap::new(),
+            }),
+        }
+    }
+
+    /// Id of this start of the instance.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Connections to it.
+    pub fn connections(&self) -> &Connections {
+        &self.connections
+    }
+
+    /// What discovery told last.
+    pub fn discovered(&self) -> Discovered {
+        self.lock().discovered.clone()
+    }
+
+    /// Takes what discovery tells now. Weight versions only rise within one start.
+    pub fn update(&self, mut discovered: Discovered) {
+        let mut known = self.lock();
+        for (model, version) in &known.discovered.versions {
+            let newer = discovered.versions.entry(model.clone()).or_insert(0);
+            *newer = (*newer).max(*version);
+        }
+        known.discovered = discovered;
+    }
+
+    /// Weight version of a model as last heard; 0: none.
+    pub fn version(&self, model: &str) -> u64 {
+        let known = self.lock();
+        known.discovered.versions.get(model).copied().unwrap_or(0)
+    }
+
+    /// Notes a weight version that the instance told.
+    pub fn note_version(&self, model: &str, version: u64) {
+        let mut known = self.lock();
+        let versions = &mut known.discovered.versions;
+        let entry = versions.entry(model.to_owned()).or_insert(0);
+        if version > *entry {
+            *entry = version;
+            known.loading_until.remove(model);
+        }
+    }
+
+    /// Counts one more request until the guard is dropped.
+    pub fn begin(self: &Arc<Self>) -> RunGuard {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        RunGuard {
+            instance: Arc::clone(self),
+        }
+    }
+
+    /// Own requests there now.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Notes the load that came with an answer.
+    pub fn note_load(&self, load: Load, now: Instant) {
+        let own = self.in_flight();
+        let others = (load.running + load.waiting).saturating_sub(own);
+        self.lock().others = Some((others, now));
+    }
+
+    /// Notes the time that one unit of work took, in milliseconds.
+    pub fn note_pace(&self, pace_ms: f64, now: Instant) {
+        let mut known = self.lock();
+        let pace = match known.pace {
+            Some((pace, at)) if now.saturating_duration_since(at) < PACE_TRUST => {
+                pace + (pace_ms - pace) * PACE_WEIGHT
+            }
+            _ => pace_ms,
+        };
+        known.pace = Some((pace, now));
+    }
+
+    /// Notes a whole answer.
+    pub fn note_success(&self) {
+        let mut known = self.lock();
+        known.failures = 0;
+        known.paused_until = None;
+    }
+
+    /// Notes that no answer came, or a broken one: the instance gets a pause that grows.
+    pub fn note_failure(&self, now: Instant) {
+        let mut known = self.lock();
+        let factor = 1u32 << known.failures.min(8);
+        known.failures += 1;
+        let pause = (FIRST_PAUSE * factor).min(LONGEST_PAUSE);
+        known.paused_until = Some(now + pause);
+    }
+
+    /// Notes that a model cannot be used there for a moment.
+    pub fn note_loading(&self, model: &str, until: Instant) {
+        self.lock().loading_until.insert(model.to_owned(), until);
+    }
+
+    /// Whether the instance takes new work for `model` (empty: any) now.
+    pub fn is_usable(&self, model: &str, now: Instant) -> bool {
+        let known = self.lock();
+        let is_loading = known
+            .loading_until
+            .get(model)
+            .is_some_and(|until| *until > now);
+        let is_paused = known.paused_until.is_some_and(|until| until > now);
+        known.discovered.is_ready && !is_loading && !is_paused
+    }
+
+    /// What the choice is made from.
+    pub fn candidate(&self, zone: &str, now: Instant) -> Candidate {
+        let known = self.lock();
+        let fresh = |at: Instant| now.saturating_duration_since(at) < LOAD_TRUST;
+        let others = known
+            .others
+            .filter(|(_, at)| fresh(*at))
+            .map_or(0, |(load, _)| load);
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < PACE_TRUST;
+        Candidate {
+            load: self.in_flight() + others,
+            slots: known.discovered.slots,
+            is_same_zone: known.discovered.zone == zone,
+            pace_ms: known
+                .pace
+                .filter(|(_, at)| is_recent(*at))
+                .map(|(pace, _)| pace),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Known> {
+        self.known
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
--- /dev/null
+++ b/crates/front/src/backend/mod.rs
@@ -0,0 +1,14 @@
+//! Instances of services: what is known of each, which one a request goes to, and connections to them.
+
+mod choice;
+mod connection;
+mod exchange;
+mod instance;
+mod table;
+
+pub use choice::{Candidate, Demand, choose};
+pub use connection::{ConnectError, Connections, Lease};
+pub(crate) use exchange::keep_alive;
+pub use exchange::{ExchangeError, Reply, RequestHead, end_to_end, send};
+pub use instance::{Discovered, Instance, LOADING_PAUSE, Load, RunGuard};
+pub use table::BackendTable;
--- /dev/null
+++ b/crates/front/src/backend/table.rs
@@ -0,0 +1,128 @@
+//! All instances that discovery knows.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
+
+use tokio::sync::watch;
+
+use super::choice::{Candidate, Demand, choose};
+use super::instance::{Discovered, Instance};
+
+/// The instances by id. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct BackendTable {
+    zone: Arc<str>,
+    instances: Arc<Mutex<HashMap<String, Arc<Instance>>>>,
+    changed: watch::Sender<u64>,
+}
+
+impl BackendTable {
+    /// A table for a chooser in `zone`.
+    pub fn new(zone: &str) -> Self {
+        Self {
+            zone: zone.into(),
+            instances: Arc::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    /// Takes what discovery tells of one instance.
+    pub fn upsert(&self, discovered: Discovered) {
+        let mut instances = self.lock();
+        match instances.get(&discovered.id) {
+            Some(known) if known.address() == discovered.address => {
+                let was_ready = known.discovered().is_ready;
+                if was_ready != discovered.is_ready {
+                    log::info!(
+                        "event=instance_changed instance={} service={} ready={}",
+                        discovered.id,
+                        discovered.service,
+                        discovered.is_ready
+                    );
+                }
+                known.update(discovered);
+            }
+            _ => {
+                log::info!(
+                    "event=instance_added instance={} service={} address={} ready={}",
+                    discovered.id,
+                    discovered.service,
+                    discovered.address,
+                    discovered.is_ready
+                );
+                let id = discovered.id.clone();
+                instances.insert(id, Arc::new(Instance::new(discovered)));
+            }
+        }
+        drop(instances);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Forgets an instance that is gone; requests under way there go on.
+    pub fn remove(&self, id: &str) {
+        if let Some(instance) = self.lock().remove(id) {
+            instance.connections().close_idle();
+            log::info!("event=instance_gone instance={id}");
+        }
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Forgets all instances whose ids are not among `kept`.
+    pub fn retain(&self, kept: &[String]) {
+        let gone: Vec<String> = {
+            let instances = self.lock();
+            instances
+                .keys()
+                .filter(|id| !kept.contains(id))
+                .cloned()
+                .collect()
+        };
+        gone.iter().for_each(|id| self.remove(id));
+    }
+
+    /// Changes with every change of the table.
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Instances of a service, sorted by id.
+    pub fn of_service(&self, service: &str) -> Vec<Arc<Instance>> {
+        let instances = self.lock();
+        let mut found: Vec<_> = instances
+            .values()
+            .filter(|instance| instance.discovered().service == service)
+            .cloned()
+            .collect();
+        found.sort_by(|left, right| left.id().cmp(right.id()));
+        found
+    }
+
+    /// The instance for one more request among those of `service` that are usable and that `fits` accepts.
+    pub fn choose(
+        &self,
+        service: &str,
+        model: &str,
+        demand: Demand,
+        fits: impl Fn(&Instance) -> bool,
+    ) -> Option<Arc<Instance>> {
+        let now = Instant::now();
+        let usable: Vec<Arc<Instance>> = self
+            .of_service(service)
+            .into_iter()
+            .filter(|instance| instance.is_usable(model, now) && fits(instance))
+            .collect();
+        let candidates: Vec<Candidate> = usable
+            .iter()
+            .map(|instance| instance.candidate(&self.zone, now))
+            .collect();
+        let index = choose(&candidates, demand, rand::random())?;
+        Some(Arc::clone(&usable[index]))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Arc<Instance>>> {
+        self.instances
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
--- /dev/null
+++ b/crates/front/src/config.rs
@@ -0,0 +1,177 @@
+//! The configuration in force: routes, services and limits.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+/// What may be repeated on a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteKind {
+    /// Requests may run more than once.
+    Safe,
+    /// Requests run at most once for each client attempt.
+    Unsafe,
+    /// The answer is a series of events.
+    Streaming,
+    /// The route takes batch jobs.
+    Batch,
+}
+
+/// One part of a route's split.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WeightedService {
+    /// Service that gets this part.
+    pub service: String,
+    /// Its share against the other parts.
+    pub weight: u32,
+}
+
+/// Where requests of one host and path prefix go, and how.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// Name, for logs and metrics.
+    pub name: String,
+    /// Host that requests name.
+    pub host: String,
+    /// Prefix of the path; begins and ends with a slash.
+    pub path_prefix: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time that a request is held.
+    pub timeout: Duration,
+    /// Time within which an answer is worth most.
+    pub target_latency: Duration,
+    /// Rank, 0 highest.
+    pub priority: u8,
+    /// The services of the route; not empty.
+    pub split: Vec<WeightedService>,
+    /// Most instances that one request may be sent to.
+    pub max_attempts: u32,
+    /// How long after a batch job was handed in an item may be given up; `None`: never by age.
+    pub max_queue: Option<Duration>,
+    /// How long after a batch job was handed in its results are due.
+    pub result_deadline: Option<Duration>,
+    /// Every text must come from one weight version.
+    pub single_version: bool,
+    /// A stream may be taken up at another instance.
+    pub resumable: bool,
+}
+
+impl Route {
+    /// Service for a request, by the weights; `random` is any number.
+    pub fn pick_service(&self, random: u64) -> &str {
+        let total: u64 = self.split.iter().map(|part| u64::from(part.weight)).sum();
+        let mut point = random % total.max(1);
+        for part in &self.split {
+            let weight = u64::from(part.weight);
+            if point < weight {
+                return &part.service;
+            }
+            point -= weight;
+        }
+        &self.split[0].service
+    }
+}
+
+/// How the instances of a service are used.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct ServiceSpec {
+    /// Connections that an instance takes from all callers together.
+    pub max_connections: u32,
+    /// Models that its instances hold; empty for plain applications.
+    pub models: Vec<String>,
+}
+
+/// Bounds of what a client may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    pub max_header_bytes: usize,
+    /// Bytes of a request's body.
+    pub max_body_bytes: usize,
+    /// Time to send a request's head.
+    pub header_timeout: Duration,
+    /// How long a kept connection may rest.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16 * 1024,
+            max_body_bytes: 32 * 1024 * 1024,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One whole version of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct ServingConfig {
+    /// Rises with every change.
+    pub version: u64,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// Services by name.
+    pub services: BTreeMap<String, ServiceSpec>,
+    /// Bounds of what clients may send.
+    pub limits: Limits,
+}
+
+impl ServingConfig {
+    /// The route of a request: of those of its host, the one with the longest matching prefix.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        self.routes
+            .iter()
+            .filter(|route| route.host.eq_ignore_ascii_case(host))
+            .filter(|route| path.starts_with(&route.path_prefix))
+            .max_by_key(|route| route.path_prefix.len())
+    }
+}
+
+/// The newest configuration known to this process. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct ConfigInForce {
+    current: watch::Sender<Option<Arc<ServingConfig>>>,
+}
+
+impl Default for ConfigInForce {
+    fn default() -> Self {
+        Self {
+            current: watch::Sender::new(None),
+        }
+    }
+}
+
+impl ConfigInForce {
+    /// Takes a version unless one as new is in force; returns whether it was taken. A process never goes back.
+    pub fn offer(&self, config: ServingConfig) -> bool {
+        self.current.send_if_modified(|current| {
+            let known = current.as_ref().map(|known| known.version);
+            if known.is_some_and(|known| known >= config.version) {
+                return false;
+            }
+            log::info!(
+                "event=config_in_force version={} previous={} routes={}",
+                config.version,
+                known.unwrap_or(0),
+                config.routes.len()
+            );
+            *current = Some(Arc::new(config));
+            true
+        })
+    }
+
+    /// The version in force; `None` before the first one.
+    pub fn current(&self) -> Option<Arc<ServingConfig>> {
+        self.current.borrow().clone()
+    }
+
+    /// Changes whenever another version is in force.
+    pub fn watch(&self) -> watch::Receiver<Option<Arc<ServingConfig>>> {
+        self.current.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/front/src/coordination.rs
@@ -0,0 +1,176 @@
+//! What the programs need of a linearizable store with compare-and-swap, watches and leases.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+
+/// Number of a lease.
+pub type LeaseId = u64;
+
+/// One record of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// Its key.
+    pub key: String,
+    /// Its bytes.
+    pub value: Vec<u8>,
+    /// The store's revision of its last change.
+    pub revision: u64,
+}
+
+/// Why a call gave no result.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum CoordinationError {
+    /// The store was not reached, refused, or did not answer a read; nothing was changed.
+    #[error("store unavailable: {0}")]
+    Unavailable(String),
+    /// A write got no answer; it may have been carried out, or may be so later if its condition still holds.
+    #[error("outcome unknown: {0}")]
+    Unknown(String),
+    /// The lease does not exist any more.
+    #[error("the lease is over")]
+    LeaseOver,
+}
+
+/// What became of a conditional write that was answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SwapResult {
+    /// The condition held and the record is now the new value.
+    Won {
+        /// Revision of this change.
+        revision: u64,
+    },
+    /// The condition did not hold; the record as it is.
+    Lost(Option<Record>),
+}
+
+/// Records as of one look.
+#[derive(Debug, Clone, Default)]
+pub struct Listing {
+    /// The records, each as of some revision at or after `at`.
+    pub records: Vec<Record>,
+    /// Revision from which a watch goes on.
+    pub at: u64,
+}
+
+/// One change seen by a watch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// The record was written.
+    Written(Record),
+    /// The record is gone.
+    Removed {
+        /// Its key.
+        key: String,
+    },
+}
+
+/// What a watch answered.
+#[derive(Debug, Clone)]
+pub enum WatchAnswer {
+    /// Changes in order, perhaps none, and the revision from which the next watch goes on.
+    Changes {
+        /// The changes.
+        changes: Vec<Change>,
+        /// Where to go on.
+        at: u64,
+    },
+    /// The store has forgotten that part of its history: list again.
+    HistoryGone,
+}
+
+/// Access to the store. Keys are the caller's; implementations translate calls only.
+pub trait Coordination: Send + Sync + 'static {
+    /// The record at `key`.
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Record>, CoordinationError>>;
+
+    /// All records under `prefix`.
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Listing, CoordinationError>>;
+
+    /// Waits for changes under `prefix` after revision `after`.
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: u64,
+    ) -> BoxFuture<'a, Result<WatchAnswer, CoordinationError>>;
+
+    /// Writes `value` if the record at `key` was last changed at `expected` (0: is absent).
+    fn swap<'a>(
+        &'a self,
+        key: &'a str,
+        expected: u64,
+        value: Vec<u8>,
+        lease: Option<LeaseId>,
+    ) -> BoxFuture<'a, Result<SwapResult, CoordinationError>>;
+
+    /// Writes `value` whatever the record was.
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        value: Vec<u8>,
+        lease: Option<LeaseId>,
+    ) -> BoxFuture<'a, Result<(), CoordinationError>>;
+
+    /// A new lease that ends `ttl` after the call arrived unless it is renewed.
+    fn grant(&self, ttl: Duration) -> BoxFuture<'_, Result<LeaseId, CoordinationError>>;
+
+    /// Renews a lease for its whole time.
+    fn renew(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), CoordinationError>>;
+
+    /// Ends a lease, and with it its records.
+    fn revoke(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), CoordinationError>>;
+}
+
+/// What a follower is told.
+#[derive(Debug, Clone)]
+pub enum Update {
+    /// All records there are now; what is not among them is gone.
+    Snapshot(Vec<Record>),
+    /// Changes since.
+    Changes(Vec<Change>),
+}
+
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Follows all records under `prefix` for as long as the future is polled. `gather` passes between two answers, so that
+/// changes in quick succession cost one call.
+pub async fn follow(
+    coordination: Arc<dyn Coordination>,
+    prefix: &str,
+    gather: Duration,
+    mut on_update: impl FnMut(Update),
+) {
+    let mut after = None;
+    loop {
+        let result = match after {
+            None => coordination.list(prefix).await.map(|listing| {
+                on_update(Update::Snapshot(listing.records));
+                Some(listing.at)
+            }),
+            Some(at) => coordination
+                .watch(prefix, at)
+                .await
+                .map(|answer| match answer {
+                    WatchAnswer::Changes { changes, at } => {
+                        if !changes.is_empty() {
+                            on_update(Update::Changes(changes));
+                        }
+                        Some(at)
+                    }
+                    WatchAnswer::HistoryGone => None,
+                }),
+        };
+        match result {
+            Ok(next) => {
+                after = next;
+                tokio::time::sleep(gather).await;
+            }
+            Err(error) => {
+                log::debug!("event=follow_failed prefix={prefix} cause=\"{error}\"");
+                tokio::time::sleep(ladderstage_journal::jitter::jittered(FAILURE_PAUSE)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/front.rs
@@ -0,0 +1,219 @@
+//! The `front` program: serves clients, owns batch jobs, and gives orders if it holds the lease.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ladderstage_transport::Server;
+use tokio::net::TcpListener;
+
+use crate::backend::BackendTable;
+use crate::config::ConfigInForce;
+use crate::coordination::Coordination;
+use crate::dialect::SharedCodec;
+use crate::ingress::{self, Ingress, IngressState};
+use crate::job::{JobContext, JobRegistry};
+use crate::live::LiveService;
+use crate::metrics::Metrics;
+use crate::nodes::{NodeRecord, NodeRole, Nodes};
+use crate::orders::{OrderGiver, OrderOptions, VersionsNamed};
+use crate::program::{JobHooks, JournalParts, PeerHandler, PeerParts, ProgramOptions};
+
+/// How long a stopping front still takes new connections, until their source has noticed.
+const NOTICE_TIME: Duration = Duration::from_millis(2_300);
+
+/// Kept back from the grace time.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
+/// Between looks at requests that are still being answered.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// What the adapter of the outside feeds.
+#[derive(Clone)]
+pub struct FrontInputs {
+    /// Configuration.
+    pub config: ConfigInForce,
+    /// Instances.
+    pub backends: BackendTable,
+    /// Named weight versions.
+    pub versions: VersionsNamed,
+    /// Names.
+    pub codec: SharedCodec,
+}
+
+/// Addresses that clients and the platform use.
+#[derive(Debug, Clone, Copy)]
+pub struct FrontAddresses {
+    /// Clients.
+    pub clients: SocketAddr,
+    /// Who asks whether new connections may come.
+    pub readiness: Option<SocketAddr>,
+}
+
+/// Why the program ended.
+#[derive(Debug, thiserror::Error)]
+pub enum FrontError {
+    /// An address cannot be listened on.
+    #[error("listening on {address}: {error}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        error: std::io::Error,
+    },
+}
+
+/// Runs a front until it is told to stop.
+///
+/// # Errors
+/// See [`FrontError`].
+pub async fn run(
+    options: ProgramOptions,
+    addresses: FrontAddresses,
+    inputs: FrontInputs,
+    coordination: Arc<dyn Coordination>,
+    stop: impl Future<Output = ()>,
+) -> Result<(), FrontError> {
+    let metrics = Arc::new(Metrics::new());
+    let nodes = Nodes::new(NodeRecord {
+        node: options.node.clone(),
+        role: NodeRole::Front,
+        process: rand::random_range(1..=u64::MAX),
+        peer_address: options.peer_address,
+        zone: options.zone.clone(),
+        replica_id: 0,
+        is_leaving: false,
+    });
+    let handler = PeerHandler::default();
+    let server = Server::start(options.peer_address, Arc::new(handler.clone()));
+    let _server = server.await.map_err(|error| FrontError::Listen {
+        address: options.peer_address,
+        error,
+    })?;
+    let parts = JournalParts::start(&options, &nodes, None, Arc::clone(&coordination));
+    let jobs = JobRegistry::new(JobContext {
+        journal: parts.journal.clone(),
+        nodes: nodes.clone(),
+        config: inputs.config.clone(),
+        backends: inputs.backends.clone(),
+        codec: Arc::clone(&inputs.codec),
+        metrics: Arc::clone(&metrics),
+        retention: options.job_retention,
+    });
+    let hooks = JobHooks {
+        jobs: Some(jobs.clone()),
+    };
+    parts.journal.set_hooks(Arc::new(hooks));
+    let _ = handler.parts.set(PeerParts {
+        journal: parts.journal.clone(),
+        replica_sets: parts.replica_sets.clone(),
+        jobs: Some(jobs.clone()),
+    });
+    let state = Arc::new(IngressState::default());
+    listen(
+        &options, addresses, &inputs, &nodes, &jobs, &metrics, &state,
+    )
+    .await?;
+    let giver = OrderGiver {
+        coordination: Arc::clone(&coordination),
+        nodes: nodes.clone(),
+        backends: inputs.backends.clone(),
+        config: inputs.config.clone(),
+        versions: inputs.versions.clone(),
+        codec: Arc::clone(&inputs.codec),
+        metrics: Arc::clone(&metrics),
+        options: OrderOptions {
+            lease: options.order_lease,
+        },
+    };
+    let nodes_task = tokio::spawn({
+        let nodes = nodes.clone();
+        async move { nodes.run(coordination).await }
+    });
+    let orders_task = tokio::spawn(async move { giver.run().await });
+    let sweep_task = tokio::spawn({
+        let jobs = jobs.clone();
+        async move { jobs.sweep().await }
+    });
+    log::info!(
+        "event=started role=front node={} clients={} peers={}",
+        options.node,
+        addresses.clients,
+        options.peer_address
+    );
+    stop.await;
+    orders_task.abort();
+    drain(&options, &nodes, &jobs, &state).await;
+    sweep_task.abort();
+    nodes_task.abort();
+    log::info!(
+        "event=stopped role=front node={} requests={}",
+        options.node,
+        state.requests()
+    );
+    Ok(())
+}
+
+async fn listen(
+    options: &ProgramOptions,
+    addresses: FrontAddresses,
+    inputs: &FrontInputs,
+    nodes: &Nodes,
+    jobs: &JobRegistry,
+    metrics: &Arc<Metrics>,
+    state: &Arc<IngressState>,
+) -> Result<(), FrontError> {
+    let clients = bind(addresses.clients).await?;
+    let ingress = Ingress {
+        config: inputs.config.clone(),
+        live: LiveService {
+            backends: inputs.backends.clone(),
+            codec: Arc::clone(&inputs.codec),
+            metrics: Arc::clone(metrics),
+        },
+        jobs: jobs.clone(),
+        codec: Arc::clone(&inputs.codec),
+        nodes: nodes.clone(),
+        metrics: Arc::clone(metrics),
+        state: Arc::clone(state),
+    };
+    tokio::spawn(ingress::serve(clients, Arc::new(ingress)));
+    if let Some(address) = addresses.readiness {
+        let listener = bind(address).await?;
+        let config = inputs.config.clone();
+        let state = Arc::clone(state);
+        let is_ready = move || config.current().is_some() && !state.is_draining();
+        tokio::spawn(ingress::serve_readiness(listener, is_ready));
+    }
+    if let Some(address) = options.metrics_address {
+        let listener = bind(address).await?;
+        let metrics = Arc::clone(metrics);
+        let answer = move |_: &str| (http::StatusCode::OK, metrics.render());
+        tokio::spawn(ingress::serve_small(listener, answer));
+    }
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, FrontError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| FrontError::Listen { address, error })
+}
+
+/// A planned stop: says not ready, hands the jobs over, answers what is under way, closes connections that rest.
+async fn drain(options: &ProgramOptions, nodes: &Nodes, jobs: &JobRegistry, state: &IngressState) {
+    log::info!(
+        "event=draining node={} requests={}",
+        options.node,
+        state.requests()
+    );
+    let deadline = Instant::now() + options.grace.saturating_sub(STOP_MARGIN);
+    state.drain();
+    nodes.set_leaving(true);
+    tokio::join!(jobs.hand_over(), tokio::time::sleep(NOTICE_TIME));
+    state.close_idle();
+    while state.requests() > 0 && Instant::now() < deadline {
+        tokio::time::sleep(STOP_LOOK).await;
+    }
+    // Answers that were handed to the connections still have to reach the sockets.
+    tokio::time::sleep(STOP_LOOK * 2).await;
+}
--- /dev/null
+++ b/crates/front/src/job/events.rs
@@ -0,0 +1,105 @@
+//! Server-sent events as instances write them.
+
+/// One event of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// Its number in the stream.
+    pub id: u64,
+    /// Its data; several lines are joined by line feeds.
+    pub data: String,
+    /// Weight version that made it, where the event names one.
+    pub version: Option<u64>,
+}
+
+/// Splits a stream's bytes into events. Bytes of an event that is not whole yet are kept.
+#[derive(Debug, Clone, Default)]
+pub struct EventParser {
+    /// Lower-case name of the line that tells a weight version.
+    version_field: String,
+    buffer: Vec<u8>,
+}
+
+/// Bytes that are no event.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("not an event: {0}")]
+pub struct EventError(String);
+
+/// Largest event that is kept.
+const EVENT_LIMIT: usize = 4 * 1024 * 1024;
+
+impl EventParser {
+    /// A parser for streams that tell weight versions under `version_field`.
+    pub fn new(version_field: &str) -> Self {
+        Self {
+            version_field: version_field.to_ascii_lowercase(),
+            buffer: Vec::new(),
+        }
+    }
+
+    /// Takes bytes and returns the events that are whole now.
+    ///
+    /// # Errors
+    /// If the bytes are not events.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<Event>, EventError> {
+        self.buffer.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        let mut start = 0;
+        while let Some(end) = find_blank_line(&self.buffer[start..]) {
+            let block = &self.buffer[start..start + end.0];
+            if !block.is_empty() {
+                events.push(self.parse(block)?);
+            }
+            start += end.0 + end.1;
+        }
+        self.buffer.drain(..start);
+        if self.buffer.len() > EVENT_LIMIT {
+            return Err(EventError("too long".to_owned()));
+        }
+        Ok(events)
+    }
+
+    /// Whether no part of an event is left over.
+    pub fn is_at_boundary(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    fn parse(&self, block: &[u8]) -> Result<Event, EventError> {
+        let text = std::str::from_utf8(block).map_err(|error| EventError(error.to_string()))?;
+        let mut id = None;
+        let mut version = None;
+        let mut data: Option<String> = None;
+        for line in text.lines() {
+            let Some((field, value)) = line.split_once(':') else {
+                return Err(EventError(format!("line without a field: {line:.40}")));
+            };
+            let value = value.strip_prefix(' ').unwrap_or(value);
+            match field {
+                "id" => id = value.trim().parse().ok(),
+                "data" => match &mut data {
+                    Some(data) => {
+                        data.push('\n');
+                        data.push_str(value);
+                    }
+                    None => data = Some(value.to_owned()),
+                },
+                _ if field == self.version_field => version = value.trim().parse().ok(),
+                _ => {}
+            }
+        }
+        let id = id.ok_or_else(|| EventError("no id".to_owned()))?;
+        let data = data.ok_or_else(|| EventError("no data".to_owned()))?;
+        Ok(Event { id, data, version })
+    }
+}
+
+/// Position of the next blank line and its length, both line ends included.
+fn find_blank_line(bytes: &[u8]) -> Option<(usize, usize)> {
+    let line_feeds = bytes.windows(2).position(|pair| pair == b"\n\n");
+    let with_returns = bytes.windows(4).position(|four| four == b"\r\n\r\n");
+    match (line_feeds, with_returns) {
+        (Some(short), Some(long)) if long < short => Some((long, 4)),
+        (Some(short), _) => Some((short, 2)),
+        (None, Some(long)) => Some((long, 4)),
+        (None, None) => None,
+    }
+}
--- /dev/null
+++ b/crates/front/src/job/mod.rs
@@ -0,0 +1,19 @@
+//! Batch jobs: accepted once a majority of store disks holds them, run item by item, read at any front.
+
+mod events;
+mod owner;
+mod registry;
+mod run;
+mod state;
+
+pub use events::{Event, EventParser};
+pub use registry::{AcceptError, JobContext, JobRegistry, ReadError};
+pub use state::{JobState, entry_bytes};
+
+/// Prefix of the jobs' logs in the journal; the job's id follows.
+pub const LOG_PREFIX: &str = "job/";
+
+/// Name of a job's log.
+pub fn log_name(job: &str) -> String {
+    format!("{LOG_PREFIX}{job}")
+}
--- /dev/null
+++ b/crates/front/src/job/owner.rs
@@ -0,0 +1,417 @@
+//! The owner of one batch job: starts its items, writes their results to the job's log, and tells readers.
+
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use futures_util::future::BoxFuture;
+use ladderstage_journal::{JournalError, LogWriter};
+use ladderstage_wire::messages::mod_JobEntry::OneOfkind as EntryKind;
+use ladderstage_wire::messages::mod_JobResult::State as ResultState;
+use ladderstage_wire::messages::{JobEnded, JobResult, JobSpec, LogEntry};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+
+use super::log_name;
+use super::registry::JobContext;
+use super::run::{RunContext, run_item};
+use super::state::{JobState, entry_bytes};
+use crate::backend::Demand;
+use crate::config::Route;
+
+/// Results that end within this time share one append.
+const GATHER: Duration = Duration::from_millis(20);
+
+/// Pause before another look for room when no instance had any.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(25);
+
+/// Pause before an append or a take-over is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// What an owner is asked.
+pub(super) enum Command {
+    /// End the job; answered once that is committed.
+    End(oneshot::Sender<()>),
+    /// Another node has the log.
+    Lost,
+}
+
+/// What a job's owner shares with readers.
+pub(super) struct Job {
+    pub id: String,
+    pub opened_at: Instant,
+    state: Mutex<JobState>,
+    changed: watch::Sender<u64>,
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+/// How an owner's work ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum OwnerEnd {
+    /// The job was ended by its client.
+    Ended,
+    /// Another node owns it now.
+    Lost,
+}
+
+impl Job {
+    pub fn new(id: &str, state: JobState) -> (Arc<Self>, mpsc::UnboundedReceiver<Command>) {
+        let (commands, receiver) = mpsc::unbounded_channel();
+        let job = Self {
+            id: id.to_owned(),
+            opened_at: Instant::now(),
+            state: Mutex::new(state),
+            changed: watch::Sender::new(0),
+            commands,
+        };
+        (Arc::new(job), receiver)
+    }
+
+    pub fn state(&self) -> MutexGuard<'_, JobState> {
+        self.state
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Changes with each commit.
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Asks the owner; `false` if it has finished.
+    pub fn ask(&self, command: Command) -> bool {
+        self.commands.send(command).is_ok()
+    }
+
+    fn notify(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+}
+
+/// An append that ended, with the writer given back.
+struct AppendDone {
+    writer: LogWriter,
+    result: Result<(), JournalError>,
+}
+
+/// Owns one job.
+pub(super) struct Owner {
+    context: Arc<JobContext>,
+    job: Arc<Job>,
+    writer: Option<LogWriter>,
+    /// Entries for the next append.
+    queue: Vec<LogEntry>,
+    /// Entries of the append under way.
+    in_append: Vec<LogEntry>,
+    closes: bool,
+    running: HashSet<usize>,
+    runs: JoinSet<(usize, JobResult)>,
+    enders: Vec<oneshot::Sender<()>>,
+    has_waiting_items: bool,
+    last_append: Instant,
+}
+
+impl Owner {
+    /// An owner with the right to append; `spec` is written first if the log is empty.
+    pub fn new(
+        context: Arc<JobContext>,
+        job: Arc<Job>,
+        writer: LogWriter,
+        spec: Option<JobSpec>,
+    ) -> Self {
+        let accept = spec.map(|spec| entry_bytes(EntryKind::accepted(spec)));
+        let is_ended = job.state().is_ended();
+        let mut owner = Self {
+            context,
+            job,
+            writer: Some(writer),
+            queue: accept.into_iter().collect(),
+            in_append: Vec::new(),
+            closes: false,
+            running: HashSet::new(),
+            runs: JoinSet::new(),
+            enders: Vec::new(),
+            has_waiting_items: false,
+            last_append: Instant::now() - GATHER,
+        };
+        if is_ended {
+            owner.queue_end();
+        }
+        owner
+    }
+
+    /// Runs the job until it is ended or lost.
+    pub async fn run(mut self, mut commands: mpsc::UnboundedReceiver<Command>) -> OwnerEnd {
+        let mut table_changed = self.context.backends.watch();
+        let mut config_changed = self.context.config.watch();
+        let mut appending: Option<BoxFuture<'static, AppendDone>> = None;
+        loop {
+            if appending.is_none() {
+                appending = self.next_append();
+            }
+            self.start_runs();
+            tokio::select! {
+                command = commands.recv() => match command {
+                    Some(Command::End(answer)) => {
+                        self.enders.push(answer);
+                        self.queue_end();
+                    }
+                    Some(Command::Lost) | None => return self.lost(),
+                },
+                Some(ended) = self.runs.join_next() => self.on_run(ended),
+                done = wait_for(&mut appending) => {
+                    appending = None;
+                    match self.on_append(done).await {
+                        Some(OwnerEnd::Lost) => return self.lost(),
+                        Some(OwnerEnd::Ended) => return self.ended(),
+                        None => {}
+                    }
+                }
+                _ = table_changed.changed(), if self.has_waiting_items => {}
+                _ = config_changed.changed() => {}
+                () = tokio::time::sleep(NO_ROOM_PAUSE), if self.has_waiting_items => {}
+            }
+        }
+    }
+
+    fn queue_end(&mut self) {
+        if !self.closes {
+            self.closes = true;
+            self.queue.push(entry_bytes(EntryKind::ended(JobEnded {})));
+            self.runs.abort_all();
+        }
+    }
+
+    fn on_run(&mut self, ended: Result<(usize, JobResult), tokio::task::JoinError>) {
+        let Ok((index, result)) = ended else {
+            return;
+        };
+        let outcome = match result.state {
+            ResultState::COMPLETED => "completed",
+            _ => "terminated",
+        };
+        self.context
+            .metrics
+            .item_runs
+            .with_label_values(&[outcome])
+            .inc();
+        self.running.remove(&index);
+        self.queue.push(entry_bytes(EntryKind::result(result)));
+    }
+
+    /// Takes the queue into one append, after the gathering time.
+    fn next_append(&mut self) -> Option<BoxFuture<'static, AppendDone>> {
+        if self.queue.is_empty() {
+            return None;
+        }
+        let mut writer = self.writer.take()?;
+        self.in_append = std::mem::take(&mut self.queue);
+        let entries = self.in_append.clone();
+        let closes = self.closes;
+        let is_first = self.job.state().spec().is_none();
+        let pause = if is_first || closes {
+            Duration::ZERO
+        } else {
+            GATHER
+        };
+        let pause = pause.saturating_sub(self.last_append.elapsed());
+        Some(Box::pin(async move {
+            tokio::time::sleep(pause).await;
+            let result = append_until_known(&mut writer, entries, closes).await;
+            AppendDone { writer, result }
+        }))
+    }
+
+    async fn on_append(&mut self, done: AppendDone) -> Option<OwnerEnd> {
+        self.last_append = Instant::now();
+        match done.result {
+            Ok(()) => {
+                self.writer = Some(done.writer);
+                let entries = std::mem::take(&mut self.in_append);
+                self.commit(&entries);
+                self.job.state().is_ended().then_some(OwnerEnd::Ended)
+            }
+            Err(JournalError::Fenced) => Some(OwnerEnd::Lost),
+            Err(error) => {
+                log::warn!(
+                    "event=job_log_retaken job={} cause=\"{error}\"",
+                    self.job.id
+                );
+                drop(done.writer);
+                self.take_over_again().await
+            }
+        }
+    }
+
+    fn commit(&mut self, entries: &[LogEntry]) {
+        let mut state = self.job.state();
+        for entry in entries {
+            if let Err(error) = state.apply(entry) {
+                log::error!(
+                    "event=job_entry_unreadable job={} cause=\"{error}\"",
+                    self.job.id
+                );
+            }
+        }
+        log::info!(
+            "event=job_committed job={} entries={} results={} complete={} ended={}",
+            self.job.id,
+            entries.len(),
+            state.results().len(),
+            state.is_complete(),
+            state.is_ended()
+        );
+        drop(state);
+        self.job.notify();
+    }
+
+    /// Takes the log under the newest replica set; what the last append left behind is found there or not.
+    async fn take_over_again(&mut self) -> Option<OwnerEnd> {
+        let log = log_name(&self.job.id);
+        loop {
+            match self.context.journal.take_over(&log).await {
+                Ok((writer, entries)) => {
+                    let Ok(state) = JobState::replay(&entries) else {
+                        return Some(OwnerEnd::Lost);
+                    };
+                    *self.job.state() = state;
+                    self.job.notify();
+                    let mut pending = std::mem::take(&mut self.in_append);
+                    pending.append(&mut self.queue);
+                    self.queue = pending;
+                    self.writer = Some(writer);
+                    return None;
+                }
+                Err(JournalError::Fenced | JournalError::Retired) => return Some(OwnerEnd::Lost),
+                Err(error) => {
+                    log::warn!(
+                        "event=job_log_unavailable job={} cause=\"{error}\"",
+                        self.job.id
+                    );
+                    let pause = ladderstage_journal::jitter::jittered(RETRY_PAUSE);
+                    tokio::time::sleep(pause).await;
+                }
+            }
+        }
+    }
+
+    /// Starts items that have neither a result nor a run, in the order of their groups, while instances have room.
+    fn start_runs(&mut self) {
+        self.has_waiting_items = false;
+        if self.closes {
+            return;
+        }
+        let Some(spec) = self.job.state().spec().cloned() else {
+            return;
+        };
+        let Some(run) = self.run_context(&spec) else {
+            self.has_waiting_items = true;
+            return;
+        };
+        for index in self.startable(&spec) {
+            let fits = |instance: &crate::backend::Instance| {
+                instance.version(&spec.model) >= spec.min_version
+            };
+            let chosen =
+                self.context
+                    .backends
+                    .choose(&run.service, &spec.model, Demand::Batch, fits);
+            let Some(instance) = chosen else {
+                self.has_waiting_items = true;
+                return;
+            };
+            // The run begins with its first poll; the guard counts it from now on.
+            let guard = instance.begin();
+            let run = Arc::clone(&run);
+            self.running.insert(index);
+            self.runs.spawn(async move {
+                drop(guard);
+                (index, run_item(run, index, instance).await)
+            });
+        }
+    }
+
+    fn startable(&self, spec: &JobSpec) -> Vec<usize> {
+        let state = self.job.state();
+        let in_log: HashSet<usize> = self.running.iter().copied().collect();
+        let queued = self.queued_items();
+        (0..spec.items.len())
+            .filter(|index| !in_log.contains(index))
+            .filter(|index| {
+                let id = &spec.items[*index].id;
+                !state.is_listed(id) && !queued.contains(id)
+            })
+            .collect()
+    }
+
+    /// Items whose results wait for their commit.
+    fn queued_items(&self) -> HashSet<String> {
+        let waiting = self.queue.iter().chain(&self.in_append);
+        waiting
+            .filter_map(|entry| ladderstage_wire::decode(&entry.payload).ok())
+            .filter_map(
+                |entry: ladderstage_wire::messages::JobEntry| match entry.kind {
+                    EntryKind::result(result) => Some(result.item),
+                    _ => None,
+                },
+            )
+            .collect()
+    }
+
+    /// How items run under the configuration in force; `None` while no route takes them.
+    fn run_context(&self, spec: &Arc<JobSpec>) -> Option<Arc<RunContext>> {
+        let config = self.context.config.current()?;
+        let route: &Route = config.route(&spec.host, &spec.path)?;
+        Some(Arc::new(RunContext {
+            backends: self.context.backends.clone(),
+            codec: Arc::clone(&self.context.codec),
+            spec: Arc::clone(spec),
+            service: route.pick_service(rand::random()).to_owned(),
+            max_attempts: route.max_attempts,
+            single_version: route.single_version,
+            give_up_at: route.max_queue.map(|age| self.job.opened_at + age),
+        }))
+    }
+
+    fn lost(mut self) -> OwnerEnd {
+        self.runs.abort_all();
+        log::info!("event=job_lost job={}", self.job.id);
+        OwnerEnd::Lost
+    }
+
+    fn ended(mut self) -> OwnerEnd {
+        self.runs.abort_all();
+        self.job.state().drop_bodies();
+        for ender in self.enders.drain(..) {
+            let _ = ender.send(());
+        }
+        self.job.notify();
+        log::info!("event=job_ended job={}", self.job.id);
+        OwnerEnd::Ended
+    }
+}
+
+/// Repeats an append whose outcome is unknown until it is known.
+async fn append_until_known(
+    writer: &mut LogWriter,
+    entries: Vec<LogEntry>,
+    closes: bool,
+) -> Result<(), JournalError> {
+    let mut result = writer.append(entries, closes).await;
+    while let Err(JournalError::NoQuorum(cause)) = result {
+        log::warn!(
+            "event=append_in_doubt log={} cause=\"{cause}\"",
+            writer.log()
+        );
+        tokio::time::sleep(ladderstage_journal::jitter::jittered(RETRY_PAUSE)).await;
+        result = writer.retry().await;
+    }
+    result
+}
+
+async fn wait_for(appending: &mut Option<BoxFuture<'static, AppendDone>>) -> AppendDone {
+    match appending {
+        Some(appending) => appending.await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/front/src/job/registry.rs
@@ -0,0 +1,591 @@
+//! The jobs of this node and the way to all others: accepts, reads, ends and adopts them.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use ladderstage_journal::{Journal, JournalError, Peers};
+use ladderstage_wire::messages::mod_Refused::Reason;
+use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
+use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
+use ladderstage_wire::messages::{
+    Done, EndJob, JobBody, JobResults, JobSpec, ReadJob, ReadJobBody, Refused, Request, Response,
+    ShardNotice,
+};
+use tokio::sync::oneshot;
+
+use super::owner::{Command, Job, Owner, OwnerEnd};
+use super::state::JobState;
+use super::{LOG_PREFIX, log_name};
+use crate::backend::BackendTable;
+use crate::config::ConfigInForce;
+use crate::dialect::SharedCodec;
+use crate::metrics::Metrics;
+use crate::nodes::Nodes;
+
+/// Bytes of texts in one answer, at most one result more.
+const RESULT_BYTES: usize = 768 * 1024;
+
+/// Time for a peer to answer, beyond the time that it was asked to wait.
+const PEER_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// How long a hand-in or an end waits for its commit.
+const COMMIT_LIMIT: Duration = Duration::from_millis(3_500);
+
+/// Between looks for jobs that need not be kept any more.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
+
+/// How long a planned stop waits for others to take the jobs.
+const HAND_OVER_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// What jobs work with.
+pub struct JobContext {
+    /// Where they are kept.
+    pub journal: Journal,
+    /// The other nodes.
+    pub nodes: Nodes,
+    /// Routes.
+    pub config: ConfigInForce,
+    /// Instances.
+    pub backends: BackendTable,
+    /// Names.
+    pub codec: SharedCodec,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// How long a job can be read after it was handed in.
+    pub retention: Duration,
+}
+
+/// Why a job was not accepted.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum AcceptError {
+    /// Nothing of it is kept by this try.
+    #[error("not kept: {0}")]
+    NotKept(String),
+    /// It may be kept.
+    #[error("in doubt: {0}")]
+    InDoubt(String),
+}
+
+/// Why a job could not be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum ReadError {
+    /// There is no such job or item.
+    #[error("not found")]
+    NotFound,
+    /// Whether there is one cannot be told now.
+    #[error("unavailable: {0}")]
+    Unavailable(String),
+}
+
+/// Where a job is.
+enum Place {
+    Here(Arc<Job>),
+    At(String),
+}
+
+/// The jobs of this node. Cheap to clone.
+#[derive(Clone)]
+pub struct JobRegistry {
+    context: Arc<JobContext>,
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    jobs: Mutex<HashMap<String, Arc<Job>>>,
+    /// Jobs whose logs are being taken over.
+    opening: Mutex<HashSet<String>>,
+    /// Owners of other jobs as last heard.
+    owners: Mutex<HashMap<String, (String, Instant)>>,
+}
+
+/// Removes a job from those being opened.
+struct Opening {
+    shared: Arc<Shared>,
+    id: String,
+}
+
+impl Drop for Opening {
+    fn drop(&mut self) {
+        lock(&self.shared.opening).remove(&self.id);
+    }
+}
+
+impl JobRegistry {
+    /// No jobs yet.
+    pub fn new(context: JobContext) -> Self {
+        Self {
+            context: Arc::new(context),
+            shared: Arc::default(),
+        }
+    }
+
+    /// Accepts a job: `Ok` once a majority of store disks holds it, also if it was accepted before.
+    ///
+    /// # Errors
+    /// See [`AcceptError`].
+    pub async fn accept(&self, spec: JobSpec) -> Result<(), AcceptError> {
+        let id = spec.job.clone();
+        match self.locate(&id).await {
+            Ok(place) => return self.confirm_accepted(&id, place).await,
+            Err(ReadError::NotFound) => {}
+            Err(ReadError::Unavailable(cause)) => return Err(AcceptError::NotKept(cause)),
+        }
+        let items = spec.items.len();
+        let opened = tokio::time::timeout(COMMIT_LIMIT, self.open(&id, Some(spec))).await;
+        let job = match opened {
+            Ok(Ok(job)) => job,
+            Ok(Err(JournalError::NoQuorum(cause))) => return Err(AcceptError::NotKept(cause)),
+            Ok(Err(error)) => return Err(AcceptError::InDoubt(error.to_string())),
+            Err(_) => {
+                return Err(AcceptError::NotKept(
+                    "the log was not sealed in time".to_owned(),
+                ));
+            }
+        };
+        self.wait_accepted(&job).await?;
+        self.context
+            .metrics
+            .jobs
+            .with_label_values(&["accepted"])
+            .inc();
+        log::info!("event=job_accepted job={id} items={items}");
+        Ok(())
+    }
+
+    /// Results from position `after` on; waits up to `wait` for one.
+    ///
+    /// # Errors
+    /// See [`ReadError`].
+    pub async fn read(
+        &self,
+        id: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<JobResults, ReadError> {
+        match self.locate(id).await? {
+            Place::Here(job) => Ok(read_local(&job, after, wait).await),
+            Place::At(node) => {
+                let request = RequestKind::read_job(ReadJob {
+                    job: id.to_owned(),
+                    after,
+                    wait_ms: wait.as_millis() as u64,
+                });
+                match self.ask_owner(id, &node, request, wait).await? {
+                    Some(ResponseKind::job_results(results)) => Ok(results),
+                    Some(_) => Err(unavailable("another answer than asked for")),
+                    None => Ok(read_local(&*self.adopt(id).await?, after, wait).await),
+                }
+            }
+        }
+    }
+
+    /// Body of an item that has no result yet.
+    ///
+    /// # Errors
+    /// See [`ReadError`].
+    pub async fn body(&self, id: &str, item: &str) -> Result<Vec<u8>, ReadError> {
+        match self.locate(id).await? {
+            Place::Here(job) => body_local(&job, item).ok_or(ReadError::NotFound),
+            Place::At(node) => {
+                let request = RequestKind::read_job_body(ReadJobBody {
+                    job: id.to_owned(),
+                    item: item.to_owned(),
+                });
+                match self.ask_owner(id, &node, request, Duration::ZERO).await? {
+                    Some(ResponseKind::job_body(body)) if body.found => Ok(body.body),
+                    Some(ResponseKind::job_body(_)) => Err(ReadError::NotFound),
+                    Some(_) => Err(unavailable("another answer than asked for")),
+                    None => {
+                        let job = self.adopt(id).await?;
+                        body_local(&job, item).ok_or(ReadError::NotFound)
+                    }
+                }
+            }
+        }
+    }
+
+    /// Ends a job: `Ok` once that is committed, also if it was ended before.
+    ///
+    /// # Errors
+    /// See [`ReadError`].
+    pub async fn end(&self, id: &str) -> Result<(), ReadError> {
+        match self.locate(id).await? {
+            Place::Here(job) => end_local(&job).await,
+            Place::At(node) => {
+                let request = RequestKind::end_job(EndJob { job: id.to_owned() });
+                match self.ask_owner(id, &node, request, COMMIT_LIMIT).await? {
+                    Some(ResponseKind::done(_)) => Ok(()),
+                    Some(_) => Err(unavailable("another answer than asked for")),
+                    None => end_local(&*self.adopt(id).await?).await,
+                }
+            }
+        }
+    }
+
+    /// Answers another node's question about a job of this node.
+    pub async fn handle(&self, request: RequestKind) -> Response {
+        let kind = match request {
+            RequestKind::read_job(request) => match self.local_or_refusal(&request.job) {
+                Ok(job) => {
+                    let wait = Duration::from_millis(request.wait_ms);
+                    ResponseKind::job_results(read_local(&job, request.after, wait).await)
+                }
+                Err(refused) => ResponseKind::refused(refused),
+            },
+            RequestKind::read_job_body(request) => match self.local_or_refusal(&request.job) {
+                Ok(job) => {
+                    let body = body_local(&job, &request.item);
+                    ResponseKind::job_body(JobBody {
+                        found: body.is_some(),
+                        body: body.unwrap_or_default(),
+                    })
+                }
+                Err(refused) => ResponseKind::refused(refused),
+            },
+            RequestKind::end_job(request) => match self.local_or_refusal(&request.job) {
+                Ok(job) => match end_local(&job).await {
+                    Ok(()) => ResponseKind::done(Done {}),
+                    Err(error) => refused(Reason::NOT_READY, &error.to_string()),
+                },
+                Err(refused) => ResponseKind::refused(refused),
+            },
+            RequestKind::shard_notice(notice) => {
+                self.on_untended(notice.logs);
+                ResponseKind::done(Done {})
+            }
+            _ => refused(Reason::MALFORMED, "not a job request"),
+        };
+        Response { kind }
+    }
+
+    /// Takes over jobs that nobody tends.
+    pub fn on_untended(&self, logs: Vec<String>) {
+        for log in logs {
+            let Some(id) = log.strip_prefix(LOG_PREFIX).map(str::to_owned) else {
+                continue;
+            };
+            if self.local(&id).is_some() {
+                continue;
+            }
+            let registry = self.clone();
+            tokio::spawn(async move {
+                if let Err(error) = registry.adopt(&id).await {
+                    log::warn!("event=job_not_adopted job={id} cause=\"{error}\"");
+                }
+            });
+        }
+    }
+
+    /// Gives up a job whose log another node has taken.
+    pub fn on_fenced(&self, log: &str) {
+        let id = log.strip_prefix(LOG_PREFIX).unwrap_or_default();
+        if let Some(job) = self.local(id) {
+            job.ask(Command::Lost);
+        }
+    }
+
+    /// Hands the open jobs to other fronts; returns once they have them, or after a limit.
+    pub async fn hand_over(&self) {
+        let deadline = Instant::now() + HAND_OVER_LIMIT;
+        loop {
+            let open = self.open_jobs();
+            if open.is_empty() || Instant::now() >= deadline {
+                log::info!("event=jobs_handed_over left={}", open.len());
+                return;
+            }
+            let own = self.context.nodes.own().node;
+            let others = self.context.nodes.successors();
+            let others: Vec<_> = others.into_iter().filter(|node| node.node != own).collect();
+            for (index, id) in open.iter().enumerate() {
+                let Some(successor) = others.get(index % others.len().max(1)) else {
+                    continue;
+                };
+                let kind = RequestKind::shard_notice(ShardNotice {
+                    logs: vec![log_name(id)],
+                });
+                let call = self
+                    .context
+                    .nodes
+                    .call(&successor.node, Request { kind }, PEER_TIMEOUT);
+                if let Err(error) = call.await {
+                    log::warn!("event=job_not_handed_over job={id} cause=\"{error}\"");
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(150)).await;
+        }
+    }
+
+    /// Forgets jobs that need not be read any more, for as long as the future is polled.
+    pub async fn sweep(&self) {
+        loop {
+            tokio::time::sleep(SWEEP_INTERVAL).await;
+            let retention = self.context.retention;
+            lock(&self.shared.jobs).retain(|_, job| job.opened_at.elapsed() < retention * 2);
+            lock(&self.shared.owners).retain(|_, (_, heard)| heard.elapsed() < retention);
+        }
+    }
+
+    fn open_jobs(&self) -> Vec<String> {
+        let jobs = lock(&self.shared.jobs);
+        jobs.values()
+            .filter(|job| !job.state().is_ended())
+            .map(|job| job.id.clone())
+            .collect()
+    }
+
+    fn local(&self, id: &str) -> Option<Arc<Job>> {
+        lock(&self.shared.jobs).get(id).cloned()
+    }
+
+    fn local_or_refusal(&self, id: &str) -> Result<Arc<Job>, Refused> {
+        let job = self.local(id).filter(|job| job.state().spec().is_some());
+        job.ok_or_else(|| {
+            let is_opening = lock(&self.shared.opening).contains(id);
+            let reason = if is_opening {
+                Reason::NOT_READY
+            } else {
+                Reason::NOT_OWNER
+            };
+            Refused {
+                reason,
+                detail: "no such job here".to_owned(),
+                retry_after_ms: 0,
+            }
+        })
+    }
+
+    /// Finds a job: here, at its last known owner, or by the journal.
+    async fn locate(&self, id: &str) -> Result<Place, ReadError> {
+        if let Some(job) = self.local(id) {
+            if job.state().spec().is_none() {
+                return Err(unavailable("being accepted"));
+            }
+            return Ok(Place::Here(job));
+        }
+        if let Some((node, _)) = lock(&self.shared.owners).get(id).cloned() {
+            return Ok(Place::At(node));
+        }
+        let described = self.context.journal.describe(&log_name(id)).await;
+        let logs = described.map_err(|error| unavailable(&error.to_string()))?;
+        let name = log_name(id);
+        let found = logs
+            .into_iter()
+            .find(|log| log.log == name && log.length > 0);
+        let owner = found.ok_or(ReadError::NotFound)?.owner_node;
+        if owner == self.context.nodes.own().node {
+            return Ok(Place::Here(self.adopt(id).await?));
+        }
+        let heard = (owner.clone(), Instant::now());
+        lock(&self.shared.owners).insert(id.to_owned(), heard);
+        Ok(Place::At(owner))
+    }
+
+    /// Asks the owner; `None` if that node does not own the job and it may be adopted.
+    async fn ask_owner(
+        &self,
+        id: &str,
+        node: &str,
+        kind: RequestKind,
+        wait: Duration,
+    ) -> Result<Option<ResponseKind>, ReadError> {
+        let timeout = wait + PEER_TIMEOUT;
+        let answer = self
+            .context
+            .nodes
+            .call(node, Request { kind }, timeout)
+            .await;
+        let error = match answer.map(|response| response.kind) {
+            Ok(ResponseKind::refused(refused)) if refused.reason == Reason::NOT_OWNER => {
+                lock(&self.shared.owners).remove(id);
+                return Ok(None);
+            }
+            Ok(ResponseKind::refused(refused)) => refused.detail,
+            Ok(answer) => return Ok(Some(answer)),
+            Err(error) => error.to_string(),
+        };
+        lock(&self.shared.owners).remove(id);
+        if self.context.nodes.is_present(node) {
+            return Err(unavailable(&format!("owner {node}: {error}")));
+        }
+        Ok(None)
+    }
+
+    async fn confirm_accepted(&self, id: &str, place: Place) -> Result<(), AcceptError> {
+        let job = match place {
+            Place::Here(job) => job,
+            Place::At(node) => {
+                let request = RequestKind::read_job(ReadJob {
+                    job: id.to_owned(),
+                    after: u64::MAX,
+                    wait_ms: 0,
+                });
+                match self.ask_owner(id, &node, request, Duration::ZERO).await {
+                    Ok(Some(_)) => return Ok(()),
+                    Ok(None) => {
+                        let adopted = self.adopt(id).await;
+                        adopted.map_err(|error| AcceptError::InDoubt(error.to_string()))?
+                    }
+                    Err(error) => return Err(AcceptError::InDoubt(error.to_string())),
+                }
+            }
+        };
+        self.wait_accepted(&job).await
+    }
+
+    async fn wait_accepted(&self, job: &Job) -> Result<(), AcceptError> {
+        let mut changed = job.watch();
+        let accepted = async {
+            while job.state().spec().is_none() {
+                if changed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let waited = tokio::time::timeout(COMMIT_LIMIT, accepted).await;
+        waited.map_err(|_| AcceptError::InDoubt("the commit takes too long".to_owned()))
+    }
+
+    /// Becomes the owner of a job that is in the journal.
+    async fn adopt(&self, id: &str) -> Result<Arc<Job>, ReadError> {
+        if let Some(job) = self.local(id) {
+            return Ok(job);
+        }
+        let opened = self.open(id, None).await;
+        let job = opened.map_err(|error| unavailable(&error.to_string()))?;
+        if job.state().spec().is_none() {
+            lock(&self.shared.jobs).remove(id);
+            return Err(ReadError::NotFound);
+        }
+        Ok(job)
+    }
+
+    /// Takes the job's log over and starts its owner.
+    async fn open(&self, id: &str, spec: Option<JobSpec>) -> Result<Arc<Job>, JournalError> {
+        if !lock(&self.shared.opening).insert(id.to_owned()) {
+            return Err(JournalError::Unresolved);
+        }
+        let opening = Opening {
+            shared: Arc::clone(&self.shared),
+            id: id.to_owned(),
+        };
+        let (writer, entries) = self.context.journal.take_over(&log_name(id)).await?;
+        let state = JobState::replay(&entries).map_err(|error| {
+            log::error!("event=job_log_unreadable job={id} cause=\"{error}\"");
+            JournalError::Retired
+        })?;
+        let is_known = state.spec().is_some();
+        log::info!(
+            "event=job_log_taken job={id} epoch={:?} entries={} results={} ended={}",
+            writer.epoch(),
+            entries.len(),
+            state.results().len(),
+            state.is_ended()
+        );
+        let (job, commands) = Job::new(id, state);
+        lock(&self.shared.jobs).insert(id.to_owned(), Arc::clone(&job));
+        lock(&self.shared.owners).remove(id);
+        drop(opening);
+        let spec = spec.filter(|_| !is_known);
+        if !is_known && spec.is_none() {
+            return Ok(job);
+        }
+        let owner = Owner::new(Arc::clone(&self.context), Arc::clone(&job), writer, spec);
+        let registry = self.clone();
+        let owned = Arc::clone(&job);
+        tokio::spawn(async move {
+            if owner.run(commands).await == OwnerEnd::Lost {
+                registry.forget(&owned);
+            }
+        });
+        Ok(job)
+    }
+
+    /// Forgets exactly this job.
+    fn forget(&self, job: &Arc<Job>) {
+        let mut jobs = lock(&self.shared.jobs);
+        if jobs
+            .get(&job.id)
+            .is_some_and(|known| Arc::ptr_eq(known, job))
+        {
+            jobs.remove(&job.id);
+        }
+    }
+}
+
+async fn read_local(job: &Job, after: u64, wait: Duration) -> JobResults {
+    let mut changed = job.watch();
+    let deadline = Instant::now() + wait;
+    loop {
+        let results = page(&job.state(), after);
+        let is_waiting = results.results.is_empty() && after < results.total;
+        if !is_waiting || job.state().is_ended() {
+            return results;
+        }
+        let waited = tokio::time::timeout_at(deadline.into(), changed.changed()).await;
+        if !matches!(waited, Ok(Ok(()))) {
+            return page(&job.state(), after);
+        }
+    }
+}
+
+fn page(state: &JobState, after: u64) -> JobResults {
+    let total = state.spec().map_or(0, |spec| spec.items.len()) as u64;
+    let start = usize::try_from(after)
+        .unwrap_or(usize::MAX)
+        .min(state.results().len());
+    let mut bytes = 0;
+    let mut results = Vec::new();
+    for result in &state.results()[start..] {
+        if !results.is_empty() && bytes + result.text.len() > RESULT_BYTES {
+            break;
+        }
+        bytes += result.text.len();
+        results.push(result.clone());
+    }
+    JobResults { total, results }
+}
+
+fn body_local(job: &Job, item: &str) -> Option<Vec<u8>> {
+    let state = job.state();
+    if state.is_ended() {
+        return None;
+    }
+    state.item(item).map(|item| item.body.clone())
+}
+
+async fn end_local(job: &Job) -> Result<(), ReadError> {
+    if job.state().is_ended() {
+        return Ok(());
+    }
+    let (answer, ended) = oneshot::channel();
+    if !job.ask(Command::End(answer)) {
+        return match job.state().is_ended() {
+            true => Ok(()),
+            false => Err(unavailable("the owner has stopped")),
+        };
+    }
+    match tokio::time::timeout(COMMIT_LIMIT, ended).await {
+        Ok(Ok(())) => Ok(()),
+        _ => Err(unavailable("the end is not committed yet")),
+    }
+}
+
+fn unavailable(cause: &str) -> ReadError {
+    ReadError::Unavailable(cause.to_owned())
+}
+
+fn refused(reason: Reason, detail: &str) -> ResponseKind {
+    ResponseKind::refused(Refused {
+        reason,
+        detail: detail.to_owned(),
+        retry_after_ms: 0,
+    })
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/crates/front/src/job/run.rs
@@ -0,0 +1,429 @@
+//! One item of a batch job: runs it as a stream, takes it up elsewhere when it is cut or slow, until it is whole.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
+use http_body_util::BodyExt;
+use ladderstage_wire::messages::mod_JobResult::State as ResultState;
+use ladderstage_wire::messages::{JobResult, JobSpec};
+
+use super::events::{Event, EventParser};
+use crate::backend::{
+    BackendTable, Demand, ExchangeError, Instance, LOADING_PAUSE, Reply, RequestHead, keep_alive,
+    send,
+};
+use crate::dialect::SharedCodec;
+
+/// Pause before another instance is looked for when none has room.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(25);
+
+/// Longest wait for the first event of a run.
+const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// Longest wait for a further event.
+const NEXT_EVENT_LIMIT: Duration = Duration::from_millis(1_200);
+
+/// A run that is slower than the typical pace by this factor goes on elsewhere.
+const SLOW_FACTOR: f64 = 1.8;
+
+/// Events after which a run's pace is known.
+const EVENTS_FOR_PACE: u32 = 3;
+
+/// How long an instance whose weights proved too old is left out for that model.
+const STALE_WEIGHTS_PAUSE: Duration = Duration::from_secs(1);
+
+/// What runs of a job share.
+pub struct RunContext {
+    /// Instances.
+    pub backends: BackendTable,
+    /// Names.
+    pub codec: SharedCodec,
+    /// The job.
+    pub spec: Arc<JobSpec>,
+    /// Service that runs its items.
+    pub service: String,
+    /// Failed attempts after which an item is given up.
+    pub max_attempts: u32,
+    /// Every text must come from one weight version.
+    pub single_version: bool,
+    /// When items are given up.
+    pub give_up_at: Option<Instant>,
+}
+
+/// Text made so far.
+#[derive(Debug, Default)]
+struct Partial {
+    text: String,
+    events: u64,
+    last_id: Option<u64>,
+    versions: Vec<u64>,
+}
+
+/// How one run at one instance ended.
+enum RunEnd {
+    Complete,
+    /// The instance answered that the item can never be done.
+    Impossible,
+    /// The instance failed.
+    Failed,
+    /// The item goes on at another instance.
+    Move(String),
+}
+
+/// Runs the item at `index` until it has a result; the first run goes to `first`.
+pub async fn run_item(context: Arc<RunContext>, index: usize, first: Arc<Instance>) -> JobResult {
+    let mut partial = Partial::default();
+    let item = &context.spec.items[index].id;
+    let run = run_until_done(&context, index, first, &mut partial);
+    let state = match context.give_up_at {
+        Some(at) => tokio::time::timeout_at(at.into(), run)
+            .await
+            .unwrap_or_else(|_| {
+                log::warn!(
+                    "event=item_given_up item={item} job={} reason=age",
+                    context.spec.job
+                );
+                ResultState::TERMINATED
+            }),
+        None => run.await,
+    };
+    if state == ResultState::COMPLETED {
+        return JobResult {
+            item: item.clone(),
+            state,
+            text: partial.text,
+            weight_versions: partial.versions,
+        };
+    }
+    JobResult {
+        item: item.clone(),
+        state,
+        ..JobResult::default()
+    }
+}
+
+async fn run_until_done(
+    context: &RunContext,
+    index: usize,
+    first: Arc<Instance>,
+    partial: &mut Partial,
+) -> ResultState {
+    let mut failures = 0;
+    let mut instance = first;
+    loop {
+        let started = Instant::now();
+        let end = run_once(context, index, &instance, partial).await;
+        log_run(context, index, &instance, partial, started, &end);
+        match end {
+            RunEnd::Complete => return ResultState::COMPLETED,
+            RunEnd::Impossible => return ResultState::TERMINATED,
+            RunEnd::Failed => {
+                failures += 1;
+                if failures >= context.max_attempts.max(1) {
+                    return ResultState::TERMINATED;
+                }
+            }
+            RunEnd::Move(_) => {}
+        }
+        instance = next_instance(context, &instance, partial).await;
+    }
+}
+
+fn log_run(
+    context: &RunContext,
+    index: usize,
+    instance: &Instance,
+    partial: &Partial,
+    started: Instant,
+    end: &RunEnd,
+) {
+    let outcome = match end {
+        RunEnd::Complete => "complete".to_owned(),
+        RunEnd::Impossible => "impossible".to_owned(),
+        RunEnd::Failed => "failed".to_owned(),
+        RunEnd::Move(cause) => format!("moved cause=\"{cause}\""),
+    };
+    log::info!(
+        "event=item_run item={} job={} instance={} events={} versions={:?} elapsed_ms={} outcome={outcome}",
+        context.spec.items[index].id,
+        context.spec.job,
+        instance.id(),
+        partial.events,
+        partial.versions,
+        started.elapsed().as_millis()
+    );
+}
+
+/// An instance with room and fitting weights, another than `last` if there is one.
+async fn next_instance(
+    context: &RunContext,
+    last: &Arc<Instance>,
+    partial: &Partial,
+) -> Arc<Instance> {
+    let mut table_changed = context.backends.watch();
+    loop {
+        let fits = |instance: &Instance| fits(context, partial, instance);
+        let model = &context.spec.model;
+        let choose = |exclude: bool| {
+            context
+                .backends
+                .choose(&context.service, model, Demand::Batch, |instance| {
+                    fits(instance) && !(exclude && instance.id() == last.id())
+                })
+        };
+        if let Some(instance) = choose(true).or_else(|| choose(false)) {
+            return instance;
+        }
+        let _ = tokio::time::timeout(NO_ROOM_PAUSE, table_changed.changed()).await;
+    }
+}
+
+/// Whether an instance has weights that may go on with the text.
+fn fits(context: &RunContext, partial: &Partial, instance: &Instance) -> bool {
+    let version = instance.version(&context.spec.model);
+    if context.single_version
+        && let Some(begun) = partial.versions.first()
+    {
+        return version == *begun;
+    }
+    version >= context.spec.min_version
+}
+
+async fn run_once(
+    context: &RunContext,
+    index: usize,
+    instance: &Arc<Instance>,
+    partial: &mut Partial,
+) -> RunEnd {
+    let _guard = instance.begin();
+    let names = context.codec.headers();
+    let item = &context.spec.items[index];
+    let Ok(attempt_id) = HeaderValue::from_str(&item.id) else {
+        return RunEnd::Impossible;
+    };
+    let Some(head) = request_head(context, index, instance, &attempt_id, partial) else {
+        return RunEnd::Impossible;
+    };
+    let body = Bytes::copy_from_slice(&item.body);
+    let sending = send(instance, names, &head, &body, &attempt_id);
+    let reply = match tokio::time::timeout(FIRST_EVENT_LIMIT, sending).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(error)) => return on_exchange_error(context, instance, &error),
+        Err(_) => {
+            instance.note_failure(Instant::now());
+            return RunEnd::Move("no answer in time".to_owned());
+        }
+    };
+    match reply.status {
+        StatusCode::OK => follow_stream(context, instance, reply, partial).await,
+        StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Impossible,
+        StatusCode::INTERNAL_SERVER_ERROR => RunEnd::Failed,
+        status => {
+            instance.note_failure(Instant::now());
+            RunEnd::Move(format!("status {}", status.as_u16()))
+        }
+    }
+}
+
+fn on_exchange_error(
+    context: &RunContext,
+    instance: &Arc<Instance>,
+    error: &ExchangeError,
+) -> RunEnd {
+    let now = Instant::now();
+    match error {
+        ExchangeError::NotRun(_) => {
+            instance.note_loading(&context.spec.model, now + LOADING_PAUSE);
+        }
+        ExchangeError::Misdirected {
+            is_other_instance: false,
+        } => {
+            instance.note_loading(&context.spec.model, now + STALE_WEIGHTS_PAUSE);
+        }
+        ExchangeError::Misdirected { .. }
+        | ExchangeError::NotSent(_)
+        | ExchangeError::Broken(_) => {
+            instance.note_failure(now);
+        }
+    }
+    RunEnd::Move(error.to_string())
+}
+
+fn request_head(
+    context: &RunContext,
+    index: usize,
+    instance: &Instance,
+    attempt_id: &HeaderValue,
+    partial: &Partial,
+) -> Option<RequestHead> {
+    let names = context.codec.headers();
+    let item = &context.spec.items[index];
+    let mut headers = HeaderMap::new();
+    for header in &item.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_str(&header.value).ok()?);
+    }
+    headers.insert(
+        http::header::HOST,
+        HeaderValue::from_str(&context.spec.host).ok()?,
+    );
+    headers.insert(names.attempt_id.clone(), attempt_id.clone());
+    let expected = HeaderValue::from_str(instance.id()).ok()?;
+    headers.insert(names.expect_instance.clone(), expected);
+    if let Some(last) = partial.last_id {
+        headers.insert(names.last_event_id.clone(), HeaderValue::from(last));
+    }
+    Some(RequestHead {
+        method: Method::POST,
+        uri: item.path.parse::<Uri>().ok()?,
+        headers,
+    })
+}
+
+/// Takes the events of one run into the text.
+async fn follow_stream(
+    context: &RunContext,
+    instance: &Arc<Instance>,
+    reply: Reply,
+    partial: &mut Partial,
+) -> RunEnd {
+    let names = context.codec.headers();
+    let (headers, mut body, lease) = reply.into_parts();
+    let mut version = read_number(&headers, &names.weight_version);
+    let is_framed = headers.contains_key(http::header::CONTENT_LENGTH)
+        || headers.contains_key(http::header::TRANSFER_ENCODING);
+    let mut parser = EventParser::new(names.weight_version.as_str());
+    let mut pace = Pace::default();
+    loop {
+        let limit = if pace.events == 0 {
+            FIRST_EVENT_LIMIT
+        } else {
+            NEXT_EVENT_LIMIT
+        };
+        let frame = match tokio::time::timeout(limit, body.frame()).await {
+            Err(_) => {
+                instance.note_failure(Instant::now());
+                return RunEnd::Move("no event in time".to_owned());
+            }
+            Ok(Some(Err(error))) => {
+                instance.note_failure(Instant::now());
+                return RunEnd::Move(format!("cut: {error}"));
+            }
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) if is_framed && parser.is_at_boundary() => {
+                instance.note_success();
+                lease.give_back(keep_alive(&headers));
+                return RunEnd::Complete;
+            }
+            Ok(None) => return RunEnd::Move("ended without an end mark".to_owned()),
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let events = match parser.push(&data) {
+            Ok(events) => events,
+            Err(error) => {
+                instance.note_failure(Instant::now());
+                return RunEnd::Move(error.to_string());
+            }
+        };
+        for event in events {
+            version = event.version.or(version);
+            if let Err(end) = take_event(context, instance, event, version, partial) {
+                return end;
+            }
+            pace.note(instance);
+        }
+        if let Some(cause) = pace.reason_to_move(context, instance, partial) {
+            return RunEnd::Move(cause);
+        }
+    }
+}
+
+/// Adds one event to the text; an event that does not follow or has unfit weights ends the run.
+fn take_event(
+    context: &RunContext,
+    instance: &Instance,
+    event: Event,
+    version: Option<u64>,
+    partial: &mut Partial,
+) -> Result<(), RunEnd> {
+    if partial.last_id.is_some_and(|last| event.id != last + 1) {
+        return Err(RunEnd::Move(format!("event {} does not follow", event.id)));
+    }
+    let version = version.unwrap_or(0);
+    let model = &context.spec.model;
+    instance.note_version(model, version);
+    if version < context.spec.min_version {
+        instance.note_loading(model, Instant::now() + STALE_WEIGHTS_PAUSE);
+        return Err(RunEnd::Move(format!("weight version {version} is too old")));
+    }
+    if context.single_version
+        && partial
+            .versions
+            .first()
+            .is_some_and(|begun| *begun != version)
+    {
+        *partial = Partial::default();
+        return Err(RunEnd::Move("weight version changed".to_owned()));
+    }
+    if partial.events > 0 {
+        partial.text.push('\n');
+    }
+    partial.text.push_str(&event.data);
+    partial.events += 1;
+    partial.last_id = Some(event.id);
+    if !partial.versions.contains(&version) {
+        partial.versions.push(version);
+    }
+    Ok(())
+}
+
+/// Time between the events of one run.
+#[derive(Debug, Default)]
+struct Pace {
+    events: u32,
+    first_at: Option<Instant>,
+    last_at: Option<Instant>,
+}
+
+impl Pace {
+    fn note(&mut self, instance: &Instance) {
+        let now = Instant::now();
+        if let Some(last) = self.last_at {
+            instance.note_pace(now.saturating_duration_since(last).as_secs_f64() * 1e3, now);
+        }
+        self.first_at.get_or_insert(now);
+        self.last_at = Some(now);
+        self.events += 1;
+    }
+
+    /// Why the run should go on elsewhere: it is much slower than a typical run, and another instance has room.
+    fn reason_to_move(
+        &self,
+        context: &RunContext,
+        instance: &Instance,
+        partial: &Partial,
+    ) -> Option<String> {
+        if self.events <= EVENTS_FOR_PACE {
+            return None;
+        }
+        let taken = self.last_at?.saturating_duration_since(self.first_at?);
+        let own = taken.as_secs_f64() * 1e3 / f64::from(self.events - 1);
+        let model = &context.spec.model;
+        let other = context
+            .backends
+            .choose(&context.service, model, Demand::Batch, |other| {
+                other.id() != instance.id() && fits(context, partial, other)
+            })?;
+        let theirs = other.candidate("", Instant::now()).pace_ms?;
+        (own > theirs * SLOW_FACTOR)
+            .then(|| format!("slow: {own:.0} ms an event against {theirs:.0}"))
+    }
+}
+
+fn read_number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/front/src/job/state.rs
@@ -0,0 +1,116 @@
+//! A batch job as its log tells it: a pure fold over the entries.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+use ladderstage_wire::messages::mod_JobEntry::OneOfkind as EntryKind;
+use ladderstage_wire::messages::{JobEntry, JobItem, JobResult, JobSpec, LogEntry};
+use ladderstage_wire::{DecodeError, decode, encode};
+
+/// State of one job. Entries that contradict earlier ones are ignored: the first wins.
+#[derive(Debug, Clone, Default)]
+pub struct JobState {
+    spec: Option<Arc<JobSpec>>,
+    indexes: HashMap<String, usize>,
+    results: Vec<JobResult>,
+    listed: HashSet<String>,
+    is_ended: bool,
+}
+
+/// One entry as bytes of the log.
+pub fn entry_bytes(kind: EntryKind) -> LogEntry {
+    LogEntry {
+        payload: encode(&JobEntry { kind }),
+    }
+}
+
+impl JobState {
+    /// The state after all entries.
+    ///
+    /// # Errors
+    /// If an entry is not one of a job's log.
+    pub fn replay(entries: &[LogEntry]) -> Result<Self, DecodeError> {
+        let mut state = Self::default();
+        for entry in entries {
+            state.apply(entry)?;
+        }
+        Ok(state)
+    }
+
+    /// Takes one committed entry.
+    ///
+    /// # Errors
+    /// If it is not one of a job's log.
+    pub fn apply(&mut self, entry: &LogEntry) -> Result<(), DecodeError> {
+        let entry: JobEntry = decode(&entry.payload)?;
+        match entry.kind {
+            EntryKind::accepted(spec) => self.accept(spec),
+            EntryKind::result(result) => self.list(result),
+            EntryKind::ended(_) => self.is_ended = true,
+            EntryKind::None => {}
+        }
+        Ok(())
+    }
+
+    /// The job as it was handed in; `None` before that is committed.
+    pub fn spec(&self) -> Option<&Arc<JobSpec>> {
+        self.spec.as_ref()
+    }
+
+    /// Whether the job was ended by its client.
+    pub fn is_ended(&self) -> bool {
+        self.is_ended
+    }
+
+    /// Results in the order of their positions.
+    pub fn results(&self) -> &[JobResult] {
+        &self.results
+    }
+
+    /// Whether an item has a result.
+    pub fn is_listed(&self, item: &str) -> bool {
+        self.listed.contains(item)
+    }
+
+    /// Whether every item has a result.
+    pub fn is_complete(&self) -> bool {
+        let total = self.spec.as_ref().map_or(0, |spec| spec.items.len());
+        self.spec.is_some() && self.listed.len() >= total
+    }
+
+    /// An item by its id.
+    pub fn item(&self, id: &str) -> Option<&JobItem> {
+        let index = *self.indexes.get(id)?;
+        self.spec.as_ref()?.items.get(index)
+    }
+
+    /// Drops the bodies of items, which are not asked for once a job has ended.
+    pub fn drop_bodies(&mut self) {
+        if let Some(spec) = &self.spec {
+            let mut spec = spec.as_ref().clone();
+            for item in &mut spec.items {
+                item.body = Vec::new();
+                item.headers = Vec::new();
+            }
+            self.spec = Some(Arc::new(spec));
+        }
+    }
+
+    fn accept(&mut self, spec: JobSpec) {
+        if self.spec.is_some() {
+            return;
+        }
+        let items = spec.items.iter().enumerate();
+        self.indexes = items
+            .map(|(index, item)| (item.id.clone(), index))
+            .collect();
+        self.spec = Some(Arc::new(spec));
+    }
+
+    fn list(&mut self, result: JobResult) {
+        let is_known = self.indexes.contains_key(&result.item);
+        if is_known && self.listed.insert(result.item.clone()) {
+            self.results.push(result);
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,23 @@
+//! The programs that run beside a linearizable coordination store: `front` serves clients and owns batch jobs, `store` keeps
+//! a replica of the journal.
+//!
+//! How a request flows: [`ingress`] reads it, [`config`] names route and service, [`backend`] chooses an instance, [`live`]
+//! sends it and answers. How a batch job flows: [`ingress`] accepts it, [`job`] schedules, runs, records and reads it.
+//! [`orders`] changes weight versions. What is outside is reached through [`coordination`] and [`dialect`].
+
+pub mod backend;
+pub mod config;
+pub mod coordination;
+pub mod dialect;
+pub mod front;
+pub mod ingress;
+pub mod job;
+pub mod live;
+pub mod logging;
+pub mod metrics;
+pub mod nodes;
+pub mod orders;
+pub mod program;
+pub mod set_records;
+mod socket;
+pub mod store;
--- /dev/null
+++ b/crates/front/src/live.rs
@@ -0,0 +1,305 @@
+//! Live requests: attempts within the route's budget and the client's deadline, and what the client is told.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
+
+use crate::backend::{
+    BackendTable, Demand, ExchangeError, Instance, Reply, RequestHead, RunGuard, end_to_end, send,
+};
+use crate::config::{Route, RouteKind};
+use crate::dialect::SharedCodec;
+use crate::metrics::Metrics;
+
+/// Largest answer that is held whole before it is passed on.
+const WHOLE_ANSWER_LIMIT: usize = 32 * 1024 * 1024;
+
+/// When a client should come back after a refusal.
+pub const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// A second instance is asked after this share of the target latency, where requests may run twice.
+const HEDGE_SHARE: f64 = 0.6;
+
+/// Time that the client's own path takes, kept back from what instances are told.
+const RETURN_MARGIN: Duration = Duration::from_millis(10);
+
+/// A request as read from its client.
+#[derive(Debug, Clone)]
+pub struct LiveRequest {
+    /// Id of the client attempt.
+    pub attempt_id: HeaderValue,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers as received.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// When its head was read.
+    pub received: Instant,
+    /// When the client stops waiting; `None`: it did not say.
+    pub deadline: Option<Instant>,
+}
+
+/// What a client is answered.
+#[derive(Debug)]
+pub enum LiveAnswer {
+    /// A whole answer of an instance.
+    Whole {
+        /// Status.
+        status: StatusCode,
+        /// Headers, connection headers left out.
+        headers: HeaderMap,
+        /// Body.
+        body: Bytes,
+    },
+    /// The begin of a stream; the guard counts it until its end.
+    Stream {
+        /// The answer.
+        reply: Reply,
+        /// Counts the request at its instance.
+        guard: RunGuard,
+    },
+    /// The request has not run and will not.
+    NotRun,
+    /// Nothing is promised.
+    Failed(StatusCode),
+}
+
+/// Serves live requests.
+pub struct LiveService {
+    /// Instances.
+    pub backends: BackendTable,
+    /// Names.
+    pub codec: SharedCodec,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+}
+
+struct Attempt {
+    instance: Arc<Instance>,
+    result: Result<AttemptAnswer, ExchangeError>,
+    started: Instant,
+}
+
+enum AttemptAnswer {
+    Whole(StatusCode, HeaderMap, Bytes),
+    Stream(Reply, RunGuard),
+}
+
+/// Progress of one request over its attempts.
+#[derive(Default)]
+struct Progress {
+    tried: Vec<String>,
+    /// Attempts that ran or may have run, those under way included.
+    possible_runs: u32,
+    /// An instance's own failure, passed on if nothing better comes.
+    failure: Option<(StatusCode, HeaderMap, Bytes)>,
+}
+
+impl LiveService {
+    /// Serves a request on `route`. Dropping the future ends the work.
+    pub async fn serve(&self, route: &Route, request: &LiveRequest) -> LiveAnswer {
+        let limit = self.limit(route, request);
+        let mut progress = Progress::default();
+        let work = self.work(route, request, limit, &mut progress);
+        let ended = tokio::time::timeout_at(limit.into(), work).await;
+        ended.unwrap_or(if progress.possible_runs == 0 {
+            LiveAnswer::NotRun
+        } else {
+            LiveAnswer::Failed(StatusCode::GATEWAY_TIMEOUT)
+        })
+    }
+
+    fn limit(&self, route: &Route, request: &LiveRequest) -> Instant {
+        let by_route = request.received + route.timeout;
+        request
+            .deadline
+            .map_or(by_route, |deadline| deadline.min(by_route))
+    }
+
+    async fn work(
+        &self,
+        route: &Route,
+        request: &LiveRequest,
+        limit: Instant,
+        progress: &mut Progress,
+    ) -> LiveAnswer {
+        let service = route.pick_service(rand::random());
+        let mut under_way = FuturesUnordered::new();
+        let mut hedge_at = Instant::now();
+        loop {
+            let may_start = progress.possible_runs < route.max_attempts.max(1);
+            let is_due = under_way.is_empty() || Instant::now() >= hedge_at;
+            if may_start
+                && is_due
+                && let Some(instance) = self.next_instance(service, progress)
+            {
+                progress.tried.push(instance.id().to_owned());
+                progress.possible_runs += 1;
+                under_way.push(self.attempt(route, request, instance, limit));
+                hedge_at = Instant::now() + route.target_latency.mul_f64(HEDGE_SHARE);
+                continue;
+            }
+            if under_way.is_empty() {
+                return give_up(progress);
+            }
+            let may_hedge = route.kind == RouteKind::Safe && may_start && !is_due;
+            tokio::select! {
+                ended = under_way.next() => {
+                    if let Some(ended) = ended
+                        && let Some(answer) = self.take(route, request, ended, progress)
+                    {
+                        return answer;
+                    }
+                }
+                () = tokio::time::sleep_until(hedge_at.into()), if may_hedge => {}
+            }
+        }
+    }
+
+    fn next_instance(&self, service: &str, progress: &Progress) -> Option<Arc<Instance>> {
+        let is_untried = |instance: &Instance| !progress.tried.iter().any(|id| id == instance.id());
+        self.backends.choose(service, "", Demand::Live, is_untried)
+    }
+
+    fn attempt<'a>(
+        &'a self,
+        route: &'a Route,
+        request: &'a LiveRequest,
+        instance: Arc<Instance>,
+        limit: Instant,
+    ) -> BoxFuture<'a, Attempt> {
+        Box::pin(async move {
+            let started = Instant::now();
+            let head = self.head(request, &instance, limit);
+            let guard = instance.begin();
+            let names = self.codec.headers();
+            let sent = send(&instance, names, &head, &request.body, &request.attempt_id).await;
+            let result = match sent {
+                Ok(reply) if route.kind == RouteKind::Streaming => {
+                    Ok(AttemptAnswer::Stream(reply, guard))
+                }
+                Ok(reply) => reply
+                    .read_whole(WHOLE_ANSWER_LIMIT)
+                    .await
+                    .map(|(status, headers, body)| AttemptAnswer::Whole(status, headers, body)),
+                Err(error) => Err(error),
+            };
+            Attempt {
+                instance,
+                result,
+                started,
+            }
+        })
+    }
+
+    /// Headers for the instance: the client's, with the time that is left and the instance that is meant.
+    fn head(&self, request: &LiveRequest, instance: &Instance, limit: Instant) -> RequestHead {
+        let names = self.codec.headers();
+        let mut headers = end_to_end(&request.headers);
+        let left = limit.saturating_duration_since(Instant::now());
+        let left = left.saturating_sub(RETURN_MARGIN).as_millis().max(1) as u64;
+        headers.insert(names.deadline_ms.clone(), HeaderValue::from(left));
+        if let Ok(id) = HeaderValue::from_str(instance.id()) {
+            headers.insert(names.expect_instance.clone(), id);
+        }
+        RequestHead {
+            method: request.method.clone(),
+            uri: request.uri.clone(),
+            headers,
+        }
+    }
+
+    /// Takes in an attempt that ended; `Some` is the client's answer.
+    fn take(
+        &self,
+        route: &Route,
+        request: &LiveRequest,
+        ended: Attempt,
+        progress: &mut Progress,
+    ) -> Option<LiveAnswer> {
+        self.log(route, request, &ended);
+        let now = Instant::now();
+        match ended.result {
+            Ok(AttemptAnswer::Stream(reply, guard)) => {
+                ended.instance.note_success();
+                Some(LiveAnswer::Stream { reply, guard })
+            }
+            Ok(AttemptAnswer::Whole(status, headers, body)) => {
+                let is_signed = headers.contains_key(&self.codec.headers().response_stamp);
+                if status.is_success() && !is_signed {
+                    ended.instance.note_failure(now);
+                    return self.after_broken(route);
+                }
+                if status.is_server_error() && route.kind == RouteKind::Safe {
+                    progress.failure = Some((status, headers, body));
+                    return None;
+                }
+                ended.instance.note_success();
+                let taken = now.saturating_duration_since(ended.started);
+                ended.instance.note_pace(taken.as_secs_f64() * 1e3, now);
+                Some(LiveAnswer::Whole {
+                    status,
+                    headers: end_to_end(&headers),
+                    body,
+                })
+            }
+            Err(error) if error.is_not_run() => {
+                progress.possible_runs -= 1;
+                if matches!(error, ExchangeError::NotSent(_)) {
+                    ended.instance.note_failure(now);
+                }
+                None
+            }
+            Err(_) => {
+                ended.instance.note_failure(now);
+                self.after_broken(route)
+            }
+        }
+    }
+
+    /// A request that may have run is sent again only where that is allowed.
+    fn after_broken(&self, route: &Route) -> Option<LiveAnswer> {
+        match route.kind {
+            RouteKind::Safe => None,
+            _ => Some(LiveAnswer::Failed(StatusCode::BAD_GATEWAY)),
+        }
+    }
+
+    fn log(&self, route: &Route, request: &LiveRequest, ended: &Attempt) {
+        let outcome = match &ended.result {
+            Ok(AttemptAnswer::Whole(status, ..)) => format!("answered status={}", status.as_u16()),
+            Ok(AttemptAnswer::Stream(reply, _)) => {
+                format!("streaming status={}", reply.status.as_u16())
+            }
+            Err(error) => format!("failed cause=\"{error}\""),
+        };
+        log::info!(
+            "event=attempt request={} route={} instance={} in_flight={} elapsed_ms={} outcome={outcome}",
+            request.attempt_id.to_str().unwrap_or("?"),
+            route.name,
+            ended.instance.id(),
+            ended.instance.in_flight(),
+            ended.started.elapsed().as_millis(),
+        );
+        self.metrics.attempts.inc();
+    }
+}
+
+fn give_up(progress: &mut Progress) -> LiveAnswer {
+    match progress.failure.take() {
+        Some((status, headers, body)) => LiveAnswer::Whole {
+            status,
+            headers: end_to_end(&headers),
+            body,
+        },
+        None if progress.possible_runs == 0 => LiveAnswer::NotRun,
+        None => LiveAnswer::Failed(StatusCode::BAD_GATEWAY),
+    }
+}
--- /dev/null
+++ b/crates/front/src/metrics.rs
@@ -0,0 +1,101 @@
+//! Counters and histograms of one process, as text.
+
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+};
+
+/// Upper bounds of latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// All counters.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Client requests by route and outcome.
+    pub requests: IntCounterVec,
+    /// Time to the answer of live requests, in seconds.
+    pub request_seconds: Histogram,
+    /// Attempts at instances for live requests.
+    pub attempts: IntCounter,
+    /// Item runs by outcome.
+    pub item_runs: IntCounterVec,
+    /// Batch jobs by event.
+    pub jobs: IntCounterVec,
+    /// Orders to instances by outcome.
+    pub orders: IntCounterVec,
+    /// Log lines left out because too many were written.
+    pub dropped_log_lines: IntCounter,
+}
+
+impl Metrics {
+    /// Counters at zero.
+    ///
+    /// # Panics
+    /// Never: names are valid and distinct.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let vec = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels).expect("valid name");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("distinct name");
+            counter
+        };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("valid name");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("distinct name");
+            counter
+        };
+        let latency = HistogramOpts::new(
+            "ladderstage_request_seconds",
+            "Time from a live request's head to its answer",
+        );
+        let request_seconds = Histogram::with_opts(latency.buckets(LATENCY_BUCKETS.to_vec()))
+            .expect("ascending buckets");
+        registry
+            .register(Box::new(request_seconds.clone()))
+            .expect("distinct name");
+        Self {
+            requests: vec(
+                "ladderstage_requests_total",
+                "Client requests by route and outcome",
+                &["route", "outcome"],
+            ),
+            request_seconds,
+            attempts: counter("ladderstage_attempts_total", "Attempts at instances"),
+            item_runs: vec(
+                "ladderstage_item_runs_total",
+                "Runs of batch-job items by outcome",
+                &["outcome"],
+            ),
+            jobs: vec("ladderstage_jobs_total", "Batch jobs by event", &["event"]),
+            orders: vec(
+                "ladderstage_orders_total",
+                "Orders to instances by outcome",
+                &["outcome"],
+            ),
+            dropped_log_lines: counter(
+                "ladderstage_log_lines_dropped_total",
+                "Log lines left out because too many were written",
+            ),
+            registry,
+        }
+    }
+
+    /// All counters as text.
+    pub fn render(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/front/src/nodes.rs
@@ -0,0 +1,337 @@
+//! The nodes of the system: each keeps a leased record of itself, and all follow the records.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use futures_util::future::BoxFuture;
+use ladderstage_journal::Peers;
+use ladderstage_transport::{CallError, Client};
+use ladderstage_wire::messages::{Member, MemberState, Request, Response};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::coordination::{Change, Coordination, CoordinationError, LeaseId, Update, follow};
+
+/// Where the records are.
+const NODE_PREFIX: &str = "ladderstage/node/";
+
+/// How long a record outlives its node.
+const NODE_LEASE: Duration = Duration::from_secs(3);
+
+/// Renewals per lease time.
+const RENEWALS_PER_LEASE: u32 = 3;
+
+/// Pause after a failed renewal or registration.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Between two answers of the watch.
+const GATHER: Duration = Duration::from_millis(200);
+
+/// A record that went while the store had trouble may come back: its node counts for this long.
+const GONE_GRACE: Duration = Duration::from_millis(400);
+
+/// What a node does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum NodeRole {
+    /// Serves clients and owns batch jobs.
+    Front,
+    /// Holds a replica of the journal.
+    Store,
+}
+
+/// What a node tells of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// Its name; stays the same over restarts.
+    pub node: String,
+    /// What it does.
+    pub role: NodeRole,
+    /// Random number of this process start.
+    pub process: u64,
+    /// Where other nodes reach it.
+    pub peer_address: SocketAddr,
+    /// Zone it runs in.
+    pub zone: String,
+    /// Id of its disk; 0: none.
+    pub replica_id: u64,
+    /// It is to be emptied or is stopping: no new work for it.
+    pub is_leaving: bool,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    /// All nodes ever heard of, for their addresses.
+    records: BTreeMap<String, NodeRecord>,
+    present: BTreeSet<String>,
+    gone_at: BTreeMap<String, Instant>,
+}
+
+/// All nodes as last heard of, and calls to them. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Nodes {
+    own: Arc<Mutex<NodeRecord>>,
+    known: Arc<Mutex<Known>>,
+    client: Client,
+    contact: watch::Sender<Option<Instant>>,
+    own_changed: watch::Sender<u64>,
+}
+
+impl Nodes {
+    /// Knows only this node so far.
+    pub fn new(own: NodeRecord) -> Self {
+        Self {
+            own: Arc::new(Mutex::new(own)),
+            known: Arc::default(),
+            client: Client::new(),
+            contact: watch::Sender::new(None),
+            own_changed: watch::Sender::new(0),
+        }
+    }
+
+    /// Keeps this node's record and follows all others, for as long as the future is polled.
+    pub async fn run(&self, coordination: Arc<dyn Coordination>) {
+        let follower = follow(Arc::clone(&coordination), NODE_PREFIX, GATHER, |update| {
+            self.take(update);
+        });
+        tokio::join!(follower, self.keep_registered(&coordination));
+    }
+
+    /// When the store last answered this node; `None`: never.
+    pub fn last_contact(&self) -> Option<Instant> {
+        *self.contact.borrow()
+    }
+
+    /// This node's record.
+    pub fn own(&self) -> NodeRecord {
+        lock(&self.own).clone()
+    }
+
+    /// Says in this node's record that it takes no new work.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        lock(&self.own).is_leaving = is_leaving;
+        self.own_changed.send_modify(|count| *count += 1);
+    }
+
+    /// Whether a node's record is there.
+    pub fn is_present(&self, node: &str) -> bool {
+        node == self.own().node || lock(&self.known).is_alive(node)
+    }
+
+    /// Present nodes with a role, this one included if it has it.
+    pub fn with_role(&self, role: NodeRole) -> Vec<NodeRecord> {
+        let own = self.own();
+        let mut found: Vec<NodeRecord> = {
+            let known = lock(&self.known);
+            let alive = known.records.values();
+            alive
+                .filter(|record| record.node != own.node && known.is_alive(&record.node))
+                .cloned()
+                .collect()
+        };
+        found.push(own);
+        found.retain(|record| record.role == role);
+        found
+    }
+
+    async fn keep_registered(&self, coordination: &Arc<dyn Coordination>) {
+        loop {
+            match self.register(coordination).await {
+                Ok(lease) => {
+                    log::info!(
+                        "event=node_registered node={} lease={lease}",
+                        self.own().node
+                    );
+                    self.renew_until_over(coordination, lease).await;
+                    log::warn!(
+                        "event=node_lease_over node={} lease={lease}",
+                        self.own().node
+                    );
+                }
+                Err(error) => {
+                    log::warn!("event=node_not_registered cause=\"{error}\"");
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn register(
+        &self,
+        coordination: &Arc<dyn Coordination>,
+    ) -> Result<LeaseId, CoordinationError> {
+        let lease = coordination.grant(NODE_LEASE).await?;
+        self.write_record(coordination, lease).await?;
+        self.note_contact();
+        Ok(lease)
+    }
+
+    async fn write_record(
+        &self,
+        coordination: &Arc<dyn Coordination>,
+        lease: LeaseId,
+    ) -> Result<(), CoordinationError> {
+        let own = self.own();
+        let value = serde_json::to_vec(&own).unwrap_or_default();
+        let key = format!("{NODE_PREFIX}{}", own.node);
+        coordination.put(&key, value, Some(lease)).await
+    }
+
+    /// Returns once the lease is over.
+    async fn renew_until_over(&self, coordination: &Arc<dyn Coordination>, lease: LeaseId) {
+        let mut own_changed = self.own_changed.subscribe();
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep(NODE_LEASE / RENEWALS_PER_LEASE) => {}
+                _ = own_changed.changed() => {
+                    if self.write_record(coordination, lease).await.is_err() {
+                        return;
+                    }
+                }
+            }
+            match coordination.renew(lease).await {
+                Ok(()) => self.note_contact(),
+                Err(CoordinationError::LeaseOver) => return,
+                Err(error) => {
+                    log::warn!("event=node_lease_not_renewed cause=\"{error}\"");
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn note_contact(&self) {
+        self.contact.send_replace(Some(Instant::now()));
+    }
+
+    fn take(&self, update: Update) {
+        let mut known = lock(&self.known);
+        match update {
+            Update::Snapshot(records) => {
+                let kept: BTreeSet<String> = records
+                    .iter()
+                    .filter_map(|record| record.key.strip_prefix(NODE_PREFIX))
+                    .map(str::to_owned)
+                    .collect();
+                let present = known.present.clone();
+                present
+                    .difference(&kept)
+                    .for_each(|node| known.remove(node));
+                records
+                    .iter()
+                    .for_each(|record| known.insert(&record.value));
+            }
+            Update::Changes(changes) => changes.into_iter().for_each(|change| match change {
+                Change::Written(record) => known.insert(&record.value),
+                Change::Removed { key } => {
+                    known.remove(key.strip_prefix(NODE_PREFIX).unwrap_or_default());
+                }
+            }),
+        }
+    }
+
+    fn address(&self, node: &str) -> Option<SocketAddr> {
+        lock(&self.known)
+            .records
+            .get(node)
+            .map(|record| record.peer_address)
+    }
+}
+
+impl Known {
+    fn insert(&mut self, value: &[u8]) {
+        let Ok(record) = serde_json::from_slice::<NodeRecord>(value) else {
+            log::warn!("event=node_record_unreadable");
+            return;
+        };
+        let node = record.node.clone();
+        if self.records.get(&node) != Some(&record) {
+            log::info!(
+                "event=node_seen node={node} process={} address={} replica_id={} leaving={}",
+                record.process,
+                record.peer_address,
+                record.replica_id,
+                record.is_leaving
+            );
+        }
+        self.records.insert(node.clone(), record);
+        self.gone_at.remove(&node);
+        self.present.insert(node);
+    }
+
+    fn remove(&mut self, node: &str) {
+        if self.present.remove(node) {
+            log::info!("event=node_gone node={node}");
+            self.gone_at.insert(node.to_owned(), Instant::now());
+        }
+    }
+
+    fn is_alive(&self, node: &str) -> bool {
+        self.present.contains(node)
+            || self
+                .gone_at
+                .get(node)
+                .is_some_and(|at| at.elapsed() < GONE_GRACE)
+    }
+}
+
+impl Peers for Nodes {
+    fn alive(&self) -> Vec<Member> {
+        let own = self.own();
+        let known = lock(&self.known);
+        let others = known.records.values();
+        let mut members: Vec<Member> = others
+            .filter(|record| record.node != own.node && known.is_alive(&record.node))
+            .map(member)
+            .collect();
+        members.push(member(&own));
+        members
+    }
+
+    fn successors(&self) -> Vec<Member> {
+        let fronts = self.with_role(NodeRole::Front);
+        let fronts = fronts.iter().filter(|record| !record.is_leaving);
+        fronts.map(member).collect()
+    }
+
+    fn call<'a>(
+        &'a self,
+        node: &'a str,
+        request: Request,
+        timeout: Duration,
+    ) -> BoxFuture<'a, Result<Response, CallError>> {
+        Box::pin(async move {
+            match self.address(node) {
+                Some(address) => self.client.call(address, request, timeout).await,
+                None => Err(CallError::NotSent(format!("no address of {node} is known"))),
+            }
+        })
+    }
+}
+
+fn member(record: &NodeRecord) -> Member {
+    Member {
+        node: record.node.clone(),
+        process: record.process,
+        incarnation: 0,
+        state: if record.is_leaving {
+            MemberState::LEAVING
+        } else {
+            MemberState::ALIVE
+        },
+        peer_address: record.peer_address.to_string(),
+        http_address: String::new(),
+        zone: record.zone.clone(),
+        region: String::new(),
+        replica_id: record.replica_id,
+        started_unix_ms: 0,
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/crates/front/src/orders/mod.rs
@@ -0,0 +1,7 @@
+//! Orders to change weight versions: planned purely, given by the one node that holds the lease.
+
+mod giver;
+mod plan;
+
+pub use giver::{OrderGiver, OrderOptions, VersionsNamed};
+pub use plan::{FleetInstance, ModelDemand, Planned, plan};
--- /dev/null
+++ b/crates/front/src/program.rs
@@ -0,0 +1,191 @@
+//! What both programs share: options, the journal, and the listener for other nodes.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::pin::Pin;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
+
+use ladderstage_journal::replica_set::{ReplicaSetTask, ReplicaSets};
+use ladderstage_journal::{InitialReplicas, Journal, JournalHooks, JournalOptions};
+use ladderstage_storage::Storage;
+use ladderstage_transport::Handler;
+use ladderstage_wire::messages::mod_Refused::Reason;
+use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
+use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
+use ladderstage_wire::messages::{BundleEvidence, Refused, Request, Response};
+
+use crate::coordination::Coordination;
+use crate::job::{JobRegistry, LOG_PREFIX};
+use crate::nodes::Nodes;
+use crate::set_records::CoordinatedSetRecords;
+
+/// Between an owner's heartbeats to the replicas.
+const OWNER_HEARTBEAT: Duration = Duration::from_millis(300);
+
+/// After this long without a heartbeat a job's owner is replaced.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Longest round of calls to the replicas.
+const ROUND_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Between looks at the replica set.
+const SET_POLL: Duration = Duration::from_millis(400);
+
+/// How long a replica must be missing before another disk takes its place.
+const REPLACE_AFTER: Duration = Duration::from_millis(600);
+
+/// What a program is started with, besides what reaches the outside.
+#[derive(Debug, Clone)]
+pub struct ProgramOptions {
+    /// Name of this node; stays the same over restarts.
+    pub node: String,
+    /// Zone it runs in.
+    pub zone: String,
+    /// Where other nodes reach it.
+    pub peer_address: SocketAddr,
+    /// Folder for the journal's replica, if it has a disk.
+    pub data_folder: Option<PathBuf>,
+    /// Where figures are served, if anywhere.
+    pub metrics_address: Option<SocketAddr>,
+    /// The whole system starts for the first time.
+    pub is_first_start: bool,
+    /// Disks that may be lost at once.
+    pub tolerated_losses: usize,
+    /// How long a batch job can be read after it was handed in.
+    pub job_retention: Duration,
+    /// Least time between orders of two givers.
+    pub order_lease: Duration,
+    /// How long a stop may take.
+    pub grace: Duration,
+}
+
+impl ProgramOptions {
+    /// Options of the journal at this node.
+    pub fn journal(&self) -> JournalOptions {
+        let initial_replicas = if self.is_first_start {
+            InitialReplicas::Count(2 * self.tolerated_losses + 1)
+        } else {
+            InitialReplicas::Count(usize::MAX)
+        };
+        JournalOptions {
+            node: self.node.clone(),
+            initial_replicas,
+            tended_prefix: LOG_PREFIX,
+            owner_heartbeat: OWNER_HEARTBEAT,
+            owner_timeout: OWNER_TIMEOUT,
+            round_timeout: ROUND_TIMEOUT,
+            poll: SET_POLL,
+            replace_after: REPLACE_AFTER,
+        }
+    }
+}
+
+/// The journal at this node and what keeps it running.
+pub(crate) struct JournalParts {
+    pub journal: Journal,
+    pub replica_sets: ReplicaSets,
+    _task: ReplicaSetTask,
+}
+
+impl JournalParts {
+    pub fn start(
+        options: &ProgramOptions,
+        nodes: &Nodes,
+        storage: Option<Storage>,
+        coordination: Arc<dyn Coordination>,
+    ) -> Self {
+        let peers = Arc::new(nodes.clone());
+        let records = CoordinatedSetRecords {
+            coordination,
+            nodes: nodes.clone(),
+        };
+        let replica_sets = ReplicaSets::new(storage.clone());
+        let task = replica_sets.run(options.journal(), peers.clone(), records);
+        let process = nodes.own().process;
+        let journal = Journal::start_with(
+            options.journal(),
+            process,
+            peers,
+            storage,
+            replica_sets.clone(),
+        );
+        Self {
+            journal,
+            replica_sets,
+            _task: task,
+        }
+    }
+}
+
+/// Tells the jobs what the journal learns. The journal of these programs carries no bundle.
+pub(crate) struct JobHooks {
+    pub jobs: Option<JobRegistry>,
+}
+
+impl JournalHooks for JobHooks {
+    fn own_evidence(&self) -> BundleEvidence {
+        BundleEvidence::default()
+    }
+
+    fn heartbeat_round(&self, _asked_at: Instant, _evidence: Vec<BundleEvidence>, _majority: bool) {
+    }
+
+    fn fenced(&self, log: &str) {
+        if let Some(jobs) = &self.jobs {
+            jobs.on_fenced(log);
+        }
+    }
+
+    fn untended(&self, logs: Vec<String>) {
+        if let Some(jobs) = &self.jobs {
+            jobs.on_untended(logs);
+        }
+    }
+}
+
+/// What answers other nodes.
+pub(crate) struct PeerParts {
+    pub journal: Journal,
+    pub replica_sets: ReplicaSets,
+    pub jobs: Option<JobRegistry>,
+}
+
+/// Answers other nodes once the parts are there.
+#[derive(Clone, Default)]
+pub(crate) struct PeerHandler {
+    pub parts: Arc<OnceLock<PeerParts>>,
+}
+
+impl Handler for PeerHandler {
+    fn handle(&self, request: Request) -> Pin<Box<dyn Future<Output = Response> + Send + '_>> {
+        Box::pin(async move {
+            let Some(parts) = self.parts.get() else {
+                return refuse(Reason::NOT_READY, "starting");
+            };
+            match request.kind {
+                RequestKind::fetch_replica_set(_) => parts.replica_sets.handle_fetch_replica_set(),
+                kind @ (RequestKind::read_job(_)
+                | RequestKind::read_job_body(_)
+                | RequestKind::end_job(_)
+                | RequestKind::shard_notice(_)) => match &parts.jobs {
+                    Some(jobs) => jobs.handle(kind).await,
+                    None => refuse(Reason::MALFORMED, "no jobs at this node"),
+                },
+                RequestKind::None => refuse(Reason::MALFORMED, "no known request"),
+                kind => parts.journal.handle(kind).await,
+            }
+        })
+    }
+}
+
+fn refuse(reason: Reason, detail: &str) -> Response {
+    Response {
+        kind: ResponseKind::refused(Refused {
+            reason,
+            detail: detail.to_owned(),
+            retry_after_ms: 0,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/front/src/store.rs
@@ -0,0 +1,128 @@
+//! The `store` program: a replica of the journal on this machine's disk.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladderstage_storage::{Storage, StorageOptions};
+use ladderstage_transport::Server;
+
+use crate::coordination::Coordination;
+use crate::nodes::{NodeRecord, NodeRole, Nodes};
+use crate::program::{JobHooks, JournalParts, PeerHandler, PeerParts, ProgramOptions};
+
+/// Memory for the database's pages; most reads are of logs written a moment ago.
+const CACHE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Most bytes of entries that wait for the disk.
+const QUEUE_BYTES: usize = 24 * 1024 * 1024;
+
+/// Pause before a disk that refuses is tried again.
+const DISK_RETRY: Duration = Duration::from_millis(500);
+
+/// Between looks at the disk's state.
+const DISK_LOOK: Duration = Duration::from_millis(200);
+
+/// Why the program ended.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// No data folder is set.
+    #[error("a store needs a data folder")]
+    NoDataFolder,
+    /// The address for other nodes cannot be listened on.
+    #[error("listening on {address}: {error}")]
+    Listen {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// The disk refused a write. Nothing that was answered is lost; a new process opens the disk again.
+    #[error("the disk failed: {0}")]
+    Disk(String),
+}
+
+/// Runs a store until it is told to stop, or its disk fails.
+///
+/// # Errors
+/// See [`StoreError`].
+pub async fn run(
+    options: ProgramOptions,
+    coordination: Arc<dyn Coordination>,
+    stop: impl Future<Output = ()>,
+) -> Result<(), StoreError> {
+    let folder = options
+        .data_folder
+        .clone()
+        .ok_or(StoreError::NoDataFolder)?;
+    let storage = open(&folder).await;
+    let nodes = Nodes::new(NodeRecord {
+        node: options.node.clone(),
+        role: NodeRole::Store,
+        process: rand::random_range(1..=u64::MAX),
+        peer_address: options.peer_address,
+        zone: options.zone.clone(),
+        replica_id: storage.replica_id(),
+        is_leaving: false,
+    });
+    let handler = PeerHandler::default();
+    let server = Server::start(options.peer_address, Arc::new(handler.clone()));
+    let _server = server.await.map_err(|error| StoreError::Listen {
+        address: options.peer_address,
+        error,
+    })?;
+    let parts = JournalParts::start(
+        &options,
+        &nodes,
+        Some(storage.clone()),
+        Arc::clone(&coordination),
+    );
+    parts.journal.set_hooks(Arc::new(JobHooks { jobs: None }));
+    let _ = handler.parts.set(PeerParts {
+        journal: parts.journal.clone(),
+        replica_sets: parts.replica_sets.clone(),
+        jobs: None,
+    });
+    log::info!(
+        "event=started role=store node={} address={} replica_id={}",
+        options.node,
+        options.peer_address,
+        storage.replica_id()
+    );
+    tokio::select! {
+        () = nodes.run(coordination) => Ok(()),
+        () = stop => {
+            log::info!("event=stopped role=store node={}", options.node);
+            Ok(())
+        }
+        cause = disk_failure(&storage) => {
+            log::error!("event=disk_failed node={} cause=\"{cause}\"", options.node);
+            Err(StoreError::Disk(cause))
+        }
+    }
+}
+
+/// Opens the folder, again and again while the disk refuses.
+async fn open(folder: &Path) -> Storage {
+    let options = StorageOptions {
+        cache_bytes: CACHE_BYTES,
+        queue_bytes: QUEUE_BYTES,
+        ..StorageOptions::default()
+    };
+    loop {
+        match Storage::open(folder, options.clone()) {
+            Ok(storage) => return storage,
+            Err(error) => log::error!("event=disk_not_opened cause=\"{error}\""),
+        }
+        tokio::time::sleep(DISK_RETRY).await;
+    }
+}
+
+async fn disk_failure(storage: &Storage) -> String {
+    loop {
+        if let Some(cause) = storage.failure() {
+            return cause;
+        }
+        tokio::time::sleep(DISK_LOOK).await;
+    }
+}
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -38,7 +38,7 @@
 
 pub use hooks::JournalHooks;
 pub use metrics::JournalMetrics;
-pub use options::JournalOptions;
+pub use options::{InitialReplicas, JournalOptions};
 pub use peers::Peers;
 pub use writer::LogWriter;
 
--- a/crates/journal/src/options.rs
+++ b/crates/journal/src/options.rs
@@ -2,13 +2,22 @@
 
 use std::time::Duration;
 
+/// Which disks form the first replica set.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum InitialReplicas {
+    /// Those of the named nodes.
+    Named(Vec<String>),
+    /// The first so many that are recorded, by name. A set that is smaller later grows to this number.
+    Count(usize),
+}
+
 /// Names and intervals of the journal at one node.
 #[derive(Debug, Clone)]
 pub struct JournalOptions {
     /// Name of this node; stays the same over restarts.
     pub node: String,
-    /// Names of the nodes whose disks form the first replica set; the same at every node.
-    pub initial_replicas: Vec<String>,
+    /// Disks that form the first replica set; the same at every node.
+    pub initial_replicas: InitialReplicas,
     /// Logs whose names start with this are tended: their writers send heartbeats and are replaced when silent.
     pub tended_prefix: &'static str,
     /// Between an owner's heartbeats to the replicas.
--- a/crates/journal/src/peers.rs
+++ b/crates/journal/src/peers.rs
@@ -6,7 +6,6 @@
 use ladderstage_transport::CallError;
 use ladderstage_wire::messages::{Member, Request, Response};
 
-
 /// Calls to other daemons by name. Tests put an in-memory network in its place.
 pub trait Peers: Send + Sync + 'static {
     /// Members that take work, this node included.
--- a/crates/journal/src/replica_set/bootstrap.rs
+++ b/crates/journal/src/replica_set/bootstrap.rs
@@ -8,6 +8,7 @@
 
 use super::ReplicaSets;
 use super::{RecordError, SetRecords};
+use crate::InitialReplicas;
 
 /// Longest pause between looks while the key-value service fails.
 const LONGEST_PAUSE: Duration = Duration::from_secs(10);
@@ -17,7 +18,7 @@
     pub records: Arc<dyn SetRecords>,
     /// This node's disk, if it has one.
     pub own: Option<ReplicaMember>,
-    pub initial_replicas: Vec<String>,
+    pub initial_replicas: InitialReplicas,
     pub poll: Duration,
 }
 
@@ -63,16 +64,27 @@
                 return Ok(None);
             }
         }
-        let find = |node: &String| {
-            candidates
-                .iter()
-                .find(|member| member.node == *node)
-                .cloned()
-        };
-        let members: Option<Vec<_>> = self.initial_replicas.iter().map(find).collect();
+        let members = self.initial_members(candidates);
         match members.and_then(replica_set::first) {
             Some(first) => self.records.swap(0, first).await,
             None => Ok(None),
         }
     }
+
+    /// The members of the first set once all their disks are recorded.
+    fn initial_members(&self, mut candidates: Vec<ReplicaMember>) -> Option<Vec<ReplicaMember>> {
+        match &self.initial_replicas {
+            InitialReplicas::Named(nodes) => {
+                let find = |node: &String| {
+                    let mut candidates = candidates.iter();
+                    candidates.find(|member| member.node == *node).cloned()
+                };
+                nodes.iter().map(find).collect()
+            }
+            InitialReplicas::Count(count) => {
+                candidates.sort_by(|left, right| left.node.cmp(&right.node));
+                (candidates.len() >= *count).then(|| candidates.into_iter().take(*count).collect())
+            }
+        }
+    }
 }
--- a/crates/journal/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -20,8 +20,8 @@
 use ladderstage_wire::messages::{FetchReplicaSet, ReplicaMember, ReplicaSet, Request, Response};
 use tokio::sync::watch;
 
-use crate::Peers;
 use crate::JournalOptions;
+use crate::Peers;
 use bootstrap::Bootstrap;
 use replacement::Replacement;
 
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -67,6 +67,9 @@
         if self.is_newcomer(set) {
             return self.join(set).await;
         }
+        if self.is_outside(set) {
+            self.learn_recorded().await?;
+        }
         let alive = self.peers.alive();
         let lost = self.lost(set, &alive);
         if lost.is_empty() || !self.coordinates(set, &alive) || !has_majority(set, &alive) {
@@ -86,6 +89,19 @@
             .any(|member| Some(member.replica_id) == own_id)
     }
 
+    /// Whether this node has a disk that is no member: nobody tells it of newer sets.
+    fn is_outside(&self, set: &ReplicaSet) -> bool {
+        let own_id = self.replica_sets.own_replica_id();
+        own_id.is_some_and(|id| !is_member(set, id))
+    }
+
+    async fn learn_recorded(&self) -> Result<(), RecordError> {
+        if let Some(recorded) = self.records.read().await? {
+            self.replica_sets.learn_or_log(recorded.set).await;
+        }
+        Ok(())
+    }
+
     /// Copies everything, then makes the next set current.
     async fn join(&mut self, set: &ReplicaSet) -> Result<(), ReplacementError> {
         if self.copied_version != set.version {
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -165,6 +165,11 @@
         self.submit(0, Command::Sweep).await
     }
 
+    /// Why nothing is stored any more; `None` while the disk works.
+    pub fn failure(&self) -> Option<String> {
+        self.inner.shared.failure.get().cloned()
+    }
+
     /// The newest bundle that was stored.
     pub async fn get_bundle(&self) -> Result<Option<StoredBundle>, StorageError> {
         self.read(|database| {
