--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -93,7 +93,16 @@
     }
 }
 
-/// Sends a request and waits for the head of its answer, which must carry `attempt_id`.
+/// Whether an answer must carry the id of its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerId {
+    /// An answer without the id belongs to another request.
+    Required,
+    /// Calls to the instance itself are answered without an id; one with another id belongs to another request.
+    Optional,
+}
+
+/// Sends a request and waits for the head of its answer.
 ///
 /// # Errors
 /// See [`ExchangeError`]; refusals of the instance are errors, other statuses are replies.
@@ -103,10 +112,13 @@
     head: &RequestHead,
     body: &Bytes,
     attempt_id: &HeaderValue,
+    answer_id: AnswerId,
 ) -> Result<Reply, ExchangeError> {
     let (response, lease) = send_on_some_connection(instance, head, body).await?;
     let (parts, body) = response.into_parts();
-    if parts.headers.get(&names.attempt_id) != Some(attempt_id) {
+    let found = parts.headers.get(&names.attempt_id);
+    let may_lack = answer_id == AnswerId::Optional && found.is_none();
+    if found != Some(attempt_id) && !may_lack {
         return Err(ExchangeError::Broken(
             "answer to another request".to_owned(),
         ));
--- a/crates/front/src/backend/mod.rs
+++ b/crates/front/src/backend/mod.rs
@@ -9,6 +9,6 @@
 pub use choice::{Candidate, Demand, choose};
 pub use connection::{ConnectError, Connections, Lease};
 pub(crate) use exchange::keep_alive;
-pub use exchange::{ExchangeError, Reply, RequestHead, end_to_end, send};
+pub use exchange::{AnswerId, ExchangeError, Reply, RequestHead, end_to_end, send};
 pub use instance::{Discovered, Instance, LOADING_PAUSE, Load, RunGuard};
 pub use table::BackendTable;
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -11,8 +11,8 @@
 
 use super::events::{Event, EventParser};
 use crate::backend::{
-    BackendTable, Demand, ExchangeError, Instance, LOADING_PAUSE, Reply, RequestHead, keep_alive,
-    send,
+    AnswerId, BackendTable, Demand, ExchangeError, Instance, LOADING_PAUSE, Reply, RequestHead,
+    keep_alive, send,
 };
 use crate::dialect::SharedCodec;
 
@@ -31,6 +31,9 @@
 /// Events after which a run's pace is known.
 const EVENTS_FOR_PACE: u32 = 3;
 
+/// Events between two looks at the pace.
+const EVENTS_PER_LOOK: u32 = 4;
+
 /// How long an instance whose weights proved too old is left out for that model.
 const STALE_WEIGHTS_PAUSE: Duration = Duration::from_secs(1);
 
@@ -207,7 +210,14 @@
         return RunEnd::Impossible;
     };
     let body = Bytes::copy_from_slice(&item.body);
-    let sending = send(instance, names, &head, &body, &attempt_id);
+    let sending = send(
+        instance,
+        names,
+        &head,
+        &body,
+        &attempt_id,
+        AnswerId::Required,
+    );
     let reply = match tokio::time::timeout(FIRST_EVENT_LIMIT, sending).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(error)) => return on_exchange_error(context, instance, &error),
@@ -407,7 +417,7 @@
         instance: &Instance,
         partial: &Partial,
     ) -> Option<String> {
-        if self.events <= EVENTS_FOR_PACE {
+        if self.events <= EVENTS_FOR_PACE || !self.events.is_multiple_of(EVENTS_PER_LOOK) {
             return None;
         }
         let taken = self.last_at?.saturating_duration_since(self.first_at?);
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -9,7 +9,8 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 
 use crate::backend::{
-    BackendTable, Demand, ExchangeError, Instance, Reply, RequestHead, RunGuard, end_to_end, send,
+    AnswerId, BackendTable, Demand, ExchangeError, Instance, Reply, RequestHead, RunGuard,
+    end_to_end, send,
 };
 use crate::config::{Route, RouteKind};
 use crate::dialect::SharedCodec;
@@ -180,7 +181,15 @@
             let head = self.head(request, &instance, limit);
             let guard = instance.begin();
             let names = self.codec.headers();
-            let sent = send(&instance, names, &head, &request.body, &request.attempt_id).await;
+            let sent = send(
+                &instance,
+                names,
+                &head,
+                &request.body,
+                &request.attempt_id,
+                AnswerId::Required,
+            )
+            .await;
             let result = match sent {
                 Ok(reply) if route.kind == RouteKind::Streaming => {
                     Ok(AttemptAnswer::Stream(reply, guard))
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 
 use super::plan::{FleetInstance, ModelDemand, Planned, plan};
-use crate::backend::{BackendTable, Instance, RequestHead, send};
+use crate::backend::{AnswerId, BackendTable, Instance, RequestHead, send};
 use crate::config::ConfigInForce;
 use crate::coordination::{Coordination, CoordinationError, LeaseId, SwapResult};
 use crate::dialect::{InstanceCall, InstanceReport, SharedCodec, VersionOrder};
@@ -117,7 +117,7 @@
     }
 
     async fn take(&self) -> Result<Option<Held>, CoordinationError> {
-        if self.versions.demands().is_empty() {
+        if !self.has_models() {
             return Ok(None);
         }
         if self.coordination.get(GIVER_KEY).await?.is_some() {
@@ -147,6 +147,17 @@
         }
     }
 
+    /// Whether any service holds models; the lease is taken before the first version is named.
+    fn has_models(&self) -> bool {
+        let config = self.config.current();
+        config.is_some_and(|config| {
+            config
+                .services
+                .values()
+                .any(|service| !service.models.is_empty())
+        })
+    }
+
     /// Waits for the holder's record to go, by a watch that costs one call a change.
     async fn wait_until_free(&self) {
         let Ok(listing) = self.coordination.list(GIVER_KEY).await else {
@@ -313,7 +324,15 @@
             headers,
         };
         let exchange = async {
-            let sent = send(instance, names, &head, &call.body, &attempt_id).await;
+            let sent = send(
+                instance,
+                names,
+                &head,
+                &call.body,
+                &attempt_id,
+                AnswerId::Optional,
+            )
+            .await;
             let reply = sent.map_err(|error| error.to_string())?;
             let whole = reply.read_whole(1 << 20).await;
             whole
