Let owners answer reads only while a majority confirms them, and let each sampler serve one model

Now a job is read only within 700 ms of a heartbeat round that a majority answered and while no replica calls its log another's. Steps were late because all samplers loaded both models: two loads at a time cannot keep up, and some steps had two samplers.

--- a/crates/front/src/backend/choice.rs
+++ b/crates/front/src/backend/choice.rs
@@ -64,10 +64,16 @@
 
 /// Median of the known paces.
 fn typical_pace(candidates: &[Candidate]) -> Option<f64> {
-    let mut paces: Vec<f64> = candidates
-        .iter()
-        .filter_map(|candidate| candidate.pace_ms)
-        .collect();
-    paces.sort_by(f64::total_cmp);
-    paces.get(paces.len() / 2).copied()
+    median(
+        candidates
+            .iter()
+            .filter_map(|candidate| candidate.pace_ms)
+            .collect(),
+    )
+}
+
+/// Median; `None` of nothing.
+pub(crate) fn median(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
 }
--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -16,7 +16,7 @@
 const PACE_WEIGHT: f64 = 0.25;
 
 /// How long a pace counts without a newer one.
-const PACE_TRUST: Duration = Duration::from_secs(4);
+const PACE_TRUST: Duration = Duration::from_secs(10);
 
 /// First pause after a failure; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::watch;
 
-use super::choice::{Candidate, Demand, choose};
+use super::choice::{Candidate, Demand, choose, median};
 use super::instance::{Discovered, Instance};
 
 /// The instances by id. Cheap to clone.
@@ -98,6 +98,16 @@
         found
     }
 
+    /// Median of the recent paces of a service's instances, in milliseconds per unit of work.
+    pub fn typical_pace(&self, service: &str) -> Option<f64> {
+        let now = Instant::now();
+        let instances = self.of_service(service);
+        let paces = instances
+            .iter()
+            .filter_map(|one| one.candidate(&self.zone, now).pace_ms);
+        median(paces.collect())
+    }
+
     /// The instance for one more request among those of `service` that are usable and that `fits` accepts.
     pub fn choose(
         &self,
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -1,6 +1,7 @@
 //! The owner of one batch job: starts its items, writes their results to the job's log, and tells readers.
 
 use std::collections::HashSet;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -42,6 +43,8 @@
     pub opened_at: Instant,
     state: Mutex<JobState>,
     changed: watch::Sender<u64>,
+    /// A replica has said that another node has the log.
+    is_contested: AtomicBool,
     commands: mpsc::UnboundedSender<Command>,
 }
 
@@ -62,6 +65,7 @@
             opened_at: Instant::now(),
             state: Mutex::new(state),
             changed: watch::Sender::new(0),
+            is_contested: AtomicBool::new(false),
             commands,
         };
         (Arc::new(job), receiver)
@@ -73,6 +77,16 @@
             .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
+    /// Notes that a replica says that another node has the log.
+    pub fn set_contested(&self) {
+        self.is_contested.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether no replica has said that another node has the log.
+    pub fn is_uncontested(&self) -> bool {
+        !self.is_contested.load(Ordering::Relaxed)
+    }
+
     /// Changes with each commit.
     pub fn watch(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -32,6 +32,10 @@
 /// How long a hand-in or an end waits for its commit.
 const COMMIT_LIMIT: Duration = Duration::from_millis(3_500);
 
+/// An owner answers reads for this long after a majority of replicas last confirmed it: another owner may have listed more
+/// since, and readers may see an older state for a second at most.
+const READ_TRUST: Duration = Duration::from_millis(700);
+
 /// Between looks for jobs that need not be kept any more.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -98,6 +102,8 @@
     opening: Mutex<HashSet<String>>,
     /// Owners of other jobs as last heard.
     owners: Mutex<HashMap<String, (String, Instant)>>,
+    /// When the last question was asked in which a majority of replicas confirmed this node's logs.
+    confirmed_at: Mutex<Option<Instant>>,
 }
 
 /// Removes a job from those being opened.
@@ -165,7 +171,7 @@
         wait: Duration,
     ) -> Result<JobResults, ReadError> {
         match self.locate(id).await? {
-            Place::Here(job) => Ok(read_local(&job, after, wait).await),
+            Place::Here(job) => self.read_here(&job, after, wait).await,
             Place::At(node) => {
                 let request = RequestKind::read_job(ReadJob {
                     job: id.to_owned(),
@@ -175,7 +181,7 @@
                 match self.ask_owner(id, &node, request, wait).await? {
                     Some(ResponseKind::job_results(results)) => Ok(results),
                     Some(_) => Err(unavailable("another answer than asked for")),
-                    None => Ok(read_local(&*self.adopt(id).await?, after, wait).await),
+                    None => self.read_here(&*self.adopt(id).await?, after, wait).await,
                 }
             }
         }
@@ -230,7 +236,10 @@
             RequestKind::read_job(request) => match self.local_or_refusal(&request.job) {
                 Ok(job) => {
                     let wait = Duration::from_millis(request.wait_ms);
-                    ResponseKind::job_results(read_local(&job, request.after, wait).await)
+                    match self.read_here(&job, request.after, wait).await {
+                        Ok(results) => ResponseKind::job_results(results),
+                        Err(error) => refused(Reason::NOT_READY, &error.to_string()),
+                    }
                 }
                 Err(refused) => ResponseKind::refused(refused),
             },
@@ -278,6 +287,41 @@
         }
     }
 
+    /// Notes that a majority of replicas answered a heartbeat sent at `asked_at`.
+    pub fn on_confirmed(&self, asked_at: Instant) {
+        let mut confirmed_at = lock(&self.shared.confirmed_at);
+        *confirmed_at = (*confirmed_at).max(Some(asked_at));
+    }
+
+    /// Notes that a replica says that another node has the log.
+    pub fn on_contested(&self, log: &str) {
+        let id = log.strip_prefix(LOG_PREFIX).unwrap_or_default();
+        if let Some(job) = self.local(id) {
+            job.set_contested();
+        }
+    }
+
+    /// Whether this node's state of a job is recent enough to be read.
+    fn is_readable(&self, job: &Job) -> bool {
+        let confirmed_at = *lock(&self.shared.confirmed_at);
+        let known_at = confirmed_at.map_or(job.opened_at, |at| at.max(job.opened_at));
+        let is_final = job.state().is_ended();
+        is_final || job.is_uncontested() && known_at.elapsed() < READ_TRUST
+    }
+
+    async fn read_here(
+        &self,
+        job: &Job,
+        after: u64,
+        wait: Duration,
+    ) -> Result<JobResults, ReadError> {
+        let results = read_local(job, after, wait).await;
+        if !self.is_readable(job) {
+            return Err(unavailable("ownership is not confirmed"));
+        }
+        Ok(results)
+    }
+
     /// Gives up a job whose log another node has taken.
     pub fn on_fenced(&self, log: &str) {
         let id = log.strip_prefix(LOG_PREFIX).unwrap_or_default();
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -26,7 +26,7 @@
 const NEXT_EVENT_LIMIT: Duration = Duration::from_millis(1_200);
 
 /// A run that is slower than the typical pace by this factor goes on elsewhere.
-const SLOW_FACTOR: f64 = 1.8;
+const SLOW_FACTOR: f64 = 1.5;
 
 /// Events after which a run's pace is known.
 const EVENTS_FOR_PACE: u32 = 3;
@@ -422,15 +422,22 @@
         }
         let taken = self.last_at?.saturating_duration_since(self.first_at?);
         let own = taken.as_secs_f64() * 1e3 / f64::from(self.events - 1);
+        let typical = context.backends.typical_pace(&context.service)?;
+        if own < typical * SLOW_FACTOR {
+            return None;
+        }
         let model = &context.spec.model;
         let other = context
             .backends
             .choose(&context.service, model, Demand::Batch, |other| {
                 other.id() != instance.id() && fits(context, partial, other)
             })?;
-        let theirs = other.candidate("", Instant::now()).pace_ms?;
-        (own > theirs * SLOW_FACTOR)
-            .then(|| format!("slow: {own:.0} ms an event against {theirs:.0}"))
+        let theirs = other
+            .candidate("", Instant::now())
+            .pace_ms
+            .unwrap_or(typical);
+        let pays = own > theirs * SLOW_FACTOR;
+        pays.then(|| format!("slow: {own:.0} ms an event against {theirs:.0}"))
     }
 }
 
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -6,7 +6,7 @@
 
 use http::{HeaderMap, HeaderValue, StatusCode};
 
-use super::plan::{FleetInstance, ModelDemand, Planned, plan};
+use super::plan::{Assignment, FleetInstance, ModelDemand, Planned, plan};
 use crate::backend::{AnswerId, BackendTable, Instance, RequestHead, send};
 use crate::config::ConfigInForce;
 use crate::coordination::{Coordination, CoordinationError, LeaseId, SwapResult};
@@ -21,10 +21,10 @@
 const RENEWALS_PER_LEASE: u32 = 3;
 
 /// Between looks at what is to be ordered.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// How long an instance that took an order is left alone.
-const LOAD_TIME: Duration = Duration::from_millis(950);
+const LOAD_TIME: Duration = Duration::from_millis(920);
 
 /// How long an instance is left alone whose answer to an order was lost.
 const DOUBT_TIME: Duration = Duration::from_millis(1_500);
@@ -59,6 +59,7 @@
             .map(|(model, newest)| ModelDemand {
                 model: model.clone(),
                 newest: *newest,
+                weight: 1.0,
             })
             .collect()
     }
@@ -102,6 +103,14 @@
     quiet_until: Instant,
 }
 
+/// What a holder remembers of its orders.
+#[derive(Default)]
+struct Given {
+    /// Instances that are to be left alone, and until when.
+    pauses: HashMap<String, Instant>,
+    assignment: Assignment,
+}
+
 impl OrderGiver {
     /// Takes the lease whenever it is free, and gives orders while it lasts, for as long as the future is polled.
     pub async fn run(&self) {
@@ -169,7 +178,7 @@
     }
 
     async fn hold(&self, mut held: Held) {
-        let mut pauses = HashMap::new();
+        let mut given = Given::default();
         let mut renew_at = Instant::now() + self.options.lease / RENEWALS_PER_LEASE;
         loop {
             let now = Instant::now();
@@ -190,50 +199,54 @@
                     }
                     Err(error) => {
                         log::warn!("event=giver_lease_not_renewed cause=\"{error}\"");
-                        renew_at = now + LOOK_INTERVAL;
+                        renew_at = now + LOOK_INTERVAL * 4;
                     }
                 }
             }
             if now >= held.quiet_until {
-                self.give_next(&held, &mut pauses).await;
+                self.give_next(&held, &mut given).await;
             }
             tokio::time::sleep(LOOK_INTERVAL).await;
         }
     }
 
-    /// Gives at most one order for each model.
-    async fn give_next(&self, held: &Held, pauses: &mut HashMap<String, Instant>) {
+    /// Gives the next orders, as many as may load at once.
+    async fn give_next(&self, held: &Held, given: &mut Given) {
         let now = Instant::now();
-        pauses.retain(|_, until| *until > now);
-        for demand in self.versions.demands() {
-            let fleet = self.fleet(&demand.model);
-            let known: Vec<FleetInstance> = fleet
-                .iter()
-                .map(|instance| FleetInstance {
-                    id: instance.id().to_owned(),
-                    version: instance.version(&demand.model),
-                    is_busy: pauses.contains_key(instance.id()),
-                })
-                .collect();
-            let Some(planned) = plan(&demand, &known, pauses.len(), MOST_LOADING) else {
-                continue;
-            };
-            let Some(instance) = fleet.iter().find(|one| one.id() == planned.instance) else {
-                continue;
-            };
-            let pause = self.give(held, instance, &planned).await;
-            pauses.insert(planned.instance, Instant::now() + pause);
-        }
+        given.pauses.retain(|_, until| *until > now);
+        let demands = self.versions.demands();
+        let instances = self.fleet();
+        let fleet: Vec<FleetInstance> = instances
+            .iter()
+            .map(|instance| FleetInstance {
+                id: instance.id().to_owned(),
+                versions: instance.discovered().versions,
+                is_busy: given.pauses.contains_key(instance.id()),
+            })
+            .collect();
+        given.assignment.update(&demands, &fleet);
+        let loading = given.pauses.len();
+        let planned = plan(&demands, &given.assignment, &fleet, loading, MOST_LOADING);
+        let Some(planned) = planned else {
+            return;
+        };
+        let Some(instance) = instances.iter().find(|one| one.id() == planned.instance) else {
+            return;
+        };
+        let pause = self.give(held, instance, &planned).await;
+        given
+            .pauses
+            .insert(planned.instance, Instant::now() + pause);
     }
 
-    /// Ready instances of the services that hold the model.
-    fn fleet(&self, model: &str) -> Vec<Arc<Instance>> {
+    /// Ready instances of the services that hold models.
+    fn fleet(&self) -> Vec<Arc<Instance>> {
         let Some(config) = self.config.current() else {
             return Vec::new();
         };
         let services = config.services.iter();
         services
-            .filter(|(_, service)| service.models.iter().any(|held| held == model))
+            .filter(|(_, service)| !service.models.is_empty())
             .flat_map(|(name, _)| self.backends.of_service(name))
             .filter(|instance| instance.discovered().is_ready)
             .collect()
@@ -255,7 +268,7 @@
             instance.note_version(model, *version);
         }
         if report.busy || instance.version(&planned.model) >= planned.version {
-            return LOOK_INTERVAL * 2;
+            return LOOK_INTERVAL * 4;
         }
         if Instant::now() + CALL_LIMIT >= held.proven_until {
             return LOOK_INTERVAL;
@@ -271,7 +284,7 @@
         let outcome = self.call(instance, self.codec.order_call(&order)).await;
         let (label, pause) = match &outcome {
             Ok((status, _)) if status.is_success() => ("taken", LOAD_TIME),
-            Ok(_) => ("refused", LOOK_INTERVAL * 5),
+            Ok(_) => ("refused", LOOK_INTERVAL * 10),
             Err(_) => ("in_doubt", DOUBT_TIME),
         };
         if label == "taken" {
--- a/crates/front/src/orders/mod.rs
+++ b/crates/front/src/orders/mod.rs
@@ -4,4 +4,4 @@
 mod plan;
 
 pub use giver::{OrderGiver, OrderOptions, VersionsNamed};
-pub use plan::{FleetInstance, ModelDemand, Planned, plan};
+pub use plan::{Assignment, FleetInstance, ModelDemand, Planned, plan};
--- a/crates/front/src/orders/plan.rs
+++ b/crates/front/src/orders/plan.rs
@@ -1,26 +1,31 @@
 //! Which instance should load which version next.
 //!
-//! A version is served by the instances that have it or a newer one. A job that allows the version before the newest runs on
-//! either, so only some instances need each version: they take turns, and each loads about every second one.
+//! A job that allows the version before the newest runs on either, so an instance that serves a model loads about every
+//! second version of it. Loading all models everywhere would take longer than versions last: each instance serves the
+//! model that it is assigned to, in shares of the models' demand.
+
+use std::collections::BTreeMap;
 
 /// An instance that holds models.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FleetInstance {
     /// Its id.
     pub id: String,
-    /// Version that it has of the model; 0: none.
-    pub version: u64,
+    /// Versions that it has, by model.
+    pub versions: BTreeMap<String, u64>,
     /// An order is under way there, or was given a moment ago.
     pub is_busy: bool,
 }
 
 /// What is wanted of one model.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ModelDemand {
     /// Its name.
     pub model: String,
     /// Newest version that was named.
     pub newest: u64,
+    /// Work that asks for it, against the other models.
+    pub weight: f64,
 }
 
 /// An order to give.
@@ -34,32 +39,161 @@
     pub version: u64,
 }
 
-/// The next order for one model, given what is loading anywhere and how many may load at once.
+/// Which model each instance serves.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Assignment {
+    model_of: BTreeMap<String, String>,
+}
+
+impl Assignment {
+    /// Model of an instance.
+    pub fn model(&self, instance: &str) -> Option<&str> {
+        self.model_of.get(instance).map(String::as_str)
+    }
+
+    /// Adapts to the fleet and the demand. An instance keeps its model unless another one lacks more than one instance.
+    pub fn update(&mut self, demands: &[ModelDemand], fleet: &[FleetInstance]) {
+        self.model_of.retain(|id, model| {
+            fleet.iter().any(|one| one.id == *id) && demands.iter().any(|one| one.model == *model)
+        });
+        if demands.is_empty() {
+            return;
+        }
+        let quotas = quotas(demands, fleet.len());
+        for instance in fleet {
+            if !self.model_of.contains_key(&instance.id) {
+                let model = self.best_model(demands, &quotas, instance);
+                self.model_of.insert(instance.id.clone(), model);
+            }
+        }
+        self.balance(&quotas, fleet);
+    }
+
+    /// The model whose weights are newest at the instance among those that lack instances.
+    fn best_model(
+        &self,
+        demands: &[ModelDemand],
+        quotas: &BTreeMap<String, usize>,
+        instance: &FleetInstance,
+    ) -> String {
+        let key = |demand: &&ModelDemand| {
+            let has_room = self.count(&demand.model) < quotas[&demand.model];
+            let version = instance.versions.get(&demand.model).copied().unwrap_or(0);
+            let lag = demand.newest.saturating_sub(version);
+            let missing = quotas[&demand.model].saturating_sub(self.count(&demand.model));
+            (has_room, std::cmp::Reverse(lag), missing)
+        };
+        let best = demands.iter().max_by_key(key);
+        best.map(|demand| demand.model.clone()).unwrap_or_default()
+    }
+
+    /// Moves one instance from a model with too many to one that lacks two or more.
+    fn balance(&mut self, quotas: &BTreeMap<String, usize>, fleet: &[FleetInstance]) {
+        let surplus = |model: &String| self.count(model) as i64 - quotas[model] as i64;
+        let Some(most) = quotas.keys().max_by_key(|model| surplus(model)) else {
+            return;
+        };
+        let Some(least) = quotas.keys().min_by_key(|model| surplus(model)) else {
+            return;
+        };
+        if surplus(most) < 1 || surplus(least) > -2 && self.count(least) > 0 {
+            return;
+        }
+        let moved = fleet
+            .iter()
+            .filter(|one| self.model(&one.id) == Some(most))
+            .min_by_key(|one| one.versions.get(most).copied().unwrap_or(0));
+        if let Some(moved) = moved {
+            self.model_of.insert(moved.id.clone(), least.clone());
+        }
+    }
+
+    fn count(&self, model: &str) -> usize {
+        self.model_of
+            .values()
+            .filter(|served| *served == model)
+            .count()
+    }
+}
+
+/// Instances for each model: shares of the weights by largest remainder, at least one each while there are enough.
+fn quotas(demands: &[ModelDemand], instances: usize) -> BTreeMap<String, usize> {
+    let total: f64 = demands
+        .iter()
+        .map(|demand| demand.weight.max(f64::MIN_POSITIVE))
+        .sum();
+    let mut shares: Vec<(f64, usize, &str)> = demands
+        .iter()
+        .map(|demand| {
+            let exact = demand.weight.max(f64::MIN_POSITIVE) / total * instances as f64;
+            let whole = (exact as usize).max(usize::from(instances >= demands.len()));
+            (exact - whole as f64, whole, demand.model.as_str())
+        })
+        .collect();
+    while shares.iter().map(|share| share.1).sum::<usize>() < instances {
+        let next = shares
+            .iter_mut()
+            .max_by(|left, right| left.0.total_cmp(&right.0));
+        let Some(next) = next else { break };
+        next.0 -= 1.0;
+        next.1 += 1;
+    }
+    shares
+        .iter()
+        .map(|(_, count, model)| ((*model).to_owned(), *count))
+        .collect()
+}
+
+/// The next order, given what is loading anywhere and how many may load at once.
 ///
-/// Instances two or more versions behind go first, as no job may use them soon; then, until half of the fleet has the
-/// newest version, those one behind.
+/// Instances two or more versions behind go first, as no job may use them soon; then, until half of those that serve a
+/// model have its newest version, those one behind.
 pub fn plan(
-    demand: &ModelDemand,
+    demands: &[ModelDemand],
+    assignment: &Assignment,
     fleet: &[FleetInstance],
     loading: usize,
     most_loading: usize,
 ) -> Option<Planned> {
-    if loading >= most_loading || demand.newest < 2 {
+    if loading >= most_loading {
         return None;
     }
-    let current = fleet
+    let candidates = demands
+        .iter()
+        .filter_map(|demand| next_of(demand, assignment, fleet));
+    candidates
+        .max_by_key(|(urgency, _)| *urgency)
+        .map(|(_, planned)| planned)
+}
+
+/// The next order for one model and how urgent it is.
+fn next_of(
+    demand: &ModelDemand,
+    assignment: &Assignment,
+    fleet: &[FleetInstance],
+) -> Option<(u64, Planned)> {
+    let version = |one: &FleetInstance| one.versions.get(&demand.model).copied().unwrap_or(0);
+    let served: Vec<&FleetInstance> = fleet
+        .iter()
+        .filter(|one| assignment.model(&one.id) == Some(demand.model.as_str()))
+        .collect();
+    let current = served
         .iter()
-        .filter(|instance| instance.version >= demand.newest)
+        .filter(|one| version(one) >= demand.newest)
         .count();
-    let wanted = fleet.len().div_ceil(2);
-    let idle = fleet.iter().filter(|instance| !instance.is_busy);
+    let idle = served.iter().filter(|one| !one.is_busy);
     let behind = idle
-        .filter(|instance| instance.version < demand.newest)
-        .min_by(|left, right| (left.version, &left.id).cmp(&(right.version, &right.id)))?;
-    let is_far_behind = behind.version + 1 < demand.newest;
-    (is_far_behind || current < wanted).then(|| Planned {
-        instance: behind.id.clone(),
-        model: demand.model.clone(),
-        version: demand.newest,
+        .filter(|one| version(one) < demand.newest)
+        .min_by_key(|one| (version(one), one.id.clone()))?;
+    let lag = demand.newest - version(behind);
+    let is_wanted = lag >= 2 || current < served.len().div_ceil(2);
+    let scarcity = (served.len().saturating_sub(current)) as u64;
+    is_wanted.then(|| {
+        let planned = Planned {
+            instance: behind.id.clone(),
+            model: demand.model.clone(),
+            version: demand.newest,
+        };
+        (lag * 1_000 + scarcity, planned)
     })
 }
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -129,7 +129,16 @@
         BundleEvidence::default()
     }
 
-    fn heartbeat_round(&self, _asked_at: Instant, _evidence: Vec<BundleEvidence>, _majority: bool) {
+    fn heartbeat_round(&self, asked_at: Instant, _evidence: Vec<BundleEvidence>, majority: bool) {
+        if let Some(jobs) = self.jobs.as_ref().filter(|_| majority) {
+            jobs.on_confirmed(asked_at);
+        }
+    }
+
+    fn contested(&self, log: &str) {
+        if let Some(jobs) = &self.jobs {
+            jobs.on_contested(log);
+        }
     }
 
     fn fenced(&self, log: &str) {
--- a/crates/journal/src/heartbeat.rs
+++ b/crates/journal/src/heartbeat.rs
@@ -148,6 +148,9 @@
         let Some(writer) = writer.filter(|writer| writer.epoch == asked) else {
             return;
         };
+        if let Some(hooks) = self.hooks.get() {
+            hooks.contested(log);
+        }
         if !writer.on_fenced(replica) {
             return;
         }
--- a/crates/journal/src/hooks.rs
+++ b/crates/journal/src/hooks.rs
@@ -17,6 +17,9 @@
     /// No quorum accepts appends of this node's writer of `log` any more.
     fn fenced(&self, log: &str);
 
+    /// A replica says that a higher epoch has `log`; others may still accept this node's writer.
+    fn contested(&self, _log: &str) {}
+
     /// This node should take over these logs, as nobody tends them.
     fn untended(&self, logs: Vec<String>);
 }
