--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -123,7 +123,7 @@
         codec: Arc::clone(&inputs.codec),
         metrics: Arc::clone(&metrics),
         options: OrderOptions {
-            lease: options.order_lease,
+            quiet: options.order_quiet,
         },
     };
     let nodes_task = tokio::spawn({
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -5,10 +5,12 @@
 mod registry;
 mod run;
 mod state;
+mod text;
 
 pub use events::{Event, EventParser};
 pub use registry::{AcceptError, JobContext, JobRegistry, ReadError};
 pub use state::{JobState, entry_bytes};
+pub use text::ItemText;
 
 /// Prefix of the jobs' logs in the journal; the job's id follows.
 pub const LOG_PREFIX: &str = "job/";
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -9,7 +9,7 @@
 use ladderstage_journal::{JournalError, LogWriter};
 use ladderstage_wire::messages::mod_JobEntry::OneOfkind as EntryKind;
 use ladderstage_wire::messages::mod_JobResult::State as ResultState;
-use ladderstage_wire::messages::{JobEnded, JobResult, JobSpec, LogEntry};
+use ladderstage_wire::messages::{JobEnded, JobProgress, JobResult, JobSpec, LogEntry};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 
@@ -123,6 +123,11 @@
     enders: Vec<oneshot::Sender<()>>,
     has_waiting_items: bool,
     last_append: Instant,
+    /// Text of items under way that is to be kept.
+    progress: (
+        mpsc::UnboundedSender<JobProgress>,
+        mpsc::UnboundedReceiver<JobProgress>,
+    ),
 }
 
 impl Owner {
@@ -147,6 +152,7 @@
             enders: Vec::new(),
             has_waiting_items: false,
             last_append: Instant::now() - GATHER,
+            progress: mpsc::unbounded_channel(),
         };
         if is_ended {
             owner.queue_end();
@@ -173,6 +179,7 @@
                     Some(Command::Lost) | None => return self.lost(),
                 },
                 Some(ended) = self.runs.join_next() => self.on_run(ended),
+                Some(progress) = self.progress.1.recv() => self.on_progress(progress),
                 done = wait_for(&mut appending) => {
                     appending = None;
                     match self.on_append(done).await {
@@ -200,6 +207,10 @@
         let Ok((index, result)) = ended else {
             return;
         };
+        // A result follows the progress that its run sent before.
+        while let Ok(progress) = self.progress.1.try_recv() {
+            self.on_progress(progress);
+        }
         let outcome = match result.state {
             ResultState::COMPLETED => "completed",
             _ => "terminated",
@@ -213,6 +224,12 @@
         self.queue.push(entry_bytes(EntryKind::result(result)));
     }
 
+    fn on_progress(&mut self, progress: JobProgress) {
+        if !self.closes {
+            self.queue.push(entry_bytes(EntryKind::progress(progress)));
+        }
+    }
+
     /// Takes the queue into one append, after the gathering time.
     fn next_append(&mut self) -> Option<BoxFuture<'static, AppendDone>> {
         if self.queue.is_empty() {
@@ -337,10 +354,11 @@
             // The run begins with its first poll; the guard counts it from now on.
             let guard = instance.begin();
             let run = Arc::clone(&run);
+            let kept = self.job.state().kept(&spec.items[index].id);
             self.running.insert(index);
             self.runs.spawn(async move {
                 drop(guard);
-                (index, run_item(run, index, instance).await)
+                (index, run_item(run, index, instance, kept).await)
             });
         }
     }
@@ -383,6 +401,7 @@
             service: route.pick_service(rand::random()).to_owned(),
             max_attempts: route.max_attempts,
             single_version: route.single_version,
+            progress: self.progress.0.clone(),
             give_up_at: route.max_queue.map(|age| self.job.opened_at + age),
         }))
     }
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -7,9 +7,11 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
 use http_body_util::BodyExt;
 use ladderstage_wire::messages::mod_JobResult::State as ResultState;
-use ladderstage_wire::messages::{JobResult, JobSpec};
+use ladderstage_wire::messages::{JobProgress, JobResult, JobSpec};
+use tokio::sync::mpsc;
 
 use super::events::{Event, EventParser};
+use super::text::ItemText;
 use crate::backend::{
     AnswerId, BackendTable, Demand, ExchangeError, Instance, LOADING_PAUSE, Reply, RequestHead,
     keep_alive, send,
@@ -19,15 +21,27 @@
 /// Pause before another instance is looked for when none has room.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(25);
 
+/// How long a text of one weight version waits for an instance that still has it.
+const VERSION_WAIT: Duration = Duration::from_millis(500);
+
 /// Longest wait for the first event of a run.
 const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(2_500);
 
 /// Longest wait for a further event.
 const NEXT_EVENT_LIMIT: Duration = Duration::from_millis(1_200);
 
+/// Events after which text is kept in the journal.
+const EVENTS_PER_PROGRESS: u64 = 16;
+
 /// A run that is slower than the typical pace by this factor goes on elsewhere.
 const SLOW_FACTOR: f64 = 1.5;
 
+/// The same for a run that has been long: it is likely to go on for long.
+const LONG_RUN_SLOW_FACTOR: f64 = 1.15;
+
+/// Events after which a run counts as long.
+const LONG_RUN_EVENTS: u64 = 24;
+
 /// Events after which a run's pace is known.
 const EVENTS_FOR_PACE: u32 = 3;
 
@@ -53,15 +67,8 @@
     pub single_version: bool,
     /// When items are given up.
     pub give_up_at: Option<Instant>,
-}
-
-/// Text made so far.
-#[derive(Debug, Default)]
-struct Partial {
-    text: String,
-    events: u64,
-    last_id: Option<u64>,
-    versions: Vec<u64>,
+    /// Takes text that is to be kept.
+    pub progress: mpsc::UnboundedSender<JobProgress>,
 }
 
 /// How one run at one instance ended.
@@ -75,10 +82,14 @@
     Move(String),
 }
 
-/// Runs the item at `index` until it has a result; the first run goes to `first`.
-pub async fn run_item(context: Arc<RunContext>, index: usize, first: Arc<Instance>) -> JobResult {
-    let mut partial = Partial::default();
-    let item = &context.spec.items[index].id;
+/// Runs the item at `index` until it has a result, going on from `partial`; the first run goes to `first`.
+pub async fn run_item(
+    context: Arc<RunContext>,
+    index: usize,
+    first: Arc<Instance>,
+    mut partial: ItemText,
+) -> JobResult {
+    let item = context.spec.items[index].id.clone();
     let run = run_until_done(&context, index, first, &mut partial);
     let state = match context.give_up_at {
         Some(at) => tokio::time::timeout_at(at.into(), run)
@@ -93,15 +104,10 @@
         None => run.await,
     };
     if state == ResultState::COMPLETED {
-        return JobResult {
-            item: item.clone(),
-            state,
-            text: partial.text,
-            weight_versions: partial.versions,
-        };
+        return partial.into_result(&item);
     }
     JobResult {
-        item: item.clone(),
+        item,
         state,
         ..JobResult::default()
     }
@@ -111,7 +117,7 @@
     context: &RunContext,
     index: usize,
     first: Arc<Instance>,
-    partial: &mut Partial,
+    partial: &mut ItemText,
 ) -> ResultState {
     let mut failures = 0;
     let mut instance = first;
@@ -138,7 +144,7 @@
     context: &RunContext,
     index: usize,
     instance: &Instance,
-    partial: &Partial,
+    partial: &ItemText,
     started: Instant,
     end: &RunEnd,
 ) {
@@ -149,45 +155,63 @@
         RunEnd::Move(cause) => format!("moved cause=\"{cause}\""),
     };
     log::info!(
-        "event=item_run item={} job={} instance={} events={} versions={:?} elapsed_ms={} outcome={outcome}",
+        "event=item_run item={} job={} instance={} tokens={} guess={} events={} versions={:?} elapsed_ms={} outcome={outcome}",
         context.spec.items[index].id,
         context.spec.job,
         instance.id(),
-        partial.events,
-        partial.versions,
+        context.spec.items[index].tokens,
+        context.spec.items[index].expected_tokens,
+        partial.events(),
+        partial.versions(),
         started.elapsed().as_millis()
     );
 }
 
-/// An instance with room and fitting weights, another than `last` if there is one.
+/// An instance with room and fitting weights, another than `last` if there is one. A text that must come from one weight
+/// version starts over if no instance has that version any more.
 async fn next_instance(
     context: &RunContext,
     last: &Arc<Instance>,
-    partial: &Partial,
+    partial: &mut ItemText,
 ) -> Arc<Instance> {
     let mut table_changed = context.backends.watch();
+    let started = Instant::now();
     loop {
-        let fits = |instance: &Instance| fits(context, partial, instance);
-        let model = &context.spec.model;
-        let choose = |exclude: bool| {
-            context
-                .backends
-                .choose(&context.service, model, Demand::Batch, |instance| {
-                    fits(instance) && !(exclude && instance.id() == last.id())
-                })
-        };
-        if let Some(instance) = choose(true).or_else(|| choose(false)) {
+        if let Some(instance) = choose_instance(context, last, partial) {
             return instance;
         }
+        if context.single_version && partial.events() > 0 && started.elapsed() > VERSION_WAIT {
+            partial.start_over();
+        }
         let _ = tokio::time::timeout(NO_ROOM_PAUSE, table_changed.changed()).await;
     }
 }
 
+fn choose_instance(
+    context: &RunContext,
+    last: &Arc<Instance>,
+    partial: &ItemText,
+) -> Option<Arc<Instance>> {
+    let backends = &context.backends;
+    let choose = |exclude_last: bool| {
+        backends.choose(
+            &context.service,
+            &context.spec.model,
+            Demand::Batch,
+            |instance| {
+                let is_excluded = exclude_last && instance.id() == last.id();
+                !is_excluded && fits(context, partial, instance)
+            },
+        )
+    };
+    choose(true).or_else(|| choose(false))
+}
+
 /// Whether an instance has weights that may go on with the text.
-fn fits(context: &RunContext, partial: &Partial, instance: &Instance) -> bool {
+fn fits(context: &RunContext, partial: &ItemText, instance: &Instance) -> bool {
     let version = instance.version(&context.spec.model);
     if context.single_version
-        && let Some(begun) = partial.versions.first()
+        && let Some(begun) = partial.versions().first()
     {
         return version == *begun;
     }
@@ -198,7 +222,7 @@
     context: &RunContext,
     index: usize,
     instance: &Arc<Instance>,
-    partial: &mut Partial,
+    partial: &mut ItemText,
 ) -> RunEnd {
     let _guard = instance.begin();
     let names = context.codec.headers();
@@ -227,7 +251,7 @@
         }
     };
     match reply.status {
-        StatusCode::OK => follow_stream(context, instance, reply, partial).await,
+        StatusCode::OK => follow_stream(context, index, instance, reply, partial).await,
         StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Impossible,
         StatusCode::INTERNAL_SERVER_ERROR => RunEnd::Failed,
         status => {
@@ -266,7 +290,7 @@
     index: usize,
     instance: &Instance,
     attempt_id: &HeaderValue,
-    partial: &Partial,
+    partial: &ItemText,
 ) -> Option<RequestHead> {
     let names = context.codec.headers();
     let item = &context.spec.items[index];
@@ -282,7 +306,7 @@
     headers.insert(names.attempt_id.clone(), attempt_id.clone());
     let expected = HeaderValue::from_str(instance.id()).ok()?;
     headers.insert(names.expect_instance.clone(), expected);
-    if let Some(last) = partial.last_id {
+    if let Some(last) = partial.last_event() {
         headers.insert(names.last_event_id.clone(), HeaderValue::from(last));
     }
     Some(RequestHead {
@@ -295,9 +319,10 @@
 /// Takes the events of one run into the text.
 async fn follow_stream(
     context: &RunContext,
+    index: usize,
     instance: &Arc<Instance>,
     reply: Reply,
-    partial: &mut Partial,
+    partial: &mut ItemText,
 ) -> RunEnd {
     let names = context.codec.headers();
     let (headers, mut body, lease) = reply.into_parts();
@@ -346,6 +371,12 @@
             }
             pace.note(instance);
         }
+        if partial.fresh_events() >= EVENTS_PER_PROGRESS {
+            let item = &context.spec.items[index].id;
+            if let Some(progress) = partial.take_progress(item) {
+                let _ = context.progress.send(progress);
+            }
+        }
         if let Some(cause) = pace.reason_to_move(context, instance, partial) {
             return RunEnd::Move(cause);
         }
@@ -358,9 +389,12 @@
     instance: &Instance,
     event: Event,
     version: Option<u64>,
-    partial: &mut Partial,
+    partial: &mut ItemText,
 ) -> Result<(), RunEnd> {
-    if partial.last_id.is_some_and(|last| event.id != last + 1) {
+    if partial
+        .last_event()
+        .is_some_and(|last| event.id != last + 1)
+    {
         return Err(RunEnd::Move(format!("event {} does not follow", event.id)));
     }
     let version = version.unwrap_or(0);
@@ -372,22 +406,14 @@
     }
     if context.single_version
         && partial
-            .versions
+            .versions()
             .first()
             .is_some_and(|begun| *begun != version)
     {
-        *partial = Partial::default();
+        partial.start_over();
         return Err(RunEnd::Move("weight version changed".to_owned()));
     }
-    if partial.events > 0 {
-        partial.text.push('\n');
-    }
-    partial.text.push_str(&event.data);
-    partial.events += 1;
-    partial.last_id = Some(event.id);
-    if !partial.versions.contains(&version) {
-        partial.versions.push(version);
-    }
+    partial.push(&event, version);
     Ok(())
 }
 
@@ -415,7 +441,7 @@
         &self,
         context: &RunContext,
         instance: &Instance,
-        partial: &Partial,
+        partial: &ItemText,
     ) -> Option<String> {
         if self.events <= EVENTS_FOR_PACE || !self.events.is_multiple_of(EVENTS_PER_LOOK) {
             return None;
@@ -423,7 +449,13 @@
         let taken = self.last_at?.saturating_duration_since(self.first_at?);
         let own = taken.as_secs_f64() * 1e3 / f64::from(self.events - 1);
         let typical = context.backends.typical_pace(&context.service)?;
-        if own < typical * SLOW_FACTOR {
+        let is_long = partial.events() >= LONG_RUN_EVENTS;
+        let factor = if is_long {
+            LONG_RUN_SLOW_FACTOR
+        } else {
+            SLOW_FACTOR
+        };
+        if own < typical * factor.min(1.0 + (factor - 1.0) / 2.0) {
             return None;
         }
         let model = &context.spec.model;
@@ -436,7 +468,7 @@
             .candidate("", Instant::now())
             .pace_ms
             .unwrap_or(typical);
-        let pays = own > theirs * SLOW_FACTOR;
+        let pays = own > theirs * factor;
         pays.then(|| format!("slow: {own:.0} ms an event against {theirs:.0}"))
     }
 }
--- a/crates/front/src/job/state.rs
+++ b/crates/front/src/job/state.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 
 use ladderstage_wire::messages::mod_JobEntry::OneOfkind as EntryKind;
-use ladderstage_wire::messages::{JobEntry, JobItem, JobResult, JobSpec, LogEntry};
+use ladderstage_wire::messages::{JobEntry, JobItem, JobProgress, JobResult, JobSpec, LogEntry};
 use ladderstage_wire::{DecodeError, decode, encode};
 
+use super::text::ItemText;
+
 /// State of one job. Entries that contradict earlier ones are ignored: the first wins.
 #[derive(Debug, Clone, Default)]
 pub struct JobState {
@@ -14,6 +16,8 @@
     indexes: HashMap<String, usize>,
     results: Vec<JobResult>,
     listed: HashSet<String>,
+    /// Text kept of items that have no result yet.
+    kept: HashMap<String, ItemText>,
     is_ended: bool,
 }
 
@@ -46,6 +50,7 @@
         match entry.kind {
             EntryKind::accepted(spec) => self.accept(spec),
             EntryKind::result(result) => self.list(result),
+            EntryKind::progress(progress) => self.keep(&progress),
             EntryKind::ended(_) => self.is_ended = true,
             EntryKind::None => {}
         }
@@ -84,6 +89,11 @@
         self.spec.as_ref()?.items.get(index)
     }
 
+    /// Text kept of an item that has no result yet.
+    pub fn kept(&self, item: &str) -> ItemText {
+        self.kept.get(item).cloned().unwrap_or_default()
+    }
+
     /// Drops the bodies of items, which are not asked for once a job has ended.
     pub fn drop_bodies(&mut self) {
         if let Some(spec) = &self.spec {
@@ -110,7 +120,18 @@
     fn list(&mut self, result: JobResult) {
         let is_known = self.indexes.contains_key(&result.item);
         if is_known && self.listed.insert(result.item.clone()) {
-            self.results.push(result);
+            let kept = self.kept.remove(&result.item).unwrap_or_default();
+            self.results.push(kept.complete(result));
+        }
+    }
+
+    fn keep(&mut self, progress: &JobProgress) {
+        let is_open = self.indexes.contains_key(&progress.item) && !self.is_listed(&progress.item);
+        if is_open {
+            self.kept
+                .entry(progress.item.clone())
+                .or_default()
+                .apply(progress);
         }
     }
 }
--- /dev/null
+++ b/crates/front/src/job/text.rs
@@ -0,0 +1,174 @@
+//! Text that is made for an item, event by event.
+
+use ladderstage_wire::messages::{JobProgress, JobResult, mod_JobResult::State as ResultState};
+
+use super::events::Event;
+
+/// Text made so far, and how much of it is kept in the journal.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ItemText {
+    text: String,
+    events: u64,
+    last_event: Option<u64>,
+    versions: Vec<u64>,
+    /// Part that is not in the journal yet.
+    fresh: Fresh,
+    /// What the journal has is void.
+    starts_over: bool,
+    /// Some of the text is in the journal.
+    has_kept: bool,
+}
+
+/// Events since the last progress that was handed to the journal.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct Fresh {
+    text_start: usize,
+    first_event: Option<u64>,
+    events: u64,
+    versions: Vec<u64>,
+}
+
+impl ItemText {
+    /// Events so far.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// Number of the last event.
+    pub fn last_event(&self) -> Option<u64> {
+        self.last_event
+    }
+
+    /// Weight versions that made the events, each once.
+    pub fn versions(&self) -> &[u64] {
+        &self.versions
+    }
+
+    /// Whole text.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Events that are not in the journal yet.
+    pub fn fresh_events(&self) -> u64 {
+        self.fresh.events
+    }
+
+    /// Adds the next event, made by `version`.
+    pub fn push(&mut self, event: &Event, version: u64) {
+        if self.fresh.events == 0 {
+            self.fresh.first_event = Some(event.id);
+            self.fresh.text_start = self.text.len() + usize::from(self.events > 0);
+        }
+        if self.events > 0 {
+            self.text.push('\n');
+        }
+        self.text.push_str(&event.data);
+        self.events += 1;
+        self.fresh.events += 1;
+        self.last_event = Some(event.id);
+        add_once(&mut self.versions, version);
+        add_once(&mut self.fresh.versions, version);
+    }
+
+    /// Drops all text; what the journal has becomes void with the next progress or result.
+    pub fn start_over(&mut self) {
+        let starts_over = self.starts_over || self.has_kept;
+        *self = Self {
+            starts_over,
+            ..Self::default()
+        };
+    }
+
+    /// Hands what is fresh to the journal; `None` if nothing is.
+    pub fn take_progress(&mut self, item: &str) -> Option<JobProgress> {
+        let first_event = self.fresh.first_event?;
+        let progress = JobProgress {
+            item: item.to_owned(),
+            starts_over: std::mem::take(&mut self.starts_over),
+            first_event,
+            last_event: self.last_event?,
+            events: self.fresh.events,
+            text: self.text[self.fresh.text_start..].to_owned(),
+            weight_versions: std::mem::take(&mut self.fresh.versions),
+        };
+        self.fresh = Fresh::default();
+        self.has_kept = true;
+        Some(progress)
+    }
+
+    /// The result as the journal takes it: only what it does not have yet.
+    pub fn into_result(self, item: &str) -> JobResult {
+        let follows_progress = self.has_kept && !self.starts_over;
+        let text = if !follows_progress {
+            self.text
+        } else if self.fresh.events > 0 {
+            self.text[self.fresh.text_start..].to_owned()
+        } else {
+            String::new()
+        };
+        let weight_versions = if follows_progress {
+            self.fresh.versions
+        } else {
+            self.versions
+        };
+        JobResult {
+            item: item.to_owned(),
+            state: ResultState::COMPLETED,
+            text,
+            weight_versions,
+            follows_progress,
+        }
+    }
+
+    /// Takes progress read from the journal; progress that does not follow is of an earlier append and changes nothing.
+    pub fn apply(&mut self, progress: &JobProgress) {
+        if progress.starts_over {
+            *self = Self::default();
+        }
+        let follows = self
+            .last_event
+            .is_none_or(|last| progress.first_event == last + 1);
+        if !follows {
+            return;
+        }
+        if self.events > 0 {
+            self.text.push('\n');
+        }
+        self.text.push_str(&progress.text);
+        self.events += progress.events;
+        self.last_event = Some(progress.last_event);
+        for version in &progress.weight_versions {
+            add_once(&mut self.versions, *version);
+        }
+        self.has_kept = true;
+    }
+
+    /// The whole result from the one in the journal and the progress kept before it.
+    pub fn complete(self, mut result: JobResult) -> JobResult {
+        if !std::mem::take(&mut result.follows_progress) || result.state != ResultState::COMPLETED {
+            return result;
+        }
+        let tail = std::mem::take(&mut result.text);
+        let has_tail = !result.weight_versions.is_empty();
+        result.text = self.text;
+        if has_tail {
+            if self.events > 0 {
+                result.text.push('\n');
+            }
+            result.text.push_str(&tail);
+        }
+        let mut versions = self.versions;
+        for version in std::mem::take(&mut result.weight_versions) {
+            add_once(&mut versions, version);
+        }
+        result.weight_versions = versions;
+        result
+    }
+}
+
+fn add_once(versions: &mut Vec<u64>, version: u64) {
+    if !versions.contains(&version) {
+        versions.push(version);
+    }
+}
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -17,6 +17,9 @@
 /// The record that names the giver.
 const GIVER_KEY: &str = "ladderstage/orders/giver";
 
+/// How long the lease outlives its holder. Shorter than the time for which a new holder of another node keeps quiet.
+const GIVER_LEASE: Duration = Duration::from_millis(1_200);
+
 /// Renewals per lease time.
 const RENEWALS_PER_LEASE: u32 = 3;
 
@@ -35,30 +38,42 @@
 /// Instances that load at once without slowing each other down.
 const MOST_LOADING: usize = 2;
 
+/// A version and when this process heard of it.
+#[derive(Debug, Clone, Copy)]
+struct Named {
+    version: u64,
+    heard_at: Instant,
+}
+
 /// Newest version named for each model. Cheap to clone.
 #[derive(Debug, Clone, Default)]
 pub struct VersionsNamed {
-    versions: Arc<Mutex<BTreeMap<String, u64>>>,
+    versions: Arc<Mutex<BTreeMap<String, Named>>>,
 }
 
 impl VersionsNamed {
     /// Notes a version; versions only rise.
     pub fn note(&self, model: &str, version: u64) {
         let mut versions = lock(&self.versions);
-        let newest = versions.entry(model.to_owned()).or_insert(0);
-        if version > *newest {
-            *newest = version;
-            log::info!("event=version_named model={model} version={version}");
+        if versions
+            .get(model)
+            .is_some_and(|named| named.version >= version)
+        {
+            return;
         }
+        log::info!("event=version_named model={model} version={version}");
+        let heard_at = Instant::now();
+        versions.insert(model.to_owned(), Named { version, heard_at });
     }
 
     fn demands(&self) -> Vec<ModelDemand> {
         let versions = lock(&self.versions);
         let demands = versions.iter();
         demands
-            .map(|(model, newest)| ModelDemand {
+            .map(|(model, named)| ModelDemand {
                 model: model.clone(),
-                newest: *newest,
+                newest: named.version,
+                named_for: named.heard_at.elapsed(),
                 weight: 1.0,
             })
             .collect()
@@ -68,8 +83,8 @@
 /// Times of the lease.
 #[derive(Debug, Clone, Copy)]
 pub struct OrderOptions {
-    /// How long the lease lasts without a renewal; a new giver waits as long before its first order.
-    pub lease: Duration,
+    /// Least time between orders of givers at two nodes.
+    pub quiet: Duration,
 }
 
 /// Gives orders while this node holds the lease.
@@ -120,7 +135,7 @@
                 Ok(None) => self.wait_until_free().await,
                 Err(error) => log::warn!("event=giver_lease_not_taken cause=\"{error}\""),
             }
-            let pause = self.options.lease / RENEWALS_PER_LEASE;
+            let pause = GIVER_LEASE / RENEWALS_PER_LEASE;
             tokio::time::sleep(ladderstage_journal::jitter::jittered(pause)).await;
         }
     }
@@ -129,24 +144,32 @@
         if !self.has_models() {
             return Ok(None);
         }
-        if self.coordination.get(GIVER_KEY).await?.is_some() {
+        let own = self.nodes.own().node.into_bytes();
+        let record = self.coordination.get(GIVER_KEY).await?;
+        // A record of this node is of an earlier process: the same holder, which cannot give orders any more.
+        let is_own = record.as_ref().is_some_and(|record| record.value == own);
+        if record.is_some() && !is_own {
             return Ok(None);
         }
+        let expected = record.map_or(0, |record| record.revision);
+        let quiet = if is_own {
+            Duration::ZERO
+        } else {
+            self.options.quiet
+        };
         let asked_at = Instant::now();
-        let lease = self.coordination.grant(self.options.lease).await?;
-        let value = self.nodes.own().node.into_bytes();
-        match self
+        let lease = self.coordination.grant(GIVER_LEASE).await?;
+        let swapped = self
             .coordination
-            .swap(GIVER_KEY, 0, value, Some(lease))
-            .await?
-        {
+            .swap(GIVER_KEY, expected, own, Some(lease));
+        match swapped.await? {
             SwapResult::Won { revision } => {
                 log::info!("event=giver_lease_gained lease={lease} fence={revision}");
                 Ok(Some(Held {
                     lease,
                     fence: revision,
-                    proven_until: asked_at + self.options.lease,
-                    quiet_until: Instant::now() + self.options.lease,
+                    proven_until: asked_at + GIVER_LEASE,
+                    quiet_until: Instant::now() + quiet,
                 }))
             }
             SwapResult::Lost(_) => {
@@ -179,7 +202,7 @@
 
     async fn hold(&self, mut held: Held) {
         let mut given = Given::default();
-        let mut renew_at = Instant::now() + self.options.lease / RENEWALS_PER_LEASE;
+        let mut renew_at = Instant::now() + GIVER_LEASE / RENEWALS_PER_LEASE;
         loop {
             let now = Instant::now();
             if now >= held.proven_until {
@@ -190,9 +213,9 @@
                 return;
             }
             if now >= renew_at {
-                renew_at = now + self.options.lease / RENEWALS_PER_LEASE;
+                renew_at = now + GIVER_LEASE / RENEWALS_PER_LEASE;
                 match self.coordination.renew(held.lease).await {
-                    Ok(()) => held.proven_until = now + self.options.lease,
+                    Ok(()) => held.proven_until = now + GIVER_LEASE,
                     Err(CoordinationError::LeaseOver) => {
                         log::warn!("event=giver_lease_lost fence={} reason=over", held.fence);
                         return;
@@ -221,6 +244,7 @@
             .map(|instance| FleetInstance {
                 id: instance.id().to_owned(),
                 versions: instance.discovered().versions,
+                load: instance.candidate("", now).load,
                 is_busy: given.pauses.contains_key(instance.id()),
             })
             .collect();
--- a/crates/front/src/orders/plan.rs
+++ b/crates/front/src/orders/plan.rs
@@ -1,10 +1,15 @@
 //! Which instance should load which version next.
 //!
-//! A job that allows the version before the newest runs on either, so an instance that serves a model loads about every
-//! second version of it. Loading all models everywhere would take longer than versions last: each instance serves the
-//! model that it is assigned to, in shares of the models' demand.
+//! A job may allow the version before the newest, which must then be everywhere when the newest is named: each instance
+//! that serves a model loads every version, after the burst of work that follows its naming. Loading all models
+//! everywhere would take longer than versions last: each instance serves the model that it is assigned to, in shares of
+//! the models' demand.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A version is named just before work that allows the one before it comes in a burst: that work may start everywhere first.
+const BURST_TIME: Duration = Duration::from_millis(400);
 
 /// An instance that holds models.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -13,6 +18,8 @@
     pub id: String,
     /// Versions that it has, by model.
     pub versions: BTreeMap<String, u64>,
+    /// Requests there as best known.
+    pub load: u32,
     /// An order is under way there, or was given a moment ago.
     pub is_busy: bool,
 }
@@ -24,6 +31,8 @@
     pub model: String,
     /// Newest version that was named.
     pub newest: u64,
+    /// How long ago that was.
+    pub named_for: Duration,
     /// Work that asks for it, against the other models.
     pub weight: f64,
 }
@@ -146,8 +155,8 @@
 
 /// The next order, given what is loading anywhere and how many may load at once.
 ///
-/// Instances two or more versions behind go first, as no job may use them soon; then, until half of those that serve a
-/// model have its newest version, those one behind.
+/// Instances two or more versions behind go first and at once, as no job may use them; then, after the burst of work, those
+/// one behind, the least busy first.
 pub fn plan(
     demands: &[ModelDemand],
     assignment: &Assignment,
@@ -166,34 +175,28 @@
         .map(|(_, planned)| planned)
 }
 
-/// The next order for one model and how urgent it is.
+/// The next order for one model and how urgent it is: by the lag of the instance, then by how many others lag.
 fn next_of(
     demand: &ModelDemand,
     assignment: &Assignment,
     fleet: &[FleetInstance],
-) -> Option<(u64, Planned)> {
+) -> Option<((u64, usize), Planned)> {
     let version = |one: &FleetInstance| one.versions.get(&demand.model).copied().unwrap_or(0);
-    let served: Vec<&FleetInstance> = fleet
+    let lag = |one: &FleetInstance| demand.newest.saturating_sub(version(one));
+    let least_lag = if demand.named_for < BURST_TIME { 2 } else { 1 };
+    let behind: Vec<&FleetInstance> = fleet
         .iter()
         .filter(|one| assignment.model(&one.id) == Some(demand.model.as_str()))
+        .filter(|one| lag(one) >= 1)
         .collect();
-    let current = served
+    let next = behind
         .iter()
-        .filter(|one| version(one) >= demand.newest)
-        .count();
-    let idle = served.iter().filter(|one| !one.is_busy);
-    let behind = idle
-        .filter(|one| version(one) < demand.newest)
-        .min_by_key(|one| (version(one), one.id.clone()))?;
-    let lag = demand.newest - version(behind);
-    let is_wanted = lag >= 2 || current < served.len().div_ceil(2);
-    let scarcity = (served.len().saturating_sub(current)) as u64;
-    is_wanted.then(|| {
-        let planned = Planned {
-            instance: behind.id.clone(),
-            model: demand.model.clone(),
-            version: demand.newest,
-        };
-        (lag * 1_000 + scarcity, planned)
-    })
+        .filter(|one| !one.is_busy && lag(one) >= least_lag)
+        .min_by_key(|one| (version(one), one.load, &one.id))?;
+    let planned = Planned {
+        instance: next.id.clone(),
+        model: demand.model.clone(),
+        version: demand.newest,
+    };
+    Some(((lag(next), behind.len()), planned))
 }
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -56,7 +56,7 @@
     /// How long a batch job can be read after it was handed in.
     pub job_retention: Duration,
     /// Least time between orders of two givers.
-    pub order_lease: Duration,
+    pub order_quiet: Duration,
     /// How long a stop may take.
     pub grace: Duration,
 }
--- /dev/null
+++ b/crates/front/tests/item_text.rs
@@ -0,0 +1,132 @@
+//! Text kept in the journal piece by piece is the text that was made.
+
+use ladderstage_front::job::{Event, ItemText, JobState, entry_bytes};
+use ladderstage_wire::messages::mod_JobEntry::OneOfkind as EntryKind;
+use ladderstage_wire::messages::{JobEnded, JobItem, JobResult, JobSpec, LogEntry};
+use proptest::prelude::*;
+
+const ITEM: &str = "item-1";
+
+fn accepted() -> LogEntry {
+    let item = |id: &str| JobItem {
+        id: id.to_owned(),
+        body: b"prompt".to_vec(),
+        ..JobItem::default()
+    };
+    entry_bytes(EntryKind::accepted(JobSpec {
+        job: "job".to_owned(),
+        items: vec![item(ITEM), item("item-2")],
+        ..JobSpec::default()
+    }))
+}
+
+fn event(id: u64) -> Event {
+    Event {
+        id,
+        data: format!("data of {id}"),
+        version: None,
+    }
+}
+
+fn joined(events: u64) -> String {
+    let lines: Vec<String> = (1..=events).map(|id| event(id).data).collect();
+    lines.join("\n")
+}
+
+proptest! {
+    /// Whatever the points at which progress is kept, and whichever entries are appended twice, the result is whole.
+    #[test]
+    fn kept_pieces_join_to_the_whole_text(
+        pieces in prop::collection::vec((1u64..6, any::<bool>()), 1..8),
+        tail in 0u64..5,
+    ) {
+        let mut text = ItemText::default();
+        let mut log = vec![accepted()];
+        let mut id = 0;
+        for (count, is_doubled) in pieces {
+            for _ in 0..count {
+                id += 1;
+                text.push(&event(id), id / 7 + 1);
+            }
+            let progress = text.take_progress(ITEM).expect("fresh events");
+            let entry = entry_bytes(EntryKind::progress(progress));
+            if is_doubled {
+                log.push(entry.clone());
+            }
+            log.push(entry);
+        }
+        let restored = JobState::replay(&log).unwrap().kept(ITEM);
+        prop_assert_eq!(restored.text(), joined(id));
+        prop_assert_eq!(restored.last_event(), Some(id));
+        for _ in 0..tail {
+            id += 1;
+            text.push(&event(id), id / 7 + 1);
+        }
+        let versions = text.versions().to_vec();
+        log.push(entry_bytes(EntryKind::result(text.into_result(ITEM))));
+        let state = JobState::replay(&log).unwrap();
+        let result = &state.results()[0];
+        prop_assert_eq!(&result.text, &joined(id));
+        prop_assert_eq!(&result.weight_versions, &versions);
+        prop_assert!(!result.follows_progress);
+    }
+}
+
+#[test]
+fn another_owner_goes_on_from_kept_text() {
+    let mut first = ItemText::default();
+    (1..=3).for_each(|id| first.push(&event(id), 4));
+    let progress = first.take_progress(ITEM).unwrap();
+    first.push(&event(4), 4);
+    let mut log = vec![accepted(), entry_bytes(EntryKind::progress(progress))];
+    let mut second = JobState::replay(&log).unwrap().kept(ITEM);
+    assert_eq!(second.last_event(), Some(3));
+    (4..=5).for_each(|id| second.push(&event(id), 5));
+    log.push(entry_bytes(EntryKind::result(second.into_result(ITEM))));
+    let state = JobState::replay(&log).unwrap();
+    assert_eq!(state.results()[0].text, joined(5));
+    assert_eq!(state.results()[0].weight_versions, [4, 5]);
+}
+
+#[test]
+fn text_that_starts_over_voids_what_was_kept() {
+    let mut text = ItemText::default();
+    (1..=4).for_each(|id| text.push(&event(id), 4));
+    let progress = text.take_progress(ITEM).unwrap();
+    text.start_over();
+    (1..=2).for_each(|id| text.push(&event(id), 5));
+    let log = [
+        accepted(),
+        entry_bytes(EntryKind::progress(progress)),
+        entry_bytes(EntryKind::result(text.into_result(ITEM))),
+    ];
+    let state = JobState::replay(&log).unwrap();
+    assert_eq!(state.results()[0].text, joined(2));
+    assert_eq!(state.results()[0].weight_versions, [5]);
+}
+
+#[test]
+fn the_first_result_of_an_item_keeps_its_position() {
+    let result = |text: &str| {
+        entry_bytes(EntryKind::result(JobResult {
+            item: ITEM.to_owned(),
+            text: text.to_owned(),
+            ..JobResult::default()
+        }))
+    };
+    let log = [accepted(), result("first"), result("second")];
+    let state = JobState::replay(&log).unwrap();
+    assert_eq!(state.results().len(), 1);
+    assert_eq!(state.results()[0].text, "first");
+    assert!(!state.is_complete());
+}
+
+#[test]
+fn an_ended_job_forgets_bodies_and_keeps_results() {
+    let ended = entry_bytes(EntryKind::ended(JobEnded {}));
+    let mut state = JobState::replay(&[accepted(), ended]).unwrap();
+    assert!(state.is_ended());
+    assert_eq!(state.item(ITEM).unwrap().body, b"prompt");
+    state.drop_bodies();
+    assert!(state.item(ITEM).unwrap().body.is_empty());
+}
--- /dev/null
+++ b/crates/front/tests/order_plan.rs
@@ -0,0 +1,146 @@
+//! Which instance loads which version next.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ladderstage_front::orders::{Assignment, FleetInstance, ModelDemand, plan};
+use proptest::prelude::*;
+
+fn demand(model: &str, newest: u64, named_for_ms: u64) -> ModelDemand {
+    ModelDemand {
+        model: model.to_owned(),
+        newest,
+        named_for: Duration::from_millis(named_for_ms),
+        weight: 1.0,
+    }
+}
+
+fn instance(id: &str, versions: &[(&str, u64)]) -> FleetInstance {
+    let versions = versions
+        .iter()
+        .map(|(model, version)| ((*model).to_owned(), *version));
+    FleetInstance {
+        id: id.to_owned(),
+        versions: versions.collect(),
+        load: 0,
+        is_busy: false,
+    }
+}
+
+fn fleet(count: usize, version: u64) -> Vec<FleetInstance> {
+    (0..count)
+        .map(|n| instance(&format!("i-{n}"), &[("a", version), ("b", version)]))
+        .collect()
+}
+
+fn counts(assignment: &Assignment, fleet: &[FleetInstance]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for one in fleet {
+        let model = assignment
+            .model(&one.id)
+            .expect("each instance has a model");
+        *counts.entry(model.to_owned()).or_insert(0) += 1;
+    }
+    counts
+}
+
+#[test]
+fn instances_are_shared_by_weight() {
+    let fleet = fleet(9, 1);
+    let mut heavy = demand("b", 1, 0);
+    heavy.weight = 2.0;
+    let mut assignment = Assignment::default();
+    assignment.update(&[demand("a", 1, 0), heavy], &fleet);
+    let counts = counts(&assignment, &fleet);
+    assert_eq!(counts["a"], 3);
+    assert_eq!(counts["b"], 6);
+}
+
+#[test]
+fn an_instance_keeps_its_model_when_others_come_and_go() {
+    let demands = [demand("a", 1, 0), demand("b", 1, 0)];
+    let mut fleet = fleet(8, 1);
+    let mut assignment = Assignment::default();
+    assignment.update(&demands, &fleet);
+    let before = assignment.clone();
+    fleet.remove(0);
+    fleet.push(instance("i-new", &[("a", 1), ("b", 1)]));
+    assignment.update(&demands, &fleet);
+    for one in fleet.iter().filter(|one| one.id != "i-new") {
+        assert_eq!(assignment.model(&one.id), before.model(&one.id));
+    }
+    let counts = counts(&assignment, &fleet);
+    assert_eq!(counts["a"], 4);
+    assert_eq!(counts["b"], 4);
+}
+
+#[test]
+fn a_new_giver_assigns_by_the_weights_that_it_finds() {
+    let demands = [demand("a", 5, 0), demand("b", 5, 0)];
+    let found = [("i-0", 5, 2), ("i-1", 4, 2), ("i-2", 2, 5), ("i-3", 1, 4)];
+    let fleet: Vec<_> = found
+        .iter()
+        .map(|(id, a, b)| instance(id, &[("a", *a), ("b", *b)]))
+        .collect();
+    let mut assignment = Assignment::default();
+    assignment.update(&demands, &fleet);
+    let models: Vec<_> = fleet
+        .iter()
+        .map(|one| assignment.model(&one.id).unwrap())
+        .collect();
+    assert_eq!(models, ["a", "a", "b", "b"]);
+}
+
+#[test]
+fn a_version_waits_for_the_burst_unless_an_instance_is_of_no_use() {
+    let fleet = fleet(2, 4);
+    let mut assignment = Assignment::default();
+    assignment.update(&[demand("a", 5, 100)], &fleet);
+    assert_eq!(
+        plan(&[demand("a", 5, 100)], &assignment, &fleet, 0, 2),
+        None
+    );
+    let planned = plan(&[demand("a", 5, 500)], &assignment, &fleet, 0, 2).unwrap();
+    assert_eq!(planned.version, 5);
+    let planned = plan(&[demand("a", 6, 100)], &assignment, &fleet, 0, 2).unwrap();
+    assert_eq!(planned.version, 6);
+}
+
+#[test]
+fn busy_instances_and_a_full_wave_are_left_alone() {
+    let mut fleet = fleet(2, 1);
+    let demands = [demand("a", 3, 900)];
+    let mut assignment = Assignment::default();
+    assignment.update(&demands, &fleet);
+    assert_eq!(plan(&demands, &assignment, &fleet, 2, 2), None);
+    fleet[0].is_busy = true;
+    let planned = plan(&demands, &assignment, &fleet, 1, 2).unwrap();
+    assert_eq!(planned.instance, "i-1");
+}
+
+proptest! {
+    /// Orders go only to instances of the model that lack the version, and all get it in the end.
+    #[test]
+    fn every_instance_of_a_model_gets_the_newest_version(
+        count in 1usize..12,
+        models in 1usize..4,
+        newest in 2u64..9,
+    ) {
+        let names = ["a", "b", "c"];
+        let demands: Vec<_> =
+            names[..models].iter().map(|model| demand(model, newest, 1_000)).collect();
+        let mut fleet: Vec<_> = (0..count)
+            .map(|n| instance(&format!("i-{n}"), &[("a", 1), ("b", 1), ("c", 1)]))
+            .collect();
+        let mut assignment = Assignment::default();
+        assignment.update(&demands, &fleet);
+        for _ in 0..count {
+            let planned = plan(&demands, &assignment, &fleet, 0, 2).expect("some instance lags");
+            prop_assert_eq!(assignment.model(&planned.instance), Some(planned.model.as_str()));
+            let loaded = fleet.iter_mut().find(|one| one.id == planned.instance).unwrap();
+            prop_assert!(loaded.versions[&planned.model] < planned.version);
+            loaded.versions.insert(planned.model, planned.version);
+        }
+        prop_assert_eq!(plan(&demands, &assignment, &fleet, 0, 2), None);
+    }
+}
