--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -130,6 +130,17 @@
         Some(Arc::clone(&usable[index]))
     }
 
+    /// A ready instance of a service, also one that gets a pause after a failure.
+    pub fn choose_again(&self, service: &str) -> Option<Arc<Instance>> {
+        let instances = self.of_service(service);
+        let ready: Vec<_> = instances
+            .into_iter()
+            .filter(|instance| instance.discovered().is_ready)
+            .collect();
+        let index = rand::random_range(0..ready.len().max(1));
+        ready.get(index).cloned()
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<String, Arc<Instance>>> {
         self.instances
             .lock()
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -75,21 +75,21 @@
     stop: impl Future<Output = ()>,
 ) -> Result<(), FrontError> {
     let metrics = Arc::new(Metrics::new());
+    let handler = PeerHandler::default();
+    let server = Server::start(options.peer_address, Arc::new(handler.clone()));
+    let server = server.await.map_err(|error| FrontError::Listen {
+        address: options.peer_address,
+        error,
+    })?;
     let nodes = Nodes::new(NodeRecord {
         node: options.node.clone(),
         role: NodeRole::Front,
         process: rand::random_range(1..=u64::MAX),
-        peer_address: options.peer_address,
+        peer_address: server.address(),
         zone: options.zone.clone(),
         replica_id: 0,
         is_leaving: false,
     });
-    let handler = PeerHandler::default();
-    let server = Server::start(options.peer_address, Arc::new(handler.clone()));
-    let _server = server.await.map_err(|error| FrontError::Listen {
-        address: options.peer_address,
-        error,
-    })?;
     let parts = JournalParts::start(&options, &nodes, None, Arc::clone(&coordination));
     let jobs = JobRegistry::new(JobContext {
         journal: parts.journal.clone(),
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -139,7 +139,7 @@
             let is_due = under_way.is_empty() || Instant::now() >= hedge_at;
             if may_start
                 && is_due
-                && let Some(instance) = self.next_instance(service, progress)
+                && let Some(instance) = self.next_instance(route, service, progress)
             {
                 progress.tried.push(instance.id().to_owned());
                 progress.possible_runs += 1;
@@ -164,9 +164,22 @@
         }
     }
 
-    fn next_instance(&self, service: &str, progress: &Progress) -> Option<Arc<Instance>> {
-        let is_untried = |instance: &Instance| !progress.tried.iter().any(|id| id == instance.id());
-        self.backends.choose(service, "", Demand::Live, is_untried)
+    /// An instance that was not tried, else, where requests may run twice, one whose answer was broken.
+    fn next_instance(
+        &self,
+        route: &Route,
+        service: &str,
+        progress: &Progress,
+    ) -> Option<Arc<Instance>> {
+        let was_tried = |instance: &Instance| progress.tried.iter().any(|id| id == instance.id());
+        let untried = |instance: &Instance| !was_tried(instance);
+        let chosen = self.backends.choose(service, "", Demand::Live, untried);
+        let may_repeat = route.kind == RouteKind::Safe && progress.possible_runs > 0;
+        chosen.or_else(|| {
+            let tries = progress.tried.len() as u32;
+            let is_left = may_repeat && tries < route.max_attempts * 2;
+            is_left.then(|| self.backends.choose_again(service))?
+        })
     }
 
     fn attempt<'a>(
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -56,21 +56,21 @@
         .clone()
         .ok_or(StoreError::NoDataFolder)?;
     let storage = open(&folder).await;
+    let handler = PeerHandler::default();
+    let server = Server::start(options.peer_address, Arc::new(handler.clone()));
+    let server = server.await.map_err(|error| StoreError::Listen {
+        address: options.peer_address,
+        error,
+    })?;
     let nodes = Nodes::new(NodeRecord {
         node: options.node.clone(),
         role: NodeRole::Store,
         process: rand::random_range(1..=u64::MAX),
-        peer_address: options.peer_address,
+        peer_address: server.address(),
         zone: options.zone.clone(),
         replica_id: storage.replica_id(),
         is_leaving: false,
     });
-    let handler = PeerHandler::default();
-    let server = Server::start(options.peer_address, Arc::new(handler.clone()));
-    let _server = server.await.map_err(|error| StoreError::Listen {
-        address: options.peer_address,
-        error,
-    })?;
     let parts = JournalParts::start(
         &options,
         &nodes,
