--- a/crates/front/src/backend/choice.rs
+++ b/crates/front/src/backend/choice.rs
@@ -3,6 +3,12 @@
 /// Added to the cost of an instance in another zone, in shares of its capacity.
 const OTHER_ZONE: f64 = 0.02;
 
+/// Cost of an idle instance against that of its occupancy: what part of a request's time does not depend on others.
+const IDLE_SHARE: f64 = 0.5;
+
+/// The same for a long request: its time depends on the pace most of all.
+const LONG_IDLE_SHARE: f64 = 4.0;
+
 /// Least share of the fleet's pace that counts, so that one quick answer does not draw everything.
 const LEAST_RELATIVE_PACE: f64 = 0.6;
 
@@ -26,6 +32,8 @@
     Live,
     /// An item of a batch job: only an instance with a free slot.
     Batch,
+    /// A long item of a batch job: only an instance with a free slot, the fastest.
+    LongBatch,
 }
 
 /// Index of the instance to use; `None` if none fits. `random` decides among equal ones.
@@ -40,15 +48,15 @@
     fitting
         .min_by(|(left_index, left), (right_index, right)| {
             let rotate = |index: usize| (index + offset) % count;
-            cost(left, typical)
-                .total_cmp(&cost(right, typical))
+            cost(left, typical, demand)
+                .total_cmp(&cost(right, typical, demand))
                 .then(rotate(*left_index).cmp(&rotate(*right_index)))
         })
         .map(|(index, _)| index)
 }
 
 /// Expected time of one more request against an idle typical instance.
-fn cost(candidate: &Candidate, typical: Option<f64>) -> f64 {
+fn cost(candidate: &Candidate, typical: Option<f64>, demand: Demand) -> f64 {
     let occupancy = f64::from(candidate.load + 1) / f64::from(candidate.slots.max(1));
     let relative_pace = match (candidate.pace_ms, typical) {
         (Some(pace), Some(typical)) if typical > 0.0 => (pace / typical).max(LEAST_RELATIVE_PACE),
@@ -59,7 +67,12 @@
     } else {
         OTHER_ZONE
     };
-    (0.5 + occupancy) * relative_pace + surcharge
+    let idle_share = if demand == Demand::LongBatch {
+        LONG_IDLE_SHARE
+    } else {
+        IDLE_SHARE
+    };
+    (idle_share + occupancy) * relative_pace + surcharge
 }
 
 /// Median of the known paces.
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -122,6 +122,7 @@
         versions: inputs.versions.clone(),
         codec: Arc::clone(&inputs.codec),
         metrics: Arc::clone(&metrics),
+        jobs: jobs.clone(),
         options: OrderOptions {
             quiet: options.order_quiet,
         },
@@ -142,8 +143,8 @@
         options.peer_address
     );
     stop.await;
-    orders_task.abort();
     drain(&options, &nodes, &jobs, &state).await;
+    orders_task.abort();
     sweep_task.abort();
     nodes_task.abort();
     log::info!(
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -23,6 +23,9 @@
 /// Results that end within this time share one append.
 const GATHER: Duration = Duration::from_millis(20);
 
+/// One of so many items counts as long.
+const LONG_SHARE: usize = 8;
+
 /// Pause before another look for room when no instance had any.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(25);
 
@@ -326,7 +329,8 @@
         }
     }
 
-    /// Starts items that have neither a result nor a run, in the order of their groups, while instances have room.
+    /// Starts items that have neither a result nor a run while instances have room: those that are expected to be the longest
+    /// first, and on the fastest instances, as the step waits for them.
     fn start_runs(&mut self) {
         self.has_waiting_items = false;
         if self.closes {
@@ -339,14 +343,22 @@
             self.has_waiting_items = true;
             return;
         };
-        for index in self.startable(&spec) {
+        let startable = self.startable(&spec);
+        let long_from = long_from(&spec);
+        for index in startable {
+            let is_long = spec.items[index].expected_tokens >= long_from;
+            let demand = if is_long {
+                Demand::LongBatch
+            } else {
+                Demand::Batch
+            };
             let fits = |instance: &crate::backend::Instance| {
                 instance.version(&spec.model) >= spec.min_version
             };
-            let chosen =
-                self.context
-                    .backends
-                    .choose(&run.service, &spec.model, Demand::Batch, fits);
+            let chosen = self
+                .context
+                .backends
+                .choose(&run.service, &spec.model, demand, fits);
             let Some(instance) = chosen else {
                 self.has_waiting_items = true;
                 return;
@@ -367,13 +379,15 @@
         let state = self.job.state();
         let in_log: HashSet<usize> = self.running.iter().copied().collect();
         let queued = self.queued_items();
-        (0..spec.items.len())
+        let mut startable: Vec<usize> = (0..spec.items.len())
             .filter(|index| !in_log.contains(index))
             .filter(|index| {
                 let id = &spec.items[*index].id;
                 !state.is_listed(id) && !queued.contains(id)
             })
-            .collect()
+            .collect();
+        startable.sort_by_key(|index| std::cmp::Reverse(spec.items[*index].expected_tokens));
+        startable
     }
 
     /// Items whose results wait for their commit.
@@ -424,6 +438,18 @@
     }
 }
 
+/// Expected tokens from which an item is among the longest eighth of its job.
+fn long_from(spec: &JobSpec) -> u64 {
+    let mut expected: Vec<u64> = spec.items.iter().map(|item| item.expected_tokens).collect();
+    expected.sort_unstable();
+    let index = expected.len() - expected.len() / LONG_SHARE;
+    expected
+        .get(index)
+        .copied()
+        .filter(|tokens| *tokens > 0)
+        .unwrap_or(u64::MAX)
+}
+
 /// Repeats an append whose outcome is unknown until it is known.
 async fn append_until_known(
     writer: &mut LogWriter,
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -1,6 +1,6 @@
 //! The jobs of this node and the way to all others: accepts, reads, ends and adopts them.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -9,8 +9,8 @@
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
-    Done, EndJob, JobBody, JobResults, JobSpec, ReadJob, ReadJobBody, Refused, Request, Response,
-    ShardNotice,
+    Demand as WireDemand, Done, EndJob, JobBody, JobResults, JobSpec, ModelWork, ReadJob,
+    ReadJobBody, Refused, Request, Response, ShardNotice,
 };
 use tokio::sync::oneshot;
 
@@ -36,6 +36,12 @@
 /// since, and readers may see an older state for a second at most.
 const READ_TRUST: Duration = Duration::from_millis(700);
 
+/// Jobs accepted within this time count for the demand.
+const DEMAND_WINDOW: Duration = Duration::from_secs(15);
+
+/// Tokens of an item whose client gave no guess.
+const UNKNOWN_TOKENS: u64 = 1_000;
+
 /// Between looks for jobs that need not be kept any more.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -230,6 +236,24 @@
         }
     }
 
+    /// Work that this node accepted lately, by model.
+    pub fn demand(&self) -> WireDemand {
+        let mut tokens = BTreeMap::<String, u64>::new();
+        for job in lock(&self.shared.jobs).values() {
+            if job.opened_at.elapsed() < DEMAND_WINDOW
+                && let Some(spec) = job.state().spec()
+            {
+                *tokens.entry(spec.model.clone()).or_insert(0) += expected_tokens(spec);
+            }
+        }
+        let work = tokens
+            .into_iter()
+            .map(|(model, tokens)| ModelWork { model, tokens });
+        WireDemand {
+            work: work.collect(),
+        }
+    }
+
     /// Answers another node's question about a job of this node.
     pub async fn handle(&self, request: RequestKind) -> Response {
         let kind = match request {
@@ -260,6 +284,7 @@
                 },
                 Err(refused) => ResponseKind::refused(refused),
             },
+            RequestKind::read_demand(_) => ResponseKind::demand(self.demand()),
             RequestKind::shard_notice(notice) => {
                 self.on_untended(notice.logs);
                 ResponseKind::done(Done {})
@@ -558,6 +583,14 @@
     }
 }
 
+/// Tokens that are expected to come out of a job's items.
+fn expected_tokens(spec: &JobSpec) -> u64 {
+    let guesses = spec.items.iter().map(|item| item.expected_tokens);
+    guesses
+        .map(|guess| if guess == 0 { UNKNOWN_TOKENS } else { guess })
+        .sum()
+}
+
 async fn read_local(job: &Job, after: u64, wait: Duration) -> JobResults {
     let mut changed = job.watch();
     let deadline = Instant::now() + wait;
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -5,31 +5,37 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, HeaderValue, StatusCode};
+use ladderstage_journal::Peers;
+use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
+use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
+use ladderstage_wire::messages::{ReadDemand, Request};
 
+use super::lease::{GiverLease, Held, RENEWAL};
 use super::plan::{Assignment, FleetInstance, ModelDemand, Planned, plan};
-use crate::backend::{AnswerId, BackendTable, Instance, RequestHead, send};
+use crate::backend::{AnswerId, BackendTable, Instance, LOADING_PAUSE, RequestHead, send};
 use crate::config::ConfigInForce;
-use crate::coordination::{Coordination, CoordinationError, LeaseId, SwapResult};
+use crate::coordination::{Coordination, CoordinationError};
 use crate::dialect::{InstanceCall, InstanceReport, SharedCodec, VersionOrder};
+use crate::job::JobRegistry;
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
 
-/// The record that names the giver.
-const GIVER_KEY: &str = "ladderstage/orders/giver";
+/// Between looks at what is to be ordered.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// How long the lease outlives its holder. Shorter than the time for which a new holder of another node keeps quiet.
-const GIVER_LEASE: Duration = Duration::from_millis(1_200);
+/// Pause before the lease is tried again.
+const TAKE_PAUSE: Duration = Duration::from_millis(250);
 
-/// Renewals per lease time.
-const RENEWALS_PER_LEASE: u32 = 3;
+/// Between questions to the fronts about their work.
+const DEMAND_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Between looks at what is to be ordered.
-const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// A load is first looked at after this share of the usual time.
+const LOOK_SHARE: f64 = 0.97;
 
-/// How long an instance that took an order is left alone.
-const LOAD_TIME: Duration = Duration::from_millis(920);
+/// Longest wait for a load.
+const LOAD_LIMIT: Duration = Duration::from_secs(5);
 
-/// How long an instance is left alone whose answer to an order was lost.
+/// How long an instance is left alone whose answer to a call was lost.
 const DOUBT_TIME: Duration = Duration::from_millis(1_500);
 
 /// Longest wait for a report or an answer to an order.
@@ -103,79 +109,89 @@
     pub codec: SharedCodec,
     /// Counters.
     pub metrics: Arc<Metrics>,
+    /// Work accepted here.
+    pub jobs: JobRegistry,
     /// Times.
     pub options: OrderOptions,
 }
 
-/// A lease that this node holds.
-struct Held {
-    lease: LeaseId,
-    /// Rises with each holder.
-    fence: u64,
-    /// Until when the lease certainly lasts, by the steady clock from the send of the last renewal.
-    proven_until: Instant,
-    /// The last holder may have given an order shortly before.
-    quiet_until: Instant,
-}
-
 /// What a holder remembers of its orders.
 #[derive(Default)]
 struct Given {
     /// Instances that are to be left alone, and until when.
     pauses: HashMap<String, Instant>,
+    /// Orders under way, by instance.
+    loads: HashMap<String, Load>,
+    /// Usual time of a load.
+    load_time: Option<Duration>,
+    /// Work for each model.
+    weights: BTreeMap<String, f64>,
+    demand_at: Option<Instant>,
     assignment: Assignment,
 }
 
+/// An order under way.
+#[derive(Debug, Clone)]
+struct Load {
+    model: String,
+    version: u64,
+    since: Instant,
+    look_at: Instant,
+    give_up_at: Instant,
+}
+
+/// What follows an order.
+enum Outcome {
+    /// The instance may be loading, for the given time at most.
+    Loading(Duration),
+    /// The instance is left alone for a moment.
+    Pause(Duration),
+}
+
+impl Given {
+    fn is_left_alone(&self, instance: &str) -> bool {
+        self.pauses.contains_key(instance) || self.loads.contains_key(instance)
+    }
+
+    /// Notes an order under way; looked at when such a load is usually done.
+    fn begin(&mut self, planned: Planned, limit: Duration) {
+        let now = Instant::now();
+        let usual = self.load_time.unwrap_or(LOOK_INTERVAL * 4);
+        let load = Load {
+            model: planned.model,
+            version: planned.version,
+            since: now,
+            look_at: now + usual.mul_f64(LOOK_SHARE),
+            give_up_at: now + limit,
+        };
+        self.loads.insert(planned.instance, load);
+    }
+
+    fn note_load(&mut self, taken: Duration) {
+        let usual = self.load_time.unwrap_or(taken);
+        self.load_time = Some((usual * 3 + taken) / 4);
+    }
+}
+
 impl OrderGiver {
     /// Takes the lease whenever it is free, and gives orders while it lasts, for as long as the future is polled.
     pub async fn run(&self) {
-        loop {
-            match self.take().await {
-                Ok(Some(held)) => self.hold(held).await,
-                Ok(None) => self.wait_until_free().await,
-                Err(error) => log::warn!("event=giver_lease_not_taken cause=\"{error}\""),
-            }
-            let pause = GIVER_LEASE / RENEWALS_PER_LEASE;
-            tokio::time::sleep(ladderstage_journal::jitter::jittered(pause)).await;
-        }
-    }
-
-    async fn take(&self) -> Result<Option<Held>, CoordinationError> {
-        if !self.has_models() {
-            return Ok(None);
-        }
-        let own = self.nodes.own().node.into_bytes();
-        let record = self.coordination.get(GIVER_KEY).await?;
-        // A record of this node is of an earlier process: the same holder, which cannot give orders any more.
-        let is_own = record.as_ref().is_some_and(|record| record.value == own);
-        if record.is_some() && !is_own {
-            return Ok(None);
-        }
-        let expected = record.map_or(0, |record| record.revision);
-        let quiet = if is_own {
-            Duration::ZERO
-        } else {
-            self.options.quiet
+        let lease = GiverLease {
+            coordination: Arc::clone(&self.coordination),
+            node: self.nodes.own().node,
+            quiet: self.options.quiet,
         };
-        let asked_at = Instant::now();
-        let lease = self.coordination.grant(GIVER_LEASE).await?;
-        let swapped = self
-            .coordination
-            .swap(GIVER_KEY, expected, own, Some(lease));
-        match swapped.await? {
-            SwapResult::Won { revision } => {
-                log::info!("event=giver_lease_gained lease={lease} fence={revision}");
-                Ok(Some(Held {
-                    lease,
-                    fence: revision,
-                    proven_until: asked_at + GIVER_LEASE,
-                    quiet_until: Instant::now() + quiet,
-                }))
+        loop {
+            if !self.has_models() || self.nodes.own().is_leaving {
+                tokio::time::sleep(LOOK_INTERVAL).await;
+                continue;
             }
-            SwapResult::Lost(_) => {
-                let _ = self.coordination.revoke(lease).await;
-                Ok(None)
+            match lease.take().await {
+                Ok(Some(held)) => self.hold(&lease, held).await,
+                Ok(None) => lease.wait_until_free().await,
+                Err(error) => log::warn!("event=giver_lease_not_taken cause=\"{error}\""),
             }
+            tokio::time::sleep(ladderstage_journal::jitter::jittered(TAKE_PAUSE)).await;
         }
     }
 
@@ -190,54 +206,131 @@
         })
     }
 
-    /// Waits for the holder's record to go, by a watch that costs one call a change.
-    async fn wait_until_free(&self) {
-        let Ok(listing) = self.coordination.list(GIVER_KEY).await else {
-            return;
-        };
-        if !listing.records.is_empty() {
-            let _ = self.coordination.watch(GIVER_KEY, listing.at).await;
-        }
-    }
-
-    async fn hold(&self, mut held: Held) {
+    async fn hold(&self, lease: &GiverLease, mut held: Held) {
         let mut given = Given::default();
-        let mut renew_at = Instant::now() + GIVER_LEASE / RENEWALS_PER_LEASE;
+        let mut renew_at = Instant::now() + RENEWAL;
         loop {
-            let now = Instant::now();
-            if now >= held.proven_until {
+            if self.nodes.own().is_leaving {
+                return lease.release(&held).await;
+            }
+            if Instant::now() >= held.proven_until {
                 log::warn!(
                     "event=giver_lease_lost fence={} reason=unproven",
                     held.fence
                 );
                 return;
             }
-            if now >= renew_at {
-                renew_at = now + GIVER_LEASE / RENEWALS_PER_LEASE;
-                match self.coordination.renew(held.lease).await {
-                    Ok(()) => held.proven_until = now + GIVER_LEASE,
+            if Instant::now() >= renew_at {
+                renew_at = Instant::now() + RENEWAL;
+                match lease.renew(&mut held).await {
+                    Ok(()) => {}
                     Err(CoordinationError::LeaseOver) => {
                         log::warn!("event=giver_lease_lost fence={} reason=over", held.fence);
                         return;
                     }
                     Err(error) => {
                         log::warn!("event=giver_lease_not_renewed cause=\"{error}\"");
-                        renew_at = now + LOOK_INTERVAL * 4;
+                        renew_at = Instant::now() + LOOK_INTERVAL * 2;
                     }
                 }
             }
-            if now >= held.quiet_until {
-                self.give_next(&held, &mut given).await;
+            self.refresh_demand(&mut given).await;
+            match lease.may_order(&mut held).await {
+                Ok(true) => {
+                    self.look_at_loads(&mut given).await;
+                    self.give_next(&held, &mut given).await;
+                }
+                Ok(false) => {}
+                Err(error) => log::warn!("event=giver_not_named cause=\"{error}\""),
             }
             tokio::time::sleep(LOOK_INTERVAL).await;
         }
     }
 
+    /// Asks the fronts now and then how much work they accepted for each model.
+    async fn refresh_demand(&self, given: &mut Given) {
+        if given
+            .demand_at
+            .is_some_and(|at| at.elapsed() < DEMAND_INTERVAL)
+        {
+            return;
+        }
+        given.demand_at = Some(Instant::now());
+        let own_node = self.nodes.own().node;
+        let mut fronts = self.nodes.successors();
+        fronts.retain(|front| front.node != own_node);
+        let calls = fronts.iter().map(|front| async {
+            let kind = RequestKind::read_demand(ReadDemand {});
+            let call = self
+                .nodes
+                .call(&front.node, Request { kind }, CALL_LIMIT / 4);
+            match call.await.map(|response| response.kind) {
+                Ok(ResponseKind::demand(demand)) => demand.work,
+                _ => Vec::new(),
+            }
+        });
+        let answers = futures_util::future::join_all(calls).await;
+        let mut weights = BTreeMap::new();
+        let own = self.jobs.demand().work;
+        for work in answers.into_iter().flatten().chain(own) {
+            *weights.entry(work.model).or_insert(0.0) += work.tokens as f64;
+        }
+        if !weights.is_empty() {
+            given.weights = weights;
+        }
+    }
+
+    /// Looks whether instances that took an order have its version.
+    async fn look_at_loads(&self, given: &mut Given) {
+        let now = Instant::now();
+        let due: Vec<String> = given
+            .loads
+            .iter()
+            .filter(|(_, load)| load.look_at <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            let Some(load) = given.loads.get(&id).cloned() else {
+                continue;
+            };
+            if now >= load.give_up_at {
+                given.loads.remove(&id);
+                continue;
+            }
+            let is_done = match self.fleet().iter().find(|one| one.id() == id) {
+                Some(instance) => self.has_loaded(instance, &load).await,
+                None => true,
+            };
+            if is_done {
+                given.note_load(load.since.elapsed());
+                given.loads.remove(&id);
+            } else if let Some(load) = given.loads.get_mut(&id) {
+                load.look_at = Instant::now() + LOOK_INTERVAL;
+            }
+        }
+    }
+
+    async fn has_loaded(&self, instance: &Arc<Instance>, load: &Load) -> bool {
+        if instance.version(&load.model) >= load.version {
+            return true;
+        }
+        let Ok(report) = self.report(instance).await else {
+            return false;
+        };
+        for (model, version) in &report.versions {
+            instance.note_version(model, *version);
+        }
+        !report.busy && instance.version(&load.model) >= load.version
+    }
+
     /// Gives the next orders, as many as may load at once.
     async fn give_next(&self, held: &Held, given: &mut Given) {
         let now = Instant::now();
         given.pauses.retain(|_, until| *until > now);
-        let demands = self.versions.demands();
+        let mut demands = self.versions.demands();
+        for demand in &mut demands {
+            demand.weight = given.weights.get(&demand.model).copied().unwrap_or(1.0);
+        }
         let instances = self.fleet();
         let fleet: Vec<FleetInstance> = instances
             .iter()
@@ -245,11 +338,11 @@
                 id: instance.id().to_owned(),
                 versions: instance.discovered().versions,
                 load: instance.candidate("", now).load,
-                is_busy: given.pauses.contains_key(instance.id()),
+                is_busy: given.is_left_alone(instance.id()),
             })
             .collect();
         given.assignment.update(&demands, &fleet);
-        let loading = given.pauses.len();
+        let loading = given.loads.len();
         let planned = plan(&demands, &given.assignment, &fleet, loading, MOST_LOADING);
         let Some(planned) = planned else {
             return;
@@ -257,10 +350,14 @@
         let Some(instance) = instances.iter().find(|one| one.id() == planned.instance) else {
             return;
         };
-        let pause = self.give(held, instance, &planned).await;
-        given
-            .pauses
-            .insert(planned.instance, Instant::now() + pause);
+        match self.give(held, instance, &planned).await {
+            Outcome::Loading(limit) => given.begin(planned, limit),
+            Outcome::Pause(pause) => {
+                given
+                    .pauses
+                    .insert(planned.instance, Instant::now() + pause);
+            }
+        }
     }
 
     /// Ready instances of the services that hold models.
@@ -276,8 +373,8 @@
             .collect()
     }
 
-    /// Gives one order; returns how long the instance is to be left alone.
-    async fn give(&self, held: &Held, instance: &Arc<Instance>, planned: &Planned) -> Duration {
+    /// Gives one order.
+    async fn give(&self, held: &Held, instance: &Arc<Instance>, planned: &Planned) -> Outcome {
         let report = match self.report(instance).await {
             Ok(report) => report,
             Err(cause) => {
@@ -285,34 +382,34 @@
                     "event=report_failed instance={} cause=\"{cause}\"",
                     instance.id()
                 );
-                return DOUBT_TIME;
+                return Outcome::Pause(DOUBT_TIME);
             }
         };
         for (model, version) in &report.versions {
             instance.note_version(model, *version);
         }
         if report.busy || instance.version(&planned.model) >= planned.version {
-            return LOOK_INTERVAL * 4;
+            return Outcome::Pause(LOOK_INTERVAL * 4);
         }
         if Instant::now() + CALL_LIMIT >= held.proven_until {
-            return LOOK_INTERVAL;
+            return Outcome::Pause(LOOK_INTERVAL);
         }
         let order = VersionOrder {
             model: planned.model.clone(),
             version: planned.version,
-            keeps_runs: true,
+            keeps_runs: self.keeps_runs(&planned.model),
             holder: self.nodes.own().node,
             fence: held.fence,
             expected_sequence: report.order_sequence,
         };
-        let outcome = self.call(instance, self.codec.order_call(&order)).await;
-        let (label, pause) = match &outcome {
-            Ok((status, _)) if status.is_success() => ("taken", LOAD_TIME),
-            Ok(_) => ("refused", LOOK_INTERVAL * 10),
-            Err(_) => ("in_doubt", DOUBT_TIME),
+        let answer = self.call(instance, self.codec.order_call(&order)).await;
+        let (label, outcome) = match &answer {
+            Ok((status, _)) if status.is_success() => ("taken", Outcome::Loading(LOAD_LIMIT)),
+            Ok(_) => ("refused", Outcome::Pause(LOOK_INTERVAL * 10)),
+            Err(_) => ("in_doubt", Outcome::Loading(DOUBT_TIME)),
         };
         if label == "taken" {
-            instance.note_loading(&planned.model, Instant::now() + LOAD_TIME);
+            instance.note_loading(&planned.model, Instant::now() + LOADING_PAUSE * 4);
         }
         self.metrics.orders.with_label_values(&[label]).inc();
         log::info!(
@@ -323,9 +420,15 @@
             instance.version(&planned.model),
             held.fence,
             report.order_sequence,
-            outcome.map_or(0, |(status, _)| status.as_u16())
+            answer.map_or(0, |(status, _)| status.as_u16())
         );
-        pause
+        outcome
+    }
+
+    /// Runs go on under new weights unless a route asks for texts of one version.
+    fn keeps_runs(&self, _model: &str) -> bool {
+        let config = self.config.current();
+        config.is_none_or(|config| !config.routes.iter().any(|route| route.single_version))
     }
 
     async fn report(&self, instance: &Arc<Instance>) -> Result<InstanceReport, String> {
--- a/crates/front/src/orders/plan.rs
+++ b/crates/front/src/orders/plan.rs
@@ -11,6 +11,9 @@
 /// A version is named just before work that allows the one before it comes in a burst: that work may start everywhere first.
 const BURST_TIME: Duration = Duration::from_millis(400);
 
+/// Versions behind the newest from which on no job may use an instance.
+const USELESS_LAG: u64 = 2;
+
 /// An instance that holds models.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FleetInstance {
@@ -175,28 +178,37 @@
         .map(|(_, planned)| planned)
 }
 
-/// The next order for one model and how urgent it is: by the lag of the instance, then by how many others lag.
+/// How urgent an order is: instances that no job may use first, of the model that has the smallest share of useful ones.
+type Urgency = (bool, u64, usize);
+
+/// The next order for one model.
 fn next_of(
     demand: &ModelDemand,
     assignment: &Assignment,
     fleet: &[FleetInstance],
-) -> Option<((u64, usize), Planned)> {
+) -> Option<(Urgency, Planned)> {
     let version = |one: &FleetInstance| one.versions.get(&demand.model).copied().unwrap_or(0);
     let lag = |one: &FleetInstance| demand.newest.saturating_sub(version(one));
-    let least_lag = if demand.named_for < BURST_TIME { 2 } else { 1 };
-    let behind: Vec<&FleetInstance> = fleet
+    let least_lag = if demand.named_for < BURST_TIME {
+        USELESS_LAG
+    } else {
+        1
+    };
+    let served: Vec<&FleetInstance> = fleet
         .iter()
         .filter(|one| assignment.model(&one.id) == Some(demand.model.as_str()))
-        .filter(|one| lag(one) >= 1)
         .collect();
-    let next = behind
+    let next = served
         .iter()
         .filter(|one| !one.is_busy && lag(one) >= least_lag)
         .min_by_key(|one| (version(one), one.load, &one.id))?;
+    let useless = served.iter().filter(|one| lag(one) >= USELESS_LAG).count();
+    let behind = served.iter().filter(|one| lag(one) >= 1).count();
+    let useless_share = (useless * 1_000 / served.len().max(1)) as u64;
     let planned = Planned {
         instance: next.id.clone(),
         model: demand.model.clone(),
         version: demand.newest,
     };
-    Some(((lag(next), behind.len()), planned))
+    Some(((lag(next) >= USELESS_LAG, useless_share, behind), planned))
 }
