Use a disk again once it takes writes, in the same process

Change: after a failed commit the database is closed and the folder opened again until that works; requests are refused meanwhile; another folder in its place is refused for good. Ruled out: retrying the commit on the open database (redb refuses after an I/O error). Test: a_disk_that_refused_a_write_is_used_again (failed before: not used again).

--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -443,7 +443,7 @@
         instance: &Instance,
         partial: &ItemText,
     ) -> Option<String> {
-        if self.events <= EVENTS_FOR_PACE || !self.events.is_multiple_of(EVENTS_PER_LOOK) {
+        if self.events <= EVENTS_FOR_PACE || self.events % EVENTS_PER_LOOK != 0 {
             return None;
         }
         let taken = self.last_at?.saturating_duration_since(self.first_at?);
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -37,12 +37,9 @@
         /// What the system said.
         error: std::io::Error,
     },
-    /// The disk refused a write. Nothing that was answered is lost; a new process opens the disk again.
-    #[error("the disk failed: {0}")]
-    Disk(String),
 }
 
-/// Runs a store until it is told to stop, or its disk fails.
+/// Runs a store until it is told to stop.
 ///
 /// # Errors
 /// See [`StoreError`].
@@ -95,10 +92,7 @@
             log::info!("event=stopped role=store node={}", options.node);
             Ok(())
         }
-        cause = disk_failure(&storage) => {
-            log::error!("event=disk_failed node={} cause=\"{cause}\"", options.node);
-            Err(StoreError::Disk(cause))
-        }
+        () = watch_disk(&storage) => Ok(()),
     }
 }
 
@@ -118,11 +112,18 @@
     }
 }
 
-async fn disk_failure(storage: &Storage) -> String {
+/// Says when the disk refuses and when it works again; the storage opens it again by itself.
+async fn watch_disk(storage: &Storage) {
+    let mut known = None;
     loop {
-        if let Some(cause) = storage.failure() {
-            return cause;
+        let failure = storage.failure();
+        if failure.is_some() != known.is_some() {
+            match &failure {
+                Some(cause) => log::error!("event=disk_lost cause=\"{cause}\""),
+                None => log::info!("event=disk_regained replica_id={}", storage.replica_id()),
+            }
         }
+        known = failure;
         tokio::time::sleep(DISK_LOOK).await;
     }
 }
--- a/crates/storage/src/committer.rs
+++ b/crates/storage/src/committer.rs
@@ -1,7 +1,8 @@
 //! The commit thread: takes waiting requests, commits them together, then answers.
 
-use std::sync::{Arc, OnceLock, RwLock};
-use std::time::Instant;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::{Duration, Instant};
 
 use ladderstage_wire::messages::{
     Append, ExportedLog, Install, ReplicaSet, Seal, SealReply, WriteReply,
@@ -11,7 +12,7 @@
 
 use crate::StorageError;
 use crate::batch::{Applied, Batch, Staged};
-use crate::open::{Content, StorageOptions};
+use crate::open::{Content, StorageOptions, open_folder};
 use crate::retention::{self, SweepReport};
 use crate::store::StoredBundle;
 use crate::watermark::Watermark;
@@ -39,19 +40,55 @@
     pub permit: OwnedSemaphorePermit,
 }
 
+/// Pause before a folder that failed is opened again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause while readers still hold a database that is to be closed.
+const CLOSE_PAUSE: Duration = Duration::from_millis(2);
+
 /// What the commit thread shares with the handles.
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub content: RwLock<Content>,
-    pub failure: OnceLock<String>,
+    /// The open database; none between a failure and its mending.
+    pub database: RwLock<Option<Arc<Database>>>,
+    /// Why nothing is stored now.
+    pub failure: Mutex<Option<String>>,
     pub options: StorageOptions,
 }
 
 impl Shared {
     /// The error that answers everything after a failure.
     pub fn failed(&self) -> StorageError {
-        let cause = self.failure.get().map_or("stopped", String::as_str);
-        StorageError::Failed(cause.to_owned())
+        StorageError::Failed(self.failure().unwrap_or_else(|| "stopped".to_owned()))
+    }
+
+    /// Why nothing is stored now; `None` while the disk works.
+    pub fn failure(&self) -> Option<String> {
+        let failure = self.failure.lock();
+        failure
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+            .clone()
+    }
+
+    /// The open database, or the error of the last failure.
+    pub fn database(&self) -> Result<Arc<Database>, StorageError> {
+        let database = self.database.read();
+        let database = database
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+            .clone();
+        database.ok_or_else(|| self.failed())
+    }
+
+    fn set_failure(&self, failure: Option<String>) {
+        let guard = self.failure.lock();
+        *guard.unwrap_or_else(|poisoned| poisoned.into_inner()) = failure;
+    }
+
+    fn set_database(&self, database: Option<Arc<Database>>) -> Option<Arc<Database>> {
+        let guard = self.database.write();
+        let mut guard = guard.unwrap_or_else(|poisoned| poisoned.into_inner());
+        std::mem::replace(&mut *guard, database)
     }
 }
 
@@ -59,7 +96,8 @@
 
 /// State of the commit thread.
 pub(crate) struct Committer {
-    pub database: Arc<Database>,
+    pub folder: PathBuf,
+    pub replica_id: u64,
     pub watermark: Watermark,
     pub shared: Arc<Shared>,
     /// The store's clock when it was opened, in milliseconds.
@@ -68,8 +106,8 @@
 }
 
 impl Committer {
-    /// Runs until all handles are gone or the disk fails.
-    pub fn run(self, mut queue: mpsc::Receiver<Queued>) {
+    /// Runs until all handles are gone. After a failure the folder is opened again until that works.
+    pub fn run(mut self, mut queue: mpsc::Receiver<Queued>) {
         while let Some(first) = queue.blocking_recv() {
             let mut requests = vec![first];
             while requests.len() < REQUESTS_PER_COMMIT {
@@ -78,16 +116,59 @@
             }
             if let Err(error) = self.commit(requests) {
                 log::error!("event=storage_failed cause=\"{error}\"");
-                let _ = self.shared.failure.set(error.to_string());
-                return;
+                self.shared.set_failure(Some(error.to_string()));
+                if !self.reopen(&mut queue) {
+                    return;
+                }
             }
         }
     }
 
+    /// Closes the database and opens it again once the disk allows it; requests are refused meanwhile. Returns whether the
+    /// folder is in use again; not if all handles are gone or the folder is another one.
+    fn reopen(&mut self, queue: &mut mpsc::Receiver<Queued>) -> bool {
+        if let Some(database) = self.shared.set_database(None) {
+            close(database);
+        }
+        loop {
+            std::thread::sleep(REOPEN_PAUSE);
+            while queue.try_recv().is_ok() {}
+            if queue.is_closed() {
+                return false;
+            }
+            let opened = match open_folder(&self.folder, &self.shared.options) {
+                Ok(opened) => opened,
+                Err(error) => {
+                    log::error!("event=storage_not_reopened cause=\"{error}\"");
+                    self.shared.set_failure(Some(error.to_string()));
+                    continue;
+                }
+            };
+            if opened.content.replica_id != self.replica_id {
+                log::error!(
+                    "event=storage_replaced replica_id={}",
+                    opened.content.replica_id
+                );
+                self.shared
+                    .set_failure(Some("the folder was replaced".to_owned()));
+                return false;
+            }
+            self.watermark = opened.watermark;
+            self.shared.set_database(Some(Arc::new(opened.database)));
+            let content = self.shared.content.write();
+            *content.unwrap_or_else(|poisoned| poisoned.into_inner()) = opened.content;
+            self.shared.set_failure(None);
+            log::info!("event=storage_reopened replica_id={}", self.replica_id);
+            return true;
+        }
+    }
+
     fn commit(&self, requests: Vec<Queued>) -> Result<(), redb::Error> {
         let mut permits = Vec::with_capacity(requests.len());
         let mut answers = Vec::with_capacity(requests.len());
-        let transaction = self.database.begin_write()?;
+        self.shared.options.faults.check()?;
+        let database = self.shared.database().map_err(not_open)?;
+        let transaction = database.begin_write()?;
         let (staged, sequence) = {
             let content = self
                 .shared
@@ -160,6 +241,22 @@
     }
 }
 
+/// Waits until no reader holds the database, and closes it.
+fn close(database: Arc<Database>) {
+    let mut database = database;
+    loop {
+        match Arc::try_unwrap(database) {
+            Ok(database) => return drop(database),
+            Err(shared) => database = shared,
+        }
+        std::thread::sleep(CLOSE_PAUSE);
+    }
+}
+
+fn not_open(error: StorageError) -> redb::Error {
+    redb::Error::Io(std::io::Error::other(error.to_string()))
+}
+
 fn pending<T: Send + 'static>(
     answer: Answer<T>,
     applied: Applied<T>,
--- a/crates/storage/src/open.rs
+++ b/crates/storage/src/open.rs
@@ -4,6 +4,8 @@
 use std::fs;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use ladderstage_wire::messages::ReplicaSet;
@@ -31,6 +33,33 @@
     pub closed_retention: Duration,
     /// How long a claim is kept after its last change, counted while the store is open.
     pub claim_retention: Duration,
+    /// Failures that tests ask for.
+    pub faults: StorageFaults,
+}
+
+/// Makes commits fail as a disk that refuses writes does. Cheap to clone; clones share the count.
+#[derive(Debug, Clone, Default)]
+pub struct StorageFaults {
+    commits: Arc<AtomicU32>,
+}
+
+impl StorageFaults {
+    /// The next `count` commits fail.
+    pub fn fail_commits(&self, count: u32) {
+        self.commits.store(count, Ordering::Relaxed);
+    }
+
+    /// Fails if a failure was asked for.
+    pub(crate) fn check(&self) -> Result<(), redb::Error> {
+        let take = |count: u32| count.checked_sub(1);
+        match self
+            .commits
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take)
+        {
+            Ok(_) => Err(redb::Error::Io(std::io::Error::other("asked to fail"))),
+            Err(_) => Ok(()),
+        }
+    }
 }
 
 impl Default for StorageOptions {
@@ -41,6 +70,7 @@
             queue_bytes: 64 * 1024 * 1024,
             closed_retention: Duration::from_secs(24 * 3600),
             claim_retention: Duration::from_secs(24 * 3600),
+            faults: StorageFaults::default(),
         }
     }
 }
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -1,7 +1,7 @@
 //! The handle through which a daemon uses its data folder.
 
 use std::path::Path;
-use std::sync::{Arc, OnceLock, RwLock, RwLockReadGuard};
+use std::sync::{Arc, Mutex, RwLock, RwLockReadGuard};
 use std::thread::JoinHandle;
 use std::time::Instant;
 
@@ -48,7 +48,6 @@
 
 struct Inner {
     replica_id: u64,
-    database: Arc<Database>,
     shared: Arc<Shared>,
     queue_bytes: Arc<Semaphore>,
     queue: Option<mpsc::Sender<Queued>>,
@@ -80,11 +79,13 @@
         let queue_bytes = Arc::new(Semaphore::new(options.queue_bytes / BYTES_PER_PERMIT));
         let shared = Arc::new(Shared {
             content: RwLock::new(opened.content),
-            failure: OnceLock::new(),
+            database: RwLock::new(Some(database)),
+            failure: Mutex::new(None),
             options,
         });
         let committer = Committer {
-            database: Arc::clone(&database),
+            folder: folder.to_owned(),
+            replica_id,
             watermark: opened.watermark,
             shared: Arc::clone(&shared),
             clock_base_ms,
@@ -99,7 +100,6 @@
             })?;
         let inner = Inner {
             replica_id,
-            database,
             shared,
             queue_bytes,
             queue: Some(sender),
@@ -167,7 +167,7 @@
 
     /// Why nothing is stored any more; `None` while the disk works.
     pub fn failure(&self) -> Option<String> {
-        self.inner.shared.failure.get().cloned()
+        self.inner.shared.failure()
     }
 
     /// The newest bundle that was stored.
@@ -289,7 +289,7 @@
         &self,
         read: impl FnOnce(&Database) -> Result<T, redb::Error> + Send + 'static,
     ) -> Result<T, StorageError> {
-        let database = Arc::clone(&self.inner.database);
+        let database = self.inner.shared.database()?;
         let result = tokio::task::spawn_blocking(move || read(&database)).await;
         match result {
             Ok(result) => result.map_err(|error| StorageError::Failed(error.to_string())),
--- a/crates/storage/tests/storage.rs
+++ b/crates/storage/tests/storage.rs
@@ -8,7 +8,9 @@
 use ladderstage::journal::WriterEpoch;
 use ladderstage_storage::{OpenError, Storage, StorageError, StorageOptions};
 use ladderstage_wire::messages::mod_WriteReply::Outcome;
-use ladderstage_wire::messages::{Append, Install, LogEntry, ReplicaMember, ReplicaSet, Seal};
+use ladderstage_wire::messages::{
+    Append, Epoch, Install, LogEntry, ReplicaMember, ReplicaSet, Seal,
+};
 
 const LOG: &str = "shard/trainer/1/0";
 
@@ -355,3 +357,33 @@
         file.write_all_at(&kept, slot).unwrap();
     }
 }
+
+/// A disk that was full for a moment is used again by the same process, with all that was answered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_disk_that_refused_a_write_is_used_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let options = StorageOptions::default();
+    let faults = options.faults.clone();
+    let storage = open_replica(folder.path(), options).await;
+    let install = |log: &str| Install {
+        replica_set_version: 1,
+        log: log.to_owned(),
+        epoch: Some(Epoch { round: 1, owner: 7 }),
+        owner_node: "own".to_owned(),
+        entries: vec![LogEntry {
+            payload: b"entry".to_vec(),
+        }],
+    };
+    storage.install(install("kept")).await.unwrap();
+    faults.fail_commits(1);
+    assert!(storage.install(install("refused")).await.is_err());
+    let deadline = std::time::Instant::now() + std::time::Duration::from_secs(30);
+    while storage.failure().is_some() || storage.read_log("kept").await.is_err() {
+        assert!(std::time::Instant::now() < deadline, "not used again");
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    assert!(storage.read_log("kept").await.unwrap().found);
+    assert!(!storage.read_log("refused").await.unwrap().found);
+    storage.install(install("after")).await.unwrap();
+    assert!(storage.read_log("after").await.unwrap().found);
+}
