Empty a retired store: a spare takes its place, or it hands its logs on and the set gets smaller

Cause: op/retire was not answered. Change: the named store leaves the replica set through the joint set as before if there is a spare; else it copies its logs to those that stay, after fencing them, and the next set has one replica less; a set smaller than wanted grows when a spare comes. Ruled out: leaving without a copy (an entry that only the leaver and one other hold would stand on one disk).

--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -173,6 +173,7 @@
             initial_replicas: ladderstage_journal::InitialReplicas::Named(
                 settings.initial_replicas.clone(),
             ),
+            may_bootstrap: true,
             tended_prefix: "shard/",
             owner_heartbeat: Duration::from_millis(timing.owner_heartbeat_ms),
             owner_timeout: Duration::from_millis(timing.owner_timeout_ms),
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -64,14 +64,10 @@
 impl ProgramOptions {
     /// Options of the journal at this node.
     pub fn journal(&self) -> JournalOptions {
-        let initial_replicas = if self.is_first_start {
-            InitialReplicas::Count(2 * self.tolerated_losses + 1)
-        } else {
-            InitialReplicas::Count(usize::MAX)
-        };
         JournalOptions {
             node: self.node.clone(),
-            initial_replicas,
+            initial_replicas: InitialReplicas::Count(2 * self.tolerated_losses + 1),
+            may_bootstrap: self.is_first_start,
             tended_prefix: LOG_PREFIX,
             owner_heartbeat: OWNER_HEARTBEAT,
             owner_timeout: OWNER_TIMEOUT,
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -4,8 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladderstage::journal::quorum;
+use ladderstage_journal::replica_set::ReplicaSets;
 use ladderstage_storage::{Storage, StorageOptions};
 use ladderstage_transport::Server;
+use ladderstage_wire::messages::ReplicaSet;
+use tokio::sync::{mpsc, watch};
 
 use crate::coordination::Coordination;
 use crate::nodes::{NodeRecord, NodeRole, Nodes};
@@ -23,6 +27,23 @@
 /// Between looks at the disk's state.
 const DISK_LOOK: Duration = Duration::from_millis(200);
 
+/// How far a retirement is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetirementState {
+    /// The disk still counts.
+    Running,
+    /// Nothing hangs on the disk any more.
+    Completed,
+}
+
+/// What the adapter of the outside gives a store.
+pub struct StoreInputs {
+    /// Whether this store is to be emptied.
+    pub is_retired: watch::Receiver<bool>,
+    /// Takes how far that is.
+    pub retirement: mpsc::UnboundedSender<RetirementState>,
+}
+
 /// Why the program ended.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -45,6 +66,7 @@
 /// See [`StoreError`].
 pub async fn run(
     options: ProgramOptions,
+    inputs: StoreInputs,
     coordination: Arc<dyn Coordination>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), StoreError> {
@@ -93,6 +115,7 @@
             Ok(())
         }
         () = watch_disk(&storage) => Ok(()),
+        () = retire(inputs, &nodes, &parts.replica_sets, storage.replica_id()) => Ok(()),
     }
 }
 
@@ -127,3 +150,37 @@
         tokio::time::sleep(DISK_LOOK).await;
     }
 }
+
+/// Leaves the replica set once asked to, and tells how far that is.
+async fn retire(
+    mut inputs: StoreInputs,
+    nodes: &Nodes,
+    replica_sets: &ReplicaSets,
+    replica_id: u64,
+) {
+    if inputs
+        .is_retired
+        .wait_for(|is_retired| *is_retired)
+        .await
+        .is_err()
+    {
+        return std::future::pending().await;
+    }
+    log::info!("event=retirement_begun replica_id={replica_id}");
+    nodes.set_leaving(true);
+    let _ = inputs.retirement.send(RetirementState::Running);
+    let mut set = replica_sets.watch();
+    let is_out = |set: &Option<Arc<ReplicaSet>>| {
+        set.as_ref().is_some_and(|set| {
+            let is_member = quorum::members(set)
+                .iter()
+                .any(|one| one.replica_id == replica_id);
+            !is_member && set.next.is_empty()
+        })
+    };
+    if set.wait_for(is_out).await.is_ok() {
+        log::info!("event=retirement_completed replica_id={replica_id}");
+        let _ = inputs.retirement.send(RetirementState::Completed);
+    }
+    std::future::pending().await
+}
--- a/crates/journal/src/options.rs
+++ b/crates/journal/src/options.rs
@@ -11,6 +11,16 @@
     Count(usize),
 }
 
+impl InitialReplicas {
+    /// Replicas that a set should have later on; 0: no more than it has.
+    pub fn wanted(&self) -> usize {
+        match self {
+            Self::Named(_) => 0,
+            Self::Count(count) => *count,
+        }
+    }
+}
+
 /// Names and intervals of the journal at one node.
 #[derive(Debug, Clone)]
 pub struct JournalOptions {
@@ -18,6 +28,8 @@
     pub node: String,
     /// Disks that form the first replica set; the same at every node.
     pub initial_replicas: InitialReplicas,
+    /// The first set may be made; else it is only looked for.
+    pub may_bootstrap: bool,
     /// Logs whose names start with this are tended: their writers send heartbeats and are replaced when silent.
     pub tended_prefix: &'static str,
     /// Between an owner's heartbeats to the replicas.
--- a/crates/journal/src/replica.rs
+++ b/crates/journal/src/replica.rs
@@ -9,7 +9,7 @@
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
-    Append, DescribeLogs, Done, ExportLogs, FenceReplicaSet, Install, OwnerHeartbeat,
+    Append, DescribeLogs, Done, ExportLogs, FenceReplicaSet, ImportLogs, Install, OwnerHeartbeat,
     OwnerHeartbeatReply, ReadLog, Refused, Response, Seal,
 };
 
@@ -52,6 +52,7 @@
             RequestKind::describe_logs(request) => self.describe_logs(&request),
             RequestKind::owner_heartbeat(request) => self.owner_heartbeat(&request),
             RequestKind::export_logs(request) => self.export_logs(request).await,
+            RequestKind::import_logs(request) => self.import_logs(request).await,
             RequestKind::fence_replica_set(request) => self.fence_replica_set(request).await,
             _ => refused(Reason::MALFORMED, "not a journal request"),
         }
@@ -141,6 +142,17 @@
         respond(result, ResponseKind::export_logs)
     }
 
+    /// Takes in copies from a replica that leaves the set.
+    pub async fn import_logs(&self, request: ImportLogs) -> Response {
+        let Some(storage) = &self.storage else {
+            return not_a_replica();
+        };
+        let result = storage
+            .import_logs(request.replica_set_version, request.logs)
+            .await;
+        respond(result, |()| ResponseKind::done(Done {}))
+    }
+
     /// Refuses older replica sets from now on; answered once that is durable.
     pub async fn fence_replica_set(&self, request: FenceReplicaSet) -> Response {
         if self.storage.is_none() {
--- a/crates/journal/src/replica_set/bootstrap.rs
+++ b/crates/journal/src/replica_set/bootstrap.rs
@@ -19,6 +19,7 @@
     /// This node's disk, if it has one.
     pub own: Option<ReplicaMember>,
     pub initial_replicas: InitialReplicas,
+    pub may_bootstrap: bool,
     pub poll: Duration,
 }
 
@@ -44,7 +45,8 @@
     async fn look(&self, replica_sets: &ReplicaSets) -> Result<(), RecordError> {
         let set = match self.records.read().await? {
             Some(recorded) => Some(recorded.set),
-            None => self.make_first().await?,
+            None if self.may_bootstrap => self.make_first().await?,
+            None => None,
         };
         if let Some(set) = set {
             replica_sets.learn_or_log(set).await;
--- a/crates/journal/src/replica_set/copy.rs
+++ b/crates/journal/src/replica_set/copy.rs
@@ -10,7 +10,7 @@
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
-    ExportLogs, ExportLogsReply, OwnerHeartbeat, ReplicaMember, ReplicaSet, Request,
+    ExportLogs, ExportLogsReply, ImportLogs, OwnerHeartbeat, ReplicaMember, ReplicaSet, Request,
 };
 
 use super::replacement::fence;
@@ -112,6 +112,41 @@
         Ok(logs)
     }
 
+    /// Fences the replicas that stay in a shrinking set, and this one, against older sets; then gives each of them all logs of
+    /// this one. Returns the number of logs.
+    pub async fn copy_to(&self, set: &ReplicaSet) -> Result<usize, CopyError> {
+        let failed = |node: &str, error: SourceError| CopyError::NoQuorum {
+            copied: 0,
+            needed: set.next.len(),
+            failures: format!("{node}: {error}"),
+        };
+        for member in &set.next {
+            let fenced = self.call(member, fence(set).kind).await;
+            fenced.map_err(|error| failed(&member.node, error))?;
+        }
+        let mut after = String::new();
+        let mut copied = 0;
+        loop {
+            let page = self
+                .storage
+                .export_logs(&after, LOGS_PER_PAGE as usize)
+                .await?;
+            for member in &set.next {
+                let request = RequestKind::import_logs(ImportLogs {
+                    replica_set_version: set.version,
+                    logs: page.logs.clone(),
+                });
+                let imported = self.call(member, request).await;
+                imported.map_err(|error| failed(&member.node, error))?;
+            }
+            copied += page.logs.len();
+            match page.logs.last() {
+                Some(last) if page.more => after = last.log.clone(),
+                _ => return Ok(copied),
+            }
+        }
+    }
+
     async fn copy_replica(
         &self,
         set: &ReplicaSet,
--- a/crates/journal/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -74,6 +74,7 @@
                 replica_id,
             }),
             initial_replicas: options.initial_replicas.clone(),
+            may_bootstrap: options.may_bootstrap,
             poll,
         };
         let replacement = Replacement {
@@ -82,6 +83,7 @@
             peers,
             replica_sets: self.clone(),
             replace_after: options.replace_after,
+            wanted: options.initial_replicas.wanted(),
             missing_since: BTreeMap::new(),
             copied_version: 0,
         };
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -39,6 +39,8 @@
     pub replica_sets: ReplicaSets,
     /// How long a replica must be missing before it is replaced.
     pub replace_after: Duration,
+    /// Replicas that the set should have.
+    pub wanted: usize,
     pub missing_since: BTreeMap<u64, Instant>,
     /// Version of the joint set whose logs this node has copied.
     pub copied_version: u64,
@@ -71,16 +73,68 @@
             self.learn_recorded().await?;
         }
         let alive = self.peers.alive();
+        let spares = self.spares(set, &alive);
+        if self.leaves(set, &alive) {
+            return self.leave(set, &spares).await;
+        }
         let lost = self.lost(set, &alive);
-        if lost.is_empty() || !self.coordinates(set, &alive) || !has_majority(set, &alive) {
+        if !self.coordinates(set, &alive) || !has_majority(set, &alive) {
             return Ok(());
         }
-        match replica_set::propose(set, &lost, &self.spares(set, &alive)) {
+        let replacing = (!lost.is_empty()).then(|| replica_set::propose(set, &lost, &spares));
+        let growing = || replica_set::propose_with(set, self.wanted, &lost, &spares);
+        match replacing.flatten().or_else(growing) {
             Some(proposal) => Ok(self.swap(set, proposal).await?),
             None => Ok(()),
         }
     }
 
+    /// Whether this node's replica is to leave the set.
+    fn leaves(&self, set: &ReplicaSet, alive: &[Member]) -> bool {
+        let own_id = self.replica_sets.own_replica_id();
+        let is_leaving = alive
+            .iter()
+            .any(|member| member.node == self.node && member.state == MemberState::LEAVING);
+        is_leaving && own_id.is_some_and(|id| is_member(set, id))
+    }
+
+    /// Leaves the set: another node puts a spare in this one's place; without a spare this node copies its logs to those
+    /// that stay, and the set gets smaller.
+    async fn leave(
+        &mut self,
+        set: &ReplicaSet,
+        spares: &[ReplicaMember],
+    ) -> Result<(), ReplacementError> {
+        let Some(own_id) = self.replica_sets.own_replica_id() else {
+            return Ok(());
+        };
+        if replica_set::shrinks(set) {
+            let copied = self.copy_to_remaining(set).await?;
+            log::info!("event=logs_handed_on version={} logs={copied}", set.version);
+            if let Some(complete) = replica_set::complete(set) {
+                self.swap(set, complete).await?;
+            }
+            return Ok(());
+        }
+        let lost = BTreeSet::from([own_id]);
+        let with_spare = replica_set::propose(set, &lost, spares);
+        match with_spare.or_else(|| replica_set::propose_without(set, own_id)) {
+            Some(proposal) => Ok(self.swap(set, proposal).await?),
+            None => Ok(()),
+        }
+    }
+
+    async fn copy_to_remaining(&self, set: &ReplicaSet) -> Result<usize, ReplacementError> {
+        let Some(storage) = self.replica_sets.storage() else {
+            return Ok(0);
+        };
+        let copy = LogCopy {
+            peers: Arc::clone(&self.peers),
+            storage: storage.clone(),
+        };
+        Ok(copy.copy_to(set).await?)
+    }
+
     fn is_newcomer(&self, set: &ReplicaSet) -> bool {
         let own_id = self.replica_sets.own_replica_id();
         let newcomers = replica_set::newcomers(set);
@@ -163,7 +217,7 @@
         };
         let mut spares: Vec<&Member> = alive
             .iter()
-            .filter(|member| member.replica_id != 0)
+            .filter(|member| member.replica_id != 0 && member.state != MemberState::LEAVING)
             .collect();
         spares.sort_by_key(|member| zone_is_covered(&member.zone));
         let spares = spares.into_iter();
--- a/crates/ladderstage/src/journal/replica_set.rs
+++ b/crates/ladderstage/src/journal/replica_set.rs
@@ -83,6 +83,14 @@
             next,
         });
     }
+    if shrinks(set) {
+        // The replica that was to leave copies its logs to the others; lost on the way, it stays in the set.
+        return is_leaver_lost(set, lost).then(|| ReplicaSet {
+            version,
+            current,
+            next: Vec::new(),
+        });
+    }
     let newcomers = newcomers(set);
     let lost_newcomer = newcomers
         .iter()
@@ -98,6 +106,60 @@
     })
 }
 
+/// The set that follows `set` when a replica leaves and no spare takes its place; `None` while `set` is joint, or if fewer
+/// than two would stay.
+pub fn propose_without(set: &ReplicaSet, leaver: ReplicaId) -> Option<ReplicaSet> {
+    let next: Vec<ReplicaMember> = set
+        .current
+        .iter()
+        .filter(|member| member.replica_id != leaver)
+        .cloned()
+        .collect();
+    let is_possible = set.next.is_empty() && next.len() >= 2 && next.len() < set.current.len();
+    is_possible.then(|| ReplicaSet {
+        version: set.version + 1,
+        current: set.current.clone(),
+        next,
+    })
+}
+
+/// The set that follows `set` when it is smaller than `wanted` and a spare is there; `None` while `set` is joint.
+pub fn propose_with(
+    set: &ReplicaSet,
+    wanted: usize,
+    lost: &BTreeSet<ReplicaId>,
+    spares: &[ReplicaMember],
+) -> Option<ReplicaSet> {
+    if !set.next.is_empty() || set.current.len() >= wanted {
+        return None;
+    }
+    let spare = spares.iter().find(|spare| is_spare(set, lost, spare))?;
+    let mut next = set.current.clone();
+    next.push(spare.clone());
+    Some(ReplicaSet {
+        version: set.version + 1,
+        current: set.current.clone(),
+        next,
+    })
+}
+
+/// Whether a joint set only leaves replicas out: then the leavers copy their logs to those that stay.
+pub fn shrinks(set: &ReplicaSet) -> bool {
+    !set.next.is_empty() && newcomers(set).is_empty()
+}
+
+/// Replicas of the current set that the next one leaves out.
+pub fn leavers(set: &ReplicaSet) -> Vec<&ReplicaMember> {
+    let is_left_out = |member: &&ReplicaMember| !contains(&set.next, member.replica_id);
+    set.current.iter().filter(is_left_out).collect()
+}
+
+fn is_leaver_lost(set: &ReplicaSet, lost: &BTreeSet<ReplicaId>) -> bool {
+    leavers(set)
+        .iter()
+        .any(|member| lost.contains(&member.replica_id))
+}
+
 /// The set after the newcomers of a joint set have copied everything; `None` if `set` is not joint.
 pub fn complete(set: &ReplicaSet) -> Option<ReplicaSet> {
     (!set.next.is_empty()).then(|| ReplicaSet {
