Split the large modules of the front by job, bound the log, count on both programs, and start no items unconfirmed

Now answers, listeners, peers' calls, reading, pace and calls to instances are modules of their own. New: at most 400 info lines a second, what is left out is counted; lost and regained store; metrics also at stores; an owner that no majority confirmed for 1.5 s starts no items.

--- a/crates/front/src/coordination.rs
+++ b/crates/front/src/coordination.rs
@@ -143,6 +143,7 @@
     mut on_update: impl FnMut(Update),
 ) {
     let mut after = None;
+    let mut is_lost = false;
     loop {
         let result = match after {
             None => coordination.list(prefix).await.map(|listing| {
@@ -165,10 +166,18 @@
         match result {
             Ok(next) => {
                 after = next;
+                if std::mem::take(&mut is_lost) {
+                    log::info!(
+                        "event=store_regained prefix={prefix} revision={}",
+                        after.unwrap_or(0)
+                    );
+                }
                 tokio::time::sleep(gather).await;
             }
             Err(error) => {
-                log::debug!("event=follow_failed prefix={prefix} cause=\"{error}\"");
+                if !std::mem::replace(&mut is_lost, true) {
+                    log::warn!("event=store_lost prefix={prefix} cause=\"{error}\"");
+                }
                 tokio::time::sleep(ladderstage_journal::jitter::jittered(FAILURE_PAUSE)).await;
             }
         }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -12,7 +12,7 @@
 use crate::coordination::Coordination;
 use crate::dialect::SharedCodec;
 use crate::ingress::{self, Ingress, IngressState};
-use crate::job::{JobContext, JobRegistry};
+use crate::job::{Confirmation, JobContext, JobRegistry};
 use crate::live::LiveService;
 use crate::metrics::Metrics;
 use crate::nodes::{NodeRecord, NodeRole, Nodes};
@@ -91,6 +91,7 @@
         is_leaving: false,
     });
     let parts = JournalParts::start(&options, &nodes, None, Arc::clone(&coordination));
+    metrics.add_journal(parts.journal.metrics());
     let jobs = JobRegistry::new(JobContext {
         journal: parts.journal.clone(),
         nodes: nodes.clone(),
@@ -99,6 +100,7 @@
         codec: Arc::clone(&inputs.codec),
         metrics: Arc::clone(&metrics),
         retention: options.job_retention,
+        confirmation: Confirmation::default(),
     });
     let hooks = JobHooks {
         jobs: Some(jobs.clone()),
@@ -188,9 +190,7 @@
     }
     if let Some(address) = options.metrics_address {
         let listener = bind(address).await?;
-        let metrics = Arc::clone(metrics);
-        let answer = move |_: &str| (http::StatusCode::OK, metrics.render());
-        tokio::spawn(ingress::serve_small(listener, answer));
+        tokio::spawn(ingress::serve_metrics(listener, Arc::clone(metrics)));
     }
     Ok(())
 }
--- a/crates/front/src/ingress.rs
+++ b/crates/front/src/ingress/mod.rs
@@ -3,30 +3,33 @@
 //! Built on `hyper`: dropping a handler when its client leaves, aborting an answer whose source fails, and control of each
 //! connection's close are needed here, and Rocket offers none of them.
 
+mod answers;
+mod listeners;
+
+pub use listeners::{serve_metrics, serve_readiness};
+
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER as RETRY_AFTER_HEADER};
+use http::header::{CONNECTION, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::BoxBody};
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::backend::{Lease, RunGuard, end_to_end, keep_alive};
+use self::answers::{AnswerBody, empty, json, not_run, to_response, whole};
 use crate::config::{ConfigInForce, Route, RouteKind};
 use crate::dialect::{JobCall, SharedCodec};
 use crate::job::{AcceptError, JobRegistry, ReadError};
-use crate::live::{LiveAnswer, LiveRequest, LiveService, RETRY_AFTER};
+use crate::live::{LiveRequest, LiveService};
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
 use crate::socket;
@@ -40,12 +43,6 @@
 /// A configuration counts as the newest while the store answered within this time.
 const CONTACT_TRUST: Duration = Duration::from_millis(2_500);
 
-/// Error of a body that is aborted.
-type BodyError = Box<dyn std::error::Error + Send + Sync>;
-
-/// Body of an answer.
-type AnswerBody = BoxBody<Bytes, BodyError>;
-
 /// What ingress works with.
 pub struct Ingress {
     /// Routes and limits.
@@ -193,7 +190,14 @@
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
         let version = self.config.current().map_or(0, |config| config.version);
         let status = response.status().as_u16();
-        log::info!(
+        // Failures are warnings, which are not left out when many lines are written.
+        let level = if status < 400 {
+            log::Level::Info
+        } else {
+            log::Level::Warn
+        };
+        log::log!(
+            level,
             "event=request_answered request={id} route={route} config={version} status={status} elapsed_ms={}",
             received.elapsed().as_millis()
         );
@@ -363,138 +367,3 @@
 fn read_number(headers: &HeaderMap, name: &http::HeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
-
-fn to_response(answer: LiveAnswer) -> Response<AnswerBody> {
-    match answer {
-        LiveAnswer::Whole {
-            status,
-            headers,
-            body,
-        } => {
-            let mut response = whole(status, body);
-            *response.headers_mut() = headers;
-            response
-        }
-        LiveAnswer::Stream { reply, guard } => {
-            let status = reply.status;
-            let (headers, body, lease) = reply.into_parts();
-            let rest = keep_alive(&headers);
-            let body = StreamedBody {
-                body,
-                lease: Some(lease),
-                rest,
-                _guard: guard,
-            };
-            let mut response = Response::new(BodyExt::boxed(body));
-            *response.status_mut() = status;
-            *response.headers_mut() = end_to_end(&headers);
-            response
-        }
-        LiveAnswer::NotRun => not_run(),
-        LiveAnswer::Failed(status) => empty(status),
-    }
-}
-
-/// A stream passed on as it comes. If its source fails, the client's connection is aborted.
-struct StreamedBody {
-    body: Incoming,
-    lease: Option<Lease>,
-    rest: Option<Duration>,
-    _guard: RunGuard,
-}
-
-impl Body for StreamedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(context));
-        if frame.is_none() {
-            let rest = self.rest;
-            if let Some(lease) = self.lease.take() {
-                lease.give_back(rest);
-            }
-        }
-        Poll::Ready(frame.map(|frame| frame.map_err(Into::into)))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-fn whole(status: StatusCode, body: Bytes) -> Response<AnswerBody> {
-    let body = Full::new(body).map_err(|never| match never {}).boxed();
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    response
-}
-
-fn json(body: Bytes) -> Response<AnswerBody> {
-    let mut response = whole(StatusCode::OK, body);
-    let value = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(CONTENT_TYPE, value);
-    response
-}
-
-fn empty(status: StatusCode) -> Response<AnswerBody> {
-    whole(status, Bytes::new())
-}
-
-/// The request has not run and will not; says when to come back.
-fn not_run() -> Response<AnswerBody> {
-    let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
-    let seconds = format!("{:.1}", RETRY_AFTER.as_secs_f64());
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
-        response.headers_mut().insert(RETRY_AFTER_HEADER, value);
-    }
-    response
-}
-
-/// Answers whether this process takes new connections: 200 while `is_ready`, else 503.
-pub async fn serve_readiness(
-    listener: TcpListener,
-    is_ready: impl Fn() -> bool + Send + Sync + 'static,
-) {
-    let is_ready = Arc::new(is_ready);
-    serve_small(listener, move |_| {
-        if is_ready() {
-            (StatusCode::OK, String::new())
-        } else {
-            (StatusCode::SERVICE_UNAVAILABLE, String::new())
-        }
-    })
-    .await;
-}
-
-/// Answers every request with status and text; for small listeners beside the clients'.
-pub async fn serve_small(
-    listener: TcpListener,
-    answer: impl Fn(&str) -> (StatusCode, String) + Send + Sync + 'static,
-) {
-    let answer = Arc::new(answer);
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY).await;
-            continue;
-        };
-        let answer = Arc::clone(&answer);
-        tokio::spawn(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let (status, text) = answer(request.uri().path());
-                async move { Ok::<_, Infallible>(whole(status, Bytes::from(text))) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .serve_connection(TokioIo::new(stream), service);
-            let _ = connection.await;
-        });
-    }
-}
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -1,14 +1,20 @@
 //! Batch jobs: accepted once a majority of store disks holds them, run item by item, read at any front.
 
+mod confirmation;
 mod events;
 mod owner;
+mod pace;
+mod peers;
+mod reading;
 mod registry;
 mod run;
 mod state;
 mod text;
 
+pub use confirmation::Confirmation;
 pub use events::{Event, EventParser};
-pub use registry::{AcceptError, JobContext, JobRegistry, ReadError};
+pub use reading::ReadError;
+pub use registry::{AcceptError, JobContext, JobRegistry};
 pub use state::{JobState, entry_bytes};
 pub use text::ItemText;
 
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -23,6 +23,10 @@
 /// Results that end within this time share one append.
 const GATHER: Duration = Duration::from_millis(20);
 
+/// Items are started for this long after a majority of replicas last confirmed this owner: another one may run the job, or
+/// it may have been ended.
+const START_TRUST: Duration = Duration::from_millis(1_500);
+
 /// One of so many items counts as long.
 const LONG_SHARE: usize = 8;
 
@@ -336,6 +340,11 @@
         if self.closes {
             return;
         }
+        let age = self.context.confirmation.age(self.job.opened_at);
+        if !self.job.is_uncontested() || age > START_TRUST {
+            self.has_waiting_items = true;
+            return;
+        }
         let Some(spec) = self.job.state().spec().cloned() else {
             return;
         };
--- /dev/null
+++ b/crates/front/src/job/pace.rs
@@ -0,0 +1,80 @@
+//! How fast a run is, and whether it should go on at another instance.
+
+use std::time::Instant;
+
+use super::run::{RunContext, fits};
+use super::text::ItemText;
+use crate::backend::{Demand, Instance};
+
+/// A run that is slower than the typical pace by this factor goes on elsewhere.
+const SLOW_FACTOR: f64 = 1.5;
+
+/// The same for a run that has been long: it is likely to go on for long.
+const LONG_RUN_SLOW_FACTOR: f64 = 1.15;
+
+/// Events after which a run counts as long.
+const LONG_RUN_EVENTS: u64 = 24;
+
+/// Events after which a run's pace is known.
+const EVENTS_FOR_PACE: u32 = 3;
+
+/// Events between two looks at the pace.
+const EVENTS_PER_LOOK: u32 = 4;
+
+/// Time between the events of one run.
+#[derive(Debug, Default)]
+pub(super) struct Pace {
+    /// Events so far.
+    pub events: u32,
+    first_at: Option<Instant>,
+    last_at: Option<Instant>,
+}
+
+impl Pace {
+    /// Notes an event that has just arrived.
+    pub fn note(&mut self, instance: &Instance) {
+        let now = Instant::now();
+        if let Some(last) = self.last_at {
+            instance.note_pace(now.saturating_duration_since(last).as_secs_f64() * 1e3, now);
+        }
+        self.first_at.get_or_insert(now);
+        self.last_at = Some(now);
+        self.events += 1;
+    }
+
+    /// Why the run should go on elsewhere: it is much slower than a typical run, and another instance has room.
+    pub fn reason_to_move(
+        &self,
+        context: &RunContext,
+        instance: &Instance,
+        partial: &ItemText,
+    ) -> Option<String> {
+        if self.events <= EVENTS_FOR_PACE || self.events % EVENTS_PER_LOOK != 0 {
+            return None;
+        }
+        let taken = self.last_at?.saturating_duration_since(self.first_at?);
+        let own = taken.as_secs_f64() * 1e3 / f64::from(self.events - 1);
+        let typical = context.backends.typical_pace(&context.service)?;
+        let is_long = partial.events() >= LONG_RUN_EVENTS;
+        let factor = if is_long {
+            LONG_RUN_SLOW_FACTOR
+        } else {
+            SLOW_FACTOR
+        };
+        if own < typical * factor.min(1.0 + (factor - 1.0) / 2.0) {
+            return None;
+        }
+        let model = &context.spec.model;
+        let other = context
+            .backends
+            .choose(&context.service, model, Demand::Batch, |other| {
+                other.id() != instance.id() && fits(context, partial, other)
+            })?;
+        let theirs = other
+            .candidate("", Instant::now())
+            .pace_ms
+            .unwrap_or(typical);
+        let pays = own > theirs * factor;
+        pays.then(|| format!("slow: {own:.0} ms an event against {theirs:.0}"))
+    }
+}
--- /dev/null
+++ b/crates/front/src/job/peers.rs
@@ -0,0 +1,180 @@
+//! What other nodes ask of this node's jobs, and jobs that change their owner.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ladderstage_journal::Peers;
+use ladderstage_wire::messages::mod_Refused::Reason;
+use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
+use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
+use ladderstage_wire::messages::{
+    Demand, Done, JobBody, JobSpec, ModelWork, Refused, Request, Response, ShardNotice,
+};
+
+use super::owner::Job;
+use super::reading::{body_local, end_local};
+use super::registry::{JobRegistry, PEER_TIMEOUT, lock};
+use super::{LOG_PREFIX, log_name};
+
+/// Jobs accepted within this time count for the demand.
+const DEMAND_WINDOW: Duration = Duration::from_secs(15);
+
+/// Tokens of an item whose client gave no guess.
+const UNKNOWN_TOKENS: u64 = 1_000;
+
+/// How long a planned stop waits for others to take the jobs.
+const HAND_OVER_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// Between looks whether others have taken the jobs.
+const HAND_OVER_PAUSE: Duration = Duration::from_millis(150);
+
+impl JobRegistry {
+    /// Work that this node accepted lately, by model.
+    pub fn demand(&self) -> Demand {
+        let mut tokens = BTreeMap::<String, u64>::new();
+        for job in lock(&self.shared.jobs).values() {
+            if job.opened_at.elapsed() < DEMAND_WINDOW
+                && let Some(spec) = job.state().spec()
+            {
+                *tokens.entry(spec.model.clone()).or_insert(0) += expected_tokens(spec);
+            }
+        }
+        let work = tokens
+            .into_iter()
+            .map(|(model, tokens)| ModelWork { model, tokens });
+        Demand {
+            work: work.collect(),
+        }
+    }
+
+    /// Answers another node's question about a job of this node.
+    pub async fn handle(&self, request: RequestKind) -> Response {
+        let kind = match request {
+            RequestKind::read_job(request) => match self.local_or_refusal(&request.job) {
+                Ok(job) => {
+                    let wait = Duration::from_millis(request.wait_ms);
+                    match self.read_here(&job, request.after, wait).await {
+                        Ok(results) => ResponseKind::job_results(results),
+                        Err(error) => refused(Reason::NOT_READY, &error.to_string()),
+                    }
+                }
+                Err(refused) => ResponseKind::refused(refused),
+            },
+            RequestKind::read_job_body(request) => match self.local_or_refusal(&request.job) {
+                Ok(job) => {
+                    let body = body_local(&job, &request.item);
+                    ResponseKind::job_body(JobBody {
+                        found: body.is_some(),
+                        body: body.unwrap_or_default(),
+                    })
+                }
+                Err(refused) => ResponseKind::refused(refused),
+            },
+            RequestKind::end_job(request) => match self.local_or_refusal(&request.job) {
+                Ok(job) => match end_local(&job).await {
+                    Ok(()) => ResponseKind::done(Done {}),
+                    Err(error) => refused(Reason::NOT_READY, &error.to_string()),
+                },
+                Err(refused) => ResponseKind::refused(refused),
+            },
+            RequestKind::read_demand(_) => ResponseKind::demand(self.demand()),
+            RequestKind::shard_notice(notice) => {
+                self.on_untended(notice.logs);
+                ResponseKind::done(Done {})
+            }
+            _ => refused(Reason::MALFORMED, "not a job request"),
+        };
+        Response { kind }
+    }
+
+    /// Takes over jobs that nobody tends.
+    pub fn on_untended(&self, logs: Vec<String>) {
+        for log in logs {
+            let Some(id) = log.strip_prefix(LOG_PREFIX).map(str::to_owned) else {
+                continue;
+            };
+            if self.local(&id).is_some() {
+                continue;
+            }
+            let registry = self.clone();
+            tokio::spawn(async move {
+                if let Err(error) = registry.adopt(&id).await {
+                    log::warn!("event=job_not_adopted job={id} cause=\"{error}\"");
+                }
+            });
+        }
+    }
+
+    /// Hands the open jobs to other fronts; returns once they have them, or after a limit.
+    pub async fn hand_over(&self) {
+        let deadline = Instant::now() + HAND_OVER_LIMIT;
+        loop {
+            let open = self.open_jobs();
+            if open.is_empty() || Instant::now() >= deadline {
+                log::info!("event=jobs_handed_over left={}", open.len());
+                return;
+            }
+            let own = self.context.nodes.own().node;
+            let others = self.context.nodes.successors();
+            let others: Vec<_> = others.into_iter().filter(|node| node.node != own).collect();
+            for (index, id) in open.iter().enumerate() {
+                let Some(successor) = others.get(index % others.len().max(1)) else {
+                    continue;
+                };
+                let kind = RequestKind::shard_notice(ShardNotice {
+                    logs: vec![log_name(id)],
+                });
+                let call = self
+                    .context
+                    .nodes
+                    .call(&successor.node, Request { kind }, PEER_TIMEOUT);
+                if let Err(error) = call.await {
+                    log::warn!("event=job_not_handed_over job={id} cause=\"{error}\"");
+                }
+            }
+            tokio::time::sleep(HAND_OVER_PAUSE).await;
+        }
+    }
+
+    fn open_jobs(&self) -> Vec<String> {
+        let jobs = lock(&self.shared.jobs);
+        jobs.values()
+            .filter(|job| !job.state().is_ended())
+            .map(|job| job.id.clone())
+            .collect()
+    }
+
+    fn local_or_refusal(&self, id: &str) -> Result<Arc<Job>, Refused> {
+        let job = self.local(id).filter(|job| job.state().spec().is_some());
+        job.ok_or_else(|| {
+            let is_opening = lock(&self.shared.opening).contains(id);
+            let reason = if is_opening {
+                Reason::NOT_READY
+            } else {
+                Reason::NOT_OWNER
+            };
+            Refused {
+                reason,
+                detail: "no such job here".to_owned(),
+                retry_after_ms: 0,
+            }
+        })
+    }
+}
+
+/// Tokens that are expected to come out of a job's items.
+fn expected_tokens(spec: &JobSpec) -> u64 {
+    let guesses = spec.items.iter().map(|item| item.expected_tokens);
+    guesses
+        .map(|guess| if guess == 0 { UNKNOWN_TOKENS } else { guess })
+        .sum()
+}
+
+fn refused(reason: Reason, detail: &str) -> ResponseKind {
+    ResponseKind::refused(Refused {
+        reason,
+        detail: detail.to_owned(),
+        retry_after_ms: 0,
+    })
+}
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -1,6 +1,6 @@
 //! The jobs of this node and the way to all others: accepts, reads, ends and adopts them.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -8,13 +8,11 @@
 use ladderstage_wire::messages::mod_Refused::Reason;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
-use ladderstage_wire::messages::{
-    Demand as WireDemand, Done, EndJob, JobBody, JobResults, JobSpec, ModelWork, ReadJob,
-    ReadJobBody, Refused, Request, Response, ShardNotice,
-};
-use tokio::sync::oneshot;
+use ladderstage_wire::messages::{EndJob, JobResults, JobSpec, ReadJob, ReadJobBody, Request};
 
+use super::confirmation::Confirmation;
 use super::owner::{Command, Job, Owner, OwnerEnd};
+use super::reading::{COMMIT_LIMIT, ReadError, body_local, end_local, read_local, unavailable};
 use super::state::JobState;
 use super::{LOG_PREFIX, log_name};
 use crate::backend::BackendTable;
@@ -23,31 +21,16 @@
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
 
-/// Bytes of texts in one answer, at most one result more.
-const RESULT_BYTES: usize = 768 * 1024;
-
 /// Time for a peer to answer, beyond the time that it was asked to wait.
-const PEER_TIMEOUT: Duration = Duration::from_millis(700);
-
-/// How long a hand-in or an end waits for its commit.
-const COMMIT_LIMIT: Duration = Duration::from_millis(3_500);
+pub(super) const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// An owner answers reads for this long after a majority of replicas last confirmed it: another owner may have listed more
 /// since, and readers may see an older state for a second at most.
 const READ_TRUST: Duration = Duration::from_millis(700);
 
-/// Jobs accepted within this time count for the demand.
-const DEMAND_WINDOW: Duration = Duration::from_secs(15);
-
-/// Tokens of an item whose client gave no guess.
-const UNKNOWN_TOKENS: u64 = 1_000;
-
 /// Between looks for jobs that need not be kept any more.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 
-/// How long a planned stop waits for others to take the jobs.
-const HAND_OVER_LIMIT: Duration = Duration::from_millis(2_500);
-
 /// What jobs work with.
 pub struct JobContext {
     /// Where they are kept.
@@ -64,6 +47,8 @@
     pub metrics: Arc<Metrics>,
     /// How long a job can be read after it was handed in.
     pub retention: Duration,
+    /// Whether the replicas still know this node as the owner of its jobs.
+    pub confirmation: Confirmation,
 }
 
 /// Why a job was not accepted.
@@ -77,17 +62,6 @@
     InDoubt(String),
 }
 
-/// Why a job could not be read.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum ReadError {
-    /// There is no such job or item.
-    #[error("not found")]
-    NotFound,
-    /// Whether there is one cannot be told now.
-    #[error("unavailable: {0}")]
-    Unavailable(String),
-}
-
 /// Where a job is.
 enum Place {
     Here(Arc<Job>),
@@ -97,19 +71,17 @@
 /// The jobs of this node. Cheap to clone.
 #[derive(Clone)]
 pub struct JobRegistry {
-    context: Arc<JobContext>,
-    shared: Arc<Shared>,
+    pub(super) context: Arc<JobContext>,
+    pub(super) shared: Arc<Shared>,
 }
 
 #[derive(Default)]
-struct Shared {
-    jobs: Mutex<HashMap<String, Arc<Job>>>,
+pub(super) struct Shared {
+    pub(super) jobs: Mutex<HashMap<String, Arc<Job>>>,
     /// Jobs whose logs are being taken over.
-    opening: Mutex<HashSet<String>>,
+    pub(super) opening: Mutex<HashSet<String>>,
     /// Owners of other jobs as last heard.
     owners: Mutex<HashMap<String, (String, Instant)>>,
-    /// When the last question was asked in which a majority of replicas confirmed this node's logs.
-    confirmed_at: Mutex<Option<Instant>>,
 }
 
 /// Removes a job from those being opened.
@@ -236,86 +208,9 @@
         }
     }
 
-    /// Work that this node accepted lately, by model.
-    pub fn demand(&self) -> WireDemand {
-        let mut tokens = BTreeMap::<String, u64>::new();
-        for job in lock(&self.shared.jobs).values() {
-            if job.opened_at.elapsed() < DEMAND_WINDOW
-                && let Some(spec) = job.state().spec()
-            {
-                *tokens.entry(spec.model.clone()).or_insert(0) += expected_tokens(spec);
-            }
-        }
-        let work = tokens
-            .into_iter()
-            .map(|(model, tokens)| ModelWork { model, tokens });
-        WireDemand {
-            work: work.collect(),
-        }
-    }
-
-    /// Answers another node's question about a job of this node.
-    pub async fn handle(&self, request: RequestKind) -> Response {
-        let kind = match request {
-            RequestKind::read_job(request) => match self.local_or_refusal(&request.job) {
-                Ok(job) => {
-                    let wait = Duration::from_millis(request.wait_ms);
-                    match self.read_here(&job, request.after, wait).await {
-                        Ok(results) => ResponseKind::job_results(results),
-                        Err(error) => refused(Reason::NOT_READY, &error.to_string()),
-                    }
-                }
-                Err(refused) => ResponseKind::refused(refused),
-            },
-            RequestKind::read_job_body(request) => match self.local_or_refusal(&request.job) {
-                Ok(job) => {
-                    let body = body_local(&job, &request.item);
-                    ResponseKind::job_body(JobBody {
-                        found: body.is_some(),
-                        body: body.unwrap_or_default(),
-                    })
-                }
-                Err(refused) => ResponseKind::refused(refused),
-            },
-            RequestKind::end_job(request) => match self.local_or_refusal(&request.job) {
-                Ok(job) => match end_local(&job).await {
-                    Ok(()) => ResponseKind::done(Done {}),
-                    Err(error) => refused(Reason::NOT_READY, &error.to_string()),
-                },
-                Err(refused) => ResponseKind::refused(refused),
-            },
-            RequestKind::read_demand(_) => ResponseKind::demand(self.demand()),
-            RequestKind::shard_notice(notice) => {
-                self.on_untended(notice.logs);
-                ResponseKind::done(Done {})
-            }
-            _ => refused(Reason::MALFORMED, "not a job request"),
-        };
-        Response { kind }
-    }
-
-    /// Takes over jobs that nobody tends.
-    pub fn on_untended(&self, logs: Vec<String>) {
-        for log in logs {
-            let Some(id) = log.strip_prefix(LOG_PREFIX).map(str::to_owned) else {
-                continue;
-            };
-            if self.local(&id).is_some() {
-                continue;
-            }
-            let registry = self.clone();
-            tokio::spawn(async move {
-                if let Err(error) = registry.adopt(&id).await {
-                    log::warn!("event=job_not_adopted job={id} cause=\"{error}\"");
-                }
-            });
-        }
-    }
-
     /// Notes that a majority of replicas answered a heartbeat sent at `asked_at`.
     pub fn on_confirmed(&self, asked_at: Instant) {
-        let mut confirmed_at = lock(&self.shared.confirmed_at);
-        *confirmed_at = (*confirmed_at).max(Some(asked_at));
+        self.context.confirmation.note(asked_at);
     }
 
     /// Notes that a replica says that another node has the log.
@@ -328,13 +223,11 @@
 
     /// Whether this node's state of a job is recent enough to be read.
     fn is_readable(&self, job: &Job) -> bool {
-        let confirmed_at = *lock(&self.shared.confirmed_at);
-        let known_at = confirmed_at.map_or(job.opened_at, |at| at.max(job.opened_at));
-        let is_final = job.state().is_ended();
-        is_final || job.is_uncontested() && known_at.elapsed() < READ_TRUST
+        let age = self.context.confirmation.age(job.opened_at);
+        job.state().is_ended() || job.is_uncontested() && age < READ_TRUST
     }
 
-    async fn read_here(
+    pub(super) async fn read_here(
         &self,
         job: &Job,
         after: u64,
@@ -355,37 +248,6 @@
         }
     }
 
-    /// Hands the open jobs to other fronts; returns once they have them, or after a limit.
-    pub async fn hand_over(&self) {
-        let deadline = Instant::now() + HAND_OVER_LIMIT;
-        loop {
-            let open = self.open_jobs();
-            if open.is_empty() || Instant::now() >= deadline {
-                log::info!("event=jobs_handed_over left={}", open.len());
-                return;
-            }
-            let own = self.context.nodes.own().node;
-            let others = self.context.nodes.successors();
-            let others: Vec<_> = others.into_iter().filter(|node| node.node != own).collect();
-            for (index, id) in open.iter().enumerate() {
-                let Some(successor) = others.get(index % others.len().max(1)) else {
-                    continue;
-                };
-                let kind = RequestKind::shard_notice(ShardNotice {
-                    logs: vec![log_name(id)],
-                });
-                let call = self
-                    .context
-                    .nodes
-                    .call(&successor.node, Request { kind }, PEER_TIMEOUT);
-                if let Err(error) = call.await {
-                    log::warn!("event=job_not_handed_over job={id} cause=\"{error}\"");
-                }
-            }
-            tokio::time::sleep(Duration::from_millis(150)).await;
-        }
-    }
-
     /// Forgets jobs that need not be read any more, for as long as the future is polled.
     pub async fn sweep(&self) {
         loop {
@@ -396,35 +258,10 @@
         }
     }
 
-    fn open_jobs(&self) -> Vec<String> {
-        let jobs = lock(&self.shared.jobs);
-        jobs.values()
-            .filter(|job| !job.state().is_ended())
-            .map(|job| job.id.clone())
-            .collect()
-    }
-
-    fn local(&self, id: &str) -> Option<Arc<Job>> {
+    pub(super) fn local(&self, id: &str) -> Option<Arc<Job>> {
         lock(&self.shared.jobs).get(id).cloned()
     }
 
-    fn local_or_refusal(&self, id: &str) -> Result<Arc<Job>, Refused> {
-        let job = self.local(id).filter(|job| job.state().spec().is_some());
-        job.ok_or_else(|| {
-            let is_opening = lock(&self.shared.opening).contains(id);
-            let reason = if is_opening {
-                Reason::NOT_READY
-            } else {
-                Reason::NOT_OWNER
-            };
-            Refused {
-                reason,
-                detail: "no such job here".to_owned(),
-                retry_after_ms: 0,
-            }
-        })
-    }
-
     /// Finds a job: here, at its last known owner, or by the journal.
     async fn locate(&self, id: &str) -> Result<Place, ReadError> {
         if let Some(job) = self.local(id) {
@@ -517,7 +354,7 @@
     }
 
     /// Becomes the owner of a job that is in the journal.
-    async fn adopt(&self, id: &str) -> Result<Arc<Job>, ReadError> {
+    pub(super) async fn adopt(&self, id: &str) -> Result<Arc<Job>, ReadError> {
         if let Some(job) = self.local(id) {
             return Ok(job);
         }
@@ -583,85 +420,8 @@
     }
 }
 
-/// Tokens that are expected to come out of a job's items.
-fn expected_tokens(spec: &JobSpec) -> u64 {
-    let guesses = spec.items.iter().map(|item| item.expected_tokens);
-    guesses
-        .map(|guess| if guess == 0 { UNKNOWN_TOKENS } else { guess })
-        .sum()
-}
-
-async fn read_local(job: &Job, after: u64, wait: Duration) -> JobResults {
-    let mut changed = job.watch();
-    let deadline = Instant::now() + wait;
-    loop {
-        let results = page(&job.state(), after);
-        let is_waiting = results.results.is_empty() && after < results.total;
-        if !is_waiting || job.state().is_ended() {
-            return results;
-        }
-        let waited = tokio::time::timeout_at(deadline.into(), changed.changed()).await;
-        if !matches!(waited, Ok(Ok(()))) {
-            return page(&job.state(), after);
-        }
-    }
-}
-
-fn page(state: &JobState, after: u64) -> JobResults {
-    let total = state.spec().map_or(0, |spec| spec.items.len()) as u64;
-    let start = usize::try_from(after)
-        .unwrap_or(usize::MAX)
-        .min(state.results().len());
-    let mut bytes = 0;
-    let mut results = Vec::new();
-    for result in &state.results()[start..] {
-        if !results.is_empty() && bytes + result.text.len() > RESULT_BYTES {
-            break;
-        }
-        bytes += result.text.len();
-        results.push(result.clone());
-    }
-    JobResults { total, results }
-}
-
-fn body_local(job: &Job, item: &str) -> Option<Vec<u8>> {
-    let state = job.state();
-    if state.is_ended() {
-        return None;
-    }
-    state.item(item).map(|item| item.body.clone())
-}
-
-async fn end_local(job: &Job) -> Result<(), ReadError> {
-    if job.state().is_ended() {
-        return Ok(());
-    }
-    let (answer, ended) = oneshot::channel();
-    if !job.ask(Command::End(answer)) {
-        return match job.state().is_ended() {
-            true => Ok(()),
-            false => Err(unavailable("the owner has stopped")),
-        };
-    }
-    match tokio::time::timeout(COMMIT_LIMIT, ended).await {
-        Ok(Ok(())) => Ok(()),
-        _ => Err(unavailable("the end is not committed yet")),
-    }
-}
-
-fn unavailable(cause: &str) -> ReadError {
-    ReadError::Unavailable(cause.to_owned())
-}
-
-fn refused(reason: Reason, detail: &str) -> ResponseKind {
-    ResponseKind::refused(Refused {
-        reason,
-        detail: detail.to_owned(),
-        retry_after_ms: 0,
-    })
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+/// Locks; a panic of another holder leaves nothing half changed.
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex
         .lock()
         .unwrap_or_else(|poisoned| poisoned.into_inner())
--- a/crates/front/src/logging.rs
+++ b/crates/front/src/logging.rs
@@ -1,12 +1,13 @@
 //! Structured log lines on standard output: `time=… level=… node=… module=… event=… key=value …`, one event a line.
 //!
 //! Lines go through a bounded queue to a thread of their own, so that a reader that stops reading holds nothing up. Lines
-//! that find the queue full are left out and counted; a line says how many.
+//! that find the queue full, and lines of level `info` beyond [`INFO_LINES_PER_SECOND`], are left out and counted; a line
+//! says how many. Failures are logged as warnings or errors, which are left out only when the queue is full.
 
 use std::io::Write;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{SyncSender, sync_channel};
+use std::sync::{Arc, Mutex};
 
 /// Environment variable with the filter, as `env_logger` reads it.
 const FILTER_VARIABLE: &str = "LADDERSTAGE_LOG";
@@ -14,6 +15,12 @@
 /// Filter when the variable is not set.
 const DEFAULT_FILTER: &str = "info,hyper=error,reqwest=error";
 
+/// Lines of level `info` and below in one second.
+pub const INFO_LINES_PER_SECOND: u32 = 400;
+
+/// Lines left out since the start.
+static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+
 /// Lines that wait at most.
 const QUEUE_LINES: usize = 2_048;
 
@@ -27,6 +34,7 @@
     fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
         if self.queue.try_send(line.to_vec()).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
+            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
     }
@@ -36,6 +44,29 @@
     }
 }
 
+/// Counts the lines of one second.
+#[derive(Default)]
+struct SecondCount {
+    second: u64,
+    lines: u32,
+}
+
+impl SecondCount {
+    /// Whether one more line fits into the second.
+    fn take(&mut self, second: u64) -> bool {
+        if self.second != second {
+            *self = Self { second, lines: 0 };
+        }
+        self.lines += 1;
+        self.lines <= INFO_LINES_PER_SECOND
+    }
+}
+
+/// Lines left out since the start.
+pub fn dropped_lines() -> u64 {
+    DROPPED_LINES.load(Ordering::Relaxed)
+}
+
 /// Installs the logger; a second call changes nothing.
 pub fn install(node: &str) {
     let node = node.to_owned();
@@ -54,7 +85,9 @@
             }
         }
     });
+    let over_rate = Arc::clone(&dropped);
     let writer = QueueWriter { queue, dropped };
+    let count = Mutex::new(SecondCount::default());
     let environment = env_logger::Env::default().filter_or(FILTER_VARIABLE, DEFAULT_FILTER);
     let installed = env_logger::Builder::from_env(environment)
         .target(env_logger::Target::Pipe(Box::new(writer)))
@@ -63,6 +96,16 @@
             let since = now
                 .duration_since(std::time::UNIX_EPOCH)
                 .unwrap_or_default();
+            let is_routine = record.level() >= log::Level::Info;
+            let mut count = count
+                .lock()
+                .unwrap_or_else(|poisoned| poisoned.into_inner());
+            if is_routine && !count.take(since.as_secs()) {
+                over_rate.fetch_add(1, Ordering::Relaxed);
+                DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+                return Ok(());
+            }
+            drop(count);
             writeln!(
                 buffer,
                 "time={}.{:03} level={} node={} module={} {}",
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of one process, as text.
 
+use ladderstage_journal::JournalMetrics;
 use prometheus::{
     Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
 };
@@ -86,8 +87,19 @@
         }
     }
 
+    /// Adds the counters of the journal.
+    pub fn add_journal(&self, journal: &JournalMetrics) {
+        if let Err(error) = journal.register(&self.registry) {
+            log::error!("event=metrics_not_added cause=\"{error}\"");
+        }
+    }
+
     /// All counters as text.
     pub fn render(&self) -> String {
+        let dropped = crate::logging::dropped_lines();
+        let counted = self.dropped_log_lines.get();
+        self.dropped_log_lines
+            .inc_by(dropped.saturating_sub(counted));
         TextEncoder::new()
             .encode_to_string(&self.registry.gather())
             .unwrap_or_default()
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -4,18 +4,18 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use http::{HeaderMap, HeaderValue, StatusCode};
 use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{ReadDemand, Request};
 
+use super::calls::{CALL_LIMIT, InstanceCalls};
 use super::lease::{GiverLease, Held, RENEWAL};
 use super::plan::{Assignment, FleetInstance, ModelDemand, Planned, plan};
-use crate::backend::{AnswerId, BackendTable, Instance, LOADING_PAUSE, RequestHead, send};
+use crate::backend::{BackendTable, Instance, LOADING_PAUSE};
 use crate::config::ConfigInForce;
 use crate::coordination::{Coordination, CoordinationError};
-use crate::dialect::{InstanceCall, InstanceReport, SharedCodec, VersionOrder};
+use crate::dialect::{SharedCodec, VersionOrder};
 use crate::job::JobRegistry;
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
@@ -38,9 +38,6 @@
 /// How long an instance is left alone whose answer to a call was lost.
 const DOUBT_TIME: Duration = Duration::from_millis(1_500);
 
-/// Longest wait for a report or an answer to an order.
-const CALL_LIMIT: Duration = Duration::from_millis(600);
-
 /// Instances that load at once without slowing each other down.
 const MOST_LOADING: usize = 2;
 
@@ -314,7 +311,7 @@
         if instance.version(&load.model) >= load.version {
             return true;
         }
-        let Ok(report) = self.report(instance).await else {
+        let Ok(report) = self.calls().report(instance).await else {
             return false;
         };
         for (model, version) in &report.versions {
@@ -375,7 +372,7 @@
 
     /// Gives one order.
     async fn give(&self, held: &Held, instance: &Arc<Instance>, planned: &Planned) -> Outcome {
-        let report = match self.report(instance).await {
+        let report = match self.calls().report(instance).await {
             Ok(report) => report,
             Err(cause) => {
                 log::warn!(
@@ -402,7 +399,10 @@
             fence: held.fence,
             expected_sequence: report.order_sequence,
         };
-        let answer = self.call(instance, self.codec.order_call(&order)).await;
+        let answer = self
+            .calls()
+            .call(instance, self.codec.order_call(&order))
+            .await;
         let (label, outcome) = match &answer {
             Ok((status, _)) if status.is_success() => ("taken", Outcome::Loading(LOAD_LIMIT)),
             Ok(_) => ("refused", Outcome::Pause(LOOK_INTERVAL * 10)),
@@ -425,64 +425,17 @@
         outcome
     }
 
+    fn calls(&self) -> InstanceCalls {
+        InstanceCalls {
+            codec: Arc::clone(&self.codec),
+        }
+    }
+
     /// Runs go on under new weights unless a route asks for texts of one version.
     fn keeps_runs(&self, _model: &str) -> bool {
         let config = self.config.current();
         config.is_none_or(|config| !config.routes.iter().any(|route| route.single_version))
     }
-
-    async fn report(&self, instance: &Arc<Instance>) -> Result<InstanceReport, String> {
-        let (status, body) = self.call(instance, self.codec.report_call()).await?;
-        if status != StatusCode::OK {
-            return Err(format!("status {}", status.as_u16()));
-        }
-        self.codec.read_report(&body)
-    }
-
-    async fn call(
-        &self,
-        instance: &Arc<Instance>,
-        call: InstanceCall,
-    ) -> Result<(StatusCode, bytes::Bytes), String> {
-        let names = self.codec.headers();
-        let id = format!("{:016x}", rand::random::<u64>());
-        let attempt_id = HeaderValue::from_str(&id).map_err(|error| error.to_string())?;
-        let mut headers = HeaderMap::new();
-        let host = instance.address().to_string();
-        let host = HeaderValue::from_str(&host).map_err(|error| error.to_string())?;
-        headers.insert(http::header::HOST, host);
-        headers.insert(names.attempt_id.clone(), attempt_id.clone());
-        let expected = HeaderValue::from_str(instance.id()).map_err(|error| error.to_string())?;
-        headers.insert(names.expect_instance.clone(), expected);
-        if !call.body.is_empty() {
-            let json = HeaderValue::from_static("application/json");
-            headers.insert(http::header::CONTENT_TYPE, json);
-        }
-        let head = RequestHead {
-            method: call.method,
-            uri: call.path.parse().map_err(|_| "path".to_owned())?,
-            headers,
-        };
-        let exchange = async {
-            let sent = send(
-                instance,
-                names,
-                &head,
-                &call.body,
-                &attempt_id,
-                AnswerId::Optional,
-            )
-            .await;
-            let reply = sent.map_err(|error| error.to_string())?;
-            let whole = reply.read_whole(1 << 20).await;
-            whole
-                .map(|(status, _, body)| (status, body))
-                .map_err(|error| error.to_string())
-        };
-        tokio::time::timeout(CALL_LIMIT, exchange)
-            .await
-            .map_err(|_| "no answer in time".to_owned())?
-    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/front/src/orders/mod.rs
+++ b/crates/front/src/orders/mod.rs
@@ -1,5 +1,6 @@
 //! Orders to change weight versions: planned purely, given by the one node that holds the lease.
 
+mod calls;
 mod giver;
 mod lease;
 mod plan;
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -9,9 +9,12 @@
 use ladderstage_storage::{Storage, StorageOptions};
 use ladderstage_transport::Server;
 use ladderstage_wire::messages::ReplicaSet;
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
 use crate::coordination::Coordination;
+use crate::ingress::serve_metrics;
+use crate::metrics::Metrics;
 use crate::nodes::{NodeRecord, NodeRole, Nodes};
 use crate::program::{JobHooks, JournalParts, PeerHandler, PeerParts, ProgramOptions};
 
@@ -96,6 +99,13 @@
         Some(storage.clone()),
         Arc::clone(&coordination),
     );
+    if let Some(address) = options.metrics_address {
+        let metrics = Arc::new(Metrics::new());
+        metrics.add_journal(parts.journal.metrics());
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.map_err(|error| StoreError::Listen { address, error })?;
+        tokio::spawn(serve_metrics(listener, metrics));
+    }
     parts.journal.set_hooks(Arc::new(JobHooks { jobs: None }));
     let _ = handler.parts.set(PeerParts {
         journal: parts.journal.clone(),
