--- a/crates/front/src/ingress/answers.rs
+++ b/crates/front/src/ingress/answers.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
+use super::RequestGuard;
 use crate::backend::{Lease, RunGuard, end_to_end, keep_alive};
 use crate::live::{LiveAnswer, RETRY_AFTER};
 
@@ -86,6 +87,40 @@
     }
 }
 
+/// Counts the request until its answer's body was taken to its end or dropped.
+pub(super) fn counted(body: AnswerBody, guard: RequestGuard) -> AnswerBody {
+    CountedBody {
+        body,
+        _guard: guard,
+    }
+    .boxed()
+}
+
+struct CountedBody {
+    body: AnswerBody,
+    _guard: RequestGuard,
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// An answer with a whole body.
 pub(super) fn whole(status: StatusCode, body: Bytes) -> Response<AnswerBody> {
     let body = Full::new(body).map_err(|never| match never {}).boxed();
--- a/crates/front/src/ingress/mod.rs
+++ b/crates/front/src/ingress/mod.rs
@@ -25,7 +25,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use self::answers::{AnswerBody, empty, json, not_run, to_response, whole};
+use self::answers::{AnswerBody, counted, empty, json, not_run, to_response, whole};
 use crate::config::{ConfigInForce, Route, RouteKind};
 use crate::dialect::{JobCall, SharedCodec};
 use crate::job::{AcceptError, JobRegistry, ReadError};
@@ -102,7 +102,7 @@
 }
 
 /// Counts a request until its answer was written or given up.
-struct RequestGuard(Arc<IngressState>);
+pub(super) struct RequestGuard(Arc<IngressState>);
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
@@ -110,10 +110,18 @@
     }
 }
 
-/// Accepts connections for as long as the future is polled.
+/// Accepts connections until idle ones are to be closed: a request that came later could not be answered before the end.
 pub async fn serve(listener: TcpListener, ingress: Arc<Ingress>) {
+    let mut closing = ingress.state.closing.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing) => {
+                log::info!("event=listener_closed");
+                return;
+            }
+        };
+        match accepted {
             Ok((stream, peer)) => {
                 tokio::spawn(connection(stream, peer, Arc::clone(&ingress)));
             }
@@ -181,8 +189,7 @@
                 .insert(CONNECTION, HeaderValue::from_static("close"));
         }
         self.log(&route, &response, received);
-        drop(guard);
-        response
+        response.map(|body| counted(body, guard))
     }
 
     fn log(&self, route: &str, response: &Response<AnswerBody>, received: Instant) {
