Let an owner that answers keep its job when a cut-off replica calls it untended; fewer looks by spare stores

Change: a front asks the owner first; only an owner that a majority confirms answers. An owner that stops says so itself. Ruled out: a majority of replicas calling a log untended (each knows only itself).

--- a/crates/daemon/src/hooks.rs
+++ b/crates/daemon/src/hooks.rs
@@ -78,7 +78,13 @@
             return;
         };
         tokio::spawn(async move {
-            parts.shards.handle_shard_notice(ShardNotice { logs }).await;
+            parts
+                .shards
+                .handle_shard_notice(ShardNotice {
+                    logs,
+                    from_owner: false,
+                })
+                .await;
         });
     }
 }
--- a/crates/daemon/src/shards/mod.rs
+++ b/crates/daemon/src/shards/mod.rs
@@ -264,7 +264,10 @@
         }
         let notices = by_successor.into_iter().map(|(node, logs)| async move {
             let request = Request {
-                kind: RequestKind::shard_notice(ShardNotice { logs }),
+                kind: RequestKind::shard_notice(ShardNotice {
+                    logs,
+                    from_owner: false,
+                }),
             };
             let told = self
                 .shared
--- a/crates/daemon/tests/shards/nodes.rs
+++ b/crates/daemon/tests/shards/nodes.rs
@@ -258,7 +258,14 @@
 
     fn untended(&self, logs: Vec<String>) {
         let shards = self.0.clone();
-        tokio::spawn(async move { shards.handle_shard_notice(ShardNotice { logs }).await });
+        tokio::spawn(async move {
+            shards
+                .handle_shard_notice(ShardNotice {
+                    logs,
+                    from_owner: false,
+                })
+                .await
+        });
     }
 }
 
--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -80,7 +80,11 @@
             },
             RequestKind::read_demand(_) => ResponseKind::demand(self.demand()),
             RequestKind::shard_notice(notice) => {
-                self.on_untended(notice.logs);
+                if notice.from_owner {
+                    self.take_over(notice.logs);
+                } else {
+                    self.on_untended(notice.logs);
+                }
                 ResponseKind::done(Done {})
             }
             _ => refused(Reason::MALFORMED, "not a job request"),
@@ -88,24 +92,41 @@
         Response { kind }
     }
 
-    /// Takes over jobs that nobody tends.
+    /// Takes over jobs that a replica hears no owner of, unless their owner answers: the replica may be cut off.
     pub fn on_untended(&self, logs: Vec<String>) {
-        for log in logs {
-            let Some(id) = log.strip_prefix(LOG_PREFIX).map(str::to_owned) else {
-                continue;
-            };
-            if self.local(&id).is_some() {
-                continue;
-            }
+        for id in self.not_here(&logs) {
             let registry = self.clone();
             tokio::spawn(async move {
-                if let Err(error) = registry.adopt(&id).await {
-                    log::warn!("event=job_not_adopted job={id} cause=\"{error}\"");
+                if registry.is_owned(&id).await {
+                    log::info!("event=job_is_owned job={id}");
+                    return;
                 }
+                registry.adopt_or_log(&id).await;
             });
         }
     }
 
+    /// Takes over jobs that their owner gives up.
+    fn take_over(&self, logs: Vec<String>) {
+        for id in self.not_here(&logs) {
+            let registry = self.clone();
+            tokio::spawn(async move { registry.adopt_or_log(&id).await });
+        }
+    }
+
+    fn not_here(&self, logs: &[String]) -> Vec<String> {
+        let ids = logs.iter().filter_map(|log| log.strip_prefix(LOG_PREFIX));
+        ids.filter(|id| self.local(id).is_none())
+            .map(str::to_owned)
+            .collect()
+    }
+
+    async fn adopt_or_log(&self, id: &str) {
+        if let Err(error) = self.adopt(id).await {
+            log::warn!("event=job_not_adopted job={id} cause=\"{error}\"");
+        }
+    }
+
     /// Hands the open jobs to other fronts; returns once they have them, or after a limit.
     pub async fn hand_over(&self) {
         let deadline = Instant::now() + HAND_OVER_LIMIT;
@@ -124,6 +145,7 @@
                 };
                 let kind = RequestKind::shard_notice(ShardNotice {
                     logs: vec![log_name(id)],
+                    from_owner: true,
                 });
                 let call = self
                     .context
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -318,6 +318,21 @@
         Ok(None)
     }
 
+    /// Whether another node answers as the confirmed owner of a job.
+    pub(super) async fn is_owned(&self, id: &str) -> bool {
+        lock(&self.shared.owners).remove(id);
+        let Ok(Place::At(node)) = self.locate(id).await else {
+            return false;
+        };
+        let request = RequestKind::read_job(ReadJob {
+            job: id.to_owned(),
+            after: u64::MAX,
+            wait_ms: 0,
+        });
+        let answer = self.ask_owner(id, &node, request, Duration::ZERO).await;
+        matches!(answer, Ok(Some(ResponseKind::job_results(_))))
+    }
+
     async fn confirm_accepted(&self, id: &str, place: Place) -> Result<(), AcceptError> {
         let job = match place {
             Place::Here(job) => job,
--- a/crates/journal/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -85,6 +85,7 @@
             replace_after: options.replace_after,
             wanted: options.initial_replicas.wanted(),
             missing_since: BTreeMap::new(),
+            looked_at: None,
             leaving_since: None,
             copied_version: 0,
         };
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -19,6 +19,9 @@
 /// How long a peer may take to store a new set.
 const FENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Between looks at the record by a node whose disk is no member: the members tell a newcomer, and that may get lost.
+const OUTSIDE_LOOK: Duration = Duration::from_millis(1_500);
+
 /// How long a leaving replica waits for a spare before the set gets smaller.
 const SPARE_WAIT: Duration = Duration::from_secs(2);
 
@@ -45,6 +48,8 @@
     /// Replicas that the set should have.
     pub wanted: usize,
     pub missing_since: BTreeMap<u64, Instant>,
+    /// When this node, whose disk is no member, last read the record.
+    pub looked_at: Option<Instant>,
     /// When this node's replica was first found to be leaving.
     pub leaving_since: Option<Instant>,
     /// Version of the joint set whose logs this node has copied.
@@ -74,7 +79,9 @@
         if self.is_newcomer(set) {
             return self.join(set).await;
         }
-        if self.is_outside(set) {
+        let is_due = self.looked_at.is_none_or(|at| at.elapsed() >= OUTSIDE_LOOK);
+        if self.is_outside(set) && is_due {
+            self.looked_at = Some(Instant::now());
             self.learn_recorded().await?;
         }
         let alive = self.peers.alive();
--- a/crates/journal/src/untended.rs
+++ b/crates/journal/src/untended.rs
@@ -88,7 +88,10 @@
             return;
         }
         let request = Request {
-            kind: RequestKind::shard_notice(ShardNotice { logs }),
+            kind: RequestKind::shard_notice(ShardNotice {
+                logs,
+                from_owner: false,
+            }),
         };
         let timeout = self.calls.timeout;
         if let Err(error) = self.calls.peers.call(&successor, request, timeout).await {
