--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,6 +5,8 @@
 //! sends it and answers. How a batch job flows: [`ingress`] accepts it, [`job`] schedules, runs, records and reads it.
 //! [`orders`] changes weight versions. What is outside is reached through [`coordination`] and [`dialect`].
 
+#![warn(missing_docs)]
+
 pub mod backend;
 pub mod config;
 pub mod coordination;
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -6,7 +6,7 @@
 
 use ladderstage::journal::quorum;
 use ladderstage_journal::replica_set::ReplicaSets;
-use ladderstage_storage::{Storage, StorageOptions};
+use ladderstage_storage::{DropRule, Storage, StorageOptions};
 use ladderstage_transport::Server;
 use ladderstage_wire::messages::ReplicaSet;
 use tokio::net::TcpListener;
@@ -14,6 +14,7 @@
 
 use crate::coordination::Coordination;
 use crate::ingress::serve_metrics;
+use crate::job::LOG_PREFIX;
 use crate::metrics::Metrics;
 use crate::nodes::{NodeRecord, NodeRole, Nodes};
 use crate::program::{JobHooks, JournalParts, PeerHandler, PeerParts, ProgramOptions};
@@ -24,6 +25,9 @@
 /// Most bytes of entries that wait for the disk.
 const QUEUE_BYTES: usize = 24 * 1024 * 1024;
 
+/// Logs of ended jobs are kept for so many times the time for which a job must be readable.
+const KEPT_RETENTIONS: u32 = 3;
+
 /// Pause before a disk that refuses is tried again.
 const DISK_RETRY: Duration = Duration::from_millis(500);
 
@@ -77,7 +81,7 @@
         .data_folder
         .clone()
         .ok_or(StoreError::NoDataFolder)?;
-    let storage = open(&folder).await;
+    let storage = open(&folder, options.job_retention).await;
     let handler = PeerHandler::default();
     let server = Server::start(options.peer_address, Arc::new(handler.clone()));
     let server = server.await.map_err(|error| StoreError::Listen {
@@ -130,10 +134,14 @@
 }
 
 /// Opens the folder, again and again while the disk refuses.
-async fn open(folder: &Path) -> Storage {
+async fn open(folder: &Path, job_retention: Duration) -> Storage {
     let options = StorageOptions {
         cache_bytes: CACHE_BYTES,
         queue_bytes: QUEUE_BYTES,
+        dropped_when_closed: vec![DropRule {
+            prefix: LOG_PREFIX.to_owned(),
+            after: job_retention * KEPT_RETENTIONS,
+        }],
         ..StorageOptions::default()
     };
     loop {
--- a/crates/journal/src/handlers.rs
+++ b/crates/journal/src/handlers.rs
@@ -39,7 +39,7 @@
         self.service().describe_logs(request)
     }
 
-    /// Records an owner's heartbeat; the answer carries the evidence of [`JournalHooks::own_evidence`].
+    /// Records an owner's heartbeat; the answer carries the evidence of [`super::JournalHooks::own_evidence`].
     pub fn handle_owner_heartbeat(&self, request: &OwnerHeartbeat) -> Response {
         self.service().owner_heartbeat(request)
     }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! The rules are state machines of the `ladderstage` crate; this crate joins them with disks, calls and timers.
 
+#![warn(missing_docs)]
+
 mod calls;
 mod confirmation;
 mod handlers;
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -16,6 +16,6 @@
 mod watermark;
 
 pub use error::{OpenError, StorageError};
-pub use open::{StorageFaults, StorageOptions};
+pub use open::{DropRule, StorageFaults, StorageOptions};
 pub use retention::SweepReport;
 pub use store::{Storage, StoredBundle};
--- a/crates/storage/src/open.rs
+++ b/crates/storage/src/open.rs
@@ -33,10 +33,21 @@
     pub closed_retention: Duration,
     /// How long a claim is kept after its last change, counted while the store is open.
     pub claim_retention: Duration,
+    /// Closed logs that are dropped whole, before the rule for other closed logs.
+    pub dropped_when_closed: Vec<DropRule>,
     /// Failures that tests ask for.
     pub faults: StorageFaults,
 }
 
+/// Which closed logs are dropped, and when.
+#[derive(Debug, Clone)]
+pub struct DropRule {
+    /// Start of the logs' names.
+    pub prefix: String,
+    /// How long they are kept after their last change, counted while the store is open.
+    pub after: Duration,
+}
+
 /// Makes commits fail as a disk that refuses writes does. Cheap to clone; clones share the count.
 #[derive(Debug, Clone, Default)]
 pub struct StorageFaults {
@@ -70,6 +81,7 @@
             queue_bytes: 64 * 1024 * 1024,
             closed_retention: Duration::from_secs(24 * 3600),
             claim_retention: Duration::from_secs(24 * 3600),
+            dropped_when_closed: Vec::new(),
             faults: StorageFaults::default(),
         }
     }
--- a/crates/storage/src/retention.rs
+++ b/crates/storage/src/retention.rs
@@ -42,7 +42,13 @@
             break;
         }
         let is_claim = log.starts_with(CLAIM_PREFIX);
-        if is_claim && is_over(record, options.claim_retention) {
+        let rules = &options.dropped_when_closed;
+        let rule = rules.iter().find(|rule| log.starts_with(&rule.prefix));
+        if let Some(rule) = rule {
+            if record.state.closed && is_over(record, rule.after) {
+                expired.to_drop.push(log.clone());
+            }
+        } else if is_claim && is_over(record, options.claim_retention) {
             expired.to_drop.push(log.clone());
         } else if !is_claim && can_retire(record) && is_over(record, options.closed_retention) {
             expired.to_retire.push(log.clone());
--- a/crates/storage/tests/storage.rs
+++ b/crates/storage/tests/storage.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ladderstage::journal::WriterEpoch;
-use ladderstage_storage::{OpenError, Storage, StorageError, StorageOptions};
+use ladderstage_storage::{DropRule, OpenError, Storage, StorageError, StorageOptions};
 use ladderstage_wire::messages::mod_WriteReply::Outcome;
 use ladderstage_wire::messages::{
     Append, Epoch, Install, LogEntry, ReplicaMember, ReplicaSet, Seal,
@@ -387,3 +387,52 @@
     storage.install(install("after")).await.unwrap();
     assert!(storage.read_log("after").await.unwrap().found);
 }
+
+/// Only closed logs under the rule's prefix go, and all of them.
+#[tokio::test]
+async fn closed_logs_under_a_rule_are_dropped_whole_and_open_ones_stay() {
+    let folder = tempfile::tempdir().unwrap();
+    let options = StorageOptions {
+        dropped_when_closed: vec![DropRule {
+            prefix: "job/".to_owned(),
+            after: Duration::from_millis(1),
+        }],
+        ..StorageOptions::default()
+    };
+    let storage = open_replica(folder.path(), options).await;
+    let epoch = Some(Epoch { round: 1, owner: 7 });
+    for (log, closes) in [
+        ("job/ended", true),
+        ("job/open", false),
+        ("other/ended", true),
+    ] {
+        let install = Install {
+            replica_set_version: 1,
+            log: log.to_owned(),
+            epoch: epoch.clone(),
+            owner_node: "own".to_owned(),
+            entries: Vec::new(),
+        };
+        storage.install(install).await.unwrap();
+        let append = Append {
+            replica_set_version: 1,
+            log: log.to_owned(),
+            epoch: epoch.clone(),
+            first_index: 0,
+            entries: vec![LogEntry {
+                payload: b"entry".to_vec(),
+            }],
+            closes,
+        };
+        storage.append(append).await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    assert_eq!(storage.sweep().await.unwrap().dropped, 1);
+    let found = |log: &'static str| {
+        let storage = storage.clone();
+        async move { storage.read_log(log).await.unwrap().found }
+    };
+    assert!(!found("job/ended").await);
+    assert!(found("job/open").await);
+    assert!(found("other/ended").await);
+}
