Adopt the job of an owner that has forgotten it at the first read, and tell a request's story from the logs

Cause: a refusal arrives as an error of the call, which the registry took for an unreachable owner, so the job waited for the stores' notice. Change: NOT_OWNER leads to adoption.

--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use ladderstage_journal::{Journal, JournalError, Peers};
+use ladderstage_transport::CallError;
 use ladderstage_wire::messages::mod_Refused::Reason;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
@@ -303,18 +304,17 @@
             .call(node, Request { kind }, timeout)
             .await;
         let error = match answer.map(|response| response.kind) {
-            Ok(ResponseKind::refused(refused)) if refused.reason == Reason::NOT_OWNER => {
-                lock(&self.shared.owners).remove(id);
-                return Ok(None);
-            }
-            Ok(ResponseKind::refused(refused)) => refused.detail,
+            Ok(ResponseKind::refused(refused)) => CallError::Refused(refused),
             Ok(answer) => return Ok(Some(answer)),
-            Err(error) => error.to_string(),
+            Err(error) => error,
         };
         lock(&self.shared.owners).remove(id);
-        if self.context.nodes.is_present(node) {
+        let is_not_owner =
+            matches!(&error, CallError::Refused(refused) if refused.reason == Reason::NOT_OWNER);
+        if !is_not_owner && self.context.nodes.is_present(node) {
             return Err(unavailable(&format!("owner {node}: {error}")));
         }
+        log::info!("event=job_owner_gone job={id} node={node} cause=\"{error}\"");
         Ok(None)
     }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod coordination;
 pub mod dialect;
+pub mod explain;
 pub mod front;
 pub mod ingress;
 pub mod job;
