List nothing after the end of a job, and replace a disk of a set of two

What any quorum of a set held is held by whatever meets each of them: of two, one. Fencing and copying now ask for that, writers for a majority as before. Test no_result_follows_the_end_without_its_progress failed before (events 4 to 6 missing). what_is_listed_as_a_job_ends_is_whole passed before and after. Ruled out: kept text that is doubled or joined wrongly (property test), resumed runs (each event must follow the last).

--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -5,6 +5,7 @@
 mod owner;
 mod pace;
 mod peers;
+mod queue;
 mod reading;
 mod registry;
 mod run;
@@ -13,6 +14,7 @@
 
 pub use confirmation::Confirmation;
 pub use events::{Event, EventParser};
+pub use queue::EntryQueue;
 pub use reading::ReadError;
 pub use registry::{AcceptError, JobContext, JobRegistry};
 pub use state::{JobState, entry_bytes};
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -7,16 +7,16 @@
 
 use futures_util::future::BoxFuture;
 use ladderstage_journal::{JournalError, LogWriter};
-use ladderstage_wire::messages::mod_JobEntry::OneOfkind as EntryKind;
 use ladderstage_wire::messages::mod_JobResult::State as ResultState;
-use ladderstage_wire::messages::{JobEnded, JobProgress, JobResult, JobSpec, LogEntry};
+use ladderstage_wire::messages::{JobProgress, JobResult, JobSpec, LogEntry};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 
 use super::log_name;
+use super::queue::EntryQueue;
 use super::registry::JobContext;
 use super::run::{RunContext, run_item};
-use super::state::{JobState, entry_bytes};
+use super::state::JobState;
 use crate::backend::Demand;
 use crate::config::Route;
 
@@ -121,10 +121,9 @@
     job: Arc<Job>,
     writer: Option<LogWriter>,
     /// Entries for the next append.
-    queue: Vec<LogEntry>,
+    queue: EntryQueue,
     /// Entries of the append under way.
     in_append: Vec<LogEntry>,
-    closes: bool,
     running: HashSet<usize>,
     runs: JoinSet<(usize, JobResult)>,
     enders: Vec<oneshot::Sender<()>>,
@@ -145,15 +144,17 @@
         writer: LogWriter,
         spec: Option<JobSpec>,
     ) -> Self {
-        let accept = spec.map(|spec| entry_bytes(EntryKind::accepted(spec)));
+        let mut queue = EntryQueue::default();
+        if let Some(spec) = spec {
+            queue.accept(spec);
+        }
         let is_ended = job.state().is_ended();
         let mut owner = Self {
             context,
             job,
             writer: Some(writer),
-            queue: accept.into_iter().collect(),
+            queue,
             in_append: Vec::new(),
-            closes: false,
             running: HashSet::new(),
             runs: JoinSet::new(),
             enders: Vec::new(),
@@ -203,9 +204,7 @@
     }
 
     fn queue_end(&mut self) {
-        if !self.closes {
-            self.closes = true;
-            self.queue.push(entry_bytes(EntryKind::ended(JobEnded {})));
+        if self.queue.end() {
             self.runs.abort_all();
         }
     }
@@ -228,13 +227,11 @@
             .with_label_values(&[outcome])
             .inc();
         self.running.remove(&index);
-        self.queue.push(entry_bytes(EntryKind::result(result)));
+        self.queue.result(result);
     }
 
     fn on_progress(&mut self, progress: JobProgress) {
-        if !self.closes {
-            self.queue.push(entry_bytes(EntryKind::progress(progress)));
-        }
+        self.queue.progress(progress);
     }
 
     /// Takes the queue into one append, after the gathering time.
@@ -243,9 +240,9 @@
             return None;
         }
         let mut writer = self.writer.take()?;
-        self.in_append = std::mem::take(&mut self.queue);
+        self.in_append = self.queue.take();
         let entries = self.in_append.clone();
-        let closes = self.closes;
+        let closes = self.queue.has_end();
         let is_first = self.job.state().spec().is_none();
         let pause = if is_first || closes {
             Duration::ZERO
@@ -314,9 +311,8 @@
                     };
                     *self.job.state() = state;
                     self.job.notify();
-                    let mut pending = std::mem::take(&mut self.in_append);
-                    pending.append(&mut self.queue);
-                    self.queue = pending;
+                    let pending = std::mem::take(&mut self.in_append);
+                    self.queue.put_back(pending);
                     self.writer = Some(writer);
                     return None;
                 }
@@ -337,7 +333,7 @@
     /// first, and on the fastest instances, as the step waits for them.
     fn start_runs(&mut self) {
         self.has_waiting_items = false;
-        if self.closes {
+        if self.queue.has_end() {
             return;
         }
         let age = self.context.confirmation.age(self.job.opened_at);
@@ -387,7 +383,7 @@
     fn startable(&self, spec: &JobSpec) -> Vec<usize> {
         let state = self.job.state();
         let in_log: HashSet<usize> = self.running.iter().copied().collect();
-        let queued = self.queued_items();
+        let queued = self.queue.items_with_results(&self.in_append);
         let mut startable: Vec<usize> = (0..spec.items.len())
             .filter(|index| !in_log.contains(index))
             .filter(|index| {
@@ -399,20 +395,6 @@
         startable
     }
 
-    /// Items whose results wait for their commit.
-    fn queued_items(&self) -> HashSet<String> {
-        let waiting = self.queue.iter().chain(&self.in_append);
-        waiting
-            .filter_map(|entry| ladderstage_wire::decode(&entry.payload).ok())
-            .filter_map(
-                |entry: ladderstage_wire::messages::JobEntry| match entry.kind {
-                    EntryKind::result(result) => Some(result.item),
-                    _ => None,
-                },
-            )
-            .collect()
-    }
-
     /// How items run under the configuration in force; `None` while no route takes them.
     fn run_context(&self, spec: &Arc<JobSpec>) -> Option<Arc<RunContext>> {
         let config = self.context.config.current()?;
--- a/crates/front/tests/item_text.rs
+++ b/crates/front/tests/item_text.rs
@@ -1,6 +1,6 @@
 //! Text kept in the journal piece by piece is the text that was made.
 
-use ladderstage_front::job::{Event, ItemText, JobState, entry_bytes};
+use ladderstage_front::job::{EntryQueue, Event, ItemText, JobState, entry_bytes};
 use ladderstage_wire::messages::mod_JobEntry::OneOfkind as EntryKind;
 use ladderstage_wire::messages::{JobEnded, JobItem, JobResult, JobSpec, LogEntry};
 use proptest::prelude::*;
@@ -130,3 +130,26 @@
     state.drop_bodies();
     assert!(state.item(ITEM).unwrap().body.is_empty());
 }
+
+/// A run may complete at the moment at which its job is ended: its last progress is not kept then.
+#[test]
+fn no_result_follows_the_end_without_its_progress() {
+    let mut text = ItemText::default();
+    (1..=3).for_each(|id| text.push(&event(id), 4));
+    let mut queue = EntryQueue::default();
+    queue.progress(text.take_progress(ITEM).unwrap());
+    (4..=6).for_each(|id| text.push(&event(id), 4));
+    let late = text.take_progress(ITEM).unwrap();
+    text.push(&event(7), 4);
+    assert!(queue.end());
+    assert!(!queue.end());
+    queue.progress(late);
+    queue.result(text.into_result(ITEM));
+    let mut log = vec![accepted()];
+    log.extend(queue.take());
+    let state = JobState::replay(&log).unwrap();
+    assert!(state.is_ended());
+    for result in state.results() {
+        assert_eq!(result.text, joined(7), "what is listed is whole");
+    }
+}
--- a/crates/journal/src/replica_set/copy.rs
+++ b/crates/journal/src/replica_set/copy.rs
@@ -85,7 +85,7 @@
         let mut logs = 0;
         let mut needed = 0;
         for member in &set.current {
-            if quorum.is_met_by(&copied) {
+            if quorum.is_covered_by(&copied) {
                 break;
             }
             match self.copy_replica(set, member).await {
@@ -98,10 +98,10 @@
                 Err(error) => failures.push(format!("{}: {error}", member.node)),
             }
         }
-        if !quorum.is_met_by(&copied) {
+        if !quorum.is_covered_by(&copied) {
             return Err(CopyError::NoQuorum {
                 copied: copied.len(),
-                needed: set.current.len() / 2 + 1,
+                needed: set.current.len().div_ceil(2),
                 failures: failures.join("; "),
             });
         }
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -90,7 +90,7 @@
             return self.leave(set, &spares).await;
         }
         let lost = self.lost(set, &alive);
-        if !self.coordinates(set, &alive) || !has_majority(set, &alive) {
+        if !self.coordinates(set, &alive) || !can_copy(set, &alive) {
             return Ok(());
         }
         let replacing = (!lost.is_empty()).then(|| replica_set::propose(set, &lost, &spares));
@@ -303,7 +303,7 @@
 }
 
 /// Whether enough replicas are there to be copied from.
-fn has_majority(set: &ReplicaSet, alive: &[Member]) -> bool {
+fn can_copy(set: &ReplicaSet, alive: &[Member]) -> bool {
     let present = set
         .current
         .iter()
@@ -313,5 +313,5 @@
         next: Vec::new(),
         ..set.clone()
     };
-    Quorum::new(&current_only).is_met_by(&present)
+    Quorum::new(&current_only).is_covered_by(&present)
 }
--- a/crates/ladderstage/src/journal/quorum.rs
+++ b/crates/ladderstage/src/journal/quorum.rs
@@ -47,6 +47,12 @@
             && (self.next.is_empty() || has_majority(&self.next, replicas))
     }
 
+    /// Whether `replicas` meet every quorum of the current set: what any quorum holds, one of them holds.
+    pub fn is_covered_by(&self, replicas: &BTreeSet<ReplicaId>) -> bool {
+        let quorum = self.current.len() / 2 + 1;
+        self.current.intersection(replicas).count() + quorum > self.current.len()
+    }
+
     /// Whether no quorum is left without the replicas in `lost`.
     pub fn is_blocked_by(&self, lost: &BTreeSet<ReplicaId>) -> bool {
         let remaining = self.replicas().difference(lost).copied().collect();
