--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -179,6 +179,7 @@
             owner_timeout: Duration::from_millis(timing.owner_timeout_ms),
             round_timeout: Duration::from_millis(timing.journal_timeout_ms),
             poll: Duration::from_millis(timing.key_value_poll_ms),
+            longest_pause: Duration::from_secs(10),
             replace_after: Duration::from_millis(timing.replica_replace_after_ms),
         }
     }
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -73,6 +73,7 @@
             owner_timeout: OWNER_TIMEOUT,
             round_timeout: ROUND_TIMEOUT,
             poll: SET_POLL,
+            longest_pause: SET_POLL,
             replace_after: REPLACE_AFTER,
         }
     }
--- a/crates/journal/src/options.rs
+++ b/crates/journal/src/options.rs
@@ -40,6 +40,8 @@
     pub round_timeout: Duration,
     /// Between looks at the replica set's record.
     pub poll: Duration,
+    /// Longest pause between looks while the record's service fails; an empty disk is out of the set until the next one.
+    pub longest_pause: Duration,
     /// How long a replica must be missing before another disk takes its place.
     pub replace_after: Duration,
 }
--- a/crates/journal/src/replica_set/bootstrap.rs
+++ b/crates/journal/src/replica_set/bootstrap.rs
@@ -10,9 +10,6 @@
 use super::{RecordError, SetRecords};
 use crate::InitialReplicas;
 
-/// Longest pause between looks while the key-value service fails.
-const LONGEST_PAUSE: Duration = Duration::from_secs(10);
-
 /// What the first set is made from.
 pub(crate) struct Bootstrap {
     pub records: Arc<dyn SetRecords>,
@@ -21,6 +18,8 @@
     pub initial_replicas: InitialReplicas,
     pub may_bootstrap: bool,
     pub poll: Duration,
+    /// Longest pause between looks while the records cannot be used.
+    pub longest_pause: Duration,
 }
 
 impl Bootstrap {
@@ -33,7 +32,7 @@
                 Ok(()) => pause = self.poll,
                 Err(error) => {
                     log::warn!("event=replica_set_lookup_failed cause=\"{error}\"");
-                    pause = (pause * 2).min(LONGEST_PAUSE);
+                    pause = (pause * 2).min(self.longest_pause);
                 }
             }
             let pause = crate::jitter::jittered(pause);
--- a/crates/journal/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -75,6 +75,7 @@
             }),
             initial_replicas: options.initial_replicas.clone(),
             may_bootstrap: options.may_bootstrap,
+            longest_pause: options.longest_pause,
             poll,
         };
         let replacement = Replacement {
@@ -83,6 +84,7 @@
             peers,
             replica_sets: self.clone(),
             replace_after: options.replace_after,
+            longest_pause: options.longest_pause,
             wanted: options.initial_replicas.wanted(),
             missing_since: BTreeMap::new(),
             looked_at: None,
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -25,9 +25,6 @@
 /// How long a leaving replica waits for a spare before the set gets smaller.
 const SPARE_WAIT: Duration = Duration::from_secs(2);
 
-/// Longest pause between looks while they fail.
-const LONGEST_PAUSE: Duration = Duration::from_secs(10);
-
 /// Why a change of the set did not go on; the next look tries again.
 #[derive(Debug, thiserror::Error)]
 enum ReplacementError {
@@ -45,6 +42,8 @@
     pub replica_sets: ReplicaSets,
     /// How long a replica must be missing before it is replaced.
     pub replace_after: Duration,
+    /// Longest pause between looks while they fail.
+    pub longest_pause: Duration,
     /// Replicas that the set should have.
     pub wanted: usize,
     pub missing_since: BTreeMap<u64, Instant>,
@@ -69,7 +68,7 @@
                 Ok(()) => pause = poll,
                 Err(error) => {
                     log::warn!("event=replica_replacement_failed cause=\"{error}\"");
-                    pause = (pause * 2).min(LONGEST_PAUSE);
+                    pause = (pause * 2).min(self.longest_pause);
                 }
             }
         }
--- a/crates/storage/src/committer.rs
+++ b/crates/storage/src/committer.rs
@@ -114,9 +114,13 @@
                 let Ok(next) = queue.try_recv() else { break };
                 requests.push(next);
             }
-            if let Err(error) = self.commit(requests) {
+            let mut requests = requests.into_iter();
+            let mut answers = Vec::new();
+            if let Err(error) = self.commit(&mut requests, &mut answers) {
                 log::error!("event=storage_failed cause=\"{error}\"");
+                // Known before the callers learn of it, which they do once their requests and answers are dropped.
                 self.shared.set_failure(Some(error.to_string()));
+                drop((requests, answers));
                 if !self.reopen(&mut queue) {
                     return;
                 }
@@ -163,9 +167,13 @@
         }
     }
 
-    fn commit(&self, requests: Vec<Queued>) -> Result<(), redb::Error> {
+    /// Carries out the requests in one transaction and answers them.
+    fn commit(
+        &self,
+        requests: &mut std::vec::IntoIter<Queued>,
+        answers: &mut Vec<PendingAnswer>,
+    ) -> Result<(), redb::Error> {
         let mut permits = Vec::with_capacity(requests.len());
-        let mut answers = Vec::with_capacity(requests.len());
         self.shared.options.faults.check()?;
         let database = self.shared.database().map_err(not_open)?;
         let transaction = database.begin_write()?;
@@ -190,7 +198,7 @@
         } else {
             transaction.abort()?;
         }
-        answers.into_iter().for_each(|answer| answer());
+        answers.drain(..).for_each(|answer| answer());
         Ok(())
     }
 
