Go on from what the log holds when an owner takes it again

Change: an owner that takes a log again drops its runs and all that was not committed, and goes on from the log; only a hand-in that is not in it is put in again. Ruled out: kept text itself, which was right at each take-over.

--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -311,8 +311,7 @@
                     };
                     *self.job.state() = state;
                     self.job.notify();
-                    let pending = std::mem::take(&mut self.in_append);
-                    self.queue.put_back(pending);
+                    self.start_anew();
                     self.writer = Some(writer);
                     return None;
                 }
@@ -329,6 +328,25 @@
         }
     }
 
+    /// Drops runs and what they made since the last commit: another owner may have had the log in between, and its text may
+    /// differ. Items go on from what the log holds.
+    fn start_anew(&mut self) {
+        self.runs = JoinSet::new();
+        self.running.clear();
+        self.progress = mpsc::unbounded_channel();
+        let pending = std::mem::take(&mut self.in_append);
+        let is_accepted = self.job.state().spec().is_some();
+        let is_ended = self.queue.has_end() || self.job.state().is_ended();
+        if !is_accepted {
+            self.queue.put_back(pending);
+            return;
+        }
+        self.queue = EntryQueue::default();
+        if is_ended {
+            self.queue.end();
+        }
+    }
+
     /// Starts items that have neither a result nor a run while instances have room: those that are expected to be the longest
     /// first, and on the fastest instances, as the step waits for them.
     fn start_runs(&mut self) {
