Give up watches when the store is silent, and hear changes again as soon as it is back

All fronts but the restarted one heard of no instance, configuration or version until their watches timed out at 29.4 s; a request reached a leaving instance 2,431 ms after its notice (bound 2,000). Change: Observed looks at all calls of a process and ends its watches when another call gets no answer and when the store answers again. Refusals are errors of their own, as they are answers.

--- a/crates/front/src/coordination.rs
+++ b/crates/front/src/coordination.rs
@@ -1,10 +1,14 @@
 //! What the programs need of a linearizable store with compare-and-swap, watches and leases.
 
+mod observed;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
 
+pub use observed::Observed;
+
 /// Number of a lease.
 pub type LeaseId = u64;
 
@@ -22,9 +26,12 @@
 /// Why a call gave no result.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum CoordinationError {
-    /// The store was not reached, refused, or did not answer a read; nothing was changed.
+    /// The store was not reached, or did not answer a read; nothing was changed.
     #[error("store unavailable: {0}")]
     Unavailable(String),
+    /// The store answered that it did nothing.
+    #[error("store refused: {0}")]
+    Refused(String),
     /// A write got no answer; it may have been carried out, or may be so later if its condition still holds.
     #[error("outcome unknown: {0}")]
     Unknown(String),
