Put a returned empty disk in the lost one's place, and empty no store while a further loss could not be borne

The disk that came back was noticed 0.54 s after the old one was found missing, less than the 0.6 s after which a replica counts as lost; so the set grew by it, with the dead one still in. When that store was to be emptied too, the set shrank to one whole disk and the dead one, whose node answered in its name; the next loss took the rest. Changes: a replica whose node is back with another disk is lost at once; a set grows only while none of it is missing; a store leaves without a spare only while none is missing and if a majority of the rest bears the losses that the settings name; the disks that took the copies are checked at the end.

--- a/crates/journal/src/replica_set/copy.rs
+++ b/crates/journal/src/replica_set/copy.rs
@@ -142,9 +142,15 @@
             copied += page.logs.len();
             match page.logs.last() {
                 Some(last) if page.more => after = last.log.clone(),
-                _ => return Ok(copied),
+                _ => break,
             }
         }
+        // Asked last: a disk that was exchanged on the way has another id by now.
+        for member in &set.next {
+            let checked = self.check_disk(member).await;
+            checked.map_err(|error| failed(&member.node, error))?;
+        }
+        Ok(copied)
     }
 
     async fn copy_replica(
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -25,6 +25,9 @@
 /// How long a leaving replica waits for a spare before the set gets smaller.
 const SPARE_WAIT: Duration = Duration::from_secs(2);
 
+/// A set never gets smaller than this: a single disk bears no loss.
+const LEAST_REPLICAS: usize = 2;
+
 /// Why a change of the set did not go on; the next look tries again.
 #[derive(Debug, thiserror::Error)]
 enum ReplacementError {
@@ -85,16 +88,20 @@
         }
         let alive = self.peers.alive();
         let spares = self.spares(set, &alive);
+        let lost = self.lost(set, &alive);
         if self.leaves(set, &alive) {
             return self.leave(set, &spares).await;
         }
-        let lost = self.lost(set, &alive);
         if !self.coordinates(set, &alive) || !can_copy(set, &alive) {
             return Ok(());
         }
-        let replacing = (!lost.is_empty()).then(|| replica_set::propose(set, &lost, &spares));
-        let growing = || replica_set::propose_with(set, self.wanted, &lost, &spares);
-        match replacing.flatten().or_else(growing) {
+        let proposal = if self.missing_since.is_empty() {
+            replica_set::propose_with(set, self.wanted, &spares)
+        } else {
+            // A spare is for a missing replica, once that is lost, and not for a place beside it.
+            replica_set::propose(set, &lost, &spares)
+        };
+        match proposal {
             Some(proposal) => Ok(self.swap(set, proposal).await?),
             None => Ok(()),
         }
@@ -109,8 +116,8 @@
         is_leaving && own_id.is_some_and(|id| is_member(set, id))
     }
 
-    /// Leaves the set: another node puts a spare in this one's place; without a spare this node copies its logs to those
-    /// that stay, and the set gets smaller.
+    /// Leaves the set: a spare takes this one's place; without a spare this node copies its logs to those that stay, and
+    /// the set gets smaller. It stays while another replica is missing, or if a further loss would then be one too many.
     async fn leave(
         &mut self,
         set: &ReplicaSet,
@@ -133,13 +140,19 @@
             .leaving_since
             .get_or_insert_with(Instant::now)
             .elapsed();
-        let without = || (waited >= SPARE_WAIT).then(|| replica_set::propose_without(set, own_id));
-        match with_spare.or_else(|| without().flatten()) {
+        let may_shrink = waited >= SPARE_WAIT && self.missing_since.is_empty();
+        let without = || replica_set::propose_without(set, own_id, self.least_replicas());
+        match with_spare.or_else(|| may_shrink.then(without).flatten()) {
             Some(proposal) => Ok(self.swap(set, proposal).await?),
             None => Ok(()),
         }
     }
 
+    /// The smallest set a majority of which outnumbers the losses that a set of the wanted size bears.
+    fn least_replicas(&self) -> usize {
+        self.wanted.saturating_sub(1).max(LEAST_REPLICAS)
+    }
+
     async fn copy_to_remaining(&self, set: &ReplicaSet) -> Result<usize, ReplacementError> {
         let Some(storage) = self.replica_sets.storage() else {
             return Ok(0);
@@ -197,7 +210,7 @@
         Ok(())
     }
 
-    /// Replicas that have been missing for long enough, or whose node came back with another disk.
+    /// Replicas that have been missing for long enough, and those whose node came back with another disk.
     fn lost(&mut self, set: &ReplicaSet, alive: &[Member]) -> BTreeSet<u64> {
         let is_missing = |member: &ReplicaMember| !is_present(member, alive);
         let missing: BTreeSet<u64> = quorum::members(set)
@@ -209,9 +222,16 @@
         for id in &missing {
             self.missing_since.entry(*id).or_insert_with(Instant::now);
         }
+        let came_back_empty: BTreeSet<u64> = quorum::members(set)
+            .iter()
+            .filter(|member| has_other_disk(member, alive))
+            .map(|member| member.replica_id)
+            .collect();
         let since = self.missing_since.iter();
         since
-            .filter(|(_, since)| since.elapsed() >= self.replace_after)
+            .filter(|(id, since)| {
+                since.elapsed() >= self.replace_after || came_back_empty.contains(id)
+            })
             .map(|(id, _)| *id)
             .collect()
     }
@@ -296,6 +316,16 @@
     })
 }
 
+/// Whether a replica's node is there with another disk: its own is lost for good.
+fn has_other_disk(member: &ReplicaMember, alive: &[Member]) -> bool {
+    alive.iter().any(|known| {
+        known.node == member.node
+            && known.replica_id != 0
+            && known.replica_id != member.replica_id
+            && known.state != MemberState::DEAD
+    })
+}
+
 fn is_member(set: &ReplicaSet, id: u64) -> bool {
     let members = quorum::members(set);
     members.iter().any(|member| member.replica_id == id)
--- a/crates/ladderstage/src/journal/replica_set.rs
+++ b/crates/ladderstage/src/journal/replica_set.rs
@@ -107,15 +107,15 @@
 }
 
 /// The set that follows `set` when a replica leaves and no spare takes its place; `None` while `set` is joint, or if fewer
-/// than two would stay.
-pub fn propose_without(set: &ReplicaSet, leaver: ReplicaId) -> Option<ReplicaSet> {
+/// than `least` would stay.
+pub fn propose_without(set: &ReplicaSet, leaver: ReplicaId, least: usize) -> Option<ReplicaSet> {
     let next: Vec<ReplicaMember> = set
         .current
         .iter()
         .filter(|member| member.replica_id != leaver)
         .cloned()
         .collect();
-    let is_possible = set.next.is_empty() && next.len() >= 2 && next.len() < set.current.len();
+    let is_possible = set.next.is_empty() && next.len() >= least && next.len() < set.current.len();
     is_possible.then(|| ReplicaSet {
         version: set.version + 1,
         current: set.current.clone(),
@@ -127,13 +127,14 @@
 pub fn propose_with(
     set: &ReplicaSet,
     wanted: usize,
-    lost: &BTreeSet<ReplicaId>,
     spares: &[ReplicaMember],
 ) -> Option<ReplicaSet> {
     if !set.next.is_empty() || set.current.len() >= wanted {
         return None;
     }
-    let spare = spares.iter().find(|spare| is_spare(set, lost, spare))?;
+    let spare = spares
+        .iter()
+        .find(|spare| is_spare(set, &BTreeSet::new(), spare))?;
     let mut next = set.current.clone();
     next.push(spare.clone());
     Some(ReplicaSet {
