--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -210,11 +210,24 @@
     let deadline = Instant::now() + options.grace.saturating_sub(STOP_MARGIN);
     state.drain();
     nodes.set_leaving(true);
-    tokio::join!(jobs.hand_over(), tokio::time::sleep(NOTICE_TIME));
-    state.close_idle();
-    while state.requests() > 0 && Instant::now() < deadline {
-        tokio::time::sleep(STOP_LOOK).await;
+    let answered = async {
+        tokio::time::sleep(NOTICE_TIME).await;
+        state.close_idle();
+        let is_busy = || state.requests() > 0 || !jobs.open_jobs().is_empty();
+        while is_busy() && Instant::now() < deadline {
+            tokio::time::sleep(STOP_LOOK).await;
+        }
+    };
+    tokio::select! {
+        () = answered => {}
+        () = jobs.hand_over() => {}
     }
+    log::info!(
+        "event=drained node={} requests={} jobs={}",
+        options.node,
+        state.requests(),
+        jobs.open_jobs().len()
+    );
     // Answers that were handed to the connections still have to reach the sockets.
     tokio::time::sleep(STOP_LOOK * 2).await;
 }
--- a/crates/front/src/ingress/mod.rs
+++ b/crates/front/src/ingress/mod.rs
@@ -324,7 +324,14 @@
         let (job, result) = match &call {
             JobCall::Read { job, after } => {
                 let read = self.jobs.read(job, *after, wait).await;
-                let answer = read.map(|results| json(self.codec.write_results(&results, *after)));
+                let answer = read.map(|results| {
+                    log::info!(
+                        "event=job_read job={job} after={after} results={} of={}",
+                        results.results.len(),
+                        results.total
+                    );
+                    json(self.codec.write_results(&results, *after))
+                });
                 (job, answer)
             }
             JobCall::Body { job, item } => {
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -2,6 +2,8 @@
 
 mod confirmation;
 mod events;
+mod handover;
+mod locating;
 mod owner;
 mod pace;
 mod peers;
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -42,16 +42,22 @@
     End(oneshot::Sender<()>),
     /// Another node has the log.
     Lost,
+    /// Stop the runs and write down what they have made: another node is to take the job.
+    Release,
 }
 
 /// What a job's owner shares with readers.
-pub(super) struct Job {
+pub struct Job {
+    /// Its id.
     pub id: String,
+    /// When this node became its owner.
     pub opened_at: Instant,
     state: Mutex<JobState>,
     changed: watch::Sender<u64>,
     /// A replica has said that another node has the log.
     is_contested: AtomicBool,
+    /// No run is under way and all that was made is in the log.
+    is_released: AtomicBool,
     commands: mpsc::UnboundedSender<Command>,
 }
 
@@ -65,7 +71,7 @@
 }
 
 impl Job {
-    pub fn new(id: &str, state: JobState) -> (Arc<Self>, mpsc::UnboundedReceiver<Command>) {
+    pub(super) fn new(id: &str, state: JobState) -> (Arc<Self>, mpsc::UnboundedReceiver<Command>) {
         let (commands, receiver) = mpsc::unbounded_channel();
         let job = Self {
             id: id.to_owned(),
@@ -73,34 +79,40 @@
             state: Mutex::new(state),
             changed: watch::Sender::new(0),
             is_contested: AtomicBool::new(false),
+            is_released: AtomicBool::new(false),
             commands,
         };
         (Arc::new(job), receiver)
     }
 
-    pub fn state(&self) -> MutexGuard<'_, JobState> {
+    pub(super) fn state(&self) -> MutexGuard<'_, JobState> {
         self.state
             .lock()
             .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
     /// Notes that a replica says that another node has the log.
-    pub fn set_contested(&self) {
+    pub(super) fn set_contested(&self) {
         self.is_contested.store(true, Ordering::Relaxed);
     }
 
     /// Whether no replica has said that another node has the log.
-    pub fn is_uncontested(&self) -> bool {
+    pub(super) fn is_uncontested(&self) -> bool {
         !self.is_contested.load(Ordering::Relaxed)
     }
 
+    /// Whether the owner has stopped its runs and written down what they made.
+    pub(super) fn is_released(&self) -> bool {
+        self.is_released.load(Ordering::Relaxed)
+    }
+
     /// Changes with each commit.
-    pub fn watch(&self) -> watch::Receiver<u64> {
+    pub(super) fn watch(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
     }
 
     /// Asks the owner; `false` if it has finished.
-    pub fn ask(&self, command: Command) -> bool {
+    pub(super) fn ask(&self, command: Command) -> bool {
         self.commands.send(command).is_ok()
     }
 
@@ -125,7 +137,9 @@
     /// Entries of the append under way.
     in_append: Vec<LogEntry>,
     running: HashSet<usize>,
-    runs: JoinSet<(usize, JobResult)>,
+    runs: JoinSet<(usize, Option<JobResult>)>,
+    /// Tells the runs to stop.
+    stop: watch::Sender<bool>,
     enders: Vec<oneshot::Sender<()>>,
     has_waiting_items: bool,
     last_append: Instant,
@@ -157,6 +171,7 @@
             in_append: Vec::new(),
             running: HashSet::new(),
             runs: JoinSet::new(),
+            stop: watch::Sender::new(false),
             enders: Vec::new(),
             has_waiting_items: false,
             last_append: Instant::now() - GATHER,
@@ -177,6 +192,9 @@
             if appending.is_none() {
                 appending = self.next_append();
             }
+            if appending.is_none() {
+                self.note_release();
+            }
             self.start_runs();
             tokio::select! {
                 command = commands.recv() => match command {
@@ -184,6 +202,9 @@
                         self.enders.push(answer);
                         self.queue_end();
                     }
+                    Some(Command::Release) => {
+                        self.stop.send_replace(true);
+                    }
                     Some(Command::Lost) | None => return self.lost(),
                 },
                 Some(ended) = self.runs.join_next() => self.on_run(ended),
@@ -209,7 +230,15 @@
         }
     }
 
-    fn on_run(&mut self, ended: Result<(usize, JobResult), tokio::task::JoinError>) {
+    /// Says that the job can be handed on once the runs are stopped and nothing waits to be written.
+    fn note_release(&mut self) {
+        let is_idle = self.runs.is_empty() && self.progress.1.is_empty();
+        if *self.stop.borrow() && is_idle && !self.job.is_released.swap(true, Ordering::Relaxed) {
+            self.job.notify();
+        }
+    }
+
+    fn on_run(&mut self, ended: Result<(usize, Option<JobResult>), tokio::task::JoinError>) {
         let Ok((index, result)) = ended else {
             return;
         };
@@ -217,6 +246,10 @@
         while let Ok(progress) = self.progress.1.try_recv() {
             self.on_progress(progress);
         }
+        let Some(result) = result else {
+            self.running.remove(&index);
+            return;
+        };
         let outcome = match result.state {
             ResultState::COMPLETED => "completed",
             _ => "terminated",
@@ -351,7 +384,7 @@
     /// first, and on the fastest instances, as the step waits for them.
     fn start_runs(&mut self) {
         self.has_waiting_items = false;
-        if self.queue.has_end() {
+        if self.queue.has_end() || *self.stop.borrow() || self.context.nodes.is_leaving() {
             return;
         }
         let age = self.context.confirmation.age(self.job.opened_at);
@@ -425,6 +458,7 @@
             max_attempts: route.max_attempts,
             single_version: route.single_version,
             progress: self.progress.0.clone(),
+            stop: self.stop.subscribe(),
             give_up_at: route.max_queue.map(|age| self.job.opened_at + age),
         }))
     }
--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -2,20 +2,17 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Refused::Reason;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
-use ladderstage_wire::messages::{
-    Demand, Done, JobBody, JobSpec, ModelWork, Refused, Request, Response, ShardNotice,
-};
+use ladderstage_wire::messages::{Demand, Done, JobBody, JobSpec, ModelWork, Refused, Response};
 
+use super::LOG_PREFIX;
 use super::owner::Job;
 use super::reading::{body_local, end_local};
-use super::registry::{JobRegistry, PEER_TIMEOUT, lock};
-use super::{LOG_PREFIX, log_name};
+use super::registry::{JobRegistry, lock};
 
 /// Jobs accepted within this time count for the demand.
 const DEMAND_WINDOW: Duration = Duration::from_secs(15);
@@ -23,12 +20,6 @@
 /// Tokens of an item whose client gave no guess.
 const UNKNOWN_TOKENS: u64 = 1_000;
 
-/// How long a planned stop waits for others to take the jobs.
-const HAND_OVER_LIMIT: Duration = Duration::from_millis(2_500);
-
-/// Between looks whether others have taken the jobs.
-const HAND_OVER_PAUSE: Duration = Duration::from_millis(150);
-
 impl JobRegistry {
     /// Work that this node accepted lately, by model.
     pub fn demand(&self) -> Demand {
@@ -127,46 +118,6 @@
         }
     }
 
-    /// Hands the open jobs to other fronts; returns once they have them, or after a limit.
-    pub async fn hand_over(&self) {
-        let deadline = Instant::now() + HAND_OVER_LIMIT;
-        loop {
-            let open = self.open_jobs();
-            if open.is_empty() || Instant::now() >= deadline {
-                log::info!("event=jobs_handed_over left={}", open.len());
-                return;
-            }
-            let own = self.context.nodes.own().node;
-            let others = self.context.nodes.successors();
-            let others: Vec<_> = others.into_iter().filter(|node| node.node != own).collect();
-            for (index, id) in open.iter().enumerate() {
-                let Some(successor) = others.get(index % others.len().max(1)) else {
-                    continue;
-                };
-                let kind = RequestKind::shard_notice(ShardNotice {
-                    logs: vec![log_name(id)],
-                    from_owner: true,
-                });
-                let call = self
-                    .context
-                    .nodes
-                    .call(&successor.node, Request { kind }, PEER_TIMEOUT);
-                if let Err(error) = call.await {
-                    log::warn!("event=job_not_handed_over job={id} cause=\"{error}\"");
-                }
-            }
-            tokio::time::sleep(HAND_OVER_PAUSE).await;
-        }
-    }
-
-    fn open_jobs(&self) -> Vec<String> {
-        let jobs = lock(&self.shared.jobs);
-        jobs.values()
-            .filter(|job| !job.state().is_ended())
-            .map(|job| job.id.clone())
-            .collect()
-    }
-
     fn local_or_refusal(&self, id: &str) -> Result<Arc<Job>, Refused> {
         let job = self.local(id).filter(|job| job.state().spec().is_some());
         job.ok_or_else(|| {
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -4,14 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use ladderstage_journal::{Journal, JournalError, Peers};
-use ladderstage_transport::CallError;
-use ladderstage_wire::messages::mod_Refused::Reason;
+use ladderstage_journal::{Journal, JournalError};
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
-use ladderstage_wire::messages::{EndJob, JobResults, JobSpec, ReadJob, ReadJobBody, Request};
+use ladderstage_wire::messages::{EndJob, JobResults, JobSpec, ReadJob, ReadJobBody};
 
 use super::confirmation::Confirmation;
+use super::locating::Owned;
 use super::owner::{Command, Job, Owner, OwnerEnd};
 use super::reading::{COMMIT_LIMIT, ReadError, body_local, end_local, read_local, unavailable};
 use super::state::JobState;
@@ -22,9 +21,6 @@
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
 
-/// Time for a peer to answer, beyond the time that it was asked to wait.
-pub(super) const PEER_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// An owner answers reads for this long after a majority of replicas last confirmed it: another owner may have listed more
 /// since, and readers may see an older state for a second at most.
 const READ_TRUST: Duration = Duration::from_millis(700);
@@ -63,12 +59,6 @@
     InDoubt(String),
 }
 
-/// Where a job is.
-enum Place {
-    Here(Arc<Job>),
-    At(String),
-}
-
 /// The jobs of this node. Cheap to clone.
 #[derive(Clone)]
 pub struct JobRegistry {
@@ -82,7 +72,7 @@
     /// Jobs whose logs are being taken over.
     pub(super) opening: Mutex<HashSet<String>>,
     /// Owners of other jobs as last heard.
-    owners: Mutex<HashMap<String, (String, Instant)>>,
+    pub(super) owners: Mutex<HashMap<String, (String, Instant)>>,
 }
 
 /// Removes a job from those being opened.
@@ -112,12 +102,13 @@
     /// See [`AcceptError`].
     pub async fn accept(&self, spec: JobSpec) -> Result<(), AcceptError> {
         let id = spec.job.clone();
-        match self.locate(&id).await {
-            Ok(place) => return self.confirm_accepted(&id, place).await,
+        match self.find_accepted(&id).await {
+            Ok(Owned::Here(job)) => return self.wait_accepted(&job).await,
+            Ok(Owned::Answer(_)) => return Ok(()),
             Err(ReadError::NotFound) => {}
             Err(ReadError::Unavailable(cause)) => return Err(AcceptError::NotKept(cause)),
         }
-        let items = spec.items.len();
+        let about = describe(&spec);
         let opened = tokio::time::timeout(COMMIT_LIMIT, self.open(&id, Some(spec))).await;
         let job = match opened {
             Ok(Ok(job)) => job,
@@ -135,7 +126,7 @@
             .jobs
             .with_label_values(&["accepted"])
             .inc();
-        log::info!("event=job_accepted job={id} items={items}");
+        log::info!("event=job_accepted job={id} {about}");
         Ok(())
     }
 
@@ -149,20 +140,15 @@
         after: u64,
         wait: Duration,
     ) -> Result<JobResults, ReadError> {
-        match self.locate(id).await? {
-            Place::Here(job) => self.read_here(&job, after, wait).await,
-            Place::At(node) => {
-                let request = RequestKind::read_job(ReadJob {
-                    job: id.to_owned(),
-                    after,
-                    wait_ms: wait.as_millis() as u64,
-                });
-                match self.ask_owner(id, &node, request, wait).await? {
-                    Some(ResponseKind::job_results(results)) => Ok(results),
-                    Some(_) => Err(unavailable("another answer than asked for")),
-                    None => self.read_here(&*self.adopt(id).await?, after, wait).await,
-                }
-            }
+        let request = RequestKind::read_job(ReadJob {
+            job: id.to_owned(),
+            after,
+            wait_ms: wait.as_millis() as u64,
+        });
+        match self.ask(id, &request, wait).await? {
+            Owned::Here(job) => self.read_here(&job, after, wait).await,
+            Owned::Answer(ResponseKind::job_results(results)) => Ok(results),
+            Owned::Answer(_) => Err(unavailable("another answer than asked for")),
         }
     }
 
@@ -171,23 +157,15 @@
     /// # Errors
     /// See [`ReadError`].
     pub async fn body(&self, id: &str, item: &str) -> Result<Vec<u8>, ReadError> {
-        match self.locate(id).await? {
-            Place::Here(job) => body_local(&job, item).ok_or(ReadError::NotFound),
-            Place::At(node) => {
-                let request = RequestKind::read_job_body(ReadJobBody {
-                    job: id.to_owned(),
-                    item: item.to_owned(),
-                });
-                match self.ask_owner(id, &node, request, Duration::ZERO).await? {
-                    Some(ResponseKind::job_body(body)) if body.found => Ok(body.body),
-                    Some(ResponseKind::job_body(_)) => Err(ReadError::NotFound),
-                    Some(_) => Err(unavailable("another answer than asked for")),
-                    None => {
-                        let job = self.adopt(id).await?;
-                        body_local(&job, item).ok_or(ReadError::NotFound)
-                    }
-                }
-            }
+        let request = RequestKind::read_job_body(ReadJobBody {
+            job: id.to_owned(),
+            item: item.to_owned(),
+        });
+        match self.ask(id, &request, Duration::ZERO).await? {
+            Owned::Here(job) => body_local(&job, item).ok_or(ReadError::NotFound),
+            Owned::Answer(ResponseKind::job_body(body)) if body.found => Ok(body.body),
+            Owned::Answer(ResponseKind::job_body(_)) => Err(ReadError::NotFound),
+            Owned::Answer(_) => Err(unavailable("another answer than asked for")),
         }
     }
 
@@ -196,16 +174,11 @@
     /// # Errors
     /// See [`ReadError`].
     pub async fn end(&self, id: &str) -> Result<(), ReadError> {
-        match self.locate(id).await? {
-            Place::Here(job) => end_local(&job).await,
-            Place::At(node) => {
-                let request = RequestKind::end_job(EndJob { job: id.to_owned() });
-                match self.ask_owner(id, &node, request, COMMIT_LIMIT).await? {
-                    Some(ResponseKind::done(_)) => Ok(()),
-                    Some(_) => Err(unavailable("another answer than asked for")),
-                    None => end_local(&*self.adopt(id).await?).await,
-                }
-            }
+        let request = RequestKind::end_job(EndJob { job: id.to_owned() });
+        match self.ask(id, &request, COMMIT_LIMIT).await? {
+            Owned::Here(job) => end_local(&job).await,
+            Owned::Answer(ResponseKind::done(_)) => Ok(()),
+            Owned::Answer(_) => Err(unavailable("another answer than asked for")),
         }
     }
 
@@ -263,98 +236,6 @@
         lock(&self.shared.jobs).get(id).cloned()
     }
 
-    /// Finds a job: here, at its last known owner, or by the journal.
-    async fn locate(&self, id: &str) -> Result<Place, ReadError> {
-        if let Some(job) = self.local(id) {
-            if job.state().spec().is_none() {
-                return Err(unavailable("being accepted"));
-            }
-            return Ok(Place::Here(job));
-        }
-        if let Some((node, _)) = lock(&self.shared.owners).get(id).cloned() {
-            return Ok(Place::At(node));
-        }
-        let described = self.context.journal.describe(&log_name(id)).await;
-        let logs = described.map_err(|error| unavailable(&error.to_string()))?;
-        let name = log_name(id);
-        let found = logs
-            .into_iter()
-            .find(|log| log.log == name && log.length > 0);
-        let owner = found.ok_or(ReadError::NotFound)?.owner_node;
-        if owner == self.context.nodes.own().node {
-            return Ok(Place::Here(self.adopt(id).await?));
-        }
-        let heard = (owner.clone(), Instant::now());
-        lock(&self.shared.owners).insert(id.to_owned(), heard);
-        Ok(Place::At(owner))
-    }
-
-    /// Asks the owner; `None` if that node does not own the job and it may be adopted.
-    async fn ask_owner(
-        &self,
-        id: &str,
-        node: &str,
-        kind: RequestKind,
-        wait: Duration,
-    ) -> Result<Option<ResponseKind>, ReadError> {
-        let timeout = wait + PEER_TIMEOUT;
-        let answer = self
-            .context
-            .nodes
-            .call(node, Request { kind }, timeout)
-            .await;
-        let error = match answer.map(|response| response.kind) {
-            Ok(ResponseKind::refused(refused)) => CallError::Refused(refused),
-            Ok(answer) => return Ok(Some(answer)),
-            Err(error) => error,
-        };
-        lock(&self.shared.owners).remove(id);
-        let is_not_owner =
-            matches!(&error, CallError::Refused(refused) if refused.reason == Reason::NOT_OWNER);
-        if !is_not_owner && self.context.nodes.is_present(node) {
-            return Err(unavailable(&format!("owner {node}: {error}")));
-        }
-        log::info!("event=job_owner_gone job={id} node={node} cause=\"{error}\"");
-        Ok(None)
-    }
-
-    /// Whether another node answers as the confirmed owner of a job.
-    pub(super) async fn is_owned(&self, id: &str) -> bool {
-        lock(&self.shared.owners).remove(id);
-        let Ok(Place::At(node)) = self.locate(id).await else {
-            return false;
-        };
-        let request = RequestKind::read_job(ReadJob {
-            job: id.to_owned(),
-            after: u64::MAX,
-            wait_ms: 0,
-        });
-        let answer = self.ask_owner(id, &node, request, Duration::ZERO).await;
-        matches!(answer, Ok(Some(ResponseKind::job_results(_))))
-    }
-
-    async fn confirm_accepted(&self, id: &str, place: Place) -> Result<(), AcceptError> {
-        let job = match place {
-            Place::Here(job) => job,
-            Place::At(node) => {
-                let request = RequestKind::read_job(ReadJob {
-                    job: id.to_owned(),
-                    after: u64::MAX,
-                    wait_ms: 0,
-                });
-                match self.ask_owner(id, &node, request, Duration::ZERO).await {
-                    Ok(Some(_)) => return Ok(()),
-                    Ok(None) => {
-                        let adopted = self.adopt(id).await;
-                        adopted.map_err(|error| AcceptError::InDoubt(error.to_string()))?
-                    }
-                    Err(error) => return Err(AcceptError::InDoubt(error.to_string())),
-                }
-            }
-        };
-        self.wait_accepted(&job).await
-    }
-
     async fn wait_accepted(&self, job: &Job) -> Result<(), AcceptError> {
         let mut changed = job.watch();
         let accepted = async {
@@ -435,6 +316,18 @@
     }
 }
 
+/// What the log tells of a job that was handed in.
+fn describe(spec: &JobSpec) -> String {
+    format!(
+        "model={} step={} min_version={} desired_groups={} items={}",
+        spec.model,
+        spec.train_step,
+        spec.min_version,
+        spec.desired_groups,
+        spec.items.len()
+    )
+}
+
 /// Locks; a panic of another holder leaves nothing half changed.
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use ladderstage_wire::messages::mod_JobResult::State as ResultState;
 use ladderstage_wire::messages::{JobProgress, JobResult, JobSpec};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use super::events::{Event, EventParser};
 use super::pace::Pace;
@@ -55,6 +55,8 @@
     pub give_up_at: Option<Instant>,
     /// Takes text that is to be kept.
     pub progress: mpsc::UnboundedSender<JobProgress>,
+    /// Tells that another node is to go on.
+    pub stop: watch::Receiver<bool>,
 }
 
 /// How one run at one instance ended.
@@ -68,35 +70,56 @@
     Move(String),
 }
 
-/// Runs the item at `index` until it has a result, going on from `partial`; the first run goes to `first`.
+/// Runs the item at `index` until it has a result, going on from `partial`; the first run goes to `first`. `None` if it was told
+/// to stop before: then all that it made was handed over to be kept.
 pub async fn run_item(
     context: Arc<RunContext>,
     index: usize,
     first: Arc<Instance>,
     mut partial: ItemText,
-) -> JobResult {
+) -> Option<JobResult> {
     let item = context.spec.items[index].id.clone();
-    let run = run_until_done(&context, index, first, &mut partial);
-    let state = match context.give_up_at {
-        Some(at) => tokio::time::timeout_at(at.into(), run)
-            .await
-            .unwrap_or_else(|_| {
-                log::warn!(
-                    "event=item_given_up item={item} job={} reason=age",
-                    context.spec.job
-                );
-                ResultState::TERMINATED
-            }),
-        None => run.await,
+    let mut stop = context.stop.clone();
+    let run = run_in_time(&context, index, first, &mut partial);
+    let state = tokio::select! {
+        state = run => state,
+        _ = stop.wait_for(|stop| *stop) => {
+            if let Some(progress) = partial.take_progress(&item) {
+                let _ = context.progress.send(progress);
+            }
+            return None;
+        }
     };
     if state == ResultState::COMPLETED {
-        return partial.into_result(&item);
+        return Some(partial.into_result(&item));
     }
-    JobResult {
+    Some(JobResult {
         item,
         state,
         ..JobResult::default()
-    }
+    })
+}
+
+/// Runs the item until it is done or too old.
+async fn run_in_time(
+    context: &RunContext,
+    index: usize,
+    first: Arc<Instance>,
+    partial: &mut ItemText,
+) -> ResultState {
+    let run = run_until_done(context, index, first, partial);
+    let Some(at) = context.give_up_at else {
+        return run.await;
+    };
+    let ended = tokio::time::timeout_at(at.into(), run).await;
+    ended.unwrap_or_else(|_| {
+        log::warn!(
+            "event=item_given_up item={} job={} reason=age",
+            context.spec.items[index].id,
+            context.spec.job
+        );
+        ResultState::TERMINATED
+    })
 }
 
 async fn run_until_done(
@@ -141,9 +164,10 @@
         RunEnd::Move(cause) => format!("moved cause=\"{cause}\""),
     };
     log::info!(
-        "event=item_run item={} job={} instance={} tokens={} guess={} events={} versions={:?} elapsed_ms={} outcome={outcome}",
+        "event=item_run item={} job={} group={} instance={} tokens={} guess={} events={} versions={:?} elapsed_ms={} outcome={outcome}",
         context.spec.items[index].id,
         context.spec.job,
+        context.spec.items[index].group,
         instance.id(),
         context.spec.items[index].tokens,
         context.spec.items[index].expected_tokens,
--- a/crates/front/src/nodes.rs
+++ b/crates/front/src/nodes.rs
@@ -66,6 +66,8 @@
     /// All nodes ever heard of, for their addresses.
     records: BTreeMap<String, NodeRecord>,
     present: BTreeSet<String>,
+    /// When each node's present process was first heard of.
+    seen_since: BTreeMap<String, Instant>,
     gone_at: BTreeMap<String, Instant>,
 }
 
@@ -115,6 +117,16 @@
         self.own_changed.send_modify(|count| *count += 1);
     }
 
+    /// Whether this node takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        lock(&self.own).is_leaving
+    }
+
+    /// When a node's present process was first heard of; `None`: never.
+    pub fn seen_since(&self, node: &str) -> Option<Instant> {
+        lock(&self.known).seen_since.get(node).copied()
+    }
+
     /// Whether a node's record is there.
     pub fn is_present(&self, node: &str) -> bool {
         node == self.own().node || lock(&self.known).is_alive(node)
@@ -247,6 +259,10 @@
             return;
         };
         let node = record.node.clone();
+        let known_process = self.records.get(&node).map(|known| known.process);
+        if known_process != Some(record.process) {
+            self.seen_since.insert(node.clone(), Instant::now());
+        }
         if self.records.get(&node) != Some(&record) {
             log::info!(
                 "event=node_seen node={node} process={} address={} replica_id={} leaving={}",
