Replace a lost replica before another one leaves, and let only the leaver give its place up

The store that was to stay took the joint set that left the other one out for its own and completed it with its own logs; then it put the disk that came back in its own place instead of the lost one's. Changes: only the replica that a joint set leaves out hands its logs on; a store leaves only while no replica is missing; a shrinking set is taken back when any of its replicas is lost.

--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -8,14 +8,14 @@
 use futures_util::future::BoxFuture;
 use ladderstage_journal::{JournalError, LogWriter};
 use ladderstage_wire::messages::mod_JobResult::State as ResultState;
-use ladderstage_wire::messages::{JobProgress, JobResult, JobSpec, LogEntry};
+use ladderstage_wire::messages::{JobProgress, JobSpec, LogEntry};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 
 use super::log_name;
 use super::queue::EntryQueue;
 use super::registry::JobContext;
-use super::run::{RunContext, run_item};
+use super::run::{RunContext, RunOutcome, run_item};
 use super::state::JobState;
 use crate::backend::Demand;
 use crate::config::Route;
@@ -137,7 +137,7 @@
     /// Entries of the append under way.
     in_append: Vec<LogEntry>,
     running: HashSet<usize>,
-    runs: JoinSet<(usize, Option<JobResult>)>,
+    runs: JoinSet<(usize, RunOutcome)>,
     /// Tells the runs to stop.
     stop: watch::Sender<bool>,
     enders: Vec<oneshot::Sender<()>>,
@@ -238,16 +238,16 @@
         }
     }
 
-    fn on_run(&mut self, ended: Result<(usize, Option<JobResult>), tokio::task::JoinError>) {
-        let Ok((index, result)) = ended else {
+    fn on_run(&mut self, ended: Result<(usize, RunOutcome), tokio::task::JoinError>) {
+        let Ok((index, outcome)) = ended else {
             return;
         };
         // A result follows the progress that its run sent before.
         while let Ok(progress) = self.progress.1.try_recv() {
             self.on_progress(progress);
         }
-        let Some(result) = result else {
-            self.running.remove(&index);
+        self.running.remove(&index);
+        let RunOutcome::Done(result) = outcome else {
             return;
         };
         let outcome = match result.state {
@@ -259,7 +259,6 @@
             .item_runs
             .with_label_values(&[outcome])
             .inc();
-        self.running.remove(&index);
         self.queue.result(result);
     }
 
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -66,47 +66,59 @@
     Impossible,
     /// The instance failed.
     Failed,
+    /// The instance took none of it.
+    NotTaken(String),
     /// The item goes on at another instance.
     Move(String),
 }
 
-/// Runs the item at `index` until it has a result, going on from `partial`; the first run goes to `first`. `None` if it was told
-/// to stop before: then all that it made was handed over to be kept.
+/// What came of running an item.
+pub enum RunOutcome {
+    /// It has a result.
+    Done(JobResult),
+    /// The instance took none of it; the job's owner chooses again what starts next.
+    NotStarted,
+    /// It was told to stop; what it had made was handed over to be kept.
+    Stopped,
+}
+
+/// Runs the item at `index` until it has a result, going on from `partial`; the first run goes to `first`.
 pub async fn run_item(
     context: Arc<RunContext>,
     index: usize,
     first: Arc<Instance>,
     mut partial: ItemText,
-) -> Option<JobResult> {
+) -> RunOutcome {
     let item = context.spec.items[index].id.clone();
     let mut stop = context.stop.clone();
     let run = run_in_time(&context, index, first, &mut partial);
-    let state = tokio::select! {
-        state = run => state,
+    let ended = tokio::select! {
+        ended = run => ended,
         _ = stop.wait_for(|stop| *stop) => {
             if let Some(progress) = partial.take_progress(&item) {
                 let _ = context.progress.send(progress);
             }
-            return None;
+            return RunOutcome::Stopped;
         }
     };
-    if state == ResultState::COMPLETED {
-        return Some(partial.into_result(&item));
+    match ended {
+        None => RunOutcome::NotStarted,
+        Some(ResultState::COMPLETED) => RunOutcome::Done(partial.into_result(&item)),
+        Some(state) => RunOutcome::Done(JobResult {
+            item,
+            state,
+            ..JobResult::default()
+        }),
     }
-    Some(JobResult {
-        item,
-        state,
-        ..JobResult::default()
-    })
 }
 
-/// Runs the item until it is done or too old.
+/// Runs the item until it is done or too old; `None` if it was not started.
 async fn run_in_time(
     context: &RunContext,
     index: usize,
     first: Arc<Instance>,
     partial: &mut ItemText,
-) -> ResultState {
+) -> Option<ResultState> {
     let run = run_until_done(context, index, first, partial);
     let Some(at) = context.give_up_at else {
         return run.await;
@@ -118,16 +130,17 @@
             context.spec.items[index].id,
             context.spec.job
         );
-        ResultState::TERMINATED
+        Some(ResultState::TERMINATED)
     })
 }
 
+/// Runs the item at one instance after the other; `None` if the first one took none of it.
 async fn run_until_done(
     context: &RunContext,
     index: usize,
     first: Arc<Instance>,
     partial: &mut ItemText,
-) -> ResultState {
+) -> Option<ResultState> {
     let mut failures = 0;
     let mut instance = first;
     loop {
@@ -135,15 +148,16 @@
         let end = run_once(context, index, &instance, partial).await;
         log_run(context, index, &instance, partial, started, &end);
         match end {
-            RunEnd::Complete => return ResultState::COMPLETED,
-            RunEnd::Impossible => return ResultState::TERMINATED,
+            RunEnd::Complete => return Some(ResultState::COMPLETED),
+            RunEnd::Impossible => return Some(ResultState::TERMINATED),
             RunEnd::Failed => {
                 failures += 1;
                 if failures >= context.max_attempts.max(1) {
-                    return ResultState::TERMINATED;
+                    return Some(ResultState::TERMINATED);
                 }
             }
-            RunEnd::Move(_) => {}
+            RunEnd::NotTaken(_) if partial.events() == 0 && failures == 0 => return None,
+            RunEnd::NotTaken(_) | RunEnd::Move(_) => {}
         }
         instance = next_instance(context, &instance, partial).await;
     }
@@ -161,6 +175,7 @@
         RunEnd::Complete => "complete".to_owned(),
         RunEnd::Impossible => "impossible".to_owned(),
         RunEnd::Failed => "failed".to_owned(),
+        RunEnd::NotTaken(cause) => format!("not_taken cause=\"{cause}\""),
         RunEnd::Move(cause) => format!("moved cause=\"{cause}\""),
     };
     log::info!(
@@ -292,7 +307,11 @@
             instance.note_failure(now);
         }
     }
-    RunEnd::Move(error.to_string())
+    if error.is_not_run() {
+        RunEnd::NotTaken(error.to_string())
+    } else {
+        RunEnd::Move(error.to_string())
+    }
 }
 
 fn request_head(
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -89,7 +89,8 @@
         let alive = self.peers.alive();
         let spares = self.spares(set, &alive);
         let lost = self.lost(set, &alive);
-        if self.leaves(set, &alive) {
+        // A missing replica is replaced first: its place is not filled yet, and a spare is there for it.
+        if self.leaves(set, &alive) && self.missing_since.is_empty() {
             return self.leave(set, &spares).await;
         }
         if !self.coordinates(set, &alive) || !can_copy(set, &alive) {
@@ -117,7 +118,7 @@
     }
 
     /// Leaves the set: a spare takes this one's place; without a spare this node copies its logs to those that stay, and
-    /// the set gets smaller. It stays while another replica is missing, or if a further loss would then be one too many.
+    /// the set gets smaller, unless a further loss would then be one too many.
     async fn leave(
         &mut self,
         set: &ReplicaSet,
@@ -126,7 +127,7 @@
         let Some(own_id) = self.replica_sets.own_replica_id() else {
             return Ok(());
         };
-        if replica_set::shrinks(set) {
+        if replica_set::is_shrunk_by(set, own_id) {
             let copied = self.copy_to_remaining(set).await?;
             log::info!("event=logs_handed_on version={} logs={copied}", set.version);
             if let Some(complete) = replica_set::complete(set) {
@@ -140,9 +141,8 @@
             .leaving_since
             .get_or_insert_with(Instant::now)
             .elapsed();
-        let may_shrink = waited >= SPARE_WAIT && self.missing_since.is_empty();
         let without = || replica_set::propose_without(set, own_id, self.least_replicas());
-        match with_spare.or_else(|| may_shrink.then(without).flatten()) {
+        match with_spare.or_else(|| (waited >= SPARE_WAIT).then(without).flatten()) {
             Some(proposal) => Ok(self.swap(set, proposal).await?),
             None => Ok(()),
         }
--- a/crates/ladderstage/src/journal/replica_set.rs
+++ b/crates/ladderstage/src/journal/replica_set.rs
@@ -84,8 +84,8 @@
         });
     }
     if shrinks(set) {
-        // The replica that was to leave copies its logs to the others; lost on the way, it stays in the set.
-        return is_leaver_lost(set, lost).then(|| ReplicaSet {
+        // The replica that was to leave copies its logs to all others; if one of them is lost on the way, it stays in the set.
+        return is_any_lost(set, lost).then(|| ReplicaSet {
             version,
             current,
             next: Vec::new(),
@@ -155,10 +155,15 @@
     set.current.iter().filter(is_left_out).collect()
 }
 
-fn is_leaver_lost(set: &ReplicaSet, lost: &BTreeSet<ReplicaId>) -> bool {
-    leavers(set)
-        .iter()
-        .any(|member| lost.contains(&member.replica_id))
+/// Whether the replica `own` is one that a joint set only leaves out.
+pub fn is_shrunk_by(set: &ReplicaSet, own: ReplicaId) -> bool {
+    let leavers = leavers(set);
+    shrinks(set) && leavers.iter().any(|member| member.replica_id == own)
+}
+
+fn is_any_lost(set: &ReplicaSet, lost: &BTreeSet<ReplicaId>) -> bool {
+    let mut members = set.current.iter().chain(&set.next);
+    members.any(|member| lost.contains(&member.replica_id))
 }
 
 /// The set after the newcomers of a joint set have copied everything; `None` if `set` is not joint.
