--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -135,6 +135,10 @@
             }
             return Ok(());
         }
+        if !set.next.is_empty() {
+            // Another change is under way.
+            return Ok(());
+        }
         let lost = BTreeSet::from([own_id]);
         let with_spare = replica_set::propose(set, &lost, spares);
         let waited = self
