Follow loads more closely, give several orders at once, and step down when a later fence is seen

Cause: each of the two loading places stood idle for about 0.1 s of 1.0 s, as loads were looked at 0.05 s apart and one order was given a round; nine loads each 4 s need 2.25 a second. A holder whose order was refused for its fence went on with it. Changes: the least time of a load decides the first look, then one each 15 ms; orders are given until none is left or the lease needs renewal; a refusal for the fence gives the lease back.

--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use http::StatusCode;
 use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
@@ -23,13 +24,16 @@
 /// Between looks at what is to be ordered.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Between looks at a load that should be done.
+const LOAD_LOOK_INTERVAL: Duration = Duration::from_millis(15);
+
 /// Pause before the lease is tried again.
 const TAKE_PAUSE: Duration = Duration::from_millis(250);
 
 /// Between questions to the fronts about their work.
 const DEMAND_INTERVAL: Duration = Duration::from_secs(3);
 
-/// A load is first looked at after this share of the usual time.
+/// A load is first looked at after this share of the least time.
 const LOOK_SHARE: f64 = 0.97;
 
 /// Longest wait for a load.
@@ -119,7 +123,7 @@
     pauses: HashMap<String, Instant>,
     /// Orders under way, by instance.
     loads: HashMap<String, Load>,
-    /// Usual time of a load.
+    /// Least time that a load has taken of late.
     load_time: Option<Duration>,
     /// Work for each model.
     weights: BTreeMap<String, f64>,
@@ -143,6 +147,19 @@
     Loading(Duration),
     /// The instance is left alone for a moment.
     Pause(Duration),
+    /// The instance has seen the order of a later holder.
+    Fenced,
+}
+
+/// What a holder does after an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Round {
+    /// There may be another order to give.
+    More,
+    /// Nothing is to be ordered now.
+    Enough,
+    /// There is a later holder.
+    Fenced,
 }
 
 impl Given {
@@ -153,20 +170,42 @@
     /// Notes an order under way; looked at when such a load is usually done.
     fn begin(&mut self, planned: Planned, limit: Duration) {
         let now = Instant::now();
-        let usual = self.load_time.unwrap_or(LOOK_INTERVAL * 4);
+        let least = self.load_time.unwrap_or(LOOK_INTERVAL * 4);
         let load = Load {
             model: planned.model,
             version: planned.version,
             since: now,
-            look_at: now + usual.mul_f64(LOOK_SHARE),
+            look_at: now + least.mul_f64(LOOK_SHARE),
             give_up_at: now + limit,
         };
         self.loads.insert(planned.instance, load);
     }
 
+    /// Notes how long a load took: shorter ones count at once, longer ones bit by bit.
     fn note_load(&mut self, taken: Duration) {
-        let usual = self.load_time.unwrap_or(taken);
-        self.load_time = Some((usual * 3 + taken) / 4);
+        let least = self.load_time.unwrap_or(taken);
+        self.load_time = Some(taken.min((least * 7 + taken) / 8));
+    }
+
+    /// Looks at a load again soon: sooner once it is known how long loads take.
+    fn look_again(&mut self, instance: &str) {
+        let pause = match self.load_time {
+            Some(_) => LOAD_LOOK_INTERVAL,
+            None => LOOK_INTERVAL,
+        };
+        if let Some(load) = self.loads.get_mut(instance) {
+            load.look_at = Instant::now() + pause;
+        }
+    }
+
+    /// When the next load should be looked at, at the latest after the usual interval.
+    fn next_look(&self) -> Duration {
+        let now = Instant::now();
+        let due = self.loads.values().map(|load| load.look_at);
+        let until = due.min().map(|at| at.saturating_duration_since(now));
+        until.map_or(LOOK_INTERVAL, |until| {
+            until.clamp(LOAD_LOOK_INTERVAL, LOOK_INTERVAL)
+        })
     }
 }
 
@@ -235,12 +274,15 @@
             match lease.may_order(&mut held).await {
                 Ok(true) => {
                     self.look_at_loads(&mut given).await;
-                    self.give_next(&held, &mut given).await;
+                    if self.give_all(&held, &mut given, renew_at).await == Round::Fenced {
+                        log::warn!("event=giver_lease_lost fence={} reason=fenced", held.fence);
+                        return lease.release(&held).await;
+                    }
                 }
                 Ok(false) => {}
                 Err(error) => log::warn!("event=giver_not_named cause=\"{error}\""),
             }
-            tokio::time::sleep(LOOK_INTERVAL).await;
+            tokio::time::sleep(given.next_look()).await;
         }
     }
 
@@ -294,15 +336,16 @@
                 given.loads.remove(&id);
                 continue;
             }
-            let is_done = match self.fleet().iter().find(|one| one.id() == id) {
-                Some(instance) => self.has_loaded(instance, &load).await,
-                None => true,
+            let fleet = self.fleet();
+            let Some(instance) = fleet.iter().find(|one| one.id() == id) else {
+                given.loads.remove(&id);
+                continue;
             };
-            if is_done {
+            if self.has_loaded(instance, &load).await {
                 given.note_load(load.since.elapsed());
                 given.loads.remove(&id);
-            } else if let Some(load) = given.loads.get_mut(&id) {
-                load.look_at = Instant::now() + LOOK_INTERVAL;
+            } else {
+                given.look_again(&id);
             }
         }
     }
@@ -320,8 +363,17 @@
         !report.busy && instance.version(&load.model) >= load.version
     }
 
-    /// Gives the next orders, as many as may load at once.
-    async fn give_next(&self, held: &Held, given: &mut Given) {
+    /// Gives orders one after the other while there are any and the lease needs no renewal.
+    async fn give_all(&self, held: &Held, given: &mut Given, renew_at: Instant) -> Round {
+        let mut round = Round::More;
+        while round == Round::More && Instant::now() < renew_at {
+            round = self.give_next(held, given).await;
+        }
+        round
+    }
+
+    /// Gives the next order.
+    async fn give_next(&self, held: &Held, given: &mut Given) -> Round {
         let now = Instant::now();
         given.pauses.retain(|_, until| *until > now);
         let mut demands = self.versions.demands();
@@ -342,10 +394,10 @@
         let loading = given.loads.len();
         let planned = plan(&demands, &given.assignment, &fleet, loading, MOST_LOADING);
         let Some(planned) = planned else {
-            return;
+            return Round::Enough;
         };
         let Some(instance) = instances.iter().find(|one| one.id() == planned.instance) else {
-            return;
+            return Round::Enough;
         };
         match self.give(held, instance, &planned).await {
             Outcome::Loading(limit) => given.begin(planned, limit),
@@ -354,7 +406,9 @@
                     .pauses
                     .insert(planned.instance, Instant::now() + pause);
             }
+            Outcome::Fenced => return Round::Fenced,
         }
+        Round::More
     }
 
     /// Ready instances of the services that hold models.
@@ -405,6 +459,7 @@
             .await;
         let (label, outcome) = match &answer {
             Ok((status, _)) if status.is_success() => ("taken", Outcome::Loading(LOAD_LIMIT)),
+            Ok((StatusCode::PRECONDITION_FAILED, _)) => ("fenced", Outcome::Fenced),
             Ok(_) => ("refused", Outcome::Pause(LOOK_INTERVAL * 10)),
             Err(_) => ("in_doubt", Outcome::Loading(DOUBT_TIME)),
         };
