Move a run only where that saves more than a move costs

Ruled out: lost or doubled events (texts whole). Change: what a move is expected to save has to be over 60 ms.

--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -16,6 +16,7 @@
 
 pub use confirmation::Confirmation;
 pub use events::{Event, EventParser};
+pub use pace::pays_to_move;
 pub use queue::EntryQueue;
 pub use reading::ReadError;
 pub use registry::{AcceptError, JobContext, JobRegistry};
--- a/crates/front/src/job/pace.rs
+++ b/crates/front/src/job/pace.rs
@@ -15,6 +15,9 @@
 /// Events after which a run counts as long.
 const LONG_RUN_EVENTS: u64 = 24;
 
+/// Milliseconds that a move costs: another connection, admission, and the prompt read again.
+const MOVE_COST_MS: f64 = 60.0;
+
 /// Events after which a run's pace is known.
 const EVENTS_FOR_PACE: u32 = 3;
 
@@ -55,13 +58,7 @@
         let taken = self.last_at?.saturating_duration_since(self.first_at?);
         let own = taken.as_secs_f64() * 1e3 / f64::from(self.events - 1);
         let typical = context.backends.typical_pace(&context.service)?;
-        let is_long = partial.events() >= LONG_RUN_EVENTS;
-        let factor = if is_long {
-            LONG_RUN_SLOW_FACTOR
-        } else {
-            SLOW_FACTOR
-        };
-        if own < typical * factor.min(1.0 + (factor - 1.0) / 2.0) {
+        if !pays_to_move(own, typical, partial.events()) {
             return None;
         }
         let model = &context.spec.model;
@@ -74,7 +71,19 @@
             .candidate("", Instant::now())
             .pace_ms
             .unwrap_or(typical);
-        let pays = own > theirs * factor;
+        let pays = pays_to_move(own, theirs, partial.events());
         pays.then(|| format!("slow: {own:.0} ms an event against {theirs:.0}"))
     }
 }
+
+/// Whether a run with `events` so far should go on where an event takes `theirs_ms` instead of `own_ms`. A run that has been
+/// long is likely to go on for about as long again; what that saves has to outweigh the move.
+pub fn pays_to_move(own_ms: f64, theirs_ms: f64, events: u64) -> bool {
+    let factor = if events >= LONG_RUN_EVENTS {
+        LONG_RUN_SLOW_FACTOR
+    } else {
+        SLOW_FACTOR
+    };
+    let saved_ms = (own_ms - theirs_ms) * events as f64;
+    own_ms > theirs_ms * factor && saved_ms > MOVE_COST_MS
+}
