Give the fast instances to the model with the longest texts

Change: fronts tell the giver the longest recent text of each model and the paces that they see; a slow instance of the model with the longest texts is traded for a fast one of another model, each once, not those that turned slow for a moment. Version names, demand and memory of orders are modules of their own.

--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -78,6 +78,13 @@
     known: Mutex<Known>,
 }
 
+impl Known {
+    fn recent_pace_ms(&self, now: Instant) -> Option<f64> {
+        let (pace, at) = self.pace?;
+        (now.saturating_duration_since(at) < PACE_TRUST).then_some(pace)
+    }
+}
+
 /// Counts a request at the instance until it is dropped.
 #[derive(Debug)]
 pub struct RunGuard {
@@ -228,18 +235,19 @@
             .others
             .filter(|(_, at)| fresh(*at))
             .map_or(0, |(load, _)| load);
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < PACE_TRUST;
         Candidate {
             load: self.in_flight() + others,
             slots: known.discovered.slots,
             is_same_zone: known.discovered.zone == zone,
-            pace_ms: known
-                .pace
-                .filter(|(_, at)| is_recent(*at))
-                .map(|(pace, _)| pace),
+            pace_ms: known.recent_pace_ms(now),
         }
     }
 
+    /// Recent milliseconds per unit of work; `None` while unknown.
+    pub fn recent_pace_ms(&self) -> Option<f64> {
+        self.lock().recent_pace_ms(Instant::now())
+    }
+
     fn lock(&self) -> MutexGuard<'_, Known> {
         self.known
             .lock()
--- a/crates/front/src/backend/mod.rs
+++ b/crates/front/src/backend/mod.rs
@@ -6,6 +6,7 @@
 mod instance;
 mod table;
 
+pub(crate) use choice::median;
 pub use choice::{Candidate, Demand, choose};
 pub use connection::{ConnectError, Connections, Lease};
 pub(crate) use exchange::keep_alive;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -12,7 +12,7 @@
 use crate::coordination::Coordination;
 use crate::dialect::SharedCodec;
 use crate::ingress::{self, Ingress, IngressState};
-use crate::job::{Confirmation, JobContext, JobRegistry};
+use crate::job::{Confirmation, JobContext, JobRegistry, TextLengths};
 use crate::live::LiveService;
 use crate::metrics::Metrics;
 use crate::nodes::{NodeRecord, NodeRole, Nodes};
@@ -101,6 +101,7 @@
         metrics: Arc::clone(&metrics),
         retention: options.job_retention,
         confirmation: Confirmation::default(),
+        lengths: TextLengths::default(),
     });
     let hooks = JobHooks {
         jobs: Some(jobs.clone()),
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -3,6 +3,7 @@
 mod confirmation;
 mod events;
 mod handover;
+mod lengths;
 mod locating;
 mod owner;
 mod pace;
@@ -16,6 +17,7 @@
 
 pub use confirmation::Confirmation;
 pub use events::{Event, EventParser};
+pub use lengths::TextLengths;
 pub use pace::pays_to_move;
 pub use queue::EntryQueue;
 pub use reading::ReadError;
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -247,9 +247,12 @@
             self.on_progress(progress);
         }
         self.running.remove(&index);
-        let RunOutcome::Done(result) = outcome else {
+        let RunOutcome::Done(result, events) = outcome else {
             return;
         };
+        if let Some(spec) = self.job.state().spec() {
+            self.context.lengths.note(&spec.model, events);
+        }
         let outcome = match result.state {
             ResultState::COMPLETED => "completed",
             _ => "terminated",
--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -7,7 +7,9 @@
 use ladderstage_wire::messages::mod_Refused::Reason;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
-use ladderstage_wire::messages::{Demand, Done, JobBody, JobSpec, ModelWork, Refused, Response};
+use ladderstage_wire::messages::{
+    Demand, Done, InstancePace, JobBody, JobSpec, ModelWork, Refused, Response,
+};
 
 use super::LOG_PREFIX;
 use super::owner::Job;
@@ -21,7 +23,7 @@
 const UNKNOWN_TOKENS: u64 = 1_000;
 
 impl JobRegistry {
-    /// Work that this node accepted lately, by model.
+    /// Work that this node accepted lately, by model, and the paces that it has seen.
     pub fn demand(&self) -> Demand {
         let mut tokens = BTreeMap::<String, u64>::new();
         for job in lock(&self.shared.jobs).values() {
@@ -31,14 +33,36 @@
                 *tokens.entry(spec.model.clone()).or_insert(0) += expected_tokens(spec);
             }
         }
-        let work = tokens
-            .into_iter()
-            .map(|(model, tokens)| ModelWork { model, tokens });
+        let work = tokens.into_iter().map(|(model, tokens)| ModelWork {
+            longest_events: self.context.lengths.longest(&model),
+            model,
+            tokens,
+        });
         Demand {
             work: work.collect(),
+            paces: self.paces(),
         }
     }
 
+    /// Paces of the instances that hold models.
+    fn paces(&self) -> Vec<InstancePace> {
+        let Some(config) = self.context.config.current() else {
+            return Vec::new();
+        };
+        let services = config.services.iter();
+        let instances = services
+            .filter(|(_, service)| !service.models.is_empty())
+            .flat_map(|(name, _)| self.context.backends.of_service(name));
+        let known = instances.filter_map(|instance| {
+            let pace_ms = instance.recent_pace_ms()?;
+            Some(InstancePace {
+                instance: instance.id().to_owned(),
+                event_micros: (pace_ms * 1e3) as u64,
+            })
+        });
+        known.collect()
+    }
+
     /// Answers another node's question about a job of this node.
     pub async fn handle(&self, request: RequestKind) -> Response {
         let kind = match request {
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -10,6 +10,7 @@
 use ladderstage_wire::messages::{EndJob, JobResults, JobSpec, ReadJob, ReadJobBody};
 
 use super::confirmation::Confirmation;
+use super::lengths::TextLengths;
 use super::locating::Owned;
 use super::owner::{Command, Job, Owner, OwnerEnd};
 use super::reading::{COMMIT_LIMIT, ReadError, body_local, end_local, read_local, unavailable};
@@ -46,6 +47,8 @@
     pub retention: Duration,
     /// Whether the replicas still know this node as the owner of its jobs.
     pub confirmation: Confirmation,
+    /// How long texts are.
+    pub lengths: TextLengths,
 }
 
 /// Why a job was not accepted.
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -74,8 +74,8 @@
 
 /// What came of running an item.
 pub enum RunOutcome {
-    /// It has a result.
-    Done(JobResult),
+    /// It has a result, of a text of so many events.
+    Done(JobResult, u64),
     /// The instance took none of it; the job's owner chooses again what starts next.
     NotStarted,
     /// It was told to stop; what it had made was handed over to be kept.
@@ -103,12 +103,18 @@
     };
     match ended {
         None => RunOutcome::NotStarted,
-        Some(ResultState::COMPLETED) => RunOutcome::Done(partial.into_result(&item)),
-        Some(state) => RunOutcome::Done(JobResult {
-            item,
-            state,
-            ..JobResult::default()
-        }),
+        Some(ResultState::COMPLETED) => {
+            let events = partial.events();
+            RunOutcome::Done(partial.into_result(&item), events)
+        }
+        Some(state) => {
+            let result = JobResult {
+                item,
+                state,
+                ..JobResult::default()
+            };
+            RunOutcome::Done(result, 0)
+        }
     }
 }
 
--- /dev/null
+++ b/crates/front/src/orders/demand.rs
@@ -0,0 +1,90 @@
+//! What all fronts tell of their work: how much of it each model has, how long its texts are, and how fast instances are.
+
+use std::collections::BTreeMap;
+
+use ladderstage_journal::Peers;
+use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
+use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
+use ladderstage_wire::messages::{Demand, ReadDemand, Request};
+
+use super::calls::CALL_LIMIT;
+use super::plan::ModelDemand;
+use crate::backend::median;
+use crate::job::JobRegistry;
+use crate::nodes::Nodes;
+
+/// From one round of answers to the next a pace rises by this factor at most: a load or a passing trouble is not an instance's own
+/// pace.
+const PACE_RISE: f64 = 1.05;
+
+/// The fronts' answers taken together.
+#[derive(Debug, Default)]
+pub(super) struct FleetDemand {
+    tokens: BTreeMap<String, u64>,
+    longest_events: BTreeMap<String, u64>,
+    paces_ms: BTreeMap<String, f64>,
+}
+
+impl FleetDemand {
+    /// Asks all fronts; those that do not answer in time are left out. `last` is what they told the last time.
+    pub async fn gather(nodes: &Nodes, jobs: &JobRegistry, last: &Self) -> Self {
+        let own_node = nodes.own().node;
+        let mut fronts = nodes.successors();
+        fronts.retain(|front| front.node != own_node);
+        let calls = fronts.iter().map(|front| async {
+            let kind = RequestKind::read_demand(ReadDemand {});
+            let call = nodes.call(&front.node, Request { kind }, CALL_LIMIT / 4);
+            match call.await.map(|response| response.kind) {
+                Ok(ResponseKind::demand(demand)) => Some(demand),
+                _ => None,
+            }
+        });
+        let answers = futures_util::future::join_all(calls).await;
+        let mut all = Self::of(answers.into_iter().flatten().chain([jobs.demand()]));
+        all.smooth(last);
+        all
+    }
+
+    fn smooth(&mut self, last: &Self) {
+        for (instance, known) in &last.paces_ms {
+            let pace = self.paces_ms.entry(instance.clone()).or_insert(*known);
+            *pace = pace.min(known * PACE_RISE);
+        }
+    }
+
+    fn of(answers: impl Iterator<Item = Demand>) -> Self {
+        let mut all = Self::default();
+        let mut paces = BTreeMap::<String, Vec<f64>>::new();
+        for answer in answers {
+            for work in answer.work {
+                let longest = all.longest_events.entry(work.model.clone()).or_insert(0);
+                *longest = work.longest_events.max(*longest);
+                *all.tokens.entry(work.model).or_insert(0) += work.tokens;
+            }
+            for pace in answer.paces {
+                let known = paces.entry(pace.instance).or_default();
+                known.push(pace.event_micros as f64 / 1e3);
+            }
+        }
+        let paces = paces.into_iter();
+        all.paces_ms = paces
+            .filter_map(|(instance, paces)| Some((instance, median(paces)?)))
+            .collect();
+        all
+    }
+
+    /// Fills in what is known of each model's work.
+    pub fn fill(&self, demands: &mut [ModelDemand]) {
+        for demand in demands {
+            let tokens = self.tokens.get(&demand.model).copied();
+            demand.weight = tokens.map_or(1.0, |tokens| tokens as f64);
+            let longest = self.longest_events.get(&demand.model).copied();
+            demand.longest_events = longest.unwrap_or(0);
+        }
+    }
+
+    /// Milliseconds between two events at an instance; `None` while unknown.
+    pub fn pace_ms(&self, instance: &str) -> Option<f64> {
+        self.paces_ms.get(instance).copied()
+    }
+}
--- /dev/null
+++ b/crates/front/src/orders/given.rs
@@ -0,0 +1,91 @@
+//! What a holder of the lease remembers of the orders that it gave.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::demand::FleetDemand;
+use super::plan::{Assignment, Planned};
+
+/// A load is first looked at after this share of the least time.
+const LOOK_SHARE: f64 = 0.97;
+
+/// Between looks at a load that should be done.
+const LOAD_LOOK_INTERVAL: Duration = Duration::from_millis(15);
+
+/// Between looks at what is to be ordered.
+pub(super) const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What a holder remembers of its orders.
+#[derive(Default)]
+pub(super) struct Given {
+    /// Instances that are to be left alone, and until when.
+    pub pauses: HashMap<String, Instant>,
+    /// Orders under way, by instance.
+    pub loads: HashMap<String, Load>,
+    /// Least time that a load has taken of late.
+    pub load_time: Option<Duration>,
+    /// What the fronts told of their work, and when they were asked.
+    pub demand: FleetDemand,
+    pub demand_at: Option<Instant>,
+    /// The fronts were asked since instances were last traded between models.
+    pub may_trade: bool,
+    /// Which model each instance serves.
+    pub assignment: Assignment,
+}
+
+/// An order under way.
+#[derive(Debug, Clone)]
+pub(super) struct Load {
+    pub model: String,
+    pub version: u64,
+    pub since: Instant,
+    pub look_at: Instant,
+    pub give_up_at: Instant,
+}
+
+impl Given {
+    pub fn is_left_alone(&self, instance: &str) -> bool {
+        self.pauses.contains_key(instance) || self.loads.contains_key(instance)
+    }
+
+    /// Notes an order under way; looked at when such a load is usually done.
+    pub fn begin(&mut self, planned: Planned, limit: Duration) {
+        let now = Instant::now();
+        let least = self.load_time.unwrap_or(LOOK_INTERVAL * 4);
+        let load = Load {
+            model: planned.model,
+            version: planned.version,
+            since: now,
+            look_at: now + least.mul_f64(LOOK_SHARE),
+            give_up_at: now + limit,
+        };
+        self.loads.insert(planned.instance, load);
+    }
+
+    /// Notes how long a load took: shorter ones count at once, longer ones bit by bit.
+    pub fn note_load(&mut self, taken: Duration) {
+        let least = self.load_time.unwrap_or(taken);
+        self.load_time = Some(taken.min((least * 7 + taken) / 8));
+    }
+
+    /// Looks at a load again soon: sooner once it is known how long loads take.
+    pub fn look_again(&mut self, instance: &str) {
+        let pause = match self.load_time {
+            Some(_) => LOAD_LOOK_INTERVAL,
+            None => LOOK_INTERVAL,
+        };
+        if let Some(load) = self.loads.get_mut(instance) {
+            load.look_at = Instant::now() + pause;
+        }
+    }
+
+    /// When the next load should be looked at, at the latest after the usual interval.
+    pub fn next_look(&self) -> Duration {
+        let now = Instant::now();
+        let due = self.loads.values().map(|load| load.look_at);
+        let until = due.min().map(|at| at.saturating_duration_since(now));
+        until.map_or(LOOK_INTERVAL, |until| {
+            until.clamp(LOAD_LOOK_INTERVAL, LOOK_INTERVAL)
+        })
+    }
+}
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -1,18 +1,16 @@
 //! The node that gives orders: holds a lease, proves it by the steady clock, and stops by itself.
 
-use std::collections::{BTreeMap, HashMap};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
-use ladderstage_journal::Peers;
-use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
-use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
-use ladderstage_wire::messages::{ReadDemand, Request};
 
 use super::calls::{CALL_LIMIT, InstanceCalls};
+use super::demand::FleetDemand;
+use super::given::{Given, LOOK_INTERVAL, Load};
 use super::lease::{GiverLease, Held, RENEWAL};
-use super::plan::{Assignment, FleetInstance, ModelDemand, Planned, plan};
+use super::named::VersionsNamed;
+use super::plan::{FleetInstance, Planned, plan};
 use crate::backend::{BackendTable, Instance, LOADING_PAUSE};
 use crate::config::ConfigInForce;
 use crate::coordination::{Coordination, CoordinationError};
@@ -21,21 +19,12 @@
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
 
-/// Between looks at what is to be ordered.
-const LOOK_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Between looks at a load that should be done.
-const LOAD_LOOK_INTERVAL: Duration = Duration::from_millis(15);
-
 /// Pause before the lease is tried again.
 const TAKE_PAUSE: Duration = Duration::from_millis(250);
 
 /// Between questions to the fronts about their work.
 const DEMAND_INTERVAL: Duration = Duration::from_secs(3);
 
-/// A load is first looked at after this share of the least time.
-const LOOK_SHARE: f64 = 0.97;
-
 /// Longest wait for a load.
 const LOAD_LIMIT: Duration = Duration::from_secs(5);
 
@@ -45,48 +34,6 @@
 /// Instances that load at once without slowing each other down.
 const MOST_LOADING: usize = 2;
 
-/// A version and when this process heard of it.
-#[derive(Debug, Clone, Copy)]
-struct Named {
-    version: u64,
-    heard_at: Instant,
-}
-
-/// Newest version named for each model. Cheap to clone.
-#[derive(Debug, Clone, Default)]
-pub struct VersionsNamed {
-    versions: Arc<Mutex<BTreeMap<String, Named>>>,
-}
-
-impl VersionsNamed {
-    /// Notes a version; versions only rise.
-    pub fn note(&self, model: &str, version: u64) {
-        let mut versions = lock(&self.versions);
-        if versions
-            .get(model)
-            .is_some_and(|named| named.version >= version)
-        {
-            return;
-        }
-        log::info!("event=version_named model={model} version={version}");
-        let heard_at = Instant::now();
-        versions.insert(model.to_owned(), Named { version, heard_at });
-    }
-
-    fn demands(&self) -> Vec<ModelDemand> {
-        let versions = lock(&self.versions);
-        let demands = versions.iter();
-        demands
-            .map(|(model, named)| ModelDemand {
-                model: model.clone(),
-                newest: named.version,
-                named_for: named.heard_at.elapsed(),
-                weight: 1.0,
-            })
-            .collect()
-    }
-}
-
 /// Times of the lease.
 #[derive(Debug, Clone, Copy)]
 pub struct OrderOptions {
@@ -116,31 +63,6 @@
     pub options: OrderOptions,
 }
 
-/// What a holder remembers of its orders.
-#[derive(Default)]
-struct Given {
-    /// Instances that are to be left alone, and until when.
-    pauses: HashMap<String, Instant>,
-    /// Orders under way, by instance.
-    loads: HashMap<String, Load>,
-    /// Least time that a load has taken of late.
-    load_time: Option<Duration>,
-    /// Work for each model.
-    weights: BTreeMap<String, f64>,
-    demand_at: Option<Instant>,
-    assignment: Assignment,
-}
-
-/// An order under way.
-#[derive(Debug, Clone)]
-struct Load {
-    model: String,
-    version: u64,
-    since: Instant,
-    look_at: Instant,
-    give_up_at: Instant,
-}
-
 /// What follows an order.
 enum Outcome {
     /// The instance may be loading, for the given time at most.
@@ -162,53 +84,6 @@
     Fenced,
 }
 
-impl Given {
-    fn is_left_alone(&self, instance: &str) -> bool {
-        self.pauses.contains_key(instance) || self.loads.contains_key(instance)
-    }
-
-    /// Notes an order under way; looked at when such a load is usually done.
-    fn begin(&mut self, planned: Planned, limit: Duration) {
-        let now = Instant::now();
-        let least = self.load_time.unwrap_or(LOOK_INTERVAL * 4);
-        let load = Load {
-            model: planned.model,
-            version: planned.version,
-            since: now,
-            look_at: now + least.mul_f64(LOOK_SHARE),
-            give_up_at: now + limit,
-        };
-        self.loads.insert(planned.instance, load);
-    }
-
-    /// Notes how long a load took: shorter ones count at once, longer ones bit by bit.
-    fn note_load(&mut self, taken: Duration) {
-        let least = self.load_time.unwrap_or(taken);
-        self.load_time = Some(taken.min((least * 7 + taken) / 8));
-    }
-
-    /// Looks at a load again soon: sooner once it is known how long loads take.
-    fn look_again(&mut self, instance: &str) {
-        let pause = match self.load_time {
-            Some(_) => LOAD_LOOK_INTERVAL,
-            None => LOOK_INTERVAL,
-        };
-        if let Some(load) = self.loads.get_mut(instance) {
-            load.look_at = Instant::now() + pause;
-        }
-    }
-
-    /// When the next load should be looked at, at the latest after the usual interval.
-    fn next_look(&self) -> Duration {
-        let now = Instant::now();
-        let due = self.loads.values().map(|load| load.look_at);
-        let until = due.min().map(|at| at.saturating_duration_since(now));
-        until.map_or(LOOK_INTERVAL, |until| {
-            until.clamp(LOAD_LOOK_INTERVAL, LOOK_INTERVAL)
-        })
-    }
-}
-
 impl OrderGiver {
     /// Takes the lease whenever it is free, and gives orders while it lasts, for as long as the future is polled.
     pub async fn run(&self) {
@@ -286,37 +161,15 @@
         }
     }
 
-    /// Asks the fronts now and then how much work they accepted for each model.
+    /// Asks the fronts now and then what work they have and how fast it goes.
     async fn refresh_demand(&self, given: &mut Given) {
-        if given
-            .demand_at
-            .is_some_and(|at| at.elapsed() < DEMAND_INTERVAL)
-        {
+        let is_known = |at: Instant| at.elapsed() < DEMAND_INTERVAL;
+        if given.demand_at.is_some_and(is_known) {
             return;
         }
         given.demand_at = Some(Instant::now());
-        let own_node = self.nodes.own().node;
-        let mut fronts = self.nodes.successors();
-        fronts.retain(|front| front.node != own_node);
-        let calls = fronts.iter().map(|front| async {
-            let kind = RequestKind::read_demand(ReadDemand {});
-            let call = self
-                .nodes
-                .call(&front.node, Request { kind }, CALL_LIMIT / 4);
-            match call.await.map(|response| response.kind) {
-                Ok(ResponseKind::demand(demand)) => demand.work,
-                _ => Vec::new(),
-            }
-        });
-        let answers = futures_util::future::join_all(calls).await;
-        let mut weights = BTreeMap::new();
-        let own = self.jobs.demand().work;
-        for work in answers.into_iter().flatten().chain(own) {
-            *weights.entry(work.model).or_insert(0.0) += work.tokens as f64;
-        }
-        if !weights.is_empty() {
-            given.weights = weights;
-        }
+        given.demand = FleetDemand::gather(&self.nodes, &self.jobs, &given.demand).await;
+        given.may_trade = true;
     }
 
     /// Looks whether instances that took an order have its version.
@@ -377,9 +230,7 @@
         let now = Instant::now();
         given.pauses.retain(|_, until| *until > now);
         let mut demands = self.versions.demands();
-        for demand in &mut demands {
-            demand.weight = given.weights.get(&demand.model).copied().unwrap_or(1.0);
-        }
+        given.demand.fill(&mut demands);
         let instances = self.fleet();
         let fleet: Vec<FleetInstance> = instances
             .iter()
@@ -388,9 +239,22 @@
                 versions: instance.discovered().versions,
                 load: instance.candidate("", now).load,
                 is_busy: given.is_left_alone(instance.id()),
+                pace_ms: given.demand.pace_ms(instance.id()),
             })
             .collect();
         given.assignment.update(&demands, &fleet);
+        if std::mem::take(&mut given.may_trade)
+            && let Some(trade) = given.assignment.trade(&demands, &fleet)
+        {
+            log::info!(
+                "event=instances_traded slow={} fast={} model={} pace_ms={:?} against={:?}",
+                trade.slow,
+                trade.fast,
+                trade.model,
+                given.demand.pace_ms(&trade.slow),
+                given.demand.pace_ms(&trade.fast)
+            );
+        }
         let loading = given.loads.len();
         let planned = plan(&demands, &given.assignment, &fleet, loading, MOST_LOADING);
         let Some(planned) = planned else {
@@ -492,9 +356,3 @@
         config.is_none_or(|config| !config.routes.iter().any(|route| route.single_version))
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .unwrap_or_else(|poisoned| poisoned.into_inner())
-}
--- a/crates/front/src/orders/mod.rs
+++ b/crates/front/src/orders/mod.rs
@@ -1,10 +1,14 @@
 //! Orders to change weight versions: planned purely, given by the one node that holds the lease.
 
 mod calls;
+mod demand;
+mod given;
 mod giver;
 mod lease;
+mod named;
 mod plan;
 
-pub use giver::{OrderGiver, OrderOptions, VersionsNamed};
+pub use giver::{OrderGiver, OrderOptions};
 pub use lease::{GiverLease, Held};
-pub use plan::{Assignment, FleetInstance, ModelDemand, Planned, plan};
+pub use named::VersionsNamed;
+pub use plan::{Assignment, FleetInstance, ModelDemand, Planned, Trade, plan};
--- a/crates/front/src/orders/plan.rs
+++ b/crates/front/src/orders/plan.rs
@@ -5,7 +5,7 @@
 //! everywhere would take longer than versions last: each instance serves the model that it is assigned to, in shares of
 //! the models' demand.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A version is named just before work that allows the one before it comes in a burst: that work may start everywhere first.
@@ -14,8 +14,20 @@
 /// Versions behind the newest from which on no job may use an instance.
 const USELESS_LAG: u64 = 2;
 
+/// A model's texts count as short if they take at most this share of the time of the longest ones.
+const SHORT_SHARE: f64 = 0.8;
+
+/// Pace against the fastest from which on an instance counts as slow.
+const SLOW_PACE: f64 = 1.15;
+
+/// Pace from which on an instance is not slow by nature: that will pass.
+const BROKEN_PACE: f64 = 2.0;
+
+/// Pace up to which an instance counts as fast.
+const FAST_PACE: f64 = 1.07;
+
 /// An instance that holds models.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct FleetInstance {
     /// Its id.
     pub id: String,
@@ -25,6 +37,8 @@
     pub load: u32,
     /// An order is under way there, or was given a moment ago.
     pub is_busy: bool,
+    /// Milliseconds between two events of a run; `None` while unknown.
+    pub pace_ms: Option<f64>,
 }
 
 /// What is wanted of one model.
@@ -38,6 +52,8 @@
     pub named_for: Duration,
     /// Work that asks for it, against the other models.
     pub weight: f64,
+    /// Events of its longest recent text; 0: unknown.
+    pub longest_events: u64,
 }
 
 /// An order to give.
@@ -55,6 +71,26 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Assignment {
     model_of: BTreeMap<String, String>,
+    /// Instances that were traded between models; once each, as what is seen of their pace may be passing.
+    traded: BTreeSet<String>,
+}
+
+/// Two instances that changed their models.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Trade {
+    /// The model that got the fast one.
+    pub model: String,
+    /// The instance that it gave.
+    pub slow: String,
+    /// The instance that it got.
+    pub fast: String,
+}
+
+/// An instance and its pace against the fastest instance of the same model.
+struct Paced<'a> {
+    id: &'a str,
+    pace_ms: f64,
+    relative_pace: f64,
 }
 
 impl Assignment {
@@ -120,6 +156,76 @@
         }
     }
 
+    /// Trades a slow instance of the model whose texts take the longest for a fast one of the model whose texts take the
+    /// shortest time: a step is as long as its longest texts.
+    pub fn trade(&mut self, demands: &[ModelDemand], fleet: &[FleetInstance]) -> Option<Trade> {
+        let time = |demand: &ModelDemand| {
+            let pace = self.best_pace(&demand.model, fleet)?;
+            (demand.longest_events > 0).then_some(pace * demand.longest_events as f64)
+        };
+        let mut times: Vec<(f64, &str)> = demands
+            .iter()
+            .filter_map(|demand| Some((time(demand)?, demand.model.as_str())))
+            .collect();
+        times.sort_by(|left, right| left.0.total_cmp(&right.0));
+        let (short_time, short_model) = *times.first()?;
+        let (long_time, long_model) = *times.last()?;
+        if short_time > long_time * SHORT_SHARE {
+            return None;
+        }
+        let by_pace =
+            |one: &Paced, other: &Paced| one.relative_pace.total_cmp(&other.relative_pace);
+        let slow = self
+            .paced(long_model, fleet)
+            .filter(|one| (SLOW_PACE..BROKEN_PACE).contains(&one.relative_pace))
+            .max_by(by_pace)?;
+        let fast = self
+            .paced(short_model, fleet)
+            .filter(|one| one.relative_pace < FAST_PACE)
+            .filter(|one| one.pace_ms * SLOW_PACE <= slow.pace_ms)
+            .min_by(by_pace)?;
+        let trade = Trade {
+            model: long_model.to_owned(),
+            slow: slow.id.to_owned(),
+            fast: fast.id.to_owned(),
+        };
+        for (instance, model) in [(&trade.slow, short_model), (&trade.fast, long_model)] {
+            self.model_of.insert(instance.clone(), model.to_owned());
+            self.traded.insert(instance.clone());
+        }
+        Some(trade)
+    }
+
+    /// Pace of the fastest instance of a model.
+    fn best_pace(&self, model: &str, fleet: &[FleetInstance]) -> Option<f64> {
+        let paces = fleet
+            .iter()
+            .filter(|one| self.model(&one.id) == Some(model))
+            .filter_map(|one| one.pace_ms);
+        paces.min_by(f64::total_cmp)
+    }
+
+    /// Instances of a model that may be traded.
+    fn paced<'a>(
+        &'a self,
+        model: &'a str,
+        fleet: &'a [FleetInstance],
+    ) -> impl Iterator<Item = Paced<'a>> {
+        let best = self.best_pace(model, fleet);
+        fleet
+            .iter()
+            .filter(move |one| self.model(&one.id) == Some(model))
+            .filter(|one| !one.is_busy && !self.traded.contains(&one.id))
+            .filter_map(move |one| {
+                let pace_ms = one.pace_ms?;
+                Some(Paced {
+                    id: &one.id,
+                    pace_ms,
+                    relative_pace: pace_ms / best?,
+                })
+            })
+    }
+
     fn count(&self, model: &str) -> usize {
         self.model_of
             .values()
--- a/crates/front/tests/order_plan.rs
+++ b/crates/front/tests/order_plan.rs
@@ -12,6 +12,7 @@
         newest,
         named_for: Duration::from_millis(named_for_ms),
         weight: 1.0,
+        longest_events: 0,
     }
 }
 
@@ -24,6 +25,7 @@
         versions: versions.collect(),
         load: 0,
         is_busy: false,
+        pace_ms: None,
     }
 }
 
@@ -144,3 +146,69 @@
         prop_assert_eq!(plan(&demands, &assignment, &fleet, 0, 2), None);
     }
 }
+
+/// Two models with two instances each, the second of each slow by nature.
+fn paced_fleet() -> Vec<FleetInstance> {
+    let mut fleet = vec![
+        instance("a-fast", &[("a", 2), ("b", 1)]),
+        instance("a-slow", &[("a", 2), ("b", 1)]),
+        instance("b-fast", &[("a", 1), ("b", 2)]),
+        instance("b-slow", &[("a", 1), ("b", 2)]),
+    ];
+    for one in &mut fleet {
+        let is_slow = one.id.ends_with("slow");
+        one.pace_ms = Some(if is_slow { 51.0 } else { 39.0 });
+    }
+    fleet
+}
+
+fn assigned(demands: &[ModelDemand], fleet: &[FleetInstance]) -> Assignment {
+    let mut assignment = Assignment::default();
+    assignment.update(demands, fleet);
+    assert_eq!(assignment.model("a-slow"), Some("a"));
+    assert_eq!(assignment.model("b-fast"), Some("b"));
+    assignment
+}
+
+fn with_lengths(a: u64, b: u64) -> Vec<ModelDemand> {
+    let mut demands = vec![demand("a", 2, 0), demand("b", 2, 0)];
+    demands[0].longest_events = a;
+    demands[1].longest_events = b;
+    demands
+}
+
+#[test]
+fn the_model_with_the_longest_texts_gets_the_fast_instances() {
+    let (demands, fleet) = (with_lengths(189, 115), paced_fleet());
+    let mut assignment = assigned(&demands, &fleet);
+    let trade = assignment.trade(&demands, &fleet).expect("a trade");
+    assert_eq!(
+        (
+            trade.model.as_str(),
+            trade.slow.as_str(),
+            trade.fast.as_str()
+        ),
+        ("a", "a-slow", "b-fast")
+    );
+    assert_eq!(assignment.model("b-fast"), Some("a"));
+    assert_eq!(assignment.model("a-slow"), Some("b"));
+    assignment.update(&demands, &fleet);
+    assert_eq!(assignment.model("b-fast"), Some("a"), "it stays");
+    assert_eq!(assignment.trade(&demands, &fleet), None, "each once");
+}
+
+#[test]
+fn nothing_is_traded_where_it_would_not_help_or_may_pass() {
+    let fleet = paced_fleet();
+    for demands in [with_lengths(115, 110), with_lengths(189, 0)] {
+        let mut assignment = assigned(&demands, &fleet);
+        assert_eq!(assignment.trade(&demands, &fleet), None);
+    }
+    let demands = with_lengths(189, 115);
+    let mut broken = fleet.clone();
+    broken[1].pace_ms = Some(160.0);
+    assert_eq!(assigned(&demands, &broken).trade(&demands, &broken), None);
+    let mut unknown = fleet;
+    unknown[2].pace_ms = None;
+    assert_eq!(assigned(&demands, &unknown).trade(&demands, &unknown), None);
+}
