Renew the right to give orders beside the orders, with time for two lost answers

Change: a renewal waits 0.4 s of a lease of 1.5 s and is tried again after 0.08 s, in a loop of its own beside the orders.

--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -8,12 +8,12 @@
 use super::calls::{CALL_LIMIT, InstanceCalls};
 use super::demand::FleetDemand;
 use super::given::{Given, LOOK_INTERVAL, Load};
-use super::lease::{GiverLease, Held, RENEWAL};
+use super::lease::{GiverLease, Held};
 use super::named::VersionsNamed;
 use super::plan::{FleetInstance, Planned, plan};
 use crate::backend::{BackendTable, Instance, LOADING_PAUSE};
 use crate::config::ConfigInForce;
-use crate::coordination::{Coordination, CoordinationError};
+use crate::coordination::Coordination;
 use crate::dialect::{SharedCodec, VersionOrder};
 use crate::job::JobRegistry;
 use crate::metrics::Metrics;
@@ -117,41 +117,32 @@
         })
     }
 
-    async fn hold(&self, lease: &GiverLease, mut held: Held) {
-        let mut given = Given::default();
-        let mut renew_at = Instant::now() + RENEWAL;
-        loop {
-            if self.nodes.own().is_leaving {
-                return lease.release(&held).await;
+    /// Gives orders until the lease is lost or given back.
+    async fn hold(&self, lease: &GiverLease, held: Held) {
+        tokio::select! {
+            loss = lease.keep(&held) => {
+                log::warn!("event=giver_lease_lost fence={} reason={loss}", held.fence);
             }
-            if Instant::now() >= held.proven_until {
-                log::warn!(
-                    "event=giver_lease_lost fence={} reason=unproven",
-                    held.fence
-                );
-                return;
+            reason = self.give_while_held(lease, &held) => {
+                log::info!("event=giver_steps_down fence={} reason={reason}", held.fence);
+                lease.release(&held).await;
             }
-            if Instant::now() >= renew_at {
-                renew_at = Instant::now() + RENEWAL;
-                match lease.renew(&mut held).await {
-                    Ok(()) => {}
-                    Err(CoordinationError::LeaseOver) => {
-                        log::warn!("event=giver_lease_lost fence={} reason=over", held.fence);
-                        return;
-                    }
-                    Err(error) => {
-                        log::warn!("event=giver_lease_not_renewed cause=\"{error}\"");
-                        renew_at = Instant::now() + LOOK_INTERVAL * 2;
-                    }
-                }
+        }
+    }
+
+    /// Returns why this node is to give orders no more.
+    async fn give_while_held(&self, lease: &GiverLease, held: &Held) -> &'static str {
+        let mut given = Given::default();
+        loop {
+            if self.nodes.is_leaving() {
+                return "leaving";
             }
             self.refresh_demand(&mut given).await;
-            match lease.may_order(&mut held).await {
+            match lease.may_order(held).await {
                 Ok(true) => {
                     self.look_at_loads(&mut given).await;
-                    if self.give_all(&held, &mut given, renew_at).await == Round::Fenced {
-                        log::warn!("event=giver_lease_lost fence={} reason=fenced", held.fence);
-                        return lease.release(&held).await;
+                    if self.give_all(held, &mut given).await == Round::Fenced {
+                        return "fenced";
                     }
                 }
                 Ok(false) => {}
@@ -216,10 +207,10 @@
         !report.busy && instance.version(&load.model) >= load.version
     }
 
-    /// Gives orders one after the other while there are any and the lease needs no renewal.
-    async fn give_all(&self, held: &Held, given: &mut Given, renew_at: Instant) -> Round {
+    /// Gives orders one after the other while there are any.
+    async fn give_all(&self, held: &Held, given: &mut Given) -> Round {
         let mut round = Round::More;
-        while round == Round::More && Instant::now() < renew_at {
+        while round == Round::More {
             round = self.give_next(held, given).await;
         }
         round
@@ -306,7 +297,7 @@
         if report.busy || instance.version(&planned.model) >= planned.version {
             return Outcome::Pause(LOOK_INTERVAL * 4);
         }
-        if Instant::now() + CALL_LIMIT >= held.proven_until {
+        if Instant::now() + CALL_LIMIT >= held.proven_until() {
             return Outcome::Pause(LOOK_INTERVAL);
         }
         let order = VersionOrder {
--- a/crates/front/src/orders/lease.rs
+++ b/crates/front/src/orders/lease.rs
@@ -1,8 +1,11 @@
 //! The right to give orders: a leased record that names the holder, and a lasting one that names the last who gave orders.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use tokio::sync::watch;
+
 use crate::coordination::{Coordination, CoordinationError, LeaseId, SwapResult};
 
 /// The leased record.
@@ -12,10 +15,16 @@
 const LAST_KEY: &str = "ladderstage/orders/last";
 
 /// How long the lease outlives its holder. Shorter than the time for which a new holder keeps quiet.
-const GIVER_LEASE: Duration = Duration::from_millis(1_200);
+const GIVER_LEASE: Duration = Duration::from_millis(1_500);
+
+/// Longest wait for a renewal: a lost answer must leave time for two more tries.
+const RENEWAL_LIMIT: Duration = Duration::from_millis(400);
+
+/// Pause before a renewal is tried again.
+const RENEWAL_RETRY: Duration = Duration::from_millis(80);
 
 /// Between renewals.
-pub const RENEWAL: Duration = Duration::from_millis(400);
+const RENEWAL: Duration = Duration::from_millis(400);
 
 /// For so long the lease is left to the node that gave orders last, which needs not keep quiet.
 const PRECEDENCE: Duration = Duration::from_millis(700);
@@ -27,11 +36,29 @@
     /// Rises with each holder.
     pub fence: u64,
     /// Until when the lease certainly lasts, by the steady clock from the send of the last renewal.
-    pub proven_until: Instant,
+    proven_until: watch::Sender<Instant>,
     /// Before this an order of the last holder may be too recent.
     quiet_until: Instant,
     /// The lasting record names this node.
-    is_last: bool,
+    is_last: AtomicBool,
+}
+
+impl Held {
+    /// Until when the lease certainly lasts.
+    pub fn proven_until(&self) -> Instant {
+        *self.proven_until.borrow()
+    }
+}
+
+/// Why a lease is held no more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum LeaseLoss {
+    /// The store says that it is over.
+    #[error("over")]
+    Over,
+    /// It could not be renewed in time.
+    #[error("unproven")]
+    Unproven,
 }
 
 /// Takes, renews and proves the lease for one node.
@@ -82,9 +109,9 @@
                 Ok(Some(Held {
                     lease,
                     fence: revision,
-                    proven_until: asked_at + GIVER_LEASE,
+                    proven_until: watch::Sender::new(asked_at + GIVER_LEASE),
                     quiet_until: Instant::now() + quiet,
-                    is_last,
+                    is_last: AtomicBool::new(is_last),
                 }))
             }
             SwapResult::Lost(_) => {
@@ -104,14 +131,33 @@
         }
     }
 
-    /// Renews the lease.
-    ///
-    /// # Errors
-    /// `LeaseOver` when it is lost; others leave it as it was.
-    pub async fn renew(&self, held: &mut Held) -> Result<(), CoordinationError> {
+    /// Renews the lease again and again; returns once it is lost.
+    pub async fn keep(&self, held: &Held) -> LeaseLoss {
+        tokio::time::sleep(RENEWAL).await;
+        loop {
+            match self.renew(held).await {
+                Ok(()) => tokio::time::sleep(RENEWAL).await,
+                Err(CoordinationError::LeaseOver) => return LeaseLoss::Over,
+                Err(error) => {
+                    log::warn!("event=giver_lease_not_renewed cause=\"{error}\"");
+                    tokio::time::sleep(RENEWAL_RETRY).await;
+                }
+            }
+            if Instant::now() >= held.proven_until() {
+                return LeaseLoss::Unproven;
+            }
+        }
+    }
+
+    async fn renew(&self, held: &Held) -> Result<(), CoordinationError> {
         let asked_at = Instant::now();
-        self.coordination.renew(held.lease).await?;
-        held.proven_until = asked_at + GIVER_LEASE;
+        let renewal = self.coordination.renew(held.lease);
+        let renewed = tokio::time::timeout(RENEWAL_LIMIT, renewal).await;
+        renewed.unwrap_or_else(|_| {
+            let cause = "no answer to a renewal in time".to_owned();
+            Err(CoordinationError::Unknown(cause))
+        })?;
+        held.proven_until.send_replace(asked_at + GIVER_LEASE);
         Ok(())
     }
 
@@ -119,16 +165,16 @@
     ///
     /// # Errors
     /// When the store did not take that name; no order may be given then.
-    pub async fn may_order(&self, held: &mut Held) -> Result<bool, CoordinationError> {
+    pub async fn may_order(&self, held: &Held) -> Result<bool, CoordinationError> {
         if Instant::now() < held.quiet_until {
             return Ok(false);
         }
-        if !held.is_last {
+        if !held.is_last.load(Ordering::Relaxed) {
             let value = self.node.clone().into_bytes();
             self.coordination.put(LAST_KEY, value, None).await?;
-            held.is_last = true;
+            held.is_last.store(true, Ordering::Relaxed);
         }
-        Ok(Instant::now() < held.proven_until)
+        Ok(Instant::now() < held.proven_until())
     }
 
     /// Gives the lease back.
