--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -55,7 +55,7 @@
     pub tolerated_losses: usize,
     /// How long a batch job can be read after it was handed in.
     pub job_retention: Duration,
-    /// Least time between orders of two givers.
+    /// Least time between orders of two givers; none is needed where instances refuse those of an earlier one.
     pub order_quiet: Duration,
     /// How long a stop may take.
     pub grace: Duration,
