Let runs go on when an owner takes its log again and nobody else has written to it

Change: an owner keeps a digest of what is committed; a log that is found with or without the append in doubt and nothing else is its own, and its runs go on.

--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -1,6 +1,7 @@
 //! Batch jobs: accepted once a majority of store disks holds them, run item by item, read at any front.
 
 mod confirmation;
+mod digest;
 mod events;
 mod handover;
 mod lengths;
@@ -16,6 +17,7 @@
 mod text;
 
 pub use confirmation::Confirmation;
+pub use digest::{FoundLog, LogDigest};
 pub use events::{Event, EventParser};
 pub use lengths::TextLengths;
 pub use pace::pays_to_move;
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 
+use super::digest::{FoundLog, LogDigest};
 use super::log_name;
 use super::queue::EntryQueue;
 use super::registry::JobContext;
@@ -132,6 +133,8 @@
     context: Arc<JobContext>,
     job: Arc<Job>,
     writer: Option<LogWriter>,
+    /// What is committed.
+    digest: LogDigest,
     /// Entries for the next append.
     queue: EntryQueue,
     /// Entries of the append under way.
@@ -156,6 +159,7 @@
         context: Arc<JobContext>,
         job: Arc<Job>,
         writer: LogWriter,
+        digest: LogDigest,
         spec: Option<JobSpec>,
     ) -> Self {
         let mut queue = EntryQueue::default();
@@ -167,6 +171,7 @@
             context,
             job,
             writer: Some(writer),
+            digest,
             queue,
             in_append: Vec::new(),
             running: HashSet::new(),
@@ -314,6 +319,7 @@
     }
 
     fn commit(&mut self, entries: &[LogEntry]) {
+        self.digest.extend(entries);
         let mut state = self.job.state();
         for entry in entries {
             if let Err(error) = state.apply(entry) {
@@ -341,14 +347,8 @@
         loop {
             match self.context.journal.take_over(&log).await {
                 Ok((writer, entries)) => {
-                    let Ok(state) = JobState::replay(&entries) else {
-                        return Some(OwnerEnd::Lost);
-                    };
-                    *self.job.state() = state;
-                    self.job.notify();
-                    self.start_anew();
                     self.writer = Some(writer);
-                    return None;
+                    return self.go_on_from(&entries);
                 }
                 Err(JournalError::Fenced | JournalError::Retired) => return Some(OwnerEnd::Lost),
                 Err(error) => {
@@ -363,13 +363,33 @@
         }
     }
 
+    /// Goes on from the log as it was found. Runs go on too unless another owner has written to it.
+    fn go_on_from(&mut self, entries: &[LogEntry]) -> Option<OwnerEnd> {
+        let pending = std::mem::take(&mut self.in_append);
+        let found = self.digest.compare(entries, &pending);
+        log::info!("event=job_log_found job={} found={found:?}", self.job.id);
+        match found {
+            FoundLog::WithoutAppend => self.queue.put_back(pending),
+            FoundLog::WithAppend => self.commit(&pending),
+            FoundLog::Other => {
+                let Ok(state) = JobState::replay(entries) else {
+                    return Some(OwnerEnd::Lost);
+                };
+                *self.job.state() = state;
+                self.digest = LogDigest::of(entries);
+                self.job.notify();
+                self.start_anew(pending);
+            }
+        }
+        self.job.state().is_ended().then_some(OwnerEnd::Ended)
+    }
+
     /// Drops runs and what they made since the last commit: another owner may have had the log in between, and its text may
     /// differ. Items go on from what the log holds.
-    fn start_anew(&mut self) {
+    fn start_anew(&mut self, pending: Vec<LogEntry>) {
         self.runs = JoinSet::new();
         self.running.clear();
         self.progress = mpsc::unbounded_channel();
-        let pending = std::mem::take(&mut self.in_append);
         let is_accepted = self.job.state().spec().is_some();
         let is_ended = self.queue.has_end() || self.job.state().is_ended();
         if !is_accepted {
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -10,6 +10,7 @@
 use ladderstage_wire::messages::{EndJob, JobResults, JobSpec, ReadJob, ReadJobBody};
 
 use super::confirmation::Confirmation;
+use super::digest::LogDigest;
 use super::lengths::TextLengths;
 use super::locating::Owned;
 use super::owner::{Command, Job, Owner, OwnerEnd};
@@ -296,7 +297,9 @@
         if !is_known && spec.is_none() {
             return Ok(job);
         }
-        let owner = Owner::new(Arc::clone(&self.context), Arc::clone(&job), writer, spec);
+        let context = Arc::clone(&self.context);
+        let digest = LogDigest::of(&entries);
+        let owner = Owner::new(context, Arc::clone(&job), writer, digest, spec);
         let registry = self.clone();
         let owned = Arc::clone(&job);
         tokio::spawn(async move {
