Try: tell the fronts which instances load weights

Change: the giver tells all fronts, which leave the instance out for the usual time of a load. A loaded instance stays unused until discovery tells of its new version, while a refused start costs a millisecond and is tried again each 150 ms.

--- a/crates/front/src/orders/mod.rs
+++ b/crates/front/src/orders/mod.rs
@@ -6,6 +6,7 @@
 mod giver;
 mod lease;
 mod named;
+mod notices;
 mod plan;
 
 pub use giver::{OrderGiver, OrderOptions};
