--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -86,11 +86,6 @@
         self.changed.subscribe()
     }
 
-    /// An instance by its id.
-    pub fn get(&self, id: &str) -> Option<Arc<Instance>> {
-        self.lock().get(id).cloned()
-    }
-
     /// Instances of a service, sorted by id.
     pub fn of_service(&self, service: &str) -> Vec<Arc<Instance>> {
         let instances = self.lock();
--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ladderstage_wire::messages::mod_Refused::Reason;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
-    Demand, Done, InstanceLoading, InstancePace, JobBody, JobSpec, ModelWork, Refused, Response,
+    Demand, Done, InstancePace, JobBody, JobSpec, ModelWork, Refused, Response,
 };
 
 use super::LOG_PREFIX;
@@ -44,14 +44,6 @@
         }
     }
 
-    /// Leaves an instance out for a model while it loads.
-    fn on_loading(&self, notice: &InstanceLoading) {
-        if let Some(instance) = self.context.backends.get(&notice.instance) {
-            let until = Instant::now() + Duration::from_millis(notice.for_ms);
-            instance.note_loading(&notice.model, until);
-        }
-    }
-
     /// Paces of the instances that hold models.
     fn paces(&self) -> Vec<InstancePace> {
         let Some(config) = self.context.config.current() else {
@@ -102,10 +94,6 @@
                 Err(refused) => ResponseKind::refused(refused),
             },
             RequestKind::read_demand(_) => ResponseKind::demand(self.demand()),
-            RequestKind::instance_loading(notice) => {
-                self.on_loading(&notice);
-                ResponseKind::done(Done {})
-            }
             RequestKind::shard_notice(notice) => {
                 if notice.from_owner {
                     self.take_over(notice.logs);
--- a/crates/front/src/orders/given.rs
+++ b/crates/front/src/orders/given.rs
@@ -3,8 +3,6 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use tokio::task::JoinSet;
-
 use super::demand::FleetDemand;
 use super::plan::{Assignment, Planned};
 
@@ -17,9 +15,6 @@
 /// Between looks at what is to be ordered.
 pub(super) const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Expected time of a load before one was seen.
-const FIRST_LOAD: Duration = Duration::from_millis(600);
-
 /// What a holder remembers of its orders.
 #[derive(Default)]
 pub(super) struct Given {
@@ -36,8 +31,6 @@
     pub may_trade: bool,
     /// Which model each instance serves.
     pub assignment: Assignment,
-    /// Notices to the fronts that are under way.
-    pub notices: JoinSet<()>,
 }
 
 /// An order under way.
@@ -75,11 +68,6 @@
         self.load_time = Some(taken.min((least * 7 + taken) / 8));
     }
 
-    /// How long an instance that has just taken an order takes no new work for its model.
-    pub fn expected_load(&self) -> Duration {
-        self.load_time.unwrap_or(FIRST_LOAD)
-    }
-
     /// Looks at a load again soon: sooner once it is known how long loads take.
     pub fn look_again(&mut self, instance: &str) {
         let pause = match self.load_time {
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -10,9 +10,8 @@
 use super::given::{Given, LOOK_INTERVAL, Load};
 use super::lease::{GiverLease, Held};
 use super::named::VersionsNamed;
-use super::notices::tell_loading;
 use super::plan::{FleetInstance, Planned, plan};
-use crate::backend::{BackendTable, Instance};
+use crate::backend::{BackendTable, Instance, LOADING_PAUSE};
 use crate::config::ConfigInForce;
 use crate::coordination::Coordination;
 use crate::dialect::{SharedCodec, VersionOrder};
@@ -256,13 +255,7 @@
             return Round::Enough;
         };
         match self.give(held, instance, &planned).await {
-            Outcome::Loading(limit) => {
-                let load = given.expected_load();
-                instance.note_loading(&planned.model, Instant::now() + load);
-                let (model, notices) = (&planned.model, &mut given.notices);
-                tell_loading(&self.nodes, notices, instance.id(), model, load);
-                given.begin(planned, limit);
-            }
+            Outcome::Loading(limit) => given.begin(planned, limit),
             Outcome::Pause(pause) => {
                 given
                     .pauses
@@ -325,6 +318,9 @@
             Ok(_) => ("refused", Outcome::Pause(LOOK_INTERVAL * 10)),
             Err(_) => ("in_doubt", Outcome::Loading(DOUBT_TIME)),
         };
+        if label == "taken" {
+            instance.note_loading(&planned.model, Instant::now() + LOADING_PAUSE * 4);
+        }
         self.metrics.orders.with_label_values(&[label]).inc();
         log::info!(
             "event=order_given instance={} model={} version={} had={} fence={} expected={} outcome={label} status={}",
--- a/crates/front/src/orders/mod.rs
+++ b/crates/front/src/orders/mod.rs
@@ -6,7 +6,6 @@
 mod giver;
 mod lease;
 mod named;
-mod notices;
 mod plan;
 
 pub use giver::{OrderGiver, OrderOptions};
