--- a/crates/front/src/logging.rs
+++ b/crates/front/src/logging.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 /// Environment variable with the filter, as `env_logger` reads it.
 const FILTER_VARIABLE: &str = "LADDERSTAGE_LOG";
@@ -21,6 +22,13 @@
 /// Lines left out since the start.
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
 
+/// Lines put into the queue, and lines taken out of it and written.
+static QUEUED_LINES: AtomicU64 = AtomicU64::new(0);
+static WRITTEN_LINES: AtomicU64 = AtomicU64::new(0);
+
+/// Between looks at the queue while it is flushed.
+const FLUSH_LOOK: Duration = Duration::from_millis(2);
+
 /// Lines that wait at most.
 const QUEUE_LINES: usize = 2_048;
 
@@ -32,7 +40,9 @@
 
 impl Write for QueueWriter {
     fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
-        if self.queue.try_send(line.to_vec()).is_err() {
+        if self.queue.try_send(line.to_vec()).is_ok() {
+            QUEUED_LINES.fetch_add(1, Ordering::Relaxed);
+        } else {
             self.dropped.fetch_add(1, Ordering::Relaxed);
             DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
         }
@@ -67,6 +77,16 @@
     DROPPED_LINES.load(Ordering::Relaxed)
 }
 
+/// Waits until all lines so far are written, for `limit` at most: the last ones of a process tell why it ended.
+pub fn flush(limit: Duration) {
+    let deadline = Instant::now() + limit;
+    let is_written =
+        || WRITTEN_LINES.load(Ordering::Relaxed) >= QUEUED_LINES.load(Ordering::Relaxed);
+    while !is_written() && Instant::now() < deadline {
+        std::thread::sleep(FLUSH_LOOK);
+    }
+}
+
 /// Installs the logger; a second call changes nothing.
 pub fn install(node: &str) {
     let node = node.to_owned();
@@ -83,6 +103,7 @@
             if output.write_all(&line).is_err() {
                 return;
             }
+            WRITTEN_LINES.fetch_add(1, Ordering::Relaxed);
         }
     });
     let over_rate = Arc::clone(&dropped);
