Read a body that is too long before its refusal leaves

A body over the limit was refused by its declared length and the connection closed with unread bytes, so that a caller that sends its whole body first could lose the answer (a reset). Ruled out: the test itself (a caller may send its body first), the load of the machine (the new test sends in pieces after the refusal and failed on the old code at once).

Test: a_body_that_is_too_long_is_read_before_its_refusal, failing before, passing after.

--- a/crates/daemon/src/http/bundles.rs
+++ b/crates/daemon/src/http/bundles.rs
@@ -12,6 +12,7 @@
 use rocket::{Request, Route, State, get, post, routes};
 use serde::{Deserialize, Serialize};
 
+use super::body::{LimitedBody, read_limited};
 use crate::bundles::{Bundles, ProposalState, Refusal, RollOutcome};
 
 /// Largest body of a roll: the text may double in size when it is written as JSON.
@@ -129,12 +130,15 @@
 }
 
 async fn read_roll(data: Data<'_>) -> Result<SignedBundle, Answer> {
-    let body = data.open(MAX_BODY_KIB.kibibytes()).into_bytes().await;
-    let body = body.map_err(|error| malformed(Status::BadRequest, error.to_string()))?;
-    if !body.is_complete() {
-        let detail = format!("the body is over {MAX_BODY_KIB} KiB");
-        return Err(malformed(Status::PayloadTooLarge, detail));
-    }
+    let limit = MAX_BODY_KIB.kibibytes().as_u64();
+    let read = read_limited(data, None, limit).await;
+    let body = match read.map_err(|error| malformed(Status::BadRequest, error.to_string()))? {
+        LimitedBody::Whole(bytes) => bytes,
+        LimitedBody::TooLong => {
+            let detail = format!("the body is over {MAX_BODY_KIB} KiB");
+            return Err(malformed(Status::PayloadTooLarge, detail));
+        }
+    };
     let request: RollRequest = serde_json::from_slice(&body)
         .map_err(|error| malformed(Status::BadRequest, error.to_string()))?;
     let signatures = request.signatures.into_iter().map(read_signature);
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -2,6 +2,7 @@
 //! writes its answer.
 
 pub mod applications;
+mod body;
 pub mod bundles;
 pub mod completions;
 pub mod failures;
--- a/crates/daemon/src/http/outcome/request_body.rs
+++ b/crates/daemon/src/http/outcome/request_body.rs
@@ -2,9 +2,9 @@
 
 use bytes::Bytes;
 use rocket::Data;
-use rocket::data::ToByteUnit;
 
 use super::{Refusal, RequestError};
+use crate::http::body::{LimitedBody, read_limited};
 use crate::live::{LivePath, Reservation};
 
 /// A body with the room it takes.
@@ -18,8 +18,6 @@
 
 /// Reads a body of at most `limit` bytes; `declared` is its length as the caller declares it.
 ///
-/// Rocket shortens a longer body without a word, so that is asked for.
-///
 /// # Errors
 /// [`Refusal`] if it is too long, breaks off, or finds no room.
 pub async fn read_body(
@@ -28,20 +26,17 @@
     declared: Option<u64>,
     limit: u64,
 ) -> Result<HeldRequestBody, Refusal> {
-    let length = declared.unwrap_or(limit);
-    if length > limit {
-        return Err(RequestError::BodyTooLong { limit }.into());
-    }
-    let reservation = live.reserve_body(length)?;
-    let read = data.open(limit.bytes()).into_bytes().await;
+    let room = declared.unwrap_or(limit).min(limit);
+    let reservation = live.reserve_body(room)?;
+    let read = read_limited(data, declared, limit).await;
     let body = read.map_err(|error| RequestError::BodyCut {
         detail: error.to_string(),
     })?;
-    if !body.is_complete() {
-        return Err(RequestError::BodyTooLong { limit }.into());
+    match body {
+        LimitedBody::Whole(bytes) => Ok(HeldRequestBody {
+            bytes: bytes.into(),
+            reservation,
+        }),
+        LimitedBody::TooLong => Err(RequestError::BodyTooLong { limit }.into()),
     }
-    Ok(HeldRequestBody {
-        bytes: body.into_inner().into(),
-        reservation,
-    })
 }
--- a/crates/daemon/src/http/trainers.rs
+++ b/crates/daemon/src/http/trainers.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use ladderstage::shard::StepCursor;
-use rocket::data::{Data, ToByteUnit};
+use rocket::data::Data;
 use rocket::{Route, State, get, post, routes};
 
+use super::body::{LimitedBody, read_limited};
 use crate::drain::{Drain, DrainGuard};
 use crate::shards::{MAX_PULL_WAIT, Shards, StepQuestion};
 use answer::{Refusal, TrainerAnswer};
@@ -139,10 +140,9 @@
 }
 
 async fn read_body(data: Data<'_>) -> Result<Vec<u8>, Refusal> {
-    let read = data.open(MAX_STEP_BYTES.bytes()).into_bytes().await;
-    let body = read.map_err(|error| Refusal::bad_request("body", &error.to_string()))?;
-    if !body.is_complete() {
-        return Err(Refusal::too_large(MAX_STEP_BYTES));
+    let read = read_limited(data, None, MAX_STEP_BYTES as u64).await;
+    match read.map_err(|error| Refusal::bad_request("body", &error.to_string()))? {
+        LimitedBody::Whole(bytes) => Ok(bytes),
+        LimitedBody::TooLong => Err(Refusal::too_large(MAX_STEP_BYTES)),
     }
-    Ok(body.into_inner())
 }
--- a/crates/daemon/tests/live/main.rs
+++ b/crates/daemon/tests/live/main.rs
@@ -10,3 +10,4 @@
 #[path = "../standin/mod.rs"]
 mod standin;
 mod stop;
+mod unread_bodies;
