Carry a long log once at a take-over

After a fault that stopped all machines its log could not be taken over for 40 s: each of five replicas sent the whole log with its promise, and each was sent it whole again, some ten times the log over a link of 60 Mbit/s, which outlasted the 0.8 s of a round, and the next try began anew. Ruled out: overload of the stores (at most 0.035 cores), lost disks, fighting owners (one front tried, again and again).

Change: a seal tells length and epoch, the log is read at one replica that holds it, and an install leaves out the entries that the replica holds under the adopted epoch (a request of its own, so that a replica of an earlier version refuses it and gets the whole log). Calls get time for what they carry.

--- a/crates/daemon/tests/journal/network.rs
+++ b/crates/daemon/tests/journal/network.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
@@ -12,6 +13,7 @@
 use ladderstage_platform::key_value::KeyValue;
 use ladderstage_storage::{Storage, StorageOptions};
 use ladderstage_transport::CallError;
+use ladderstage_wire::encode;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
@@ -78,6 +80,8 @@
     write_losing: Mutex<BTreeSet<String>>,
     frozen: watch::Sender<BTreeSet<String>>,
     folders: TempDir,
+    /// Bytes of all requests and answers between nodes so far.
+    carried: AtomicUsize,
     /// With one, nodes make and change the replica set themselves; the first three are the initial replicas.
     key_value_url: Option<String>,
 }
@@ -90,6 +94,7 @@
             write_losing: Mutex::default(),
             frozen: watch::Sender::default(),
             folders: tempfile::tempdir().unwrap(),
+            carried: AtomicUsize::new(0),
             key_value_url,
         })
     }
@@ -244,6 +249,11 @@
         look(&self.node(name).seen.lock().unwrap())
     }
 
+    /// Bytes of all requests and answers between nodes so far.
+    pub fn carried_bytes(&self) -> usize {
+        self.carried.load(Ordering::Relaxed)
+    }
+
     /// Calls to these nodes fail at once.
     pub fn cut(&self, names: &[&str]) {
         *self.cut.lock().unwrap() = names.iter().map(|name| (*name).to_owned()).collect();
@@ -266,8 +276,10 @@
         }
         let is_write = matches!(
             request.kind,
-            RequestKind::install(_) | RequestKind::append(_)
+            RequestKind::install(_) | RequestKind::install_rest(_) | RequestKind::append(_)
         );
+        self.carried
+            .fetch_add(encode(&request).len(), Ordering::Relaxed);
         if is_write && self.write_losing.lock().unwrap().contains(to) {
             return Err(CallError::Unknown("lost".to_owned()));
         }
@@ -285,6 +297,8 @@
             }
             kind => node.journal.handle(kind).await,
         };
+        self.carried
+            .fetch_add(encode(&response).len(), Ordering::Relaxed);
         match response.kind {
             ResponseKind::refused(refused) => Err(CallError::Refused(refused)),
             kind => Ok(Response { kind }),
--- a/crates/daemon/tests/journal/writers.rs
+++ b/crates/daemon/tests/journal/writers.rs
@@ -54,6 +54,27 @@
     assert_eq!(read, Some(vec![entry("a"), entry("b")]));
 }
 
+/// A long log must not be sent by every replica and to every replica again: on a slow link such a take-over takes longer than a
+/// round, and the next try begins anew.
+#[tokio::test]
+async fn a_take_over_carries_a_long_log_once() {
+    const ENTRIES: usize = 40;
+    const ENTRY_BYTES: usize = 32 * 1024;
+    let network = Network::start(7, 5).await;
+    let (mut writer, _) = network.journal("n5").take_over(LOG).await.unwrap();
+    let text = "x".repeat(ENTRY_BYTES);
+    let entries = vec![entry(&text); ENTRIES];
+    writer.append(entries.clone(), false).await.unwrap();
+    drop(writer);
+    let before = network.carried_bytes();
+    let (mut successor, found) = network.journal("n6").take_over(LOG).await.unwrap();
+    assert_eq!(found, entries);
+    successor.append(vec![entry("next")], false).await.unwrap();
+    let carried = network.carried_bytes() - before;
+    let log = ENTRIES * ENTRY_BYTES;
+    assert!(carried < log * 3 / 2, "{carried} bytes for a log of {log}");
+}
+
 #[tokio::test]
 async fn two_take_overs_in_one_process_do_not_share_an_epoch() {
     let network = Network::start(3, 3).await;
--- a/crates/journal/src/calls.rs
+++ b/crates/journal/src/calls.rs
@@ -17,11 +17,16 @@
 use super::peers::Peers;
 use super::replica::ReplicaService;
 
+/// What a link between two nodes carries at least of one call's payload.
+const LEAST_BYTES_PER_SECOND: f64 = 1e6;
+
 /// Why a replica gave no answer that counts.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum ReplicaFailure {
     /// It knows a newer replica set; nothing under the older one is accepted there any more.
     StaleReplicaSet,
+    /// It does not know such a request: an earlier version runs there.
+    NotUnderstood,
     /// It was not reached, is not ready, or answered something else.
     Unavailable(String),
 }
@@ -66,12 +71,22 @@
         &self,
         member: &ReplicaMember,
         kind: RequestKind,
+    ) -> Result<ResponseKind, ReplicaFailure> {
+        self.call_within(member, kind, self.timeout).await
+    }
+
+    /// As [`ReplicaCalls::call`], with `timeout` in the place of the time of a round.
+    pub async fn call_within(
+        &self,
+        member: &ReplicaMember,
+        kind: RequestKind,
+        timeout: Duration,
     ) -> Result<ResponseKind, ReplicaFailure> {
         let result = if self.is_local(member) {
             Ok(self.service.answer(kind).await)
         } else {
             let request = Request { kind };
-            self.peers.call(&member.node, request, self.timeout).await
+            self.peers.call(&member.node, request, timeout).await
         };
         match result {
             Ok(response) => match response.kind {
@@ -139,21 +154,27 @@
     }
 
     fn on_refusal(&self, member: &ReplicaMember, refused: Refused) -> ReplicaFailure {
-        if refused.reason != Reason::STALE_REPLICA_SET {
-            return ReplicaFailure::Unavailable(format!(
-                "{:?}: {}",
-                refused.reason, refused.detail
-            ));
+        match refused.reason {
+            Reason::STALE_REPLICA_SET => {
+                let replica_sets = &self.service.replica_sets;
+                replica_sets.fetch_in_background(Arc::clone(&self.peers), member.node.clone());
+                ReplicaFailure::StaleReplicaSet
+            }
+            Reason::MALFORMED => ReplicaFailure::NotUnderstood,
+            reason => ReplicaFailure::Unavailable(format!("{reason:?}: {}", refused.detail)),
         }
-        let replica_sets = &self.service.replica_sets;
-        replica_sets.fetch_in_background(Arc::clone(&self.peers), member.node.clone());
-        ReplicaFailure::StaleReplicaSet
     }
 }
 
+/// Time for a call that carries `bytes`, given the time of one that carries few.
+pub(crate) fn transfer_timeout(timeout: Duration, bytes: usize) -> Duration {
+    timeout + Duration::from_secs_f64(bytes as f64 / LEAST_BYTES_PER_SECOND)
+}
+
 pub(crate) fn describe(member: &ReplicaMember, failure: &ReplicaFailure) -> String {
     match failure {
         ReplicaFailure::StaleReplicaSet => format!("{} has a newer replica set", member.node),
+        ReplicaFailure::NotUnderstood => format!("{} does not know the request", member.node),
         ReplicaFailure::Unavailable(detail) => format!("{}: {detail}", member.node),
     }
 }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -20,16 +20,19 @@
 mod writer;
 
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use ladderstage::ids::ProcessId;
 use ladderstage::journal::read::{LogRead, LogSurvey};
-use ladderstage::journal::writer::{LogWriterState, SealProgress, Sealing, WriterIdentity};
-use ladderstage::journal::{EpochSource, WriterEpoch};
+use ladderstage::journal::writer::{SealProgress, SealedLog, Sealing, WriterIdentity};
+use ladderstage::journal::{EpochSource, WriterEpoch, quorum};
 use ladderstage_storage::Storage;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{DescribeLogs, LogDescription, LogEntry, ReadLog, ReplicaSet};
 
+use rand::seq::SliceRandom;
+
 use crate::replica_set::ReplicaSets;
 use calls::{ReplicaCalls, Round};
 use heartbeat::Heartbeats;
@@ -47,6 +50,9 @@
 /// Epochs that one take-over tries; the first is often too low, as this process has not seen the log's yet.
 const SEAL_ATTEMPTS: u32 = 3;
 
+/// Longest wait for a sealed log, which may be long, from one replica.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why a journal operation did not succeed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum JournalError {
@@ -172,9 +178,11 @@
     pub async fn take_over(&self, log: &str) -> Result<(LogWriter, Vec<LogEntry>), JournalError> {
         for _ in 0..SEAL_ATTEMPTS {
             let set = self.inner.calls.replica_set()?;
-            let Some(state) = self.seal(log, &set).await? else {
+            let Some(sealed) = self.seal(log, &set).await? else {
                 continue;
             };
+            let entries = self.read_sealed(log, &set, &sealed).await?;
+            let state = sealed.into_writer(entries);
             let calls = Arc::clone(&self.inner.calls);
             let owned = Arc::clone(&self.inner.owned);
             let writer = LogWriter::install(state, &set, calls, owned).await?;
@@ -233,11 +241,7 @@
     }
 
     /// One try at sealing; `None` when the epoch was too low.
-    async fn seal(
-        &self,
-        log: &str,
-        set: &ReplicaSet,
-    ) -> Result<Option<LogWriterState>, JournalError> {
+    async fn seal(&self, log: &str, set: &ReplicaSet) -> Result<Option<SealedLog>, JournalError> {
         let identity = WriterIdentity {
             log: log.to_owned(),
             epoch: self.next_epoch()?,
@@ -248,7 +252,7 @@
         let calls = &self.inner.calls;
         let result = calls
             .round(set, &request, |answer| match answer {
-                ResponseKind::seal(reply) => match sealing.on_reply(reply) {
+                ResponseKind::seal(reply) => match sealing.on_reply(&reply) {
                     SealProgress::Waiting => Round::Continue,
                     SealProgress::Sealed => Round::Finish(true),
                     SealProgress::Fenced(_) => Round::Finish(false),
@@ -263,7 +267,38 @@
         if sealing.is_retired() {
             return Err(JournalError::Retired);
         }
-        Ok(Some(sealing.into_writer()))
+        Ok(Some(sealing.into_sealed()))
+    }
+
+    /// Reads a sealed log at the first of its holders that answers.
+    async fn read_sealed(
+        &self,
+        log: &str,
+        set: &ReplicaSet,
+        sealed: &SealedLog,
+    ) -> Result<Vec<LogEntry>, JournalError> {
+        if sealed.is_empty() {
+            return Ok(Vec::new());
+        }
+        let calls = &self.inner.calls;
+        let sources = sealed.sources();
+        let mut members = quorum::members(set);
+        members.retain(|member| sources.contains(&member.replica_id));
+        members.shuffle(&mut rand::rng());
+        let mut failures = Vec::new();
+        for member in &members {
+            let request = RequestKind::read_log(ReadLog {
+                log: log.to_owned(),
+            });
+            match calls.call_within(member, request, READ_TIMEOUT).await {
+                Ok(ResponseKind::read_log(reply)) if sealed.is_newest(&reply) => {
+                    return Ok(reply.entries);
+                }
+                Ok(_) => failures.push(format!("{}: another log than was sealed", member.node)),
+                Err(failure) => failures.push(calls::describe(member, &failure)),
+            }
+        }
+        Err(JournalError::NoQuorum(failures.join("; ")))
     }
 
     fn next_epoch(&self) -> Result<WriterEpoch, JournalError> {
--- a/crates/journal/src/replica.rs
+++ b/crates/journal/src/replica.rs
@@ -46,7 +46,9 @@
     pub async fn answer(&self, request: RequestKind) -> Response {
         match request {
             RequestKind::seal(request) => self.seal(request).await,
-            RequestKind::install(request) => self.install(request).await,
+            RequestKind::install(request) | RequestKind::install_rest(request) => {
+                self.install(request).await
+            }
             RequestKind::append(request) => self.append(request).await,
             RequestKind::read_log(request) => self.read_log(request).await,
             RequestKind::describe_logs(request) => self.describe_logs(&request),
--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 
 use super::JournalError;
-use super::calls::{ReplicaCalls, ReplicaFailure, describe};
+use super::calls::{ReplicaCalls, ReplicaFailure, describe, transfer_timeout};
 use super::registry::OwnedLogs;
 
 /// Tries at one replica before its task ends; the next append starts another.
@@ -185,16 +185,26 @@
     async fn replicate(self: &Arc<Self>) -> Result<(), JournalError> {
         let started = Instant::now();
         let changed = self.changed.subscribe();
+        let timeout = self.round_timeout();
         for member in quorum::members(&self.set) {
             self.start_task(member);
         }
-        let decided = tokio::time::timeout(self.calls.timeout, self.decided(changed)).await;
+        let decided = tokio::time::timeout(timeout, self.decided(changed)).await;
         let result = decided
             .unwrap_or_else(|_| Err(JournalError::NoQuorum(self.lock().last_failure.clone())));
         self.calls.metrics.note_round(&result, started.elapsed());
         result
     }
 
+    /// Time for all replicas to be sent what they lack.
+    fn round_timeout(&self) -> Duration {
+        let progress = self.lock();
+        let replicas = quorum::members(&self.set).into_iter();
+        let writes = replicas.filter_map(|member| progress.state.next_write(member.replica_id));
+        let bytes = writes.map(|write| payload_bytes(&write)).sum();
+        transfer_timeout(self.calls.timeout, bytes)
+    }
+
     async fn decided(&self, mut changed: watch::Receiver<()>) -> Result<(), JournalError> {
         loop {
             changed.mark_unchanged();
@@ -233,7 +243,9 @@
     async fn write_to(self: Arc<Self>, member: ReplicaMember) {
         let mut failures = 0;
         while let Some(write) = self.next_write(&member, failures < ATTEMPTS) {
-            let result = self.calls.call(&member, request_of(&write)).await;
+            let request = request_of(&write);
+            let timeout = transfer_timeout(self.calls.timeout, payload_bytes(&write));
+            let result = self.calls.call_within(&member, request, timeout).await;
             if !self.record(&member, &write, result) {
                 failures += 1;
                 let pause = rand::random_range(RETRY_PAUSE_MS);
@@ -278,6 +290,9 @@
             }
             Err(failure) => {
                 progress.last_failure = describe(member, &failure);
+                if failure == ReplicaFailure::NotUnderstood {
+                    progress.state.on_whole_log_needed(member.replica_id);
+                }
                 let is_stale = failure == ReplicaFailure::StaleReplicaSet;
                 if is_stale {
                     progress.is_set_stale = true;
@@ -300,8 +315,19 @@
 /// A writer that may be gone.
 pub(crate) type WeakWriter = Weak<WriterShared>;
 
+fn payload_bytes(write: &ReplicaWrite) -> usize {
+    let entries = match write {
+        ReplicaWrite::Install(install) => &install.entries,
+        ReplicaWrite::Append(append) => &append.entries,
+    };
+    entries.iter().map(|entry| entry.payload.len()).sum()
+}
+
 fn request_of(write: &ReplicaWrite) -> RequestKind {
     match write {
+        ReplicaWrite::Install(install) if install.kept_length > 0 => {
+            RequestKind::install_rest(install.clone())
+        }
         ReplicaWrite::Install(install) => RequestKind::install(install.clone()),
         ReplicaWrite::Append(append) => RequestKind::append(append.clone()),
     }
--- a/crates/ladderstage/src/journal/replica.rs
+++ b/crates/ladderstage/src/journal/replica.rs
@@ -33,6 +33,11 @@
     Keep,
     /// The message's entries take the place of all.
     Replace,
+    /// The message's entries take the place of those from position `kept` on.
+    ReplaceFrom {
+        /// How many of the stored entries stay.
+        kept: u64,
+    },
     /// The message's entries from position `skip` on follow the stored ones.
     Extend {
         /// How many of the message's entries are already stored.
@@ -102,17 +107,25 @@
     }
 }
 
-/// Replaces the log. Under the epoch it was already installed by, a log never gets shorter: such a message was
-/// delayed or doubled, and entries appended since may be committed.
+/// Replaces the log, or the part of it that follows entries which the replica holds already. Under the epoch it was already
+/// installed by, a log never gets shorter: such a message was delayed or doubled, and entries appended since may be committed.
 pub fn install(state: &LogState, request: &Install) -> Decision {
     let epoch = WriterEpoch::from(&request.epoch);
     if epoch < state.promised || epoch.is_none() {
         return refuse(state, Outcome::FENCED);
     }
-    let length = request.entries.len() as u64;
+    let kept = request.kept_length;
+    let length = kept.saturating_add(request.entries.len() as u64);
     if state.log_epoch == epoch && state.length >= length {
         return refuse(state, Outcome::STORED);
     }
+    if kept > 0 && !holds(state, request, epoch) {
+        return refuse(state, Outcome::NEEDS_INSTALL);
+    }
+    let entries = match kept {
+        0 => EntryChange::Replace,
+        kept => EntryChange::ReplaceFrom { kept },
+    };
     Decision {
         outcome: Outcome::STORED,
         state: LogState {
@@ -123,10 +136,18 @@
             closed: false,
             retired: false,
         },
-        entries: EntryChange::Replace,
+        entries,
     }
 }
 
+/// Whether the replica holds the entries that an install leaves out. Two logs of one epoch are prefixes of what that epoch's
+/// only writer wrote, so epoch and length decide.
+fn holds(state: &LogState, request: &Install, epoch: WriterEpoch) -> bool {
+    let kept_epoch = WriterEpoch::from(&request.kept_epoch);
+    let is_same_log = state.log_epoch == kept_epoch || state.log_epoch == epoch;
+    is_same_log && state.length >= request.kept_length && !state.retired
+}
+
 /// Appends to a log that was installed under this very epoch. Entries that are already there are acknowledged again.
 pub fn append(state: &LogState, request: &Append) -> Decision {
     let epoch = WriterEpoch::from(&request.epoch);
--- a/crates/ladderstage/src/journal/writer.rs
+++ b/crates/ladderstage/src/journal/writer.rs
@@ -1,9 +1,11 @@
-//! The writer's side of one log: seal a quorum, adopt the newest log found there, install it, append.
+//! The writer's side of one log: seal a quorum, read the newest log found there, install it where it is missing, append.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use ladderstage_wire::messages::mod_WriteReply::Outcome;
-use ladderstage_wire::messages::{Append, Install, LogEntry, Seal, SealReply, WriteReply};
+use ladderstage_wire::messages::{
+    Append, Install, LogEntry, ReadLogReply, Seal, SealReply, WriteReply,
+};
 
 use super::epoch::WriterEpoch;
 use super::quorum::{Quorum, ReplicaId};
@@ -35,10 +37,18 @@
 pub struct Sealing {
     identity: WriterIdentity,
     quorum: Quorum,
-    promised: BTreeSet<ReplicaId>,
+    found: BTreeMap<ReplicaId, FoundLog>,
     refused: BTreeSet<ReplicaId>,
     highest: WriterEpoch,
-    newest: Option<SealReply>,
+}
+
+/// What one replica holds of a log.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct FoundLog {
+    epoch: WriterEpoch,
+    /// A retired log was finished by the writer of its epoch, so no other log of that epoch holds more.
+    is_retired: bool,
+    length: u64,
 }
 
 impl Sealing {
@@ -47,10 +57,9 @@
         Self {
             identity,
             quorum,
-            promised: BTreeSet::new(),
+            found: BTreeMap::new(),
             refused: BTreeSet::new(),
             highest: WriterEpoch::default(),
-            newest: None,
         }
     }
 
@@ -61,11 +70,12 @@
             log: self.identity.log.clone(),
             epoch: self.identity.epoch.to_wire(),
             owner_node: self.identity.node.clone(),
+            without_entries: true,
         }
     }
 
     /// Takes one answer.
-    pub fn on_reply(&mut self, reply: SealReply) -> SealProgress {
+    pub fn on_reply(&mut self, reply: &SealReply) -> SealProgress {
         if self.quorum.contains(reply.replica_id) {
             self.count(reply);
         }
@@ -79,35 +89,42 @@
 
     /// Whether the adopted log was retired; such a log takes no writer.
     pub fn is_retired(&self) -> bool {
-        self.newest.as_ref().is_some_and(|reply| reply.retired)
+        self.newest().is_retired
+    }
+
+    /// Goes on to reading the newest log found. Call once [`SealProgress::Sealed`] was reached.
+    pub fn into_sealed(self) -> SealedLog {
+        SealedLog {
+            newest: self.newest(),
+            identity: self.identity,
+            quorum: self.quorum,
+            found: self.found,
+        }
     }
 
-    /// Goes on to installing the newest log found. Call once [`SealProgress::Sealed`] was reached.
-    pub fn into_writer(self) -> LogWriterState {
-        let entries = self.newest.map(|reply| reply.entries).unwrap_or_default();
-        LogWriterState::new(self.identity, self.quorum, entries)
+    fn newest(&self) -> FoundLog {
+        self.found.values().max().copied().unwrap_or_default()
     }
 
-    fn count(&mut self, reply: SealReply) {
+    fn count(&mut self, reply: &SealReply) {
         if !reply.accepted {
             self.highest = self.highest.max(WriterEpoch::from(&reply.promised));
             self.refused.insert(reply.replica_id);
             return;
         }
-        if !self.promised.insert(reply.replica_id) {
-            return;
-        }
-        let is_newer = match &self.newest {
-            Some(newest) => rank(&reply) > rank(newest),
-            None => true,
+        // A replica of an earlier version tells its entries and no length.
+        let length = reply.length.max(reply.entries.len() as u64);
+        let found = FoundLog {
+            epoch: WriterEpoch::from(&reply.log_epoch),
+            is_retired: reply.retired,
+            length,
         };
-        if is_newer {
-            self.newest = Some(reply);
-        }
+        self.found.entry(reply.replica_id).or_insert(found);
     }
 
     fn progress(&self) -> SealProgress {
-        if self.quorum.is_met_by(&self.promised) {
+        let promised = self.found.keys().copied().collect();
+        if self.quorum.is_met_by(&promised) {
             SealProgress::Sealed
         } else if self.quorum.is_blocked_by(&self.refused) {
             SealProgress::Fenced(self.highest)
@@ -117,10 +134,52 @@
     }
 }
 
-/// A retired log was finished by the writer of its epoch, so no other log of that epoch holds more.
-fn rank(reply: &SealReply) -> (WriterEpoch, bool, usize) {
-    let epoch = WriterEpoch::from(&reply.log_epoch);
-    (epoch, reply.retired, reply.entries.len())
+/// A log that a quorum has sealed; its newest entries are read next, at one replica that holds them.
+#[derive(Debug, Clone)]
+pub struct SealedLog {
+    identity: WriterIdentity,
+    quorum: Quorum,
+    found: BTreeMap<ReplicaId, FoundLog>,
+    newest: FoundLog,
+}
+
+impl SealedLog {
+    /// Whether there is nothing to be read.
+    pub fn is_empty(&self) -> bool {
+        self.newest.length == 0
+    }
+
+    /// Replicas that hold the newest log.
+    pub fn sources(&self) -> BTreeSet<ReplicaId> {
+        let holders = self.found.iter();
+        holders
+            .filter(|(_, found)| **found == self.newest)
+            .map(|(replica, _)| *replica)
+            .collect()
+    }
+
+    /// Whether an answer of one of the sources is the newest log: no other writer has touched it since it was sealed.
+    pub fn is_newest(&self, reply: &ReadLogReply) -> bool {
+        self.sources().contains(&reply.replica_id)
+            && WriterEpoch::from(&reply.promised) == self.identity.epoch
+            && WriterEpoch::from(&reply.log_epoch) == self.newest.epoch
+            && reply.entries.len() as u64 == self.newest.length
+    }
+
+    /// Entries of the newest log that a replica holds. One that has not answered yet is taken to hold all; it says if not.
+    fn kept_by(&self, replica: ReplicaId) -> u64 {
+        match self.found.get(&replica) {
+            Some(found) if found.epoch == self.newest.epoch => found.length,
+            Some(_) => 0,
+            None => self.newest.length,
+        }
+    }
+
+    /// Goes on to installing the log; `entries` are those of an answer that [`SealedLog::is_newest`] accepted, or none if
+    /// the log is empty.
+    pub fn into_writer(self, entries: Vec<LogEntry>) -> LogWriterState {
+        LogWriterState::new(self, entries)
+    }
 }
 
 /// One message to one replica.
@@ -136,7 +195,7 @@
     /// Number of entries that the replica holds once it stored this.
     pub fn end(&self) -> u64 {
         match self {
-            Self::Install(install) => install.entries.len() as u64,
+            Self::Install(install) => install.kept_length + install.entries.len() as u64,
             Self::Append(append) => append.first_index + append.entries.len() as u64,
         }
     }
@@ -151,6 +210,8 @@
 struct ReplicaProgress {
     /// Entries held under the writer's epoch; `None`: the log must be installed first.
     held: Option<u64>,
+    /// Entries that the replica holds, or is taken to hold, of the log that was adopted; an install leaves them out.
+    kept: u64,
     closed: bool,
     fenced: bool,
 }
@@ -163,19 +224,27 @@
     quorum: Quorum,
     entries: Vec<LogEntry>,
     closed: bool,
+    /// Epoch of the log that was adopted.
+    adopted_epoch: WriterEpoch,
     progress: BTreeMap<ReplicaId, ReplicaProgress>,
 }
 
 impl LogWriterState {
-    fn new(identity: WriterIdentity, quorum: Quorum, entries: Vec<LogEntry>) -> Self {
-        let progress = quorum
-            .replicas()
-            .into_iter()
-            .map(|replica| (replica, ReplicaProgress::default()))
+    fn new(sealed: SealedLog, entries: Vec<LogEntry>) -> Self {
+        let replicas = sealed.quorum.replicas().into_iter();
+        let progress = replicas
+            .map(|replica| {
+                let progress = ReplicaProgress {
+                    kept: sealed.kept_by(replica),
+                    ..ReplicaProgress::default()
+                };
+                (replica, progress)
+            })
             .collect();
         Self {
-            identity,
-            quorum,
+            adopted_epoch: sealed.newest.epoch,
+            identity: sealed.identity,
+            quorum: sealed.quorum,
             entries,
             closed: false,
             progress,
@@ -210,7 +279,7 @@
             return None;
         }
         let Some(held) = progress.held else {
-            return Some(ReplicaWrite::Install(self.install()));
+            return Some(ReplicaWrite::Install(self.install(progress.kept)));
         };
         let is_behind = held < self.entries.len() as u64 || (self.closed && !progress.closed);
         is_behind.then(|| ReplicaWrite::Append(self.append_from(held)))
@@ -230,11 +299,19 @@
                 progress.closed |= sent.closes();
             }
             Outcome::FENCED => progress.fenced = true,
-            Outcome::NEEDS_INSTALL => progress.held = None,
+            Outcome::NEEDS_INSTALL => self.on_whole_log_needed(replica),
             Outcome::FAILED | Outcome::UNSPECIFIED => {}
         }
     }
 
+    /// Notes that the replica needs the whole log, as it cannot tell what it holds of it.
+    pub fn on_whole_log_needed(&mut self, replica: ReplicaId) {
+        if let Some(progress) = self.progress.get_mut(&replica) {
+            progress.held = None;
+            progress.kept = 0;
+        }
+    }
+
     /// Notes that the replica refuses this writer for good, as when its replica set is newer.
     pub fn on_fenced(&mut self, replica: ReplicaId) {
         if let Some(progress) = self.progress.get_mut(&replica) {
@@ -275,13 +352,15 @@
             .collect()
     }
 
-    fn install(&self) -> Install {
+    fn install(&self, kept: u64) -> Install {
         Install {
             replica_set_version: self.quorum.version(),
             log: self.identity.log.clone(),
             epoch: self.identity.epoch.to_wire(),
             owner_node: self.identity.node.clone(),
-            entries: self.entries.clone(),
+            entries: self.entries[kept as usize..].to_vec(),
+            kept_epoch: self.adopted_epoch.to_wire(),
+            kept_length: kept,
         }
     }
 
--- a/crates/ladderstage/tests/journal/rules.rs
+++ b/crates/ladderstage/tests/journal/rules.rs
@@ -27,8 +27,11 @@
 fn sealed_writer(epoch: WriterEpoch, replica: &mut SimulatedReplica) -> LogWriterState {
     let mut sealing = Sealing::new(identity(epoch), quorum_of(1..=1));
     let reply = replica.seal(&sealing.request());
-    assert_eq!(sealing.on_reply(reply), SealProgress::Sealed);
-    sealing.into_writer()
+    assert_eq!(sealing.on_reply(&reply), SealProgress::Sealed);
+    let sealed = sealing.into_sealed();
+    let reply = replica.read();
+    assert!(sealed.is_empty() || sealed.is_newest(&reply));
+    sealed.into_writer(reply.entries)
 }
 
 fn pump(writer: &mut LogWriterState, replica: &mut SimulatedReplica) -> Vec<ReplicaWrite> {
@@ -136,6 +139,87 @@
     assert_eq!(reply.outcome, Outcome::NEEDS_INSTALL, "lacks an entry");
 }
 
+/// A writer of `epoch` over three replicas, sealed at the first two.
+fn writer_over_three(epoch: WriterEpoch, replicas: &mut [SimulatedReplica]) -> LogWriterState {
+    let mut sealing = Sealing::new(identity(epoch), quorum_of(1..=3));
+    let request = sealing.request();
+    for replica in &mut replicas[..2] {
+        sealing.on_reply(&replica.seal(&request));
+    }
+    let sealed = sealing.into_sealed();
+    let sources = sealed.sources();
+    let mut replies = replicas.iter().map(SimulatedReplica::read);
+    let newest = replies.find(|reply| sources.contains(&reply.replica_id));
+    let newest = newest.expect("a source");
+    assert!(sealed.is_empty() || sealed.is_newest(&newest));
+    sealed.into_writer(newest.entries)
+}
+
+fn sent_entries(writes: &[ReplicaWrite]) -> usize {
+    let entries = writes.iter().map(|write| match write {
+        ReplicaWrite::Install(install) => install.entries.len(),
+        ReplicaWrite::Append(append) => append.entries.len(),
+    });
+    entries.sum()
+}
+
+#[test]
+fn a_take_over_sends_a_replica_only_what_it_lacks() {
+    let mut replicas = [1, 2, 3].map(new_replica);
+    let mut first = writer_over_three(epoch(1, 1), &mut replicas);
+    first.add(vec![entry("a"), entry("b")], false);
+    for replica in &mut replicas {
+        pump(&mut first, replica);
+    }
+    first.add(vec![entry("c")], false);
+    pump(&mut first, &mut replicas[0]);
+    let mut second = writer_over_three(epoch(2, 2), &mut replicas);
+    assert_eq!(second.entries(), [entry("a"), entry("b"), entry("c")]);
+    let sent: Vec<usize> = replicas
+        .iter_mut()
+        .map(|replica| sent_entries(&pump(&mut second, replica)))
+        .collect();
+    assert_eq!(
+        sent,
+        [0, 1, 3],
+        "holds all, lacks one, was not asked and lacks one"
+    );
+    assert!(second.is_committed());
+    for replica in &replicas {
+        assert_eq!(replica.entries, second.entries());
+        assert_eq!(replica.state.log_epoch, epoch(2, 2));
+    }
+}
+
+#[test]
+fn entries_of_another_epoch_are_never_kept() {
+    let mut replicas = [1, 2, 3].map(new_replica);
+    let mut lost = writer_over_three(epoch(1, 1), &mut replicas);
+    lost.add(vec![entry("x"), entry("y")], false);
+    pump(&mut lost, &mut replicas[2]);
+    let mut writer = writer_over_three(epoch(2, 2), &mut replicas);
+    writer.add(vec![entry("a"), entry("b")], false);
+    pump(&mut writer, &mut replicas[0]);
+    pump(&mut writer, &mut replicas[1]);
+    let mut next = writer_over_three(epoch(3, 3), &mut replicas);
+    pump(&mut next, &mut replicas[2]);
+    assert_eq!(replicas[2].entries, [entry("a"), entry("b")]);
+}
+
+#[test]
+fn a_log_that_another_writer_has_sealed_since_is_not_adopted() {
+    let mut replica = new_replica(1);
+    let mut writer = sealed_writer(epoch(1, 1), &mut replica);
+    writer.add(vec![entry("a")], false);
+    pump(&mut writer, &mut replica);
+    let mut sealing = Sealing::new(identity(epoch(2, 2)), quorum_of(1..=1));
+    sealing.on_reply(&replica.seal(&sealing.request()));
+    let sealed = sealing.into_sealed();
+    assert!(sealed.is_newest(&replica.read()));
+    sealed_writer(epoch(3, 3), &mut replica);
+    assert!(!sealed.is_newest(&replica.read()));
+}
+
 #[test]
 fn an_answer_under_another_replica_id_counts_for_nothing() {
     let mut replica = new_replica(1);
@@ -158,9 +242,9 @@
         retired,
         ..Default::default()
     };
-    sealing.on_reply(reply(1, true, &["opened"]));
+    sealing.on_reply(&reply(1, true, &["opened"]));
     assert_eq!(
-        sealing.on_reply(reply(2, false, &["opened", "a", "b"])),
+        sealing.on_reply(&reply(2, false, &["opened", "a", "b"])),
         SealProgress::Sealed
     );
     assert!(sealing.is_retired());
--- a/crates/ladderstage/tests/journal/simulated_replica.rs
+++ b/crates/ladderstage/tests/journal/simulated_replica.rs
@@ -5,7 +5,7 @@
 use ladderstage::journal::writer::ReplicaWrite;
 pub use ladderstage_wire::messages::mod_WriteReply::Outcome;
 use ladderstage_wire::messages::{
-    ExportedLog, LogEntry, ReplicaMember, ReplicaSet, Seal, SealReply, WriteReply,
+    ExportedLog, LogEntry, ReadLogReply, ReplicaMember, ReplicaSet, Seal, SealReply, WriteReply,
 };
 
 /// A replica with its durable state only, so that a restart changes nothing but messages under way.
@@ -59,6 +59,17 @@
             accepted,
             promised: self.state.promised.to_wire(),
             log_epoch: self.state.log_epoch.to_wire(),
+            length: self.state.length,
+            ..SealReply::default()
+        }
+    }
+
+    pub fn read(&self) -> ReadLogReply {
+        ReadLogReply {
+            replica_id: self.id,
+            found: !self.state.log_epoch.is_none(),
+            promised: self.state.promised.to_wire(),
+            log_epoch: self.state.log_epoch.to_wire(),
             entries: self.entries.clone(),
             retired: false,
         }
@@ -79,6 +90,10 @@
         match decision.entries {
             EntryChange::Keep => {}
             EntryChange::Replace => self.entries = entries.to_vec(),
+            EntryChange::ReplaceFrom { kept } => {
+                self.entries.truncate(kept as usize);
+                self.entries.extend_from_slice(entries);
+            }
             EntryChange::Extend { skip } => self.entries.extend_from_slice(&entries[skip..]),
         }
         self.state = decision.state.clone();
--- a/crates/ladderstage/tests/journal/support.rs
+++ b/crates/ladderstage/tests/journal/support.rs
@@ -4,10 +4,10 @@
 
 use ladderstage::journal::replica_set;
 use ladderstage::journal::writer::{
-    LogWriterState, ReplicaWrite, SealProgress, Sealing, WriterIdentity,
+    LogWriterState, ReplicaWrite, SealProgress, SealedLog, Sealing, WriterIdentity,
 };
 use ladderstage::journal::{EpochSource, Quorum, WriterEpoch};
-use ladderstage_wire::messages::{LogEntry, ReplicaSet, Seal, SealReply, WriteReply};
+use ladderstage_wire::messages::{LogEntry, ReadLogReply, ReplicaSet, Seal, SealReply, WriteReply};
 
 use crate::simulated_replica::{SimulatedReplica, member_of, new_replica};
 
@@ -20,6 +20,7 @@
 enum Phase {
     Idle,
     Sealing(Sealing),
+    Reading(SealedLog),
     Writing(LogWriterState),
 }
 
@@ -37,6 +38,8 @@
 enum Message {
     Seal(Seal),
     SealReply(SealReply),
+    Read,
+    ReadReply(ReadLogReply),
     Write(ReplicaWrite),
     WriteReply(ReplicaWrite, WriteReply),
 }
@@ -48,7 +51,7 @@
             Self::Seal(seal) => Some(seal.replica_set_version),
             Self::Write(ReplicaWrite::Install(install)) => Some(install.replica_set_version),
             Self::Write(ReplicaWrite::Append(append)) => Some(append.replica_set_version),
-            Self::SealReply(_) | Self::WriteReply(..) => None,
+            Self::Read | Self::SealReply(_) | Self::ReadReply(_) | Self::WriteReply(..) => None,
         }
     }
 }
@@ -255,10 +258,13 @@
         let request = sealing.request();
         let mut progress = SealProgress::Waiting;
         for replica in asked {
-            progress = sealing.on_reply((*replica).clone().seal(&request));
+            progress = sealing.on_reply(&(*replica).clone().seal(&request));
         }
         assert_eq!(progress, SealProgress::Sealed);
-        sealing.into_writer().entries().to_vec()
+        let sealed = sealing.into_sealed();
+        let sources = sealed.sources();
+        let source = asked.iter().find(|replica| sources.contains(&replica.id));
+        source.expect("a holder of the newest log").entries.clone()
     }
 
     fn take_over(&mut self, index: usize) {
@@ -325,8 +331,11 @@
         }
         let reply = match &envelope.message {
             Message::Seal(seal) => Message::SealReply(replica.seal(seal)),
+            Message::Read => Message::ReadReply(replica.read()),
             Message::Write(write) => Message::WriteReply(write.clone(), replica.write(write)),
-            Message::SealReply(_) | Message::WriteReply(..) => return self.answer(envelope),
+            Message::SealReply(_) | Message::ReadReply(_) | Message::WriteReply(..) => {
+                return self.answer(envelope);
+            }
         };
         self.network.push(Envelope {
             message: reply,
@@ -340,9 +349,17 @@
             return;
         }
         let phase = std::mem::replace(&mut writer.phase, Phase::Idle);
+        let mut sources = BTreeSet::new();
         writer.phase = match (phase, envelope.message) {
             (Phase::Sealing(sealing), Message::SealReply(reply)) => {
-                on_seal_reply(sealing, reply, writer)
+                let phase = on_seal_reply(sealing, &reply, writer);
+                if let Phase::Reading(sealed) = &phase {
+                    sources = sealed.sources();
+                }
+                phase
+            }
+            (Phase::Reading(sealed), Message::ReadReply(reply)) if sealed.is_newest(&reply) => {
+                Phase::Writing(sealed.into_writer(reply.entries))
             }
             (Phase::Writing(mut state), Message::WriteReply(sent, reply)) => {
                 state.on_reply(self.replicas[envelope.replica].id, &sent, &reply);
@@ -350,6 +367,14 @@
             }
             (phase, _) => phase,
         };
+        for replica in sources.into_iter().map(index_of) {
+            self.network.push(Envelope {
+                writer: envelope.writer,
+                generation: envelope.generation,
+                replica,
+                message: Message::Read,
+            });
+        }
         self.record_commit(envelope.writer);
     }
 
@@ -371,10 +396,17 @@
     }
 }
 
-fn on_seal_reply(mut sealing: Sealing, reply: SealReply, writer: &mut SimulatedWriter) -> Phase {
+fn on_seal_reply(mut sealing: Sealing, reply: &SealReply, writer: &mut SimulatedWriter) -> Phase {
     match sealing.on_reply(reply) {
         SealProgress::Waiting => Phase::Sealing(sealing),
-        SealProgress::Sealed => Phase::Writing(sealing.into_writer()),
+        SealProgress::Sealed => {
+            let sealed = sealing.into_sealed();
+            if sealed.is_empty() {
+                Phase::Writing(sealed.into_writer(Vec::new()))
+            } else {
+                Phase::Reading(sealed)
+            }
+        }
         SealProgress::Fenced(highest) => {
             writer.epochs.observe(highest);
             Phase::Idle
--- a/crates/storage/src/batch.rs
+++ b/crates/storage/src/batch.rs
@@ -72,7 +72,7 @@
         let decision = replica::seal(&before, request);
         self.store(&request.log, &before, &decision, &[])?;
         let accepted = decision.outcome == Outcome::STORED;
-        let entries = if accepted {
+        let entries = if accepted && !request.without_entries {
             self.read_entries(&request.log)?
         } else {
             Vec::new()
@@ -84,6 +84,7 @@
             log_epoch: decision.state.log_epoch.to_wire(),
             entries,
             retired: decision.state.retired,
+            length: decision.state.length,
         }))
     }
 
@@ -222,6 +223,10 @@
                 self.remove_entries(log, 0)?;
                 self.insert_entries(log, 0, entries)?;
             }
+            EntryChange::ReplaceFrom { kept } => {
+                self.remove_entries(log, kept)?;
+                self.insert_entries(log, kept, entries)?;
+            }
             EntryChange::Extend { skip } => {
                 self.insert_entries(log, before.length, &entries[skip..])?;
             }
--- a/crates/storage/tests/storage.rs
+++ b/crates/storage/tests/storage.rs
@@ -58,6 +58,7 @@
         log: log.to_owned(),
         epoch: epoch(round).to_wire(),
         owner_node: "a".to_owned(),
+        without_entries: false,
     }
 }
 
@@ -68,6 +69,7 @@
         epoch: epoch(round).to_wire(),
         owner_node: "a".to_owned(),
         entries,
+        ..Install::default()
     }
 }
 
@@ -358,6 +360,38 @@
     }
 }
 
+/// An install may leave out what the replica holds of the log that was adopted, and a seal its entries.
+#[tokio::test]
+async fn an_install_keeps_the_first_entries_of_the_same_log() {
+    let folder = tempfile::tempdir().unwrap();
+    let storage = open_replica(folder.path(), StorageOptions::default()).await;
+    storage
+        .install(install(LOG, 1, entries(0..4)))
+        .await
+        .unwrap();
+    let sealed = Seal {
+        without_entries: true,
+        ..seal(LOG, 2)
+    };
+    let found = storage.seal(sealed).await.unwrap();
+    assert_eq!((found.length, found.entries.len()), (4, 0));
+    let rest = |kept_length, kept_round| Install {
+        kept_length,
+        kept_epoch: epoch(kept_round).to_wire(),
+        ..install(LOG, 2, entries(10..12))
+    };
+    for refused in [rest(3, 7), rest(5, 1)] {
+        let reply = storage.install(refused).await.unwrap();
+        assert_eq!(reply.outcome, Outcome::NEEDS_INSTALL);
+    }
+    let reply = storage.install(rest(3, 1)).await.unwrap();
+    assert_eq!((reply.outcome, reply.length), (Outcome::STORED, 5));
+    let expected: Vec<LogEntry> = entries(0..3).into_iter().chain(entries(10..12)).collect();
+    drop(storage);
+    let storage = open_replica(folder.path(), StorageOptions::default()).await;
+    assert_eq!(storage.read_log(LOG).await.unwrap().entries, expected);
+}
+
 /// A disk that was full for a moment is used again by the same process, with all that was answered.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_disk_that_refused_a_write_is_used_again() {
@@ -373,6 +407,7 @@
         entries: vec![LogEntry {
             payload: b"entry".to_vec(),
         }],
+        ..Install::default()
     };
     storage.install(install("kept")).await.unwrap();
     faults.fail_commits(1);
@@ -412,6 +447,7 @@
             epoch: epoch.clone(),
             owner_node: "own".to_owned(),
             entries: Vec::new(),
+            ..Install::default()
         };
         storage.install(install).await.unwrap();
         let append = Append {
