Learn how many instances may load at once, follow changes closely only for work that needs them, spread replicas over zones

The first five replicas were those with the first names, all in one zone.

Change: LoadLimit raises the number while loads that use it up take no longer than alone, and falls to what their slowness shows. Fronts without batch jobs or orders look at changes of instances each (notice - 0.4 s) / 2; only the giver of orders follows the named versions (Activity). Replicas are chosen zone by zone, at first and as spares.

Tests: load_limit (fleets that bear 1 to 40 loads, measurements that are off), activity, zones.

--- a/crates/front/src/coordination.rs
+++ b/crates/front/src/coordination.rs
@@ -147,6 +147,17 @@
     coordination: Arc<dyn Coordination>,
     prefix: &str,
     gather: Duration,
+    on_update: impl FnMut(Update),
+) {
+    let pause = || tokio::time::sleep(gather);
+    follow_with(coordination, prefix, pause, on_update).await;
+}
+
+/// As [`follow`], with any pause between two answers.
+pub async fn follow_with<P: Future<Output = ()>>(
+    coordination: Arc<dyn Coordination>,
+    prefix: &str,
+    pause: impl Fn() -> P,
     mut on_update: impl FnMut(Update),
 ) {
     let mut after = None;
@@ -179,7 +190,7 @@
                         after.unwrap_or(0)
                     );
                 }
-                tokio::time::sleep(gather).await;
+                pause().await;
             }
             Err(error) => {
                 if !std::mem::replace(&mut is_lost, true) {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -7,6 +7,7 @@
 use ladderstage_transport::Server;
 use tokio::net::TcpListener;
 
+use crate::activity::Activity;
 use crate::backend::BackendTable;
 use crate::config::ConfigInForce;
 use crate::coordination::Coordination;
@@ -28,6 +29,15 @@
 /// Between looks at requests that are still being answered.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
+/// Work at this node, by what it needs to hear of soon.
+#[derive(Debug, Clone, Default)]
+pub struct Activities {
+    /// Batch jobs and orders: they need to hear of instances.
+    pub with_instances: Activity,
+    /// Orders: they need to hear of named versions.
+    pub with_versions: Activity,
+}
+
 /// What the adapter of the outside feeds.
 #[derive(Clone)]
 pub struct FrontInputs {
@@ -35,8 +45,10 @@
     pub config: ConfigInForce,
     /// Instances.
     pub backends: BackendTable,
-    /// Named weight versions.
+    /// Named weight versions; followed while orders are given here.
     pub versions: VersionsNamed,
+    /// What is under way here.
+    pub activities: Activities,
     /// Names.
     pub codec: SharedCodec,
 }
@@ -102,6 +114,7 @@
         retention: options.job_retention,
         confirmation: Confirmation::default(),
         lengths: TextLengths::default(),
+        activity: inputs.activities.with_instances.clone(),
     });
     let hooks = JobHooks {
         jobs: Some(jobs.clone()),
@@ -126,6 +139,7 @@
         codec: Arc::clone(&inputs.codec),
         metrics: Arc::clone(&metrics),
         jobs: jobs.clone(),
+        activities: inputs.activities.clone(),
         options: OrderOptions {
             quiet: options.order_quiet,
         },
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -17,6 +17,7 @@
 use super::reading::{COMMIT_LIMIT, ReadError, body_local, end_local, read_local, unavailable};
 use super::state::JobState;
 use super::{LOG_PREFIX, log_name};
+use crate::activity::Activity;
 use crate::backend::BackendTable;
 use crate::config::ConfigInForce;
 use crate::dialect::SharedCodec;
@@ -50,6 +51,8 @@
     pub confirmation: Confirmation,
     /// How long texts are.
     pub lengths: TextLengths,
+    /// Counts the jobs that run at this node.
+    pub activity: Activity,
 }
 
 /// Why a job was not accepted.
@@ -302,7 +305,9 @@
         let owner = Owner::new(context, Arc::clone(&job), writer, digest, spec);
         let registry = self.clone();
         let owned = Arc::clone(&job);
+        let activity = self.context.activity.begin();
         tokio::spawn(async move {
+            let _activity = activity;
             if owner.run(commands).await == OwnerEnd::Lost {
                 registry.forget(&owned);
             }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -7,6 +7,7 @@
 
 #![warn(missing_docs)]
 
+pub mod activity;
 pub mod backend;
 pub mod config;
 pub mod coordination;
--- a/crates/front/src/orders/given.rs
+++ b/crates/front/src/orders/given.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::demand::FleetDemand;
+use super::load_limit::{FinishedLoad, LoadLimit};
 use super::plan::{Assignment, Planned};
 
 /// A load is first looked at after this share of the least time.
@@ -24,6 +25,8 @@
     pub loads: HashMap<String, Load>,
     /// Least time that a load has taken of late.
     pub load_time: Option<Duration>,
+    /// How many loads may be under way at once.
+    pub load_limit: LoadLimit,
     /// What the fronts told of their work, and when they were asked.
     pub demand: FleetDemand,
     pub demand_at: Option<Instant>,
@@ -41,6 +44,8 @@
     pub since: Instant,
     pub look_at: Instant,
     pub give_up_at: Instant,
+    /// Loads under way when it began, this one included.
+    pub beside: usize,
 }
 
 impl Given {
@@ -58,14 +63,33 @@
             since: now,
             look_at: now + least.mul_f64(LOOK_SHARE),
             give_up_at: now + limit,
+            beside: self.loads.len() + 1,
         };
         self.loads.insert(planned.instance, load);
     }
 
-    /// Notes how long a load took: shorter ones count at once, longer ones bit by bit.
-    pub fn note_load(&mut self, taken: Duration) {
+    /// Notes a load that is done: shorter ones count at once for the least time, longer ones bit by bit.
+    pub fn note_load(&mut self, load: &Load) {
+        let now = Instant::now();
+        let taken = now.saturating_duration_since(load.since);
         let least = self.load_time.unwrap_or(taken);
         self.load_time = Some(taken.min((least * 7 + taken) / 8));
+        let before = self.load_limit.get();
+        let finished = FinishedLoad {
+            taken,
+            least,
+            beside: load.beside,
+        };
+        self.load_limit.note(finished, now);
+        if self.load_limit.get() < before {
+            log::info!(
+                "event=load_limit_lowered limit={} before={before} taken_ms={} least_ms={} beside={}",
+                self.load_limit.get(),
+                taken.as_millis(),
+                least.as_millis(),
+                load.beside
+            );
+        }
     }
 
     /// Looks at a load again soon: sooner once it is known how long loads take.
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -15,6 +15,7 @@
 use crate::config::ConfigInForce;
 use crate::coordination::Coordination;
 use crate::dialect::{SharedCodec, VersionOrder};
+use crate::front::Activities;
 use crate::job::JobRegistry;
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
@@ -31,9 +32,6 @@
 /// How long an instance is left alone whose answer to a call was lost.
 const DOUBT_TIME: Duration = Duration::from_millis(1_500);
 
-/// Instances that load at once without slowing each other down.
-const MOST_LOADING: usize = 2;
-
 /// Times of the lease.
 #[derive(Debug, Clone, Copy)]
 pub struct OrderOptions {
@@ -59,6 +57,8 @@
     pub metrics: Arc<Metrics>,
     /// Work accepted here.
     pub jobs: JobRegistry,
+    /// Counts while this node may give orders.
+    pub activities: Activities,
     /// Times.
     pub options: OrderOptions,
 }
@@ -119,6 +119,8 @@
 
     /// Gives orders until the lease is lost or given back.
     async fn hold(&self, lease: &GiverLease, held: Held) {
+        let _with_instances = self.activities.with_instances.begin();
+        let _with_versions = self.activities.with_versions.begin();
         tokio::select! {
             loss = lease.keep(&held) => {
                 log::warn!("event=giver_lease_lost fence={} reason={loss}", held.fence);
@@ -186,7 +188,7 @@
                 continue;
             };
             if self.has_loaded(instance, &load).await {
-                given.note_load(load.since.elapsed());
+                given.note_load(&load);
                 given.loads.remove(&id);
             } else {
                 given.look_again(&id);
@@ -247,7 +249,8 @@
             );
         }
         let loading = given.loads.len();
-        let planned = plan(&demands, &given.assignment, &fleet, loading, MOST_LOADING);
+        let limit = given.load_limit.get();
+        let planned = plan(&demands, &given.assignment, &fleet, loading, limit);
         let Some(planned) = planned else {
             return Round::Enough;
         };
--- a/crates/front/src/orders/mod.rs
+++ b/crates/front/src/orders/mod.rs
@@ -5,10 +5,12 @@
 mod given;
 mod giver;
 mod lease;
+mod load_limit;
 mod named;
 mod plan;
 
 pub use giver::{OrderGiver, OrderOptions};
 pub use lease::{GiverLease, Held};
+pub use load_limit::{FinishedLoad, LoadLimit};
 pub use named::VersionsNamed;
 pub use plan::{Assignment, FleetInstance, ModelDemand, Planned, Trade, plan};
--- /dev/null
+++ b/crates/front/tests/load_limit.rs
@@ -0,0 +1,65 @@
+//! How many loads may be under way at once is learnt from how long they take.
+
+use std::time::{Duration, Instant};
+
+use ladderstage_front::orders::{FinishedLoad, LoadLimit};
+use proptest::prelude::*;
+
+/// How long a load takes while nothing else loads.
+const ALONE: Duration = Duration::from_millis(900);
+
+/// Rounds of loads: each begins as many as the limit allows, all at the same moment. Returns the limits.
+fn rounds(free: usize, count: usize, off_by_ms: &[u64]) -> Vec<usize> {
+    let mut limit = LoadLimit::default();
+    let mut now = Instant::now();
+    let mut limits = Vec::new();
+    for round in 0..count {
+        let beside = limit.get();
+        let slowness = (beside as f64 / free as f64).max(1.0);
+        let off = Duration::from_millis(off_by_ms[round % off_by_ms.len()]);
+        let taken = ALONE.mul_f64(slowness) + off;
+        now += taken;
+        for number in 1..=beside {
+            let load = FinishedLoad {
+                taken,
+                least: ALONE,
+                beside: number,
+            };
+            limit.note(load, now);
+        }
+        limits.push(limit.get());
+    }
+    limits
+}
+
+#[test]
+fn a_large_fleet_soon_loads_as_many_as_its_link_bears() {
+    let limits = rounds(9, 40, &[0]);
+    assert!(
+        limits[6..].iter().all(|limit| (7..=12).contains(limit)),
+        "{limits:?}"
+    );
+}
+
+#[test]
+fn loads_that_slow_each_other_down_stay_rare() {
+    let limits = rounds(2, 100, &[0]);
+    let above = limits.iter().filter(|limit| **limit > 2).count();
+    assert!(above < 20, "{limits:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_limit_stays_near_what_loads_bear(
+        free in 1usize..=40,
+        off_by_ms in prop::collection::vec(0u64..60, 1..20),
+    ) {
+        let limits = rounds(free, 60, &off_by_ms);
+        let most = limits[20..].iter().max().unwrap();
+        let least = limits[20..].iter().min().unwrap();
+        prop_assert!(*most <= (free * 3 / 2 + 2).max(4), "{:?}", limits);
+        prop_assert!(*least * 2 >= free.min(4), "{:?}", limits);
+    }
+}
--- a/crates/journal/src/replica_set/bootstrap.rs
+++ b/crates/journal/src/replica_set/bootstrap.rs
@@ -7,12 +7,15 @@
 use ladderstage_wire::messages::ReplicaMember;
 
 use super::ReplicaSets;
+use super::zones::spread;
 use super::{RecordError, SetRecords};
-use crate::InitialReplicas;
+use crate::{InitialReplicas, Peers};
 
 /// What the first set is made from.
 pub(crate) struct Bootstrap {
     pub records: Arc<dyn SetRecords>,
+    /// They tell in which zones the disks are.
+    pub peers: Arc<dyn Peers>,
     /// This node's disk, if it has one.
     pub own: Option<ReplicaMember>,
     pub initial_replicas: InitialReplicas,
@@ -73,7 +76,7 @@
     }
 
     /// The members of the first set once all their disks are recorded.
-    fn initial_members(&self, mut candidates: Vec<ReplicaMember>) -> Option<Vec<ReplicaMember>> {
+    fn initial_members(&self, candidates: Vec<ReplicaMember>) -> Option<Vec<ReplicaMember>> {
         match &self.initial_replicas {
             InitialReplicas::Named(nodes) => {
                 let find = |node: &String| {
@@ -82,10 +85,7 @@
                 };
                 nodes.iter().map(find).collect()
             }
-            InitialReplicas::Count(count) => {
-                candidates.sort_by(|left, right| left.node.cmp(&right.node));
-                (candidates.len() >= *count).then(|| candidates.into_iter().take(*count).collect())
-            }
+            InitialReplicas::Count(count) => spread(candidates, &self.peers.alive(), *count),
         }
     }
 }
--- a/crates/journal/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -8,6 +8,7 @@
 mod record;
 mod records;
 mod replacement;
+pub mod zones;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -69,6 +70,7 @@
         let records: Arc<dyn SetRecords> = Arc::new(records);
         let bootstrap = Bootstrap {
             records: Arc::clone(&records),
+            peers: Arc::clone(&peers),
             own: self.own_replica_id().map(|replica_id| ReplicaMember {
                 node: options.node.clone(),
                 replica_id,
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -13,6 +13,7 @@
 
 use super::ReplicaSets;
 use super::copy::{CopyError, LogCopy};
+use super::zones::by_need;
 use super::{RecordError, SetRecords};
 use crate::Peers;
 
@@ -247,26 +248,18 @@
         rendezvous_first(key.as_bytes(), names) == Some(self.node.as_str())
     }
 
-    /// Disks that could take over, those in the zone of a missing replica first.
+    /// Disks that could take over, those in the zones with the fewest replicas first.
     fn spares(&self, set: &ReplicaSet, alive: &[Member]) -> Vec<ReplicaMember> {
-        let zone_is_covered = |zone: &str| {
-            let present = alive.iter().filter(|member| member.zone == zone);
-            present
-                .into_iter()
-                .any(|member| is_member(set, member.replica_id))
-        };
-        let mut spares: Vec<&Member> = alive
+        let present: Vec<&Member> = alive
             .iter()
-            .filter(|member| member.replica_id != 0 && member.state != MemberState::LEAVING)
+            .filter(|member| is_member(set, member.replica_id))
             .collect();
-        spares.sort_by_key(|member| zone_is_covered(&member.zone));
-        let spares = spares.into_iter();
-        spares
-            .map(|member| ReplicaMember {
-                node: member.node.clone(),
-                replica_id: member.replica_id,
-            })
-            .collect()
+        let staying: Vec<Member> = alive
+            .iter()
+            .filter(|member| member.state != MemberState::LEAVING)
+            .cloned()
+            .collect();
+        by_need(&staying, &present)
     }
 
     async fn swap(&self, from: &ReplicaSet, to: ReplicaSet) -> Result<(), RecordError> {
