Let four fronts try for the right to give orders

Change: the first four present fronts by rendezvous hash are candidates; those that are gone make room. Ruled out: fewer, as a store that turns machines away may refuse some. Test: order_candidates.

--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -4,8 +4,10 @@
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
+use ladderstage_journal::Peers;
 
 use super::calls::{CALL_LIMIT, InstanceCalls};
+use super::candidates::is_candidate;
 use super::demand::FleetDemand;
 use super::given::{Given, LOOK_INTERVAL, Load};
 use super::lease::{GiverLease, Held};
@@ -23,6 +25,9 @@
 /// Pause before the lease is tried again.
 const TAKE_PAUSE: Duration = Duration::from_millis(250);
 
+/// Between looks whether this node is to try to become the giver.
+const CANDIDATE_LOOK: Duration = Duration::from_millis(500);
+
 /// Between questions to the fronts about their work.
 const DEMAND_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -85,7 +90,7 @@
 }
 
 impl OrderGiver {
-    /// Takes the lease whenever it is free, and gives orders while it lasts, for as long as the future is polled.
+    /// Takes the lease whenever it is free and this node is a candidate, and gives orders while it lasts, for as long as the future is polled.
     pub async fn run(&self) {
         let lease = GiverLease {
             coordination: Arc::clone(&self.coordination),
@@ -93,8 +98,8 @@
             quiet: self.options.quiet,
         };
         loop {
-            if !self.has_models() || self.nodes.own().is_leaving {
-                tokio::time::sleep(LOOK_INTERVAL).await;
+            if !self.has_models() || !self.is_candidate() {
+                tokio::time::sleep(CANDIDATE_LOOK).await;
                 continue;
             }
             match lease.take().await {
@@ -106,6 +111,13 @@
         }
     }
 
+    fn is_candidate(&self) -> bool {
+        let own = self.nodes.own();
+        let fronts = self.nodes.successors();
+        let names = fronts.iter().map(|front| front.node.as_str());
+        !own.is_leaving && is_candidate(&own.node, names)
+    }
+
     /// Whether any service holds models; the lease is taken before the first version is named.
     fn has_models(&self) -> bool {
         let config = self.config.current();
--- a/crates/front/src/orders/mod.rs
+++ b/crates/front/src/orders/mod.rs
@@ -1,6 +1,7 @@
 //! Orders to change weight versions: planned purely, given by the one node that holds the lease.
 
 mod calls;
+mod candidates;
 mod demand;
 mod given;
 mod giver;
@@ -9,6 +10,7 @@
 mod named;
 mod plan;
 
+pub use candidates::is_candidate;
 pub use giver::{OrderGiver, OrderOptions};
 pub use lease::{GiverLease, Held};
 pub use load_limit::{FinishedLoad, LoadLimit};
