--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -15,7 +15,7 @@
 use super::digest::{FoundLog, LogDigest};
 use super::log_name;
 use super::queue::EntryQueue;
-use super::registry::JobContext;
+use super::registry::{JobContext, lock};
 use super::run::{RunContext, RunOutcome, run_item};
 use super::state::JobState;
 use crate::backend::Demand;
@@ -34,6 +34,10 @@
 /// Pause before another look for room when no instance had any.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(25);
 
+/// An owner whose log is another's at some replica, but not at a majority after several heartbeats, takes it again: the other
+/// writer has given up.
+const RECLAIM_AFTER: Duration = Duration::from_millis(1_200);
+
 /// Pause before an append or a take-over is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -43,6 +47,8 @@
     End(oneshot::Sender<()>),
     /// Another node has the log.
     Lost,
+    /// Some replica says that another node has the log; the owner looks at it in time.
+    Contested,
     /// Stop the runs and write down what they have made: another node is to take the job.
     Release,
 }
@@ -55,8 +61,8 @@
     pub opened_at: Instant,
     state: Mutex<JobState>,
     changed: watch::Sender<u64>,
-    /// A replica has said that another node has the log.
-    is_contested: AtomicBool,
+    /// When a replica first said that another node has the log.
+    contested_at: Mutex<Option<Instant>>,
     /// No run is under way and all that was made is in the log.
     is_released: AtomicBool,
     commands: mpsc::UnboundedSender<Command>,
@@ -79,7 +85,7 @@
             opened_at: Instant::now(),
             state: Mutex::new(state),
             changed: watch::Sender::new(0),
-            is_contested: AtomicBool::new(false),
+            contested_at: Mutex::new(None),
             is_released: AtomicBool::new(false),
             commands,
         };
@@ -87,19 +93,26 @@
     }
 
     pub(super) fn state(&self) -> MutexGuard<'_, JobState> {
-        self.state
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.state)
     }
 
     /// Notes that a replica says that another node has the log.
     pub(super) fn set_contested(&self) {
-        self.is_contested.store(true, Ordering::Relaxed);
+        let mut contested_at = lock(&self.contested_at);
+        if contested_at.is_none() {
+            *contested_at = Some(Instant::now());
+            self.ask(Command::Contested);
+        }
     }
 
     /// Whether no replica has said that another node has the log.
     pub(super) fn is_uncontested(&self) -> bool {
-        !self.is_contested.load(Ordering::Relaxed)
+        lock(&self.contested_at).is_none()
+    }
+
+    /// When the owner is to take its log again, as nobody else has it by then.
+    fn reclaim_at(&self) -> Option<Instant> {
+        lock(&self.contested_at).map(|at| at + RECLAIM_AFTER)
     }
 
     /// Whether the owner has stopped its runs and written down what they made.
@@ -207,6 +220,7 @@
                         self.enders.push(answer);
                         self.queue_end();
                     }
+                    Some(Command::Contested) => {}
                     Some(Command::Release) => {
                         self.stop.send_replace(true);
                     }
@@ -216,10 +230,13 @@
                 Some(progress) = self.progress.1.recv() => self.on_progress(progress),
                 done = wait_for(&mut appending) => {
                     appending = None;
-                    match self.on_append(done).await {
-                        Some(OwnerEnd::Lost) => return self.lost(),
-                        Some(OwnerEnd::Ended) => return self.ended(),
-                        None => {}
+                    if let Some(end) = self.on_append(done).await {
+                        return self.end(end);
+                    }
+                }
+                () = until(self.job.reclaim_at()), if appending.is_none() => {
+                    if let Some(end) = self.reclaim().await {
+                        return self.end(end);
                     }
                 }
                 _ = table_changed.changed(), if self.has_waiting_items => {}
@@ -341,6 +358,14 @@
         self.job.notify();
     }
 
+    /// Takes the log again, above the promise that some replica has given to a writer that then gave up.
+    async fn reclaim(&mut self) -> Option<OwnerEnd> {
+        log::info!("event=job_log_reclaimed job={}", self.job.id);
+        self.writer = None;
+        *lock(&self.job.contested_at) = None;
+        self.take_over_again().await
+    }
+
     /// Takes the log under the newest replica set; what the last append left behind is found there or not.
     async fn take_over_again(&mut self) -> Option<OwnerEnd> {
         let log = log_name(&self.job.id);
@@ -485,6 +510,13 @@
         }))
     }
 
+    fn end(self, end: OwnerEnd) -> OwnerEnd {
+        match end {
+            OwnerEnd::Lost => self.lost(),
+            OwnerEnd::Ended => self.ended(),
+        }
+    }
+
     fn lost(mut self) -> OwnerEnd {
         self.runs.abort_all();
         log::info!("event=job_lost job={}", self.job.id);
@@ -533,6 +565,14 @@
     result
 }
 
+/// Returns at `at`; never without it.
+async fn until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn wait_for(appending: &mut Option<BoxFuture<'static, AppendDone>>) -> AppendDone {
     match appending {
         Some(appending) => appending.await,
--- a/crates/ladderstage/src/journal/read.rs
+++ b/crates/ladderstage/src/journal/read.rs
@@ -57,7 +57,7 @@
     (epoch, reply.retired, reply.entries.len())
 }
 
-/// Gathers descriptions of logs; keeps the newest of each.
+/// Gathers descriptions of logs; keeps of each the newest promise, and that somebody holds entries of it.
 #[derive(Debug, Clone)]
 pub struct LogSurvey {
     quorum: Quorum,
@@ -93,12 +93,17 @@
             let epoch = WriterEpoch::from(&log.promised);
             (epoch, log.closed, log.length)
         };
-        match self.logs.get_mut(&description.log) {
-            Some(known) if rank(known) >= rank(&description) => {}
-            Some(known) => *known = description,
-            None => {
-                self.logs.insert(description.log.clone(), description);
-            }
+        let Some(known) = self.logs.get_mut(&description.log) else {
+            self.logs.insert(description.log.clone(), description);
+            return;
+        };
+        // The replica with the newest promise need not hold the log: the writer that has the promise may have given up.
+        let length = known.length.max(description.length);
+        let closed = known.closed || description.closed;
+        if rank(&description) > rank(known) {
+            *known = description;
         }
+        known.length = length;
+        known.closed = closed;
     }
 }
--- a/crates/ladderstage/tests/journal/rules.rs
+++ b/crates/ladderstage/tests/journal/rules.rs
@@ -6,12 +6,13 @@
 use crate::simulated_replica::{Outcome, SimulatedReplica, new_replica};
 use crate::support::{LOG, identity, quorum_of};
 use ladderstage::journal::heartbeat::HeartbeatTable;
-use ladderstage::journal::read::LogRead;
+use ladderstage::journal::read::{LogRead, LogSurvey};
 use ladderstage::journal::replica::LogState;
 use ladderstage::journal::writer::{LogWriterState, ReplicaWrite, SealProgress, Sealing};
 use ladderstage::journal::{EpochSource, Quorum, WriterEpoch};
 use ladderstage_wire::messages::{
-    LogEntry, OwnedLog, ReadLogReply, ReplicaMember, ReplicaSet, SealReply,
+    DescribeLogsReply, LogDescription, LogEntry, OwnedLog, ReadLogReply, ReplicaMember, ReplicaSet,
+    SealReply,
 };
 
 fn epoch(round: u64, owner: u64) -> WriterEpoch {
@@ -313,3 +314,32 @@
     assert!(unknown.on_reply(reply(2, 0, &[])));
     assert!(unknown.into_newest().is_none());
 }
+
+/// A replica may have promised a higher epoch to a writer that then gave up, and hold nothing of the log itself.
+#[test]
+fn a_promise_to_another_writer_does_not_hide_a_log() {
+    let reply = |replica_id, round, length| DescribeLogsReply {
+        replica_id,
+        logs: vec![LogDescription {
+            log: LOG.to_owned(),
+            promised: epoch(round, 1).to_wire(),
+            owner_node: format!("node-{round}"),
+            length,
+            closed: false,
+        }],
+    };
+    for replies in [
+        [reply(1, 9, 0), reply(2, 3, 5)],
+        [reply(2, 3, 5), reply(1, 9, 0)],
+    ] {
+        let mut survey = LogSurvey::new(quorum_of(1..=3));
+        replies.into_iter().for_each(|reply| {
+            survey.on_reply(reply);
+        });
+        let found = survey.into_logs();
+        assert_eq!(
+            (found[0].length, found[0].owner_node.as_str()),
+            (5, "node-9")
+        );
+    }
+}
