--- a/crates/bench/src/command_line/mod.rs
+++ b/crates/bench/src/command_line/mod.rs
@@ -3,7 +3,6 @@
 mod chaos;
 mod demo;
 mod proxy;
-mod scale;
 mod stand_in;
 
 use std::ffi::OsString;
@@ -21,7 +20,6 @@
 SUBCOMMANDS:
   demo       runs the whole path in one process and ends by itself
   chaos      runs daemons and load under random faults and judges them
-  scale      measures what coordination costs a daemon, by the size of the cluster
   stand-in   runs one stand-in of the platform as a process
   proxy      runs a fault-injecting TCP proxy
 ";
@@ -50,9 +48,6 @@
     /// There is no verdict on a run under faults.
     #[error("{0}")]
     Chaos(#[from] crate::chaos::ChaosError),
-    /// Nothing could be measured.
-    #[error("{0}")]
-    Scale(#[from] crate::scale::ScaleError),
 }
 
 /// Runs the subcommand that the arguments name.
@@ -61,7 +56,6 @@
         None => print_help(HELP),
         Some("demo") => return demo::run(arguments).await,
         Some("chaos") => return chaos::run(arguments).await,
-        Some("scale") => return scale::run(arguments).await,
         Some("stand-in") => stand_in::run(arguments).await?,
         Some("proxy") => proxy::run(arguments).await?,
         Some(other) => return Err(CommandError::UnknownSubcommand(other.to_owned())),
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod load;
 pub mod processes;
 pub mod proxy;
-pub mod scale;
 pub mod stand_in;
 pub mod text;
 pub mod trainer;
