Tell instances how urgent a request is, count calls to the store, and split the owner of jobs by what it does

The operator's rank of a route was read and not used: where routes of several ranks share instances, all their requests waited alike. Live requests and items now carry it (0 to 9). Ruled out: a queue of our own by rank; instances admit and displace by it already.

--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderValue;
 use tokio::sync::watch;
 
 /// What may be repeated on a route.
@@ -59,7 +60,15 @@
     pub resumable: bool,
 }
 
+/// Lowest rank that instances know.
+const LOWEST_RANK: u8 = 9;
+
 impl Route {
+    /// Value of the header that tells instances how urgent a request is.
+    pub fn rank(&self) -> HeaderValue {
+        HeaderValue::from(u16::from(self.priority.min(LOWEST_RANK)))
+    }
+
     /// Service for a request, by the weights; `random` is any number.
     pub fn pick_service(&self, random: u64) -> &str {
         let total: u64 = self.split.iter().map(|part| u64::from(part.weight)).sum();
--- a/crates/front/src/coordination.rs
+++ b/crates/front/src/coordination.rs
@@ -7,7 +7,7 @@
 
 use futures_util::future::BoxFuture;
 
-pub use observed::Observed;
+pub use observed::{Observed, StoreCalls};
 
 /// Number of a lease.
 pub type LeaseId = u64;
--- a/crates/front/src/coordination/observed.rs
+++ b/crates/front/src/coordination/observed.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::BoxFuture;
+use prometheus::{IntCounterVec, Opts};
 use tokio::sync::watch;
 
 use super::{Coordination, CoordinationError, LeaseId, Listing, Record, SwapResult, WatchAnswer};
@@ -26,20 +27,59 @@
     answered: Option<Instant>,
 }
 
+/// Counts calls to the store by kind and outcome. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct StoreCalls {
+    counter: IntCounterVec,
+}
+
+impl Default for StoreCalls {
+    fn default() -> Self {
+        let options = Opts::new(
+            "ladderstage_store_calls_total",
+            "Calls to the coordination store by kind and outcome",
+        );
+        let counter = IntCounterVec::new(options, &["call", "outcome"]);
+        Self {
+            counter: counter.expect("valid name"),
+        }
+    }
+}
+
+impl StoreCalls {
+    /// The counter, to be registered.
+    pub fn counter(&self) -> &IntCounterVec {
+        &self.counter
+    }
+
+    fn note<T>(&self, call: &str, result: &Result<T, CoordinationError>) {
+        let outcome = match result {
+            Ok(_) => "answered",
+            Err(CoordinationError::Unavailable(_)) => "unavailable",
+            Err(CoordinationError::Refused(_)) => "refused",
+            Err(CoordinationError::Unknown(_)) => "unknown",
+            Err(CoordinationError::LeaseOver) => "lease_over",
+        };
+        self.counter.with_label_values(&[call, outcome]).inc();
+    }
+}
+
 /// A store whose watches end with an error when other calls show that they may have been forgotten.
 #[derive(Debug)]
 pub struct Observed<C> {
     store: C,
+    calls: StoreCalls,
     contact: Mutex<Contact>,
     /// Changes whenever the watches under way may have been forgotten.
     doubt: watch::Sender<u64>,
 }
 
 impl<C: Coordination> Observed<C> {
-    /// Observes the calls to `store`.
-    pub fn new(store: C) -> Self {
+    /// Observes the calls to `store`, and counts them in `calls`.
+    pub fn new(store: C, calls: StoreCalls) -> Self {
         Self {
             store,
+            calls,
             contact: Mutex::default(),
             doubt: watch::Sender::new(0),
         }
@@ -48,10 +88,12 @@
     /// Waits for a call other than a watch and takes in what became of it.
     async fn call<T>(
         &self,
+        kind: &'static str,
         call: BoxFuture<'_, Result<T, CoordinationError>>,
     ) -> Result<T, CoordinationError> {
         let sent = Instant::now();
         let result = call.await;
+        self.calls.note(kind, &result);
         match &result {
             Err(error @ (CoordinationError::Unavailable(_) | CoordinationError::Unknown(_))) => {
                 self.note_silence(error, sent);
@@ -99,11 +141,11 @@
 
 impl<C: Coordination> Coordination for Observed<C> {
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Record>, CoordinationError>> {
-        Box::pin(self.call(self.store.get(key)))
+        Box::pin(self.call("get", self.store.get(key)))
     }
 
     fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Listing, CoordinationError>> {
-        Box::pin(self.call(self.store.list(prefix)))
+        Box::pin(self.call("list", self.store.list(prefix)))
     }
 
     fn watch<'a>(
@@ -117,7 +159,10 @@
                 let _ = tokio::time::timeout(SILENCE_WAIT, doubt.changed()).await;
             }
             tokio::select! {
-                answer = self.store.watch(prefix, after) => answer,
+                answer = self.store.watch(prefix, after) => {
+                    self.calls.note("watch", &answer);
+                    answer
+                }
                 _ = doubt.changed() => {
                     let cause = "another call got no answer, or the store is back";
                     Err(CoordinationError::Unavailable(cause.to_owned()))
@@ -133,7 +178,7 @@
         value: Vec<u8>,
         lease: Option<LeaseId>,
     ) -> BoxFuture<'a, Result<SwapResult, CoordinationError>> {
-        Box::pin(self.call(self.store.swap(key, expected, value, lease)))
+        Box::pin(self.call("swap", self.store.swap(key, expected, value, lease)))
     }
 
     fn put<'a>(
@@ -142,18 +187,18 @@
         value: Vec<u8>,
         lease: Option<LeaseId>,
     ) -> BoxFuture<'a, Result<(), CoordinationError>> {
-        Box::pin(self.call(self.store.put(key, value, lease)))
+        Box::pin(self.call("put", self.store.put(key, value, lease)))
     }
 
     fn grant(&self, ttl: Duration) -> BoxFuture<'_, Result<LeaseId, CoordinationError>> {
-        Box::pin(self.call(self.store.grant(ttl)))
+        Box::pin(self.call("grant", self.store.grant(ttl)))
     }
 
     fn renew(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), CoordinationError>> {
-        Box::pin(self.call(self.store.renew(lease)))
+        Box::pin(self.call("renew", self.store.renew(lease)))
     }
 
     fn revoke(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), CoordinationError>> {
-        Box::pin(self.call(self.store.revoke(lease)))
+        Box::pin(self.call("revoke", self.store.revoke(lease)))
     }
 }
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -21,6 +21,8 @@
     pub expect_instance: HeaderName,
     /// Id of the answering instance.
     pub instance_id: HeaderName,
+    /// Rank at the instance, 0 first.
+    pub request_priority: HeaderName,
     /// Weight version that the instance must have.
     pub expect_version: HeaderName,
     /// Requests running, waiting, and slots.
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -104,6 +104,7 @@
     });
     let parts = JournalParts::start(&options, &nodes, None, Arc::clone(&coordination));
     metrics.add_journal(parts.journal.metrics());
+    metrics.add_store_calls(&options.store_calls);
     let jobs = JobRegistry::new(JobContext {
         journal: parts.journal.clone(),
         nodes: nodes.clone(),
--- /dev/null
+++ b/crates/front/src/job/appending.rs
@@ -0,0 +1,57 @@
+//! One append to a job's log, repeated until its outcome is known.
+
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use ladderstage_journal::jitter::jittered;
+use ladderstage_journal::{JournalError, LogWriter};
+use ladderstage_wire::messages::LogEntry;
+
+/// Pause before an append or a take-over is tried again.
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// An append that ended, with the writer given back.
+pub(super) struct AppendDone {
+    pub writer: LogWriter,
+    pub result: Result<(), JournalError>,
+}
+
+/// Appends `entries` after `pause`.
+pub(super) fn append_after(
+    pause: Duration,
+    mut writer: LogWriter,
+    entries: Vec<LogEntry>,
+    closes: bool,
+) -> BoxFuture<'static, AppendDone> {
+    Box::pin(async move {
+        tokio::time::sleep(pause).await;
+        let result = append_until_known(&mut writer, entries, closes).await;
+        AppendDone { writer, result }
+    })
+}
+
+/// Waits for the append under way; never returns without one.
+pub(super) async fn wait_for(appending: &mut Option<BoxFuture<'static, AppendDone>>) -> AppendDone {
+    match appending {
+        Some(appending) => appending.await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Repeats an append whose outcome is unknown until it is known.
+async fn append_until_known(
+    writer: &mut LogWriter,
+    entries: Vec<LogEntry>,
+    closes: bool,
+) -> Result<(), JournalError> {
+    let mut result = writer.append(entries, closes).await;
+    while let Err(JournalError::NoQuorum(cause)) = result {
+        log::warn!(
+            "event=append_in_doubt log={} cause=\"{cause}\"",
+            writer.log()
+        );
+        tokio::time::sleep(jittered(RETRY_PAUSE)).await;
+        result = writer.retry().await;
+    }
+    result
+}
--- a/crates/front/src/job/handover.rs
+++ b/crates/front/src/job/handover.rs
@@ -9,8 +9,8 @@
 
 use super::locating::PEER_TIMEOUT;
 use super::log_name;
-use super::owner::{Command, Job};
 use super::registry::{JobRegistry, lock};
+use super::shared::{Command, Job};
 
 /// Between looks at the jobs that are still here.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/front/src/job/locating.rs
+++ b/crates/front/src/job/locating.rs
@@ -11,9 +11,9 @@
 use ladderstage_wire::messages::{ReadJob, Request};
 
 use super::log_name;
-use super::owner::Job;
 use super::reading::{ReadError, unavailable};
 use super::registry::{JobRegistry, lock};
+use super::shared::Job;
 
 /// Time for a peer to answer, beyond the time that it was asked to wait.
 pub(super) const PEER_TIMEOUT: Duration = Duration::from_millis(700);
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -1,5 +1,6 @@
 //! Batch jobs: accepted once a majority of store disks holds them, run item by item, read at any front.
 
+mod appending;
 mod confirmation;
 mod digest;
 mod events;
@@ -13,6 +14,8 @@
 mod reading;
 mod registry;
 mod run;
+mod shared;
+mod starting;
 mod state;
 mod text;
 
--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -12,9 +12,9 @@
 };
 
 use super::LOG_PREFIX;
-use super::owner::Job;
 use super::reading::{body_local, end_local};
 use super::registry::{JobRegistry, lock};
+use super::shared::Job;
 
 /// Jobs accepted within this time count for the demand.
 const DEMAND_WINDOW: Duration = Duration::from_secs(15);
--- a/crates/front/src/job/reading.rs
+++ b/crates/front/src/job/reading.rs
@@ -5,7 +5,7 @@
 use ladderstage_wire::messages::JobResults;
 use tokio::sync::oneshot;
 
-use super::owner::{Command, Job};
+use super::shared::{Command, Job};
 use super::state::JobState;
 
 /// Bytes of texts in one answer, at most one result more.
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -47,6 +47,8 @@
     pub spec: Arc<JobSpec>,
     /// Service that runs its items.
     pub service: String,
+    /// How urgent its items are at instances.
+    pub rank: HeaderValue,
     /// Failed attempts after which an item is given up.
     pub max_attempts: u32,
     /// Every text must come from one weight version.
@@ -339,6 +341,7 @@
         HeaderValue::from_str(&context.spec.host).ok()?,
     );
     headers.insert(names.attempt_id.clone(), attempt_id.clone());
+    headers.insert(names.request_priority.clone(), context.rank.clone());
     let expected = HeaderValue::from_str(instance.id()).ok()?;
     headers.insert(names.expect_instance.clone(), expected);
     if let Some(last) = partial.last_event() {
--- /dev/null
+++ b/crates/front/src/job/starting.rs
@@ -0,0 +1,115 @@
+//! Which items of a job start now, and where.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladderstage_wire::messages::JobSpec;
+
+use super::owner::Owner;
+use super::run::{RunContext, run_item};
+use crate::backend::{Demand, Instance};
+use crate::config::Route;
+
+/// Items are started for this long after a majority of replicas last confirmed this owner: another one may run the job, or
+/// it may have been ended.
+const START_TRUST: Duration = Duration::from_millis(1_500);
+
+/// One of so many items counts as long.
+const LONG_SHARE: usize = 8;
+
+impl Owner {
+    /// Starts items that have neither a result nor a run while instances have room: those that are expected to be the longest
+    /// first, and on the fastest instances, as the step waits for them.
+    pub(super) fn start_runs(&mut self) {
+        self.has_waiting_items = false;
+        if self.queue.has_end() || *self.stop.borrow() || self.context.nodes.is_leaving() {
+            return;
+        }
+        let age = self.context.confirmation.age(self.job.opened_at);
+        if !self.job.is_uncontested() || age > START_TRUST {
+            self.has_waiting_items = true;
+            return;
+        }
+        let Some(spec) = self.job.state().spec().cloned() else {
+            return;
+        };
+        let Some(run) = self.run_context(&spec) else {
+            self.has_waiting_items = true;
+            return;
+        };
+        let startable = self.startable(&spec);
+        let long_from = long_from(&spec);
+        for index in startable {
+            let is_long = spec.items[index].expected_tokens >= long_from;
+            let demand = if is_long {
+                Demand::LongBatch
+            } else {
+                Demand::Batch
+            };
+            let fits = |instance: &Instance| instance.version(&spec.model) >= spec.min_version;
+            let chosen = self
+                .context
+                .backends
+                .choose(&run.service, &spec.model, demand, fits);
+            let Some(instance) = chosen else {
+                self.has_waiting_items = true;
+                return;
+            };
+            // The run begins with its first poll; the guard counts it from now on.
+            let guard = instance.begin();
+            let run = Arc::clone(&run);
+            let kept = self.job.state().kept(&spec.items[index].id);
+            self.running.insert(index);
+            self.runs.spawn(async move {
+                drop(guard);
+                (index, run_item(run, index, instance, kept).await)
+            });
+        }
+    }
+
+    fn startable(&self, spec: &JobSpec) -> Vec<usize> {
+        let state = self.job.state();
+        let in_log: HashSet<usize> = self.running.iter().copied().collect();
+        let queued = self.queue.items_with_results(&self.in_append);
+        let mut startable: Vec<usize> = (0..spec.items.len())
+            .filter(|index| !in_log.contains(index))
+            .filter(|index| {
+                let id = &spec.items[*index].id;
+                !state.is_listed(id) && !queued.contains(id)
+            })
+            .collect();
+        startable.sort_by_key(|index| std::cmp::Reverse(spec.items[*index].expected_tokens));
+        startable
+    }
+
+    /// How items run under the configuration in force; `None` while no route takes them.
+    fn run_context(&self, spec: &Arc<JobSpec>) -> Option<Arc<RunContext>> {
+        let config = self.context.config.current()?;
+        let route: &Route = config.route(&spec.host, &spec.path)?;
+        Some(Arc::new(RunContext {
+            backends: self.context.backends.clone(),
+            codec: Arc::clone(&self.context.codec),
+            spec: Arc::clone(spec),
+            service: route.pick_service(rand::random()).to_owned(),
+            rank: route.rank(),
+            max_attempts: route.max_attempts,
+            single_version: route.single_version,
+            progress: self.progress.0.clone(),
+            stop: self.stop.subscribe(),
+            give_up_at: route.max_queue.map(|age| self.job.opened_at + age),
+        }))
+    }
+}
+
+/// Expected tokens from which an item is among the longest eighth of its job.
+fn long_from(spec: &JobSpec) -> u64 {
+    let mut expected: Vec<u64> = spec.items.iter().map(|item| item.expected_tokens).collect();
+    expected.sort_unstable();
+    let index = expected.len() - expected.len() / LONG_SHARE;
+    expected
+        .get(index)
+        .copied()
+        .filter(|tokens| *tokens > 0)
+        .unwrap_or(u64::MAX)
+}
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -191,7 +191,7 @@
     ) -> BoxFuture<'a, Attempt> {
         Box::pin(async move {
             let started = Instant::now();
-            let head = self.head(request, &instance, limit);
+            let head = self.head(route, request, &instance, limit);
             let guard = instance.begin();
             let names = self.codec.headers();
             let sent = send(
@@ -221,13 +221,20 @@
         })
     }
 
-    /// Headers for the instance: the client's, with the time that is left and the instance that is meant.
-    fn head(&self, request: &LiveRequest, instance: &Instance, limit: Instant) -> RequestHead {
+    /// Headers for the instance: the client's, with the time that is left, the route's rank and the instance that is meant.
+    fn head(
+        &self,
+        route: &Route,
+        request: &LiveRequest,
+        instance: &Instance,
+        limit: Instant,
+    ) -> RequestHead {
         let names = self.codec.headers();
         let mut headers = end_to_end(&request.headers);
         let left = limit.saturating_duration_since(Instant::now());
         let left = left.saturating_sub(RETURN_MARGIN).as_millis().max(1) as u64;
         headers.insert(names.deadline_ms.clone(), HeaderValue::from(left));
+        headers.insert(names.request_priority.clone(), route.rank());
         if let Ok(id) = HeaderValue::from_str(instance.id()) {
             headers.insert(names.expect_instance.clone(), id);
         }
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -5,6 +5,8 @@
     Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
 };
 
+use crate::coordination::StoreCalls;
+
 /// Upper bounds of latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
@@ -94,6 +96,13 @@
         }
     }
 
+    /// Adds the counter of calls to the coordination store.
+    pub fn add_store_calls(&self, calls: &StoreCalls) {
+        if let Err(error) = self.registry.register(Box::new(calls.counter().clone())) {
+            log::error!("event=metrics_not_added cause=\"{error}\"");
+        }
+    }
+
     /// All counters as text.
     pub fn render(&self) -> String {
         let dropped = crate::logging::dropped_lines();
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -16,7 +16,7 @@
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{BundleEvidence, Refused, Request, Response};
 
-use crate::coordination::Coordination;
+use crate::coordination::{Coordination, StoreCalls};
 use crate::job::{JobRegistry, LOG_PREFIX};
 use crate::nodes::Nodes;
 use crate::set_records::CoordinatedSetRecords;
@@ -59,6 +59,8 @@
     pub order_quiet: Duration,
     /// How long a stop may take.
     pub grace: Duration,
+    /// Counts calls to the coordination store.
+    pub store_calls: StoreCalls,
 }
 
 impl ProgramOptions {
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -106,6 +106,7 @@
     if let Some(address) = options.metrics_address {
         let metrics = Arc::new(Metrics::new());
         metrics.add_journal(parts.journal.metrics());
+        metrics.add_store_calls(&options.store_calls);
         let listener = TcpListener::bind(address).await;
         let listener = listener.map_err(|error| StoreError::Listen { address, error })?;
         tokio::spawn(serve_metrics(listener, metrics));
