--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -17,6 +17,7 @@
 mod shared;
 mod starting;
 mod state;
+mod stream;
 mod text;
 
 pub use confirmation::Confirmation;
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -5,17 +5,14 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
-use http_body_util::BodyExt;
 use ladderstage_wire::messages::mod_JobResult::State as ResultState;
 use ladderstage_wire::messages::{JobProgress, JobResult, JobSpec};
 use tokio::sync::{mpsc, watch};
 
-use super::events::{Event, EventParser};
-use super::pace::Pace;
+use super::stream::follow_stream;
 use super::text::ItemText;
 use crate::backend::{
-    AnswerId, BackendTable, Demand, ExchangeError, Instance, LOADING_PAUSE, Reply, RequestHead,
-    keep_alive, send,
+    AnswerId, BackendTable, Demand, ExchangeError, Instance, LOADING_PAUSE, RequestHead, send,
 };
 use crate::dialect::SharedCodec;
 
@@ -26,16 +23,10 @@
 const VERSION_WAIT: Duration = Duration::from_millis(500);
 
 /// Longest wait for the first event of a run.
-const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(2_500);
-
-/// Longest wait for a further event.
-const NEXT_EVENT_LIMIT: Duration = Duration::from_millis(1_200);
-
-/// Events after which text is kept in the journal.
-const EVENTS_PER_PROGRESS: u64 = 16;
+pub(super) const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(2_500);
 
 /// How long an instance whose weights proved too old is left out for that model.
-const STALE_WEIGHTS_PAUSE: Duration = Duration::from_secs(1);
+pub(super) const STALE_WEIGHTS_PAUSE: Duration = Duration::from_secs(1);
 
 /// What runs of a job share.
 pub struct RunContext {
@@ -62,7 +53,7 @@
 }
 
 /// How one run at one instance ended.
-enum RunEnd {
+pub(super) enum RunEnd {
     Complete,
     /// The instance answered that the item can never be done.
     Impossible,
@@ -353,108 +344,3 @@
         headers,
     })
 }
-
-/// Takes the events of one run into the text.
-async fn follow_stream(
-    context: &RunContext,
-    index: usize,
-    instance: &Arc<Instance>,
-    reply: Reply,
-    partial: &mut ItemText,
-) -> RunEnd {
-    let names = context.codec.headers();
-    let (headers, mut body, lease) = reply.into_parts();
-    let mut version = read_number(&headers, &names.weight_version);
-    let is_framed = headers.contains_key(http::header::CONTENT_LENGTH)
-        || headers.contains_key(http::header::TRANSFER_ENCODING);
-    let mut parser = EventParser::new(names.weight_version.as_str());
-    let mut pace = Pace::default();
-    loop {
-        let limit = if pace.events == 0 {
-            FIRST_EVENT_LIMIT
-        } else {
-            NEXT_EVENT_LIMIT
-        };
-        let frame = match tokio::time::timeout(limit, body.frame()).await {
-            Err(_) => {
-                instance.note_failure(Instant::now());
-                return RunEnd::Move("no event in time".to_owned());
-            }
-            Ok(Some(Err(error))) => {
-                instance.note_failure(Instant::now());
-                return RunEnd::Move(format!("cut: {error}"));
-            }
-            Ok(Some(Ok(frame))) => frame,
-            Ok(None) if is_framed && parser.is_at_boundary() => {
-                instance.note_success();
-                lease.give_back(keep_alive(&headers));
-                return RunEnd::Complete;
-            }
-            Ok(None) => return RunEnd::Move("ended without an end mark".to_owned()),
-        };
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        let events = match parser.push(&data) {
-            Ok(events) => events,
-            Err(error) => {
-                instance.note_failure(Instant::now());
-                return RunEnd::Move(error.to_string());
-            }
-        };
-        for event in events {
-            version = event.version.or(version);
-            if let Err(end) = take_event(context, instance, event, version, partial) {
-                return end;
-            }
-            pace.note(instance);
-        }
-        if partial.fresh_events() >= EVENTS_PER_PROGRESS {
-            let item = &context.spec.items[index].id;
-            if let Some(progress) = partial.take_progress(item) {
-                let _ = context.progress.send(progress);
-            }
-        }
-        if let Some(cause) = pace.reason_to_move(context, instance, partial) {
-            return RunEnd::Move(cause);
-        }
-    }
-}
-
-/// Adds one event to the text; an event that does not follow or has unfit weights ends the run.
-fn take_event(
-    context: &RunContext,
-    instance: &Instance,
-    event: Event,
-    version: Option<u64>,
-    partial: &mut ItemText,
-) -> Result<(), RunEnd> {
-    if partial
-        .last_event()
-        .is_some_and(|last| event.id != last + 1)
-    {
-        return Err(RunEnd::Move(format!("event {} does not follow", event.id)));
-    }
-    let version = version.unwrap_or(0);
-    let model = &context.spec.model;
-    instance.note_version(model, version);
-    if version < context.spec.min_version {
-        instance.note_loading(model, Instant::now() + STALE_WEIGHTS_PAUSE);
-        return Err(RunEnd::Move(format!("weight version {version} is too old")));
-    }
-    if context.single_version
-        && partial
-            .versions()
-            .first()
-            .is_some_and(|begun| *begun != version)
-    {
-        partial.start_over();
-        return Err(RunEnd::Move("weight version changed".to_owned()));
-    }
-    partial.push(&event, version);
-    Ok(())
-}
-
-fn read_number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
-    headers.get(name)?.to_str().ok()?.trim().parse().ok()
-}
