--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -136,6 +136,21 @@
         self.lock().discovered.clone()
     }
 
+    /// Whether it belongs to a service.
+    pub fn is_of(&self, service: &str) -> bool {
+        self.lock().discovered.service == service
+    }
+
+    /// Whether it takes new work, as discovery told last.
+    pub fn is_ready(&self) -> bool {
+        self.lock().discovered.is_ready
+    }
+
+    /// Weight versions that it has, by model.
+    pub fn versions(&self) -> BTreeMap<String, u64> {
+        self.lock().discovered.versions.clone()
+    }
+
     /// Takes what discovery tells now. Weight versions only rise within one start.
     pub fn update(&self, mut discovered: Discovered) {
         let mut known = self.lock();
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -1,6 +1,6 @@
 //! All instances that discovery knows.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
@@ -13,7 +13,7 @@
 #[derive(Debug, Clone)]
 pub struct BackendTable {
     zone: Arc<str>,
-    instances: Arc<Mutex<HashMap<String, Arc<Instance>>>>,
+    instances: Arc<Mutex<BTreeMap<String, Arc<Instance>>>>,
     changed: watch::Sender<u64>,
 }
 
@@ -32,7 +32,7 @@
         let mut instances = self.lock();
         match instances.get(&discovered.id) {
             Some(known) if known.address() == discovered.address => {
-                let was_ready = known.discovered().is_ready;
+                let was_ready = known.is_ready();
                 if was_ready != discovered.is_ready {
                     log::info!(
                         "event=instance_changed instance={} service={} ready={}",
@@ -89,13 +89,11 @@
     /// Instances of a service, sorted by id.
     pub fn of_service(&self, service: &str) -> Vec<Arc<Instance>> {
         let instances = self.lock();
-        let mut found: Vec<_> = instances
-            .values()
-            .filter(|instance| instance.discovered().service == service)
-            .cloned()
-            .collect();
-        found.sort_by(|left, right| left.id().cmp(right.id()));
+        let found = instances.values();
         found
+            .filter(|instance| instance.is_of(service))
+            .cloned()
+            .collect()
     }
 
     /// Median of the recent paces of a service's instances, in milliseconds per unit of work.
@@ -135,13 +133,13 @@
         let instances = self.of_service(service);
         let ready: Vec<_> = instances
             .into_iter()
-            .filter(|instance| instance.discovered().is_ready)
+            .filter(|instance| instance.is_ready())
             .collect();
         let index = rand::random_range(0..ready.len().max(1));
         ready.get(index).cloned()
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<String, Arc<Instance>>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Arc<Instance>>> {
         self.instances
             .lock()
             .unwrap_or_else(|poisoned| poisoned.into_inner())
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -241,7 +241,7 @@
             .iter()
             .map(|instance| FleetInstance {
                 id: instance.id().to_owned(),
-                versions: instance.discovered().versions,
+                versions: instance.versions(),
                 load: instance.candidate("", now).load,
                 is_busy: given.is_left_alone(instance.id()),
                 pace_ms: given.demand.pace_ms(instance.id()),
@@ -290,7 +290,7 @@
         services
             .filter(|(_, service)| !service.models.is_empty())
             .flat_map(|(name, _)| self.backends.of_service(name))
-            .filter(|instance| instance.discovered().is_ready)
+            .filter(|instance| instance.is_ready())
             .collect()
     }
 
