Give orders many at once, and let the number of loads double while they stay even

Cause: the giver asked one instance after the other for its report and gave it its order, with a look at the whole fleet before each; and the number of loads rose by one with each wave, so that a fleet that bears hundreds would have waited minutes for it. A load's neighbours were counted at its begin only, so the first slow one of a wave could take the number down too far.

Change: up to 16 orders are planned from one look and given at once; each even load of a wave that uses at least half of the number raises it; neighbours are counted at begin and end. Ruled out: asking for the report no more (the sequence that an order expects must be the newest).

It is for larger fleets.

--- a/crates/front/src/orders/given.rs
+++ b/crates/front/src/orders/given.rs
@@ -5,7 +5,7 @@
 
 use super::demand::FleetDemand;
 use super::load_limit::{FinishedLoad, LoadLimit};
-use super::plan::{Assignment, Planned};
+use super::plan::{Assignment, FleetInstance, ModelDemand, Planned};
 
 /// A load is first looked at after this share of the least time.
 const LOOK_SHARE: f64 = 0.97;
@@ -78,7 +78,7 @@
         let finished = FinishedLoad {
             taken,
             least,
-            beside: load.beside,
+            beside: load.beside.max(self.loads.len()),
         };
         self.load_limit.note(finished, now);
         if self.load_limit.get() < before {
@@ -87,7 +87,7 @@
                 self.load_limit.get(),
                 taken.as_millis(),
                 least.as_millis(),
-                load.beside
+                finished.beside
             );
         }
     }
@@ -112,4 +112,21 @@
             until.clamp(LOAD_LOOK_INTERVAL, LOOK_INTERVAL)
         })
     }
+
+    /// Trades instances between models if the fronts were asked for their work since the last time.
+    pub fn trade_once(&mut self, demands: &[ModelDemand], fleet: &[FleetInstance]) {
+        if !std::mem::take(&mut self.may_trade) {
+            return;
+        }
+        if let Some(trade) = self.assignment.trade(demands, fleet) {
+            log::info!(
+                "event=instances_traded slow={} fast={} model={} pace_ms={:?} against={:?}",
+                trade.slow,
+                trade.fast,
+                trade.model,
+                self.demand.pace_ms(&trade.slow),
+                self.demand.pace_ms(&trade.fast)
+            );
+        }
+    }
 }
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use http::StatusCode;
 use ladderstage_journal::Peers;
 
@@ -31,6 +32,9 @@
 /// Between questions to the fronts about their work.
 const DEMAND_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Orders that are given at the same moment at most.
+const ORDERS_AT_ONCE: usize = 16;
+
 /// Longest wait for a load.
 const LOAD_LIMIT: Duration = Duration::from_secs(5);
 
@@ -68,6 +72,12 @@
     pub options: OrderOptions,
 }
 
+/// An order to give, and the instance that it goes to.
+struct Order {
+    instance: Arc<Instance>,
+    planned: Planned,
+}
+
 /// What follows an order.
 enum Outcome {
     /// The instance may be loading, for the given time at most.
@@ -221,23 +231,47 @@
         !report.busy && instance.version(&load.model) >= load.version
     }
 
-    /// Gives orders one after the other while there are any.
+    /// Gives orders while there are any.
     async fn give_all(&self, held: &Held, given: &mut Given) -> Round {
         let mut round = Round::More;
         while round == Round::More {
-            round = self.give_next(held, given).await;
+            round = self.give_some(held, given).await;
+        }
+        round
+    }
+
+    /// Gives the next orders, all at once.
+    async fn give_some(&self, held: &Held, given: &mut Given) -> Round {
+        let orders = self.next_orders(given);
+        if orders.is_empty() {
+            return Round::Enough;
+        }
+        let calls = orders.into_iter().map(|order| async move {
+            let outcome = self.give(held, &order.instance, &order.planned).await;
+            (order.planned, outcome)
+        });
+        let mut round = Round::More;
+        for (planned, outcome) in join_all(calls).await {
+            match outcome {
+                Outcome::Loading(limit) => given.begin(planned, limit),
+                Outcome::Pause(pause) => {
+                    let until = Instant::now() + pause;
+                    given.pauses.insert(planned.instance, until);
+                }
+                Outcome::Fenced => round = Round::Fenced,
+            }
         }
         round
     }
 
-    /// Gives the next order.
-    async fn give_next(&self, held: &Held, given: &mut Given) -> Round {
+    /// What is to be ordered now.
+    fn next_orders(&self, given: &mut Given) -> Vec<Order> {
         let now = Instant::now();
         given.pauses.retain(|_, until| *until > now);
         let mut demands = self.versions.demands();
         given.demand.fill(&mut demands);
         let instances = self.fleet();
-        let fleet: Vec<FleetInstance> = instances
+        let mut fleet: Vec<FleetInstance> = instances
             .iter()
             .map(|instance| FleetInstance {
                 id: instance.id().to_owned(),
@@ -248,37 +282,25 @@
             })
             .collect();
         given.assignment.update(&demands, &fleet);
-        if std::mem::take(&mut given.may_trade)
-            && let Some(trade) = given.assignment.trade(&demands, &fleet)
-        {
-            log::info!(
-                "event=instances_traded slow={} fast={} model={} pace_ms={:?} against={:?}",
-                trade.slow,
-                trade.fast,
-                trade.model,
-                given.demand.pace_ms(&trade.slow),
-                given.demand.pace_ms(&trade.fast)
-            );
-        }
-        let loading = given.loads.len();
+        given.trade_once(&demands, &fleet);
         let limit = given.load_limit.get();
-        let planned = plan(&demands, &given.assignment, &fleet, loading, limit);
-        let Some(planned) = planned else {
-            return Round::Enough;
-        };
-        let Some(instance) = instances.iter().find(|one| one.id() == planned.instance) else {
-            return Round::Enough;
-        };
-        match self.give(held, instance, &planned).await {
-            Outcome::Loading(limit) => given.begin(planned, limit),
-            Outcome::Pause(pause) => {
-                given
-                    .pauses
-                    .insert(planned.instance, Instant::now() + pause);
-            }
-            Outcome::Fenced => return Round::Fenced,
+        let mut orders = Vec::new();
+        while orders.len() < ORDERS_AT_ONCE {
+            let loading = given.loads.len() + orders.len();
+            let planned = plan(&demands, &given.assignment, &fleet, loading, limit);
+            let Some(planned) = planned else {
+                break;
+            };
+            let Some(index) = fleet.iter().position(|one| one.id == planned.instance) else {
+                break;
+            };
+            fleet[index].is_busy = true;
+            orders.push(Order {
+                instance: Arc::clone(&instances[index]),
+                planned,
+            });
         }
-        Round::More
+        orders
     }
 
     /// Ready instances of the services that hold models.
--- a/crates/front/src/orders/load_limit.rs
+++ b/crates/front/src/orders/load_limit.rs
@@ -37,7 +37,7 @@
     pub taken: Duration,
     /// Least time that such a load has taken of late.
     pub least: Duration,
-    /// Loads under way when it began, this one included.
+    /// Loads under way when it began or ended, whichever are more, this one included.
     pub beside: usize,
 }
 
@@ -66,7 +66,8 @@
             self.limit = shown.clamp(LEAST_LIMIT, self.limit);
             self.held_until = Some(now + self.hold);
             self.hold = (self.hold * 2).min(LONGEST_HOLD);
-        } else if ratio <= EVEN_RATIO && load.beside >= self.limit && !is_held {
+        } else if ratio <= EVEN_RATIO && load.beside * 2 > self.limit && !is_held {
+            // Each load of a wave that uses the limit raises it: the limit doubles with each wave.
             self.limit += 1;
         }
     }
