Score texts: make the reward call of an item once its text is whole, list its result with the score

Change: decoded once into RewardCall; the call runs under its own route with a time limit and a second instance when it is slow, repeats until there is a score, gives up after as many answers of 500 as the route allows, and leaves one slot in six of its service to live requests. A whole text is kept in the log before its score is known, so that a new owner scores it and makes nothing again. Ruled out: the path of live requests for these calls, as it does not tell how many answers were 500.

--- a/crates/front/src/backend/choice.rs
+++ b/crates/front/src/backend/choice.rs
@@ -34,15 +34,21 @@
     Batch,
     /// A long item of a batch job: only an instance with a free slot, the fastest.
     LongBatch,
+    /// A reward call: only an instance with slots to spare for clients who wait.
+    Scoring,
 }
 
+/// One of so many slots is left to live requests by reward calls, which come in bursts as texts end: 24 calls of 30 ms at once
+/// would else make each client wait for all of them.
+const LIVE_SLOT_SHARE: u32 = 6;
+
 /// Index of the instance to use; `None` if none fits. `random` decides among equal ones.
 pub fn choose(candidates: &[Candidate], demand: Demand, random: u64) -> Option<usize> {
     let typical = typical_pace(candidates);
     let fitting = candidates
         .iter()
         .enumerate()
-        .filter(|(_, candidate)| demand == Demand::Live || candidate.load < candidate.slots);
+        .filter(|(_, candidate)| candidate.load < most_load(candidate, demand));
     let count = candidates.len().max(1);
     let offset = (random % count as u64) as usize;
     fitting
@@ -55,6 +61,15 @@
         .map(|(index, _)| index)
 }
 
+/// Load from which on an instance gets no more work of a kind.
+fn most_load(candidate: &Candidate, demand: Demand) -> u32 {
+    match demand {
+        Demand::Live => u32::MAX,
+        Demand::Batch | Demand::LongBatch => candidate.slots,
+        Demand::Scoring => candidate.slots - candidate.slots / LIVE_SLOT_SHARE,
+    }
+}
+
 /// Expected time of one more request against an idle typical instance.
 fn cost(candidate: &Candidate, typical: Option<f64>, demand: Demand) -> f64 {
     let occupancy = f64::from(candidate.load + 1) / f64::from(candidate.slots.max(1));
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -14,6 +14,7 @@
 mod reading;
 mod registry;
 mod run;
+mod scoring;
 mod shared;
 mod starting;
 mod state;
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -9,12 +9,15 @@
 use ladderstage_wire::messages::{JobProgress, JobResult, JobSpec};
 use tokio::sync::{mpsc, watch};
 
+use super::scoring::{ScoreEnd, score};
 use super::stream::follow_stream;
 use super::text::ItemText;
 use crate::backend::{
     AnswerId, BackendTable, Demand, ExchangeError, Instance, LOADING_PAUSE, RequestHead, send,
 };
+use crate::config::ConfigInForce;
 use crate::dialect::SharedCodec;
+use crate::metrics::Metrics;
 
 /// Pause before another instance is looked for when none has room.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(25);
@@ -34,6 +37,10 @@
     pub backends: BackendTable,
     /// Names.
     pub codec: SharedCodec,
+    /// Routes, of reward calls too.
+    pub config: ConfigInForce,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
     /// The job.
     pub spec: Arc<JobSpec>,
     /// Service that runs its items.
@@ -75,11 +82,20 @@
     Stopped,
 }
 
-/// Runs the item at `index` until it has a result, going on from `partial`; the first run goes to `first`.
+/// How the work on an item ended.
+enum ItemEnd {
+    /// Its text is whole; the score is empty where nothing scores it.
+    Completed { score: String },
+    /// It is given up.
+    Terminated,
+}
+
+/// Runs the item at `index` until it has a result, going on from `partial`; the first run goes to `first`, and none is needed
+/// for a text that is whole and only lacks its score.
 pub async fn run_item(
     context: Arc<RunContext>,
     index: usize,
-    first: Arc<Instance>,
+    first: Option<Arc<Instance>>,
     mut partial: ItemText,
 ) -> RunOutcome {
     let item = context.spec.items[index].id.clone();
@@ -96,14 +112,14 @@
     };
     match ended {
         None => RunOutcome::NotStarted,
-        Some(ResultState::COMPLETED) => {
+        Some(ItemEnd::Completed { score }) => {
             let events = partial.events();
-            RunOutcome::Done(partial.into_result(&item), events)
+            RunOutcome::Done(partial.into_result(&item, score), events)
         }
-        Some(state) => {
+        Some(ItemEnd::Terminated) => {
             let result = JobResult {
                 item,
-                state,
+                state: ResultState::TERMINATED,
                 ..JobResult::default()
             };
             RunOutcome::Done(result, 0)
@@ -115,9 +131,9 @@
 async fn run_in_time(
     context: &RunContext,
     index: usize,
-    first: Arc<Instance>,
+    first: Option<Arc<Instance>>,
     partial: &mut ItemText,
-) -> Option<ResultState> {
+) -> Option<ItemEnd> {
     let run = run_until_done(context, index, first, partial);
     let Some(at) = context.give_up_at else {
         return run.await;
@@ -129,17 +145,55 @@
             context.spec.items[index].id,
             context.spec.job
         );
-        Some(ResultState::TERMINATED)
+        Some(ItemEnd::Terminated)
     })
 }
 
-/// Runs the item at one instance after the other; `None` if the first one took none of it.
+/// Makes the text and has it scored; `None` if the first instance took none of it.
 async fn run_until_done(
+    context: &RunContext,
+    index: usize,
+    first: Option<Arc<Instance>>,
+    partial: &mut ItemText,
+) -> Option<ItemEnd> {
+    if !partial.is_whole()
+        && let Some(first) = first
+    {
+        match make_text(context, index, first, partial).await? {
+            TextEnd::Whole => {}
+            TextEnd::Impossible => return Some(ItemEnd::Terminated),
+        }
+    }
+    let item = &context.spec.items[index];
+    let Some(reward) = &item.reward_call else {
+        let score = String::new();
+        return Some(ItemEnd::Completed { score });
+    };
+    if !partial.is_whole()
+        && let Some(progress) = partial.end(&item.id)
+    {
+        let _ = context.progress.send(progress);
+    }
+    match score(context, index, reward).await {
+        ScoreEnd::Scored(score) => Some(ItemEnd::Completed { score }),
+        ScoreEnd::Failed | ScoreEnd::Impossible => Some(ItemEnd::Terminated),
+    }
+}
+
+/// How the making of a text ended.
+enum TextEnd {
+    Whole,
+    /// It can never be made, or failed as often as the route allows.
+    Impossible,
+}
+
+/// Runs the item at one instance after the other; `None` if the first one took none of it.
+async fn make_text(
     context: &RunContext,
     index: usize,
     first: Arc<Instance>,
     partial: &mut ItemText,
-) -> Option<ResultState> {
+) -> Option<TextEnd> {
     let mut failures = 0;
     let mut instance = first;
     loop {
@@ -147,12 +201,12 @@
         let end = run_once(context, index, &instance, partial).await;
         log_run(context, index, &instance, partial, started, &end);
         match end {
-            RunEnd::Complete => return Some(ResultState::COMPLETED),
-            RunEnd::Impossible => return Some(ResultState::TERMINATED),
+            RunEnd::Complete => return Some(TextEnd::Whole),
+            RunEnd::Impossible => return Some(TextEnd::Impossible),
             RunEnd::Failed => {
                 failures += 1;
                 if failures >= context.max_attempts.max(1) {
-                    return Some(ResultState::TERMINATED);
+                    return Some(TextEnd::Impossible);
                 }
             }
             RunEnd::NotTaken(_) if partial.events() == 0 && failures == 0 => return None,
--- /dev/null
+++ b/crates/front/src/job/scoring.rs
@@ -0,0 +1,220 @@
+//! The reward call of an item: scores its whole text, on another instance when one fails, until there is a score.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use http::header::HOST;
+use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
+use ladderstage_wire::messages::RewardCall;
+
+use super::run::RunContext;
+use crate::backend::{AnswerId, Demand, ExchangeError, Instance, RequestHead, send};
+use crate::config::Route;
+
+/// Pause before a route or an instance is looked for again.
+const LOOK_PAUSE: Duration = Duration::from_millis(25);
+
+/// Another instance is asked as well once a call has taken so many target latencies: the answer may be lost.
+const HEDGE_TARGETS: u32 = 2;
+
+/// Calls for one text that are under way at once, at most.
+const MOST_AT_ONCE: usize = 2;
+
+/// Largest answer of a reward call.
+const ANSWER_LIMIT: usize = 1024 * 1024;
+
+/// What came of scoring a text.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum ScoreEnd {
+    /// The signature of the good answer.
+    Scored(String),
+    /// The call failed as often as its route allows.
+    Failed,
+    /// The call can never be sent: its parts are no request.
+    Impossible,
+}
+
+/// How one call ended.
+struct Attempt {
+    instance: Arc<Instance>,
+    started: Instant,
+    result: Result<Answer, ExchangeError>,
+}
+
+/// An instance's own answer.
+enum Answer {
+    Scored(String),
+    Failed(StatusCode),
+}
+
+/// A reward call ready to be sent under one route.
+struct Call<'a> {
+    context: &'a RunContext,
+    route: &'a Route,
+    reward: &'a RewardCall,
+    attempt_id: HeaderValue,
+    uri: Uri,
+}
+
+/// Scores the text of the item at `index`, which must be whole.
+pub(super) async fn score(context: &RunContext, index: usize, reward: &RewardCall) -> ScoreEnd {
+    let Ok(attempt_id) = HeaderValue::from_str(&reward.id) else {
+        return ScoreEnd::Impossible;
+    };
+    let Ok(uri) = reward.path.parse::<Uri>() else {
+        return ScoreEnd::Impossible;
+    };
+    let mut failures = 0;
+    loop {
+        // The route may change between two tries; without one nothing is known of the score.
+        let config = context.config.current();
+        let route = config
+            .as_ref()
+            .and_then(|config| config.route(&reward.host, uri.path()));
+        if let Some(route) = route {
+            let call = Call {
+                context,
+                route,
+                reward,
+                attempt_id: attempt_id.clone(),
+                uri: uri.clone(),
+            };
+            if let Some(end) = call.try_once(index, &mut failures).await {
+                return end;
+            }
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+impl Call<'_> {
+    /// Asks instances until all calls under way have ended; `None` if that gave no score yet.
+    async fn try_once(&self, index: usize, failures: &mut u32) -> Option<ScoreEnd> {
+        let service = self.route.pick_service(rand::random());
+        let mut tried: Vec<Arc<Instance>> = Vec::new();
+        let mut under_way = FuturesUnordered::new();
+        let mut hedge_at = Instant::now();
+        loop {
+            let may_start = under_way.len() < MOST_AT_ONCE && Instant::now() >= hedge_at;
+            if may_start && let Some(instance) = self.next_instance(service, &tried) {
+                tried.push(Arc::clone(&instance));
+                under_way.push(self.attempt(instance));
+            }
+            if under_way.is_empty() {
+                return None;
+            }
+            hedge_at = Instant::now() + self.route.target_latency * HEDGE_TARGETS;
+            tokio::select! {
+                Some(ended) = under_way.next() => {
+                    hedge_at = Instant::now();
+                    if let Some(end) = self.take(index, ended, failures) {
+                        return Some(end);
+                    }
+                }
+                () = tokio::time::sleep_until(hedge_at.into()) => {}
+            }
+        }
+    }
+
+    /// An instance with room that was not tried yet.
+    fn next_instance(&self, service: &str, tried: &[Arc<Instance>]) -> Option<Arc<Instance>> {
+        let is_new = |instance: &Instance| tried.iter().all(|one| one.id() != instance.id());
+        let backends = &self.context.backends;
+        backends.choose(service, "", Demand::Scoring, is_new)
+    }
+
+    async fn attempt(&self, instance: Arc<Instance>) -> Attempt {
+        let started = Instant::now();
+        let _guard = instance.begin();
+        let asked = tokio::time::timeout(self.route.timeout, self.ask(&instance)).await;
+        let late = || Err(ExchangeError::Broken("no answer in time".to_owned()));
+        Attempt {
+            result: asked.unwrap_or_else(|_| late()),
+            instance,
+            started,
+        }
+    }
+
+    async fn ask(&self, instance: &Arc<Instance>) -> Result<Answer, ExchangeError> {
+        let names = self.context.codec.headers();
+        let head = self.head(instance)?;
+        let body = Bytes::copy_from_slice(&self.reward.body);
+        let id = &self.attempt_id;
+        let reply = send(instance, names, &head, &body, id, AnswerId::Required).await?;
+        let (status, headers, _) = reply.read_whole(ANSWER_LIMIT).await?;
+        if !status.is_success() {
+            return Ok(Answer::Failed(status));
+        }
+        let stamp = headers.get(&names.response_stamp);
+        let stamp = stamp.and_then(|stamp| stamp.to_str().ok());
+        let unsigned = || ExchangeError::Broken("unsigned answer".to_owned());
+        Ok(Answer::Scored(stamp.ok_or_else(unsigned)?.to_owned()))
+    }
+
+    fn head(&self, instance: &Instance) -> Result<RequestHead, ExchangeError> {
+        let names = self.context.codec.headers();
+        let not_sent =
+            |error: http::header::InvalidHeaderValue| ExchangeError::NotSent(error.to_string());
+        let host = HeaderValue::from_str(&self.reward.host).map_err(not_sent)?;
+        let expected = HeaderValue::from_str(instance.id()).map_err(not_sent)?;
+        let deadline_ms = self.route.timeout.as_millis() as u64;
+        let mut headers = HeaderMap::new();
+        headers.insert(HOST, host);
+        headers.insert(names.attempt_id.clone(), self.attempt_id.clone());
+        headers.insert(names.deadline_ms.clone(), HeaderValue::from(deadline_ms));
+        headers.insert(names.request_priority.clone(), self.route.rank());
+        headers.insert(names.expect_instance.clone(), expected);
+        Ok(RequestHead {
+            method: Method::POST,
+            uri: self.uri.clone(),
+            headers,
+        })
+    }
+
+    /// Takes in a call that ended; `Some` ends the scoring.
+    fn take(&self, index: usize, ended: Attempt, failures: &mut u32) -> Option<ScoreEnd> {
+        let now = Instant::now();
+        self.log(index, &ended);
+        match ended.result {
+            Ok(Answer::Scored(stamp)) => {
+                ended.instance.note_success();
+                let taken = now.saturating_duration_since(ended.started);
+                ended.instance.note_pace(taken.as_secs_f64() * 1e3, now);
+                return Some(ScoreEnd::Scored(stamp));
+            }
+            Ok(Answer::Failed(StatusCode::INTERNAL_SERVER_ERROR)) => *failures += 1,
+            Ok(Answer::Failed(_)) => ended.instance.note_failure(now),
+            Err(error) => {
+                let is_silent =
+                    matches!(error, ExchangeError::NotSent(_) | ExchangeError::Broken(_));
+                if is_silent {
+                    ended.instance.note_failure(now);
+                }
+            }
+        }
+        let is_spent = *failures >= self.route.max_attempts.max(1);
+        is_spent.then_some(ScoreEnd::Failed)
+    }
+
+    fn log(&self, index: usize, ended: &Attempt) {
+        let (label, outcome) = match &ended.result {
+            Ok(Answer::Scored(_)) => ("scored", "scored".to_owned()),
+            Ok(Answer::Failed(status)) => ("failed", format!("failed status={}", status.as_u16())),
+            Err(error) if error.is_not_run() => ("not_run", format!("not_run cause=\"{error}\"")),
+            Err(error) => ("broken", format!("broken cause=\"{error}\"")),
+        };
+        let calls = &self.context.metrics.reward_calls;
+        calls.with_label_values(&[label]).inc();
+        log::info!(
+            "event=reward_call item={} job={} request={} route={} instance={} elapsed_ms={} outcome={outcome}",
+            self.context.spec.items[index].id,
+            self.context.spec.job,
+            self.reward.id,
+            self.route.name,
+            ended.instance.id(),
+            ended.started.elapsed().as_millis()
+        );
+    }
+}
--- a/crates/front/src/job/starting.rs
+++ b/crates/front/src/job/starting.rs
@@ -8,6 +8,7 @@
 
 use super::owner::Owner;
 use super::run::{RunContext, run_item};
+use super::text::ItemText;
 use crate::backend::{Demand, Instance};
 use crate::config::Route;
 
@@ -41,6 +42,11 @@
         let startable = self.startable(&spec);
         let long_from = long_from(&spec);
         for index in startable {
+            let kept = self.job.state().kept(&spec.items[index].id);
+            if kept.is_whole() {
+                self.spawn_run(&run, index, None, kept);
+                continue;
+            }
             let is_long = spec.items[index].expected_tokens >= long_from;
             let demand = if is_long {
                 Demand::LongBatch
@@ -56,18 +62,27 @@
                 self.has_waiting_items = true;
                 return;
             };
-            // The run begins with its first poll; the guard counts it from now on.
-            let guard = instance.begin();
-            let run = Arc::clone(&run);
-            let kept = self.job.state().kept(&spec.items[index].id);
-            self.running.insert(index);
-            self.runs.spawn(async move {
-                drop(guard);
-                (index, run_item(run, index, instance, kept).await)
-            });
+            self.spawn_run(&run, index, Some(instance), kept);
         }
     }
 
+    fn spawn_run(
+        &mut self,
+        run: &Arc<RunContext>,
+        index: usize,
+        instance: Option<Arc<Instance>>,
+        kept: ItemText,
+    ) {
+        // The run begins with its first poll; the guard counts it from now on.
+        let guard = instance.as_ref().map(Instance::begin);
+        let run = Arc::clone(run);
+        self.running.insert(index);
+        self.runs.spawn(async move {
+            drop(guard);
+            (index, run_item(run, index, instance, kept).await)
+        });
+    }
+
     fn startable(&self, spec: &JobSpec) -> Vec<usize> {
         let state = self.job.state();
         let in_log: HashSet<usize> = self.running.iter().copied().collect();
@@ -90,6 +105,8 @@
         Some(Arc::new(RunContext {
             backends: self.context.backends.clone(),
             codec: Arc::clone(&self.context.codec),
+            config: self.context.config.clone(),
+            metrics: Arc::clone(&self.context.metrics),
             spec: Arc::clone(spec),
             service: route.pick_service(rand::random()).to_owned(),
             rank: route.rank(),
--- a/crates/front/src/job/text.rs
+++ b/crates/front/src/job/text.rs
@@ -17,6 +17,8 @@
     starts_over: bool,
     /// Some of the text is in the journal.
     has_kept: bool,
+    /// The last event was the end of the text.
+    is_whole: bool,
 }
 
 /// Events since the last progress that was handed to the journal.
@@ -54,6 +56,25 @@
         self.fresh.events
     }
 
+    /// Whether nothing follows any more.
+    pub fn is_whole(&self) -> bool {
+        self.is_whole
+    }
+
+    /// Notes that the text has ended; what is fresh goes to the journal with that. `None` for a text without events.
+    pub fn end(&mut self, item: &str) -> Option<JobProgress> {
+        self.is_whole = true;
+        let last_event = self.last_event?;
+        let nothing_fresh = || JobProgress {
+            item: item.to_owned(),
+            first_event: last_event + 1,
+            last_event,
+            is_whole: true,
+            ..JobProgress::default()
+        };
+        Some(self.take_progress(item).unwrap_or_else(nothing_fresh))
+    }
+
     /// Adds the next event, made by `version`.
     pub fn push(&mut self, event: &Event, version: u64) {
         if self.fresh.events == 0 {
@@ -91,14 +112,15 @@
             events: self.fresh.events,
             text: self.text[self.fresh.text_start..].to_owned(),
             weight_versions: std::mem::take(&mut self.fresh.versions),
+            is_whole: self.is_whole,
         };
         self.fresh = Fresh::default();
         self.has_kept = true;
         Some(progress)
     }
 
-    /// The result as the journal takes it: only what it does not have yet.
-    pub fn into_result(self, item: &str) -> JobResult {
+    /// The result as the journal takes it, with the score of a scored text: only what the journal does not have yet.
+    pub fn into_result(self, item: &str, score: String) -> JobResult {
         let follows_progress = self.has_kept && !self.starts_over;
         let text = if !follows_progress {
             self.text
@@ -118,6 +140,7 @@
             text,
             weight_versions,
             follows_progress,
+            score,
         }
     }
 
@@ -132,9 +155,10 @@
         if !follows {
             return;
         }
-        if self.events > 0 {
+        if self.events > 0 && progress.events > 0 {
             self.text.push('\n');
         }
+        self.is_whole = progress.is_whole;
         self.text.push_str(&progress.text);
         self.events += progress.events;
         self.last_event = Some(progress.last_event);
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -24,6 +24,8 @@
     pub attempts: IntCounter,
     /// Item runs by outcome.
     pub item_runs: IntCounterVec,
+    /// Reward calls by outcome.
+    pub reward_calls: IntCounterVec,
     /// Batch jobs by event.
     pub jobs: IntCounterVec,
     /// Orders to instances by outcome.
@@ -75,6 +77,11 @@
                 "Runs of batch-job items by outcome",
                 &["outcome"],
             ),
+            reward_calls: vec(
+                "ladderstage_reward_calls_total",
+                "Calls that score whole texts by outcome",
+                &["outcome"],
+            ),
             jobs: vec("ladderstage_jobs_total", "Batch jobs by event", &["event"]),
             orders: vec(
                 "ladderstage_orders_total",
--- a/crates/front/tests/item_text.rs
+++ b/crates/front/tests/item_text.rs
@@ -63,7 +63,7 @@
             text.push(&event(id), id / 7 + 1);
         }
         let versions = text.versions().to_vec();
-        log.push(entry_bytes(EntryKind::result(text.into_result(ITEM))));
+        log.push(entry_bytes(EntryKind::result(text.into_result(ITEM, String::new()))));
         let state = JobState::replay(&log).unwrap();
         let result = &state.results()[0];
         prop_assert_eq!(&result.text, &joined(id));
@@ -82,7 +82,9 @@
     let mut second = JobState::replay(&log).unwrap().kept(ITEM);
     assert_eq!(second.last_event(), Some(3));
     (4..=5).for_each(|id| second.push(&event(id), 5));
-    log.push(entry_bytes(EntryKind::result(second.into_result(ITEM))));
+    log.push(entry_bytes(EntryKind::result(
+        second.into_result(ITEM, String::new()),
+    )));
     let state = JobState::replay(&log).unwrap();
     assert_eq!(state.results()[0].text, joined(5));
     assert_eq!(state.results()[0].weight_versions, [4, 5]);
@@ -98,13 +100,37 @@
     let log = [
         accepted(),
         entry_bytes(EntryKind::progress(progress)),
-        entry_bytes(EntryKind::result(text.into_result(ITEM))),
+        entry_bytes(EntryKind::result(text.into_result(ITEM, String::new()))),
     ];
     let state = JobState::replay(&log).unwrap();
     assert_eq!(state.results()[0].text, joined(2));
     assert_eq!(state.results()[0].weight_versions, [5]);
 }
 
+#[test]
+fn a_whole_text_waits_in_the_log_for_its_score() {
+    let mut text = ItemText::default();
+    text.push(&event(1), 5);
+    let first = text.take_progress(ITEM).unwrap();
+    assert!(!first.is_whole);
+    let end = text.end(ITEM).unwrap();
+    assert!(end.is_whole);
+    let mut log = vec![
+        accepted(),
+        entry_bytes(EntryKind::progress(first)),
+        entry_bytes(EntryKind::progress(end)),
+    ];
+    let kept = JobState::replay(&log).unwrap().kept(ITEM);
+    assert!(kept.is_whole());
+    assert_eq!(kept.text(), joined(1));
+    let result = kept.into_result(ITEM, "score".to_owned());
+    log.push(entry_bytes(EntryKind::result(result)));
+    let state = JobState::replay(&log).unwrap();
+    assert_eq!(state.results()[0].text, joined(1));
+    assert_eq!(state.results()[0].score, "score");
+    assert_eq!(state.results()[0].weight_versions, [5]);
+}
+
 #[test]
 fn the_first_result_of_an_item_keeps_its_position() {
     let result = |text: &str| {
@@ -144,7 +170,7 @@
     assert!(queue.end());
     assert!(!queue.end());
     queue.progress(late);
-    queue.result(text.into_result(ITEM));
+    queue.result(text.into_result(ITEM, String::new()));
     let mut log = vec![accepted()];
     log.extend(queue.take());
     let state = JobState::replay(&log).unwrap();
