--- a/crates/front/src/job/locating.rs
+++ b/crates/front/src/job/locating.rs
@@ -158,5 +158,6 @@
         job: id.to_owned(),
         after: u64::MAX,
         wait_ms: 0,
+        takes_compressed: false,
     })
 }
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -15,6 +15,7 @@
 mod registry;
 mod run;
 mod scoring;
+mod seen;
 mod shared;
 mod starting;
 mod state;
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -47,6 +47,8 @@
     /// Entries of the append under way.
     pub(super) in_append: Vec<LogEntry>,
     pub(super) running: HashSet<usize>,
+    /// Items whose results were queued by this owner; not all of them are in the log yet.
+    pub(super) finished: HashSet<usize>,
     pub(super) runs: JoinSet<(usize, RunOutcome)>,
     /// Tells the runs to stop.
     pub(super) stop: watch::Sender<bool>,
@@ -82,6 +84,7 @@
             queue,
             in_append: Vec::new(),
             running: HashSet::new(),
+            finished: HashSet::new(),
             runs: JoinSet::new(),
             stop: watch::Sender::new(false),
             enders: Vec::new(),
@@ -178,6 +181,7 @@
             .item_runs
             .with_label_values(&[outcome])
             .inc();
+        self.finished.insert(index);
         self.queue.result(result);
     }
 
@@ -304,6 +308,7 @@
     fn start_anew(&mut self, pending: Vec<LogEntry>) {
         self.runs = JoinSet::new();
         self.running.clear();
+        self.finished.clear();
         self.progress = mpsc::unbounded_channel();
         let is_accepted = self.job.state().spec().is_some();
         let is_ended = self.queue.has_end() || self.job.state().is_ended();
--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -12,7 +12,7 @@
 };
 
 use super::LOG_PREFIX;
-use super::reading::{body_local, end_local};
+use super::reading::{body_local, end_local, results_answer};
 use super::registry::{JobRegistry, lock};
 use super::shared::Job;
 
@@ -70,7 +70,7 @@
                 Ok(job) => {
                     let wait = Duration::from_millis(request.wait_ms);
                     match self.read_here(&job, request.after, wait).await {
-                        Ok(results) => ResponseKind::job_results(results),
+                        Ok(results) => results_answer(results, request.takes_compressed),
                         Err(error) => refused(Reason::NOT_READY, &error.to_string()),
                     }
                 }
--- a/crates/front/src/job/queue.rs
+++ b/crates/front/src/job/queue.rs
@@ -1,10 +1,7 @@
 //! Entries that wait for the next append to a job's log.
 
-use std::collections::HashSet;
-
-use ladderstage_wire::decode;
 use ladderstage_wire::messages::mod_JobEntry::OneOfkind as EntryKind;
-use ladderstage_wire::messages::{JobEnded, JobEntry, JobProgress, JobResult, JobSpec, LogEntry};
+use ladderstage_wire::messages::{JobEnded, JobProgress, JobResult, JobSpec, LogEntry};
 
 use super::state::entry_bytes;
 
@@ -67,16 +64,4 @@
         entries.append(&mut self.entries);
         self.entries = entries;
     }
-
-    /// Items whose results wait here or among `others`.
-    pub fn items_with_results(&self, others: &[LogEntry]) -> HashSet<String> {
-        let waiting = self.entries.iter().chain(others);
-        waiting
-            .filter_map(|entry| decode(&entry.payload).ok())
-            .filter_map(|entry: JobEntry| match entry.kind {
-                EntryKind::result(result) => Some(result.item),
-                _ => None,
-            })
-            .collect()
-    }
 }
--- a/crates/front/src/job/reading.rs
+++ b/crates/front/src/job/reading.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use ladderstage_wire::messages::JobResults;
+use ladderstage_wire::compression::{compress, decompress};
+use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
+use ladderstage_wire::messages::{JobResult, JobResults};
+use ladderstage_wire::{decode, encode};
 use tokio::sync::oneshot;
 
 use super::shared::{Command, Job};
@@ -44,12 +47,15 @@
 
 fn page(state: &JobState, after: u64) -> JobResults {
     let total = state.spec().map_or(0, |spec| spec.items.len()) as u64;
-    let start = usize::try_from(after)
-        .unwrap_or(usize::MAX)
-        .min(state.results().len());
+    page_of(state.results(), total, after)
+}
+
+/// The results of one answer, from position `after` on.
+pub(super) fn page_of(all: &[JobResult], total: u64, after: u64) -> JobResults {
+    let start = usize::try_from(after).unwrap_or(usize::MAX).min(all.len());
     let mut bytes = 0;
     let mut results = Vec::new();
-    for result in &state.results()[start..] {
+    for result in &all[start..] {
         if !results.is_empty() && bytes + result.text.len() > RESULT_BYTES {
             break;
         }
@@ -86,6 +92,24 @@
     }
 }
 
+/// Results in an answer from this size on are packed for another node, in bytes of texts.
+const LEAST_PACKED: usize = 1_024;
+
+/// The answer for another node, packed if it is large and the other takes that.
+pub(super) fn results_answer(results: JobResults, takes_compressed: bool) -> ResponseKind {
+    let texts = results.results.iter().map(|result| result.text.len());
+    if !takes_compressed || texts.sum::<usize>() < LEAST_PACKED {
+        return ResponseKind::job_results(results);
+    }
+    ResponseKind::compressed_job_results(compress(&encode(&results)))
+}
+
+/// Results out of another node's packed answer.
+pub(super) fn unpack(packed: &[u8]) -> Result<JobResults, ReadError> {
+    let plain = decompress(packed).map_err(|error| unavailable(&error.to_string()))?;
+    decode(&plain).map_err(|error| unavailable(&error.to_string()))
+}
+
 /// Whether there is such a job cannot be told now.
 pub(super) fn unavailable(cause: &str) -> ReadError {
     ReadError::Unavailable(cause.to_owned())
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -14,7 +14,10 @@
 use super::lengths::TextLengths;
 use super::locating::Owned;
 use super::owner::{Owner, OwnerEnd};
-use super::reading::{COMMIT_LIMIT, ReadError, body_local, end_local, read_local, unavailable};
+use super::reading::{
+    COMMIT_LIMIT, ReadError, body_local, end_local, read_local, unavailable, unpack,
+};
+use super::seen::SeenResults;
 use super::shared::{Command, Job};
 use super::state::JobState;
 use super::{LOG_PREFIX, log_name};
@@ -81,6 +84,8 @@
     pub(super) opening: Mutex<HashSet<String>>,
     /// Owners of other jobs as last heard.
     pub(super) owners: Mutex<HashMap<String, (String, Instant)>>,
+    /// Results that were read at other owners.
+    pub(super) seen: Mutex<SeenResults>,
 }
 
 /// Removes a job from those being opened.
@@ -148,16 +153,24 @@
         after: u64,
         wait: Duration,
     ) -> Result<JobResults, ReadError> {
+        let is_here = self.local(id).is_some();
+        if !is_here && let Some(seen) = lock(&self.shared.seen).page(id, after) {
+            return Ok(seen);
+        }
         let request = RequestKind::read_job(ReadJob {
             job: id.to_owned(),
             after,
             wait_ms: wait.as_millis() as u64,
+            takes_compressed: true,
         });
-        match self.ask(id, &request, wait).await? {
-            Owned::Here(job) => self.read_here(&job, after, wait).await,
-            Owned::Answer(ResponseKind::job_results(results)) => Ok(results),
-            Owned::Answer(_) => Err(unavailable("another answer than asked for")),
-        }
+        let results = match self.ask(id, &request, wait).await? {
+            Owned::Here(job) => return self.read_here(&job, after, wait).await,
+            Owned::Answer(ResponseKind::job_results(results)) => results,
+            Owned::Answer(ResponseKind::compressed_job_results(packed)) => unpack(&packed)?,
+            Owned::Answer(_) => return Err(unavailable("another answer than asked for")),
+        };
+        lock(&self.shared.seen).note(id, after, &results);
+        Ok(results)
     }
 
     /// Body of an item that has no result yet.
@@ -237,6 +250,7 @@
             let retention = self.context.retention;
             lock(&self.shared.jobs).retain(|_, job| job.opened_at.elapsed() < retention * 2);
             lock(&self.shared.owners).retain(|_, (_, heard)| heard.elapsed() < retention);
+            lock(&self.shared.seen).forget(retention);
         }
     }
 
--- a/crates/front/src/job/starting.rs
+++ b/crates/front/src/job/starting.rs
@@ -1,6 +1,5 @@
 //! Which items of a job start now, and where.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -85,14 +84,9 @@
 
     fn startable(&self, spec: &JobSpec) -> Vec<usize> {
         let state = self.job.state();
-        let in_log: HashSet<usize> = self.running.iter().copied().collect();
-        let queued = self.queue.items_with_results(&self.in_append);
         let mut startable: Vec<usize> = (0..spec.items.len())
-            .filter(|index| !in_log.contains(index))
-            .filter(|index| {
-                let id = &spec.items[*index].id;
-                !state.is_listed(id) && !queued.contains(id)
-            })
+            .filter(|index| !self.running.contains(index) && !self.finished.contains(index))
+            .filter(|index| !state.is_listed(&spec.items[*index].id))
             .collect();
         startable.sort_by_key(|index| std::cmp::Reverse(spec.items[*index].expected_tokens));
         startable
--- a/crates/front/src/job/state.rs
+++ b/crates/front/src/job/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
+use ladderstage_wire::compression::{compress, decompress};
 use ladderstage_wire::messages::mod_JobEntry::OneOfkind as EntryKind;
 use ladderstage_wire::messages::{JobEntry, JobItem, JobProgress, JobResult, JobSpec, LogEntry};
 use ladderstage_wire::{DecodeError, decode, encode};
@@ -21,11 +22,33 @@
     is_ended: bool,
 }
 
-/// One entry as bytes of the log.
+/// Entries from this size on are packed, in bytes; a smaller one hardly gets smaller.
+const LEAST_PACKED: usize = 512;
+
+/// One entry as bytes of the log, packed if it is large: it is copied to several replicas, read at each change of the owner, and
+/// kept in memory by all of them.
 pub fn entry_bytes(kind: EntryKind) -> LogEntry {
-    LogEntry {
-        payload: encode(&JobEntry { kind }),
+    let plain = encode(&JobEntry { kind });
+    if plain.len() < LEAST_PACKED {
+        return LogEntry { payload: plain };
     }
+    let kind = EntryKind::compressed(compress(&plain));
+    let payload = encode(&JobEntry { kind });
+    LogEntry { payload }
+}
+
+/// Reads an entry of the log.
+fn read_entry(entry: &LogEntry) -> Result<EntryKind, DecodeError> {
+    let entry: JobEntry = decode(&entry.payload)?;
+    let EntryKind::compressed(packed) = entry.kind else {
+        return Ok(entry.kind);
+    };
+    let plain = decompress(&packed).map_err(|error| DecodeError {
+        message: "JobEntry",
+        detail: error.to_string(),
+    })?;
+    let entry: JobEntry = decode(&plain)?;
+    Ok(entry.kind)
 }
 
 impl JobState {
@@ -46,12 +69,17 @@
     /// # Errors
     /// If it is not one of a job's log.
     pub fn apply(&mut self, entry: &LogEntry) -> Result<(), DecodeError> {
-        let entry: JobEntry = decode(&entry.payload)?;
-        match entry.kind {
+        match read_entry(entry)? {
             EntryKind::accepted(spec) => self.accept(spec),
             EntryKind::result(result) => self.list(result),
             EntryKind::progress(progress) => self.keep(&progress),
             EntryKind::ended(_) => self.is_ended = true,
+            EntryKind::compressed(_) => {
+                return Err(DecodeError {
+                    message: "JobEntry",
+                    detail: "packed twice".to_owned(),
+                });
+            }
             EntryKind::None => {}
         }
         Ok(())
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! command that makes them anew. [`frame`] wraps each message with its length and a checksum, so that
 //! damaged bytes are refused before they are decoded.
 
+pub mod compression;
 pub mod frame;
 
 #[allow(missing_docs, clippy::all)]
