--- /dev/null
+++ b/crates/front/src/explain/steps.rs
@@ -0,0 +1,298 @@
+//! How long the steps of trainers took and what each waited for, read from the log lines of all processes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+
+use super::line::LogLine;
+
+/// One step: a batch job and its way to the groups that its trainer waits for. Times are seconds; those of a step count from
+/// its acceptance.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct StepRow {
+    /// The job.
+    pub job: String,
+    /// Model that is trained.
+    pub model: String,
+    /// Number of the step.
+    pub step: u64,
+    /// When the job was accepted, since the first line.
+    pub accepted_at: f64,
+    /// Oldest weight version that the job allows.
+    pub min_version: u64,
+    /// Items handed in.
+    pub items: usize,
+    /// Items that an earlier job had too.
+    pub carried: usize,
+    /// Groups that the trainer waits for.
+    pub wanted_groups: usize,
+    /// When the first item started.
+    pub first_start: Option<f64>,
+    /// When half of the items were done.
+    pub half_done: Option<f64>,
+    /// When the wanted groups were whole.
+    pub wanted_done: Option<f64>,
+    /// When the job was ended.
+    pub ended: Option<f64>,
+    /// The item that made the last wanted group whole.
+    pub last: Option<LastItem>,
+    /// Nodes that owned the job, one after the other.
+    pub owners: usize,
+    /// Starts that an instance refused.
+    pub refused_starts: usize,
+    /// Runs that went on elsewhere.
+    pub moves: usize,
+}
+
+/// The item that a step waited for.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct LastItem {
+    /// Its id.
+    pub id: String,
+    /// Events of its text.
+    pub events: u64,
+    /// Tokens that its client guessed.
+    pub guess: u64,
+    /// Runs that it took.
+    pub runs: usize,
+    /// When it first started.
+    pub started: f64,
+    /// When its text was whole.
+    pub whole: f64,
+    /// When it had its score, or was whole where nothing scores it.
+    pub done: f64,
+    /// An earlier job had it too.
+    pub is_carried: bool,
+}
+
+/// What is known of one item of one job.
+#[derive(Default)]
+struct ItemTrace {
+    group: String,
+    first_start: Option<f64>,
+    whole: Option<f64>,
+    scored: Option<f64>,
+    has_reward_call: bool,
+    events: u64,
+    guess: u64,
+    runs: usize,
+}
+
+impl ItemTrace {
+    fn done(&self) -> Option<f64> {
+        if self.has_reward_call {
+            self.scored
+        } else {
+            self.whole
+        }
+    }
+}
+
+#[derive(Default)]
+struct JobTrace {
+    row: StepRow,
+    items: BTreeMap<String, ItemTrace>,
+}
+
+/// The steps in the order of their acceptance.
+pub fn steps(lines: &[LogLine]) -> Vec<StepRow> {
+    let mut lines: Vec<&LogLine> = lines.iter().collect();
+    lines.sort_by(|left, right| left.time.total_cmp(&right.time));
+    let begin = lines.first().map_or(0.0, |line| line.time);
+    let mut jobs = BTreeMap::<String, JobTrace>::new();
+    for line in lines {
+        if let Some(job) = line.fields.get("job") {
+            let trace = jobs.entry(job.clone()).or_default();
+            trace.take(job, line, begin);
+        }
+    }
+    let mut traces: Vec<JobTrace> = jobs.into_values().collect();
+    traces.retain(|trace| trace.row.items > 0);
+    traces.sort_by(|left, right| left.row.accepted_at.total_cmp(&right.row.accepted_at));
+    let mut seen = BTreeSet::new();
+    let mut rows = Vec::new();
+    for trace in traces {
+        let carried: BTreeSet<String> = trace
+            .items
+            .keys()
+            .filter(|item| seen.contains(*item))
+            .cloned()
+            .collect();
+        seen.extend(trace.items.keys().cloned());
+        rows.push(trace.into_row(&carried));
+    }
+    rows
+}
+
+impl JobTrace {
+    fn take(&mut self, job: &str, line: &LogLine, begin: f64) {
+        let at = line.time - begin;
+        match line.event.as_str() {
+            "job_accepted" => {
+                self.row.job = job.to_owned();
+                self.row.model = line.fields.get("model").cloned().unwrap_or_default();
+                self.row.step = number(line, "step");
+                self.row.min_version = number(line, "min_version");
+                self.row.items = number(line, "items") as usize;
+                self.row.wanted_groups = number(line, "desired_groups") as usize;
+                self.row.accepted_at = at;
+            }
+            "job_log_taken" => self.row.owners += 1,
+            "job_ended" => {
+                self.row.ended.get_or_insert(at);
+            }
+            "item_run" => self.take_run(line, at),
+            "reward_call" => {
+                let item = self.item(line);
+                item.has_reward_call = true;
+                if is_outcome(line, "scored") {
+                    item.scored.get_or_insert(at);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn take_run(&mut self, line: &LogLine, at: f64) {
+        if is_outcome(line, "not_taken") {
+            self.row.refused_starts += 1;
+        }
+        if is_outcome(line, "moved") {
+            self.row.moves += 1;
+        }
+        let started = at - number(line, "elapsed_ms") as f64 / 1e3;
+        let item = self.item(line);
+        item.group = line.fields.get("group").cloned().unwrap_or_default();
+        item.guess = number(line, "guess");
+        item.events = number(line, "events");
+        item.runs += 1;
+        if item.events > 0 {
+            item.first_start.get_or_insert(started);
+        }
+        if is_outcome(line, "complete") {
+            item.whole.get_or_insert(at);
+        }
+    }
+
+    fn item(&mut self, line: &LogLine) -> &mut ItemTrace {
+        let id = line.fields.get("item").cloned().unwrap_or_default();
+        self.items.entry(id).or_default()
+    }
+
+    fn into_row(self, carried: &BTreeSet<String>) -> StepRow {
+        let mut row = self.row;
+        let since = |at: f64| at - row.accepted_at;
+        row.carried = carried.len();
+        let starts = self.items.values().filter_map(|item| item.first_start);
+        row.first_start = starts.min_by(f64::total_cmp).map(since);
+        let mut done: Vec<f64> = self.items.values().filter_map(ItemTrace::done).collect();
+        done.sort_by(f64::total_cmp);
+        row.half_done = done.get(row.items / 2).copied().map(since);
+        row.ended = row.ended.map(since);
+        if let Some((id, item)) = last_wanted(&self.items, carried, row.wanted_groups) {
+            let done = item.done().map_or(0.0, since);
+            row.wanted_done = Some(done);
+            row.last = Some(LastItem {
+                id: id.to_owned(),
+                events: item.events,
+                guess: item.guess,
+                runs: item.runs,
+                started: item.first_start.map_or(0.0, since),
+                whole: item.whole.map_or(0.0, since),
+                done,
+                is_carried: carried.contains(id),
+            });
+        }
+        row
+    }
+}
+
+/// The item that made the last wanted group whole: groups that came back all count, then those that were whole first.
+fn last_wanted<'a>(
+    items: &'a BTreeMap<String, ItemTrace>,
+    carried: &BTreeSet<String>,
+    wanted: usize,
+) -> Option<(&'a str, &'a ItemTrace)> {
+    let mut groups = BTreeMap::<&str, Vec<(&str, &ItemTrace)>>::new();
+    for (id, item) in items {
+        groups.entry(&item.group).or_default().push((id, item));
+    }
+    let is_whole =
+        |group: &Vec<(&str, &ItemTrace)>| group.iter().all(|(_, item)| item.done().is_some());
+    let last = |group: Vec<(&'a str, &'a ItemTrace)>| {
+        let by_done = |one: &(&str, &ItemTrace)| one.1.done().unwrap_or(f64::MAX);
+        group
+            .into_iter()
+            .max_by(|one, other| by_done(one).total_cmp(&by_done(other)))
+    };
+    let is_carried =
+        |group: &Vec<(&str, &ItemTrace)>| group.iter().any(|(id, _)| carried.contains(*id));
+    let (back, new): (Vec<_>, Vec<_>) = groups.into_values().partition(is_carried);
+    if !back.iter().all(is_whole) {
+        return None;
+    }
+    let more = wanted.saturating_sub(back.len());
+    let mut ends: Vec<_> = new.into_iter().filter(is_whole).filter_map(last).collect();
+    ends.sort_by(|one, other| {
+        one.1
+            .done()
+            .unwrap_or(0.0)
+            .total_cmp(&other.1.done().unwrap_or(0.0))
+    });
+    if ends.len() < more {
+        return None;
+    }
+    ends.truncate(more);
+    ends.extend(back.into_iter().filter_map(last));
+    ends.into_iter().max_by(|one, other| {
+        one.1
+            .done()
+            .unwrap_or(0.0)
+            .total_cmp(&other.1.done().unwrap_or(0.0))
+    })
+}
+
+fn number(line: &LogLine, field: &str) -> u64 {
+    let text = line.fields.get(field);
+    text.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+fn is_outcome(line: &LogLine, outcome: &str) -> bool {
+    line.fields
+        .get("outcome")
+        .is_some_and(|found| found == outcome)
+}
+
+/// The rows as a table.
+pub fn table(rows: &[StepRow]) -> String {
+    let mut text = String::from(
+        "accepted  step  min  items  back  wanted   first    half  wanted   ended  owners  refused  moved  last item\n",
+    );
+    let time = |at: Option<f64>| at.map_or_else(|| "-".to_owned(), |at| format!("{at:.2}"));
+    for row in rows {
+        let last = row.last.as_ref().map_or_else(String::new, |last| {
+            let back = if last.is_carried { " back" } else { "" };
+            format!(
+                "{}{back} events={} guess={} runs={} {:.2} -> {:.2} -> {:.2}",
+                last.id, last.events, last.guess, last.runs, last.started, last.whole, last.done
+            )
+        });
+        text += &format!(
+            "{:8.2}  {:4}  {:3}  {:5}  {:4}  {:6}  {:>6}  {:>6}  {:>6}  {:>6}  {:6}  {:7}  {:5}  {last}\n",
+            row.accepted_at,
+            row.step,
+            row.min_version,
+            row.items,
+            row.carried,
+            row.wanted_groups,
+            time(row.first_start),
+            time(row.half_done),
+            time(row.wanted_done),
+            time(row.ended),
+            row.owners,
+            row.refused_starts,
+            row.moves
+        );
+    }
+    text
+}
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -201,7 +201,10 @@
         let listener = bind(address).await?;
         let config = inputs.config.clone();
         let state = Arc::clone(state);
-        let is_ready = move || config.current().is_some() && !state.is_draining();
+        let jobs = jobs.clone();
+        // Clients of a front that is cut off from the journal are better served by others.
+        let is_ready =
+            move || config.current().is_some() && !state.is_draining() && !jobs.is_cut_off();
         tokio::spawn(ingress::serve_readiness(listener, is_ready));
     }
     if let Some(address) = options.metrics_address {
--- a/crates/front/src/job/locating.rs
+++ b/crates/front/src/job/locating.rs
@@ -159,5 +159,6 @@
         after: u64::MAX,
         wait_ms: 0,
         takes_compressed: false,
+        anywhere: false,
     })
 }
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -13,6 +13,7 @@
 mod queue;
 mod reading;
 mod registry;
+mod relay;
 mod run;
 mod scoring;
 mod seen;
--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -8,11 +8,12 @@
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
-    Demand, Done, InstancePace, JobBody, JobSpec, ModelWork, Refused, Response,
+    Demand, Done, EndJob, InstancePace, JobBody, JobSpec, ModelWork, ReadJob, ReadJobBody, Refused,
+    Response,
 };
 
 use super::LOG_PREFIX;
-use super::reading::{body_local, end_local, results_answer};
+use super::reading::{ReadError, body_local, end_local, results_answer};
 use super::registry::{JobRegistry, lock};
 use super::shared::Job;
 
@@ -66,33 +67,9 @@
     /// Answers another node's question about a job of this node.
     pub async fn handle(&self, request: RequestKind) -> Response {
         let kind = match request {
-            RequestKind::read_job(request) => match self.local_or_refusal(&request.job) {
-                Ok(job) => {
-                    let wait = Duration::from_millis(request.wait_ms);
-                    match self.read_here(&job, request.after, wait).await {
-                        Ok(results) => results_answer(results, request.takes_compressed),
-                        Err(error) => refused(Reason::NOT_READY, &error.to_string()),
-                    }
-                }
-                Err(refused) => ResponseKind::refused(refused),
-            },
-            RequestKind::read_job_body(request) => match self.local_or_refusal(&request.job) {
-                Ok(job) => {
-                    let body = body_local(&job, &request.item);
-                    ResponseKind::job_body(JobBody {
-                        found: body.is_some(),
-                        body: body.unwrap_or_default(),
-                    })
-                }
-                Err(refused) => ResponseKind::refused(refused),
-            },
-            RequestKind::end_job(request) => match self.local_or_refusal(&request.job) {
-                Ok(job) => match end_local(&job).await {
-                    Ok(()) => ResponseKind::done(Done {}),
-                    Err(error) => refused(Reason::NOT_READY, &error.to_string()),
-                },
-                Err(refused) => ResponseKind::refused(refused),
-            },
+            RequestKind::read_job(request) => self.answer_read(request).await,
+            RequestKind::read_job_body(request) => self.answer_body(request).await,
+            RequestKind::end_job(request) => self.answer_end(request).await,
             RequestKind::read_demand(_) => ResponseKind::demand(self.demand()),
             RequestKind::shard_notice(notice) => {
                 if notice.from_owner {
@@ -107,6 +84,54 @@
         Response { kind }
     }
 
+    async fn answer_read(&self, request: ReadJob) -> ResponseKind {
+        let ReadJob { job, after, .. } = &request;
+        let wait = Duration::from_millis(request.wait_ms);
+        let read = if request.anywhere {
+            self.read_here_or_at_owner(job, *after, wait).await
+        } else {
+            match self.local_or_refusal(job) {
+                Ok(job) => self.read_here(&job, *after, wait).await,
+                Err(refused) => return ResponseKind::refused(refused),
+            }
+        };
+        read.map_or_else(refusal_of, |results| {
+            results_answer(results, request.takes_compressed)
+        })
+    }
+
+    async fn answer_body(&self, request: ReadJobBody) -> ResponseKind {
+        let ReadJobBody { job, item, .. } = &request;
+        let body = if request.anywhere {
+            match self.body_here_or_at_owner(job, item).await {
+                Ok(body) => Some(body),
+                Err(ReadError::NotFound) => None,
+                Err(error) => return refusal_of(error),
+            }
+        } else {
+            match self.local_or_refusal(job) {
+                Ok(job) => body_local(&job, item),
+                Err(refused) => return ResponseKind::refused(refused),
+            }
+        };
+        ResponseKind::job_body(JobBody {
+            found: body.is_some(),
+            body: body.unwrap_or_default(),
+        })
+    }
+
+    async fn answer_end(&self, request: EndJob) -> ResponseKind {
+        let ended = if request.anywhere {
+            self.end_here_or_at_owner(&request.job).await
+        } else {
+            match self.local_or_refusal(&request.job) {
+                Ok(job) => end_local(&job).await,
+                Err(refused) => return ResponseKind::refused(refused),
+            }
+        };
+        ended.map_or_else(refusal_of, |()| ResponseKind::done(Done {}))
+    }
+
     /// Takes over jobs that a replica hears no owner of, unless their owner answers: the replica may be cut off.
     pub fn on_untended(&self, logs: Vec<String>) {
         for id in self.not_here(&logs) {
@@ -168,6 +193,14 @@
         .sum()
 }
 
+fn refusal_of(error: ReadError) -> ResponseKind {
+    let reason = match error {
+        ReadError::NotFound => Reason::NOT_OWNER,
+        ReadError::Unavailable(_) => Reason::NOT_READY,
+    };
+    refused(reason, &error.to_string())
+}
+
 fn refused(reason: Reason, detail: &str) -> ResponseKind {
     ResponseKind::refused(Refused {
         reason,
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -75,6 +75,7 @@
 pub struct JobRegistry {
     pub(super) context: Arc<JobContext>,
     pub(super) shared: Arc<Shared>,
+    pub(super) started_at: Instant,
 }
 
 #[derive(Default)]
@@ -106,6 +107,7 @@
         Self {
             context: Arc::new(context),
             shared: Arc::default(),
+            started_at: Instant::now(),
         }
     }
 
@@ -152,22 +154,34 @@
         id: &str,
         after: u64,
         wait: Duration,
+    ) -> Result<JobResults, ReadError> {
+        if !self.needs_relay(id) {
+            return self.read_here_or_at_owner(id, after, wait).await;
+        }
+        if let Some(seen) = lock(&self.shared.seen).page(id, after) {
+            return Ok(seen);
+        }
+        let request = read_request(id, after, wait, true);
+        let results = results_of(self.relay(id, &request, wait).await?)?;
+        lock(&self.shared.seen).note(id, after, &results);
+        Ok(results)
+    }
+
+    /// As [`JobRegistry::read`], without the help of a front that is no owner.
+    pub(super) async fn read_here_or_at_owner(
+        &self,
+        id: &str,
+        after: u64,
+        wait: Duration,
     ) -> Result<JobResults, ReadError> {
         let is_here = self.local(id).is_some();
         if !is_here && let Some(seen) = lock(&self.shared.seen).page(id, after) {
             return Ok(seen);
         }
-        let request = RequestKind::read_job(ReadJob {
-            job: id.to_owned(),
-            after,
-            wait_ms: wait.as_millis() as u64,
-            takes_compressed: true,
-        });
+        let request = read_request(id, after, wait, false);
         let results = match self.ask(id, &request, wait).await? {
             Owned::Here(job) => return self.read_here(&job, after, wait).await,
-            Owned::Answer(ResponseKind::job_results(results)) => results,
-            Owned::Answer(ResponseKind::compressed_job_results(packed)) => unpack(&packed)?,
-            Owned::Answer(_) => return Err(unavailable("another answer than asked for")),
+            Owned::Answer(answer) => results_of(answer)?,
         };
         lock(&self.shared.seen).note(id, after, &results);
         Ok(results)
@@ -178,15 +192,23 @@
     /// # Errors
     /// See [`ReadError`].
     pub async fn body(&self, id: &str, item: &str) -> Result<Vec<u8>, ReadError> {
-        let request = RequestKind::read_job_body(ReadJobBody {
-            job: id.to_owned(),
-            item: item.to_owned(),
-        });
+        if !self.needs_relay(id) {
+            return self.body_here_or_at_owner(id, item).await;
+        }
+        let request = body_request(id, item, true);
+        body_of(self.relay(id, &request, Duration::ZERO).await?)
+    }
+
+    /// As [`JobRegistry::body`], without the help of a front that is no owner.
+    pub(super) async fn body_here_or_at_owner(
+        &self,
+        id: &str,
+        item: &str,
+    ) -> Result<Vec<u8>, ReadError> {
+        let request = body_request(id, item, false);
         match self.ask(id, &request, Duration::ZERO).await? {
             Owned::Here(job) => body_local(&job, item).ok_or(ReadError::NotFound),
-            Owned::Answer(ResponseKind::job_body(body)) if body.found => Ok(body.body),
-            Owned::Answer(ResponseKind::job_body(_)) => Err(ReadError::NotFound),
-            Owned::Answer(_) => Err(unavailable("another answer than asked for")),
+            Owned::Answer(answer) => body_of(answer),
         }
     }
 
@@ -195,11 +217,19 @@
     /// # Errors
     /// See [`ReadError`].
     pub async fn end(&self, id: &str) -> Result<(), ReadError> {
-        let request = RequestKind::end_job(EndJob { job: id.to_owned() });
+        if !self.needs_relay(id) {
+            return self.end_here_or_at_owner(id).await;
+        }
+        let request = end_request(id, true);
+        done_of(self.relay(id, &request, COMMIT_LIMIT).await?)
+    }
+
+    /// As [`JobRegistry::end`], without the help of a front that is no owner.
+    pub(super) async fn end_here_or_at_owner(&self, id: &str) -> Result<(), ReadError> {
+        let request = end_request(id, false);
         match self.ask(id, &request, COMMIT_LIMIT).await? {
             Owned::Here(job) => end_local(&job).await,
-            Owned::Answer(ResponseKind::done(_)) => Ok(()),
-            Owned::Answer(_) => Err(unavailable("another answer than asked for")),
+            Owned::Answer(answer) => done_of(answer),
         }
     }
 
@@ -217,7 +247,7 @@
     }
 
     /// Whether this node's state of a job is recent enough to be read.
-    fn is_readable(&self, job: &Job) -> bool {
+    pub(super) fn is_readable(&self, job: &Job) -> bool {
         let age = self.context.confirmation.age(job.opened_at);
         job.state().is_ended() || job.is_uncontested() && age < READ_TRUST
     }
@@ -342,6 +372,54 @@
     }
 }
 
+fn read_request(id: &str, after: u64, wait: Duration, anywhere: bool) -> RequestKind {
+    RequestKind::read_job(ReadJob {
+        job: id.to_owned(),
+        after,
+        wait_ms: wait.as_millis() as u64,
+        takes_compressed: true,
+        anywhere,
+    })
+}
+
+fn body_request(id: &str, item: &str, anywhere: bool) -> RequestKind {
+    RequestKind::read_job_body(ReadJobBody {
+        job: id.to_owned(),
+        item: item.to_owned(),
+        anywhere,
+    })
+}
+
+fn end_request(id: &str, anywhere: bool) -> RequestKind {
+    RequestKind::end_job(EndJob {
+        job: id.to_owned(),
+        anywhere,
+    })
+}
+
+fn results_of(answer: ResponseKind) -> Result<JobResults, ReadError> {
+    match answer {
+        ResponseKind::job_results(results) => Ok(results),
+        ResponseKind::compressed_job_results(packed) => unpack(&packed),
+        _ => Err(unavailable("another answer than asked for")),
+    }
+}
+
+fn body_of(answer: ResponseKind) -> Result<Vec<u8>, ReadError> {
+    match answer {
+        ResponseKind::job_body(body) if body.found => Ok(body.body),
+        ResponseKind::job_body(_) => Err(ReadError::NotFound),
+        _ => Err(unavailable("another answer than asked for")),
+    }
+}
+
+fn done_of(answer: ResponseKind) -> Result<(), ReadError> {
+    match answer {
+        ResponseKind::done(_) => Ok(()),
+        _ => Err(unavailable("another answer than asked for")),
+    }
+}
+
 /// What the log tells of a job that was handed in.
 fn describe(spec: &JobSpec) -> String {
     format!(
