Keep texts of groups that were not whole for the job that has them again

Change: the owner of an ended job lets the runs of such items go on, begins those anew whose weights the next job will not allow (within 2 s of the end), and gives the texts to the front that accepts a later job, which asks all fronts. Scores go along if the reward call is the same. Reads of position 0 that were answered from memory for ever: only the start of a page is, the rest is asked of the owner.

--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -1,10 +1,12 @@
 //! Batch jobs: accepted once a majority of store disks holds them, run item by item, read at any front.
 
 mod appending;
+mod carrying;
 mod confirmation;
 mod digest;
 mod events;
 mod handover;
+mod leftover;
 mod lengths;
 mod locating;
 mod owner;
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -1,24 +1,26 @@
 //! The owner of one batch job: starts its items, writes their results to the job's log, and tells readers.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures_util::future::BoxFuture;
 use ladderstage_journal::{JournalError, LogWriter};
 use ladderstage_wire::messages::mod_JobResult::State as ResultState;
-use ladderstage_wire::messages::{JobProgress, JobSpec, LogEntry};
+use ladderstage_wire::messages::{JobProgress, JobResult, JobSpec, KeptText, LogEntry};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 
 use super::appending::{AppendDone, RETRY_PAUSE, append_after, wait_for};
 use super::digest::{FoundLog, LogDigest};
+use super::leftover::Leftover;
 use super::log_name;
 use super::queue::EntryQueue;
 use super::registry::JobContext;
-use super::run::RunOutcome;
+use super::run::{RunOutcome, SendWindow};
 use super::shared::{Command, Job};
 use super::state::JobState;
+use super::text::ItemText;
 
 /// Results that end within this time share one append.
 const GATHER: Duration = Duration::from_millis(20);
@@ -27,14 +29,20 @@
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(25);
 
 /// How an owner's work ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum OwnerEnd {
-    /// The job was ended by its client.
-    Ended,
+    /// The job was ended by its client; a later job may have the items again that it left behind.
+    Ended(Option<Leftover>),
     /// Another node owns it now.
     Lost,
 }
 
+/// Why an owner is to stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StopCause {
+    Ended,
+    Lost,
+}
+
 /// Owns one job.
 pub(super) struct Owner {
     pub(super) context: Arc<JobContext>,
@@ -46,13 +54,24 @@
     pub(super) queue: EntryQueue,
     /// Entries of the append under way.
     pub(super) in_append: Vec<LogEntry>,
-    pub(super) running: HashSet<usize>,
+    /// Runs under way, by item.
+    pub(super) running: HashMap<usize, AbortHandle>,
     /// Items whose results were queued by this owner; not all of them are in the log yet.
     pub(super) finished: HashSet<usize>,
     pub(super) runs: JoinSet<(usize, RunOutcome)>,
     /// Tells the runs to stop.
     pub(super) stop: watch::Sender<bool>,
+    /// When requests may be sent for items.
+    pub(super) window: SendWindow,
+    /// Texts of earlier jobs for items that came back in this one.
+    pub(super) carried: HashMap<String, KeptText>,
+    /// The question for such texts, while it is under way.
+    pub(super) gathering: Option<BoxFuture<'static, Vec<KeptText>>>,
+    /// Texts that were whole when no result was taken any more.
+    pub(super) late: HashMap<usize, (ItemText, String)>,
     pub(super) enders: Vec<oneshot::Sender<()>>,
+    /// When the end was first asked for here; `None` also for a job that was found ended.
+    pub(super) end_asked_at: Option<Instant>,
     pub(super) has_waiting_items: bool,
     pub(super) last_append: Instant,
     /// Text of items under way that is to be kept.
@@ -83,11 +102,16 @@
             digest,
             queue,
             in_append: Vec::new(),
-            running: HashSet::new(),
+            running: HashMap::new(),
             finished: HashSet::new(),
             runs: JoinSet::new(),
             stop: watch::Sender::new(false),
+            window: SendWindow::default(),
+            carried: HashMap::new(),
+            gathering: None,
+            late: HashMap::new(),
             enders: Vec::new(),
+            end_asked_at: None,
             has_waiting_items: false,
             last_append: Instant::now() - GATHER,
             progress: mpsc::unbounded_channel(),
@@ -115,6 +139,7 @@
                 command = commands.recv() => match command {
                     Some(Command::End(answer)) => {
                         self.enders.push(answer);
+                        self.end_asked_at.get_or_insert_with(Instant::now);
                         self.queue_end();
                     }
                     Some(Command::Contested) => {}
@@ -123,17 +148,21 @@
                     }
                     Some(Command::Lost) | None => return self.lost(),
                 },
+                texts = gathered(&mut self.gathering) => {
+                    self.gathering = None;
+                    self.carried = texts.into_iter().map(|text| (text.item.clone(), text)).collect();
+                }
                 Some(ended) = self.runs.join_next() => self.on_run(ended),
                 Some(progress) = self.progress.1.recv() => self.on_progress(progress),
                 done = wait_for(&mut appending) => {
                     appending = None;
-                    if let Some(end) = self.on_append(done).await {
-                        return self.end(end);
+                    if let Some(cause) = self.on_append(done).await {
+                        return self.end(cause);
                     }
                 }
                 () = until(self.job.reclaim_at()), if appending.is_none() => {
-                    if let Some(end) = self.reclaim().await {
-                        return self.end(end);
+                    if let Some(cause) = self.reclaim().await {
+                        return self.end(cause);
                     }
                 }
                 _ = table_changed.changed(), if self.has_waiting_items => {}
@@ -143,10 +172,9 @@
         }
     }
 
+    /// Takes no results any more. Runs go on: a later job may have their items again.
     fn queue_end(&mut self) {
-        if self.queue.end() {
-            self.runs.abort_all();
-        }
+        self.queue.end();
     }
 
     /// Says that the job can be handed on once the runs are stopped and nothing waits to be written.
@@ -166,21 +194,42 @@
             self.on_progress(progress);
         }
         self.running.remove(&index);
-        let RunOutcome::Done(result, events) = outcome else {
+        match outcome {
+            RunOutcome::Completed { text, score } => self.finish(index, text, score),
+            RunOutcome::Terminated => self.give_up(index),
+            RunOutcome::NotStarted | RunOutcome::Stopped(_) => {}
+        }
+    }
+
+    /// Queues the result of an item whose text is whole and scored.
+    pub(super) fn finish(&mut self, index: usize, text: ItemText, score: String) {
+        if self.queue.has_end() {
+            self.late.insert(index, (text, score));
             return;
-        };
-        if let Some(spec) = self.job.state().spec() {
-            self.context.lengths.note(&spec.model, events);
         }
-        let outcome = match result.state {
-            ResultState::COMPLETED => "completed",
-            _ => "terminated",
+        let Some(spec) = self.job.state().spec().cloned() else {
+            return;
         };
-        self.context
-            .metrics
-            .item_runs
-            .with_label_values(&[outcome])
-            .inc();
+        self.context.lengths.note(&spec.model, text.events());
+        let result = text.into_result(&spec.items[index].id, score);
+        self.queue_result(index, result, "completed");
+    }
+
+    fn give_up(&mut self, index: usize) {
+        let Some(spec) = self.job.state().spec().cloned() else {
+            return;
+        };
+        let result = JobResult {
+            item: spec.items[index].id.clone(),
+            state: ResultState::TERMINATED,
+            ..JobResult::default()
+        };
+        self.queue_result(index, result, "terminated");
+    }
+
+    fn queue_result(&mut self, index: usize, result: JobResult, outcome: &str) {
+        let runs = &self.context.metrics.item_runs;
+        runs.with_label_values(&[outcome]).inc();
         self.finished.insert(index);
         self.queue.result(result);
     }
@@ -208,16 +257,16 @@
         Some(append_after(pause, writer, entries, closes))
     }
 
-    async fn on_append(&mut self, done: AppendDone) -> Option<OwnerEnd> {
+    async fn on_append(&mut self, done: AppendDone) -> Option<StopCause> {
         self.last_append = Instant::now();
         match done.result {
             Ok(()) => {
                 self.writer = Some(done.writer);
                 let entries = std::mem::take(&mut self.in_append);
                 self.commit(&entries);
-                self.job.state().is_ended().then_some(OwnerEnd::Ended)
+                self.job.state().is_ended().then_some(StopCause::Ended)
             }
-            Err(JournalError::Fenced) => Some(OwnerEnd::Lost),
+            Err(JournalError::Fenced) => Some(StopCause::Lost),
             Err(error) => {
                 log::warn!(
                     "event=job_log_retaken job={} cause=\"{error}\"",
@@ -253,7 +302,7 @@
     }
 
     /// Takes the log again, above the promise that some replica has given to a writer that then gave up.
-    async fn reclaim(&mut self) -> Option<OwnerEnd> {
+    async fn reclaim(&mut self) -> Option<StopCause> {
         log::info!("event=job_log_reclaimed job={}", self.job.id);
         self.writer = None;
         self.job.clear_contested();
@@ -261,7 +310,7 @@
     }
 
     /// Takes the log under the newest replica set; what the last append left behind is found there or not.
-    async fn take_over_again(&mut self) -> Option<OwnerEnd> {
+    async fn take_over_again(&mut self) -> Option<StopCause> {
         let log = log_name(&self.job.id);
         loop {
             match self.context.journal.take_over(&log).await {
@@ -269,7 +318,7 @@
                     self.writer = Some(writer);
                     return self.go_on_from(&entries);
                 }
-                Err(JournalError::Fenced | JournalError::Retired) => return Some(OwnerEnd::Lost),
+                Err(JournalError::Fenced | JournalError::Retired) => return Some(StopCause::Lost),
                 Err(error) => {
                     log::warn!(
                         "event=job_log_unavailable job={} cause=\"{error}\"",
@@ -283,7 +332,7 @@
     }
 
     /// Goes on from the log as it was found. Runs go on too unless another owner has written to it.
-    fn go_on_from(&mut self, entries: &[LogEntry]) -> Option<OwnerEnd> {
+    fn go_on_from(&mut self, entries: &[LogEntry]) -> Option<StopCause> {
         let pending = std::mem::take(&mut self.in_append);
         let found = self.digest.compare(entries, &pending);
         log::info!("event=job_log_found job={} found={found:?}", self.job.id);
@@ -292,7 +341,7 @@
             FoundLog::WithAppend => self.commit(&pending),
             FoundLog::Other => {
                 let Ok(state) = JobState::replay(entries) else {
-                    return Some(OwnerEnd::Lost);
+                    return Some(StopCause::Lost);
                 };
                 *self.job.state() = state;
                 self.digest = LogDigest::of(entries);
@@ -300,7 +349,7 @@
                 self.start_anew(pending);
             }
         }
-        self.job.state().is_ended().then_some(OwnerEnd::Ended)
+        self.job.state().is_ended().then_some(StopCause::Ended)
     }
 
     /// Drops runs and what they made since the last commit: another owner may have had the log in between, and its text may
@@ -322,10 +371,10 @@
         }
     }
 
-    fn end(self, end: OwnerEnd) -> OwnerEnd {
-        match end {
-            OwnerEnd::Lost => self.lost(),
-            OwnerEnd::Ended => self.ended(),
+    fn end(self, cause: StopCause) -> OwnerEnd {
+        match cause {
+            StopCause::Lost => self.lost(),
+            StopCause::Ended => self.ended(),
         }
     }
 
@@ -336,14 +385,22 @@
     }
 
     fn ended(mut self) -> OwnerEnd {
-        self.runs.abort_all();
+        let leftover = self.take_leftover();
         self.job.state().drop_bodies();
         for ender in self.enders.drain(..) {
             let _ = ender.send(());
         }
         self.job.notify();
         log::info!("event=job_ended job={}", self.job.id);
-        OwnerEnd::Ended
+        OwnerEnd::Ended(leftover)
+    }
+}
+
+/// The texts that were asked for; never returns if none were.
+async fn gathered(gathering: &mut Option<BoxFuture<'static, Vec<KeptText>>>) -> Vec<KeptText> {
+    match gathering {
+        Some(gathering) => gathering.await,
+        None => std::future::pending().await,
     }
 }
 
--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladderstage_wire::compression::compress;
+use ladderstage_wire::encode;
 use ladderstage_wire::messages::mod_Refused::Reason;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
@@ -70,6 +72,10 @@
             RequestKind::read_job(request) => self.answer_read(request).await,
             RequestKind::read_job_body(request) => self.answer_body(request).await,
             RequestKind::end_job(request) => self.answer_end(request).await,
+            RequestKind::take_kept_texts(request) => {
+                let texts = self.take_kept_texts(request).await;
+                ResponseKind::packed_kept_texts(compress(&encode(&texts)))
+            }
             RequestKind::read_demand(_) => ResponseKind::demand(self.demand()),
             RequestKind::shard_notice(notice) => {
                 if notice.from_owner {
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -9,6 +9,7 @@
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{EndJob, JobResults, JobSpec, ReadJob, ReadJobBody};
 
+use super::carrying::LeftoverEntry;
 use super::confirmation::Confirmation;
 use super::digest::LogDigest;
 use super::lengths::TextLengths;
@@ -87,6 +88,10 @@
     pub(super) owners: Mutex<HashMap<String, (String, Instant)>>,
     /// Results that were read at other owners.
     pub(super) seen: Mutex<SeenResults>,
+    /// What ended jobs left behind here.
+    pub(super) leftovers: Mutex<Vec<LeftoverEntry>>,
+    /// The newest step that was accepted anywhere, by model.
+    pub(super) newest_steps: Mutex<HashMap<String, u64>>,
 }
 
 /// Removes a job from those being opened.
@@ -158,13 +163,7 @@
         if !self.needs_relay(id) {
             return self.read_here_or_at_owner(id, after, wait).await;
         }
-        if let Some(seen) = lock(&self.shared.seen).page(id, after) {
-            return Ok(seen);
-        }
-        let request = read_request(id, after, wait, true);
-        let results = results_of(self.relay(id, &request, wait).await?)?;
-        lock(&self.shared.seen).note(id, after, &results);
-        Ok(results)
+        self.read_elsewhere(id, after, wait, true).await
     }
 
     /// As [`JobRegistry::read`], without the help of a front that is no owner.
@@ -174,17 +173,46 @@
         after: u64,
         wait: Duration,
     ) -> Result<JobResults, ReadError> {
-        let is_here = self.local(id).is_some();
-        if !is_here && let Some(seen) = lock(&self.shared.seen).page(id, after) {
-            return Ok(seen);
+        match self.local(id) {
+            Some(job) if job.state().spec().is_some() => self.read_here(&job, after, wait).await,
+            _ => self.read_elsewhere(id, after, wait, false).await,
         }
-        let request = read_request(id, after, wait, false);
-        let results = match self.ask(id, &request, wait).await? {
-            Owned::Here(job) => return self.read_here(&job, after, wait).await,
-            Owned::Answer(answer) => results_of(answer)?,
+    }
+
+    /// Reads a job of another node: only results that were not read here before are asked for.
+    async fn read_elsewhere(
+        &self,
+        id: &str,
+        after: u64,
+        wait: Duration,
+        relayed: bool,
+    ) -> Result<JobResults, ReadError> {
+        let known = lock(&self.shared.seen).known(id);
+        let has_some = after < known;
+        let (from, wait) = if has_some {
+            (known, Duration::ZERO)
+        } else {
+            (after, wait)
         };
-        lock(&self.shared.seen).note(id, after, &results);
-        Ok(results)
+        let request = read_request(id, from, wait, relayed);
+        let asked = if relayed {
+            self.relay(id, &request, wait).await.and_then(results_of)
+        } else {
+            match self.ask(id, &request, wait).await {
+                Ok(Owned::Here(job)) => return self.read_here(&job, after, wait).await,
+                Ok(Owned::Answer(answer)) => results_of(answer),
+                Err(error) => Err(error),
+            }
+        };
+        let mut seen = lock(&self.shared.seen);
+        match asked {
+            Ok(results) => {
+                seen.note(id, from, &results);
+                Ok(seen.page(id, after).unwrap_or(results))
+            }
+            // What was read before holds whether its owner is reached or not.
+            Err(error) => seen.page(id, after).filter(|_| has_some).ok_or(error),
+        }
     }
 
     /// Body of an item that has no result yet.
@@ -347,14 +375,18 @@
         }
         let context = Arc::clone(&self.context);
         let digest = LogDigest::of(&entries);
-        let owner = Owner::new(context, Arc::clone(&job), writer, digest, spec);
+        let carried = spec.as_ref().map(|spec| self.gather_kept_texts(spec));
+        let mut owner = Owner::new(context, Arc::clone(&job), writer, digest, spec);
+        owner.gathering = carried;
         let registry = self.clone();
         let owned = Arc::clone(&job);
         let activity = self.context.activity.begin();
         tokio::spawn(async move {
             let _activity = activity;
-            if owner.run(commands).await == OwnerEnd::Lost {
-                registry.forget(&owned);
+            match owner.run(commands).await {
+                OwnerEnd::Lost => registry.forget(&owned),
+                OwnerEnd::Ended(Some(leftover)) => registry.keep_leftover(leftover).await,
+                OwnerEnd::Ended(None) => {}
             }
         });
         Ok(job)
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -1,12 +1,11 @@
 //! One item of a batch job: runs it as a stream, takes it up elsewhere when it is cut or slow, until it is whole.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
-use ladderstage_wire::messages::mod_JobResult::State as ResultState;
-use ladderstage_wire::messages::{JobProgress, JobResult, JobSpec};
+use ladderstage_wire::messages::{JobProgress, JobSpec};
 use tokio::sync::{mpsc, watch};
 
 use super::scoring::{ScoreEnd, score};
@@ -32,6 +31,7 @@
 pub(super) const STALE_WEIGHTS_PAUSE: Duration = Duration::from_secs(1);
 
 /// What runs of a job share.
+#[derive(Clone)]
 pub struct RunContext {
     /// Instances.
     pub backends: BackendTable,
@@ -55,8 +55,28 @@
     pub give_up_at: Option<Instant>,
     /// Takes text that is to be kept.
     pub progress: mpsc::UnboundedSender<JobProgress>,
-    /// Tells that another node is to go on.
+    /// Tells that another node, or a later job, is to go on.
     pub stop: watch::Receiver<bool>,
+    /// When requests may still be sent for the items.
+    pub window: SendWindow,
+}
+
+/// Until when requests may be sent for the items of a job: always while it is open, and for a short time after its end.
+#[derive(Debug, Clone, Default)]
+pub struct SendWindow {
+    closes_at: Arc<OnceLock<Instant>>,
+}
+
+impl SendWindow {
+    /// Sends end at `at`; only the first call counts.
+    pub fn close_at(&self, at: Instant) {
+        let _ = self.closes_at.set(at);
+    }
+
+    /// Whether a request may be sent now.
+    pub fn is_open(&self) -> bool {
+        self.closes_at.get().is_none_or(|at| Instant::now() < *at)
+    }
 }
 
 /// How one run at one instance ended.
@@ -74,12 +94,19 @@
 
 /// What came of running an item.
 pub enum RunOutcome {
-    /// It has a result, of a text of so many events.
-    Done(JobResult, u64),
+    /// Its text is whole; the score is empty where nothing scores it.
+    Completed {
+        /// The text.
+        text: ItemText,
+        /// Its score.
+        score: String,
+    },
+    /// It is given up.
+    Terminated,
     /// The instance took none of it; the job's owner chooses again what starts next.
     NotStarted,
-    /// It was told to stop; what it had made was handed over to be kept.
-    Stopped,
+    /// It was told to stop, or may send no more requests. What it had made was handed over to be kept.
+    Stopped(ItemText),
 }
 
 /// How the work on an item ended.
@@ -88,6 +115,8 @@
     Completed { score: String },
     /// It is given up.
     Terminated,
+    /// No more requests may be sent for it.
+    Closed,
 }
 
 /// Runs the item at `index` until it has a result, going on from `partial`; the first run goes to `first`, and none is needed
@@ -104,29 +133,28 @@
     let ended = tokio::select! {
         ended = run => ended,
         _ = stop.wait_for(|stop| *stop) => {
-            if let Some(progress) = partial.take_progress(&item) {
-                let _ = context.progress.send(progress);
-            }
-            return RunOutcome::Stopped;
+            return stopped(&context, &item, partial);
         }
     };
     match ended {
         None => RunOutcome::NotStarted,
-        Some(ItemEnd::Completed { score }) => {
-            let events = partial.events();
-            RunOutcome::Done(partial.into_result(&item, score), events)
-        }
-        Some(ItemEnd::Terminated) => {
-            let result = JobResult {
-                item,
-                state: ResultState::TERMINATED,
-                ..JobResult::default()
-            };
-            RunOutcome::Done(result, 0)
-        }
+        Some(ItemEnd::Completed { score }) => RunOutcome::Completed {
+            text: partial,
+            score,
+        },
+        Some(ItemEnd::Terminated) => RunOutcome::Terminated,
+        Some(ItemEnd::Closed) => stopped(&context, &item, partial),
     }
 }
 
+/// Hands over what was made to be kept.
+fn stopped(context: &RunContext, item: &str, mut partial: ItemText) -> RunOutcome {
+    if let Some(progress) = partial.take_progress(item) {
+        let _ = context.progress.send(progress);
+    }
+    RunOutcome::Stopped(partial)
+}
+
 /// Runs the item until it is done or too old; `None` if it was not started.
 async fn run_in_time(
     context: &RunContext,
@@ -162,10 +190,12 @@
         match make_text(context, index, first, partial).await? {
             TextEnd::Whole => {}
             TextEnd::Impossible => return Some(ItemEnd::Terminated),
+            TextEnd::Closed => return Some(ItemEnd::Closed),
         }
     }
     let item = &context.spec.items[index];
     let Some(reward) = &item.reward_call else {
+        partial.set_whole();
         let score = String::new();
         return Some(ItemEnd::Completed { score });
     };
@@ -177,6 +207,7 @@
     match score(context, index, reward).await {
         ScoreEnd::Scored(score) => Some(ItemEnd::Completed { score }),
         ScoreEnd::Failed | ScoreEnd::Impossible => Some(ItemEnd::Terminated),
+        ScoreEnd::Closed => Some(ItemEnd::Closed),
     }
 }
 
@@ -185,6 +216,8 @@
     Whole,
     /// It can never be made, or failed as often as the route allows.
     Impossible,
+    /// No more requests may be sent for it.
+    Closed,
 }
 
 /// Runs the item at one instance after the other; `None` if the first one took none of it.
@@ -212,7 +245,10 @@
             RunEnd::NotTaken(_) if partial.events() == 0 && failures == 0 => return None,
             RunEnd::NotTaken(_) | RunEnd::Move(_) => {}
         }
-        instance = next_instance(context, &instance, partial).await;
+        let Some(next) = next_instance(context, &instance, partial).await else {
+            return Some(TextEnd::Closed);
+        };
+        instance = next;
     }
 }
 
@@ -246,23 +282,24 @@
 }
 
 /// An instance with room and fitting weights, another than `last` if there is one. A text that must come from one weight
-/// version starts over if no instance has that version any more.
+/// version starts over if no instance has that version any more. `None` once no more requests may be sent.
 async fn next_instance(
     context: &RunContext,
     last: &Arc<Instance>,
     partial: &mut ItemText,
-) -> Arc<Instance> {
+) -> Option<Arc<Instance>> {
     let mut table_changed = context.backends.watch();
     let started = Instant::now();
-    loop {
+    while context.window.is_open() {
         if let Some(instance) = choose_instance(context, last, partial) {
-            return instance;
+            return Some(instance);
         }
         if context.single_version && partial.events() > 0 && started.elapsed() > VERSION_WAIT {
             partial.start_over();
         }
         let _ = tokio::time::timeout(NO_ROOM_PAUSE, table_changed.changed()).await;
     }
+    None
 }
 
 fn choose_instance(
--- a/crates/front/src/job/scoring.rs
+++ b/crates/front/src/job/scoring.rs
@@ -34,6 +34,8 @@
     Failed,
     /// The call can never be sent: its parts are no request.
     Impossible,
+    /// No more requests may be sent for the job.
+    Closed,
 }
 
 /// How one call ended.
@@ -67,7 +69,7 @@
         return ScoreEnd::Impossible;
     };
     let mut failures = 0;
-    loop {
+    while context.window.is_open() {
         // The route may change between two tries; without one nothing is known of the score.
         let config = context.config.current();
         let route = config
@@ -87,6 +89,7 @@
         }
         tokio::time::sleep(LOOK_PAUSE).await;
     }
+    ScoreEnd::Closed
 }
 
 impl Call<'_> {
@@ -97,7 +100,8 @@
         let mut under_way = FuturesUnordered::new();
         let mut hedge_at = Instant::now();
         loop {
-            let may_start = under_way.len() < MOST_AT_ONCE && Instant::now() >= hedge_at;
+            let is_due = under_way.len() < MOST_AT_ONCE && Instant::now() >= hedge_at;
+            let may_start = is_due && self.context.window.is_open();
             if may_start && let Some(instance) = self.next_instance(service, &tried) {
                 tried.push(Arc::clone(&instance));
                 under_way.push(self.attempt(instance));
--- a/crates/front/src/job/seen.rs
+++ b/crates/front/src/job/seen.rs
@@ -29,6 +29,12 @@
 }
 
 impl SeenResults {
+    /// How many results of a job are remembered, from the first on.
+    pub fn known(&self, job: &str) -> u64 {
+        let seen = self.jobs.get(job);
+        seen.map_or(0, |seen| seen.results.len() as u64)
+    }
+
     /// Results of a job from position `after` on; `None` if none of them was read before.
     pub fn page(&mut self, job: &str, after: u64) -> Option<JobResults> {
         let seen = self.jobs.get_mut(job)?;
--- a/crates/front/src/job/starting.rs
+++ b/crates/front/src/job/starting.rs
@@ -26,6 +26,9 @@
         if self.queue.has_end() || *self.stop.borrow() || self.context.nodes.is_leaving() {
             return;
         }
+        if self.gathering.is_some() {
+            return;
+        }
         let age = self.context.confirmation.age(self.job.opened_at);
         if !self.job.is_uncontested() || age > START_TRUST {
             self.has_waiting_items = true;
@@ -41,7 +44,9 @@
         let startable = self.startable(&spec);
         let long_from = long_from(&spec);
         for index in startable {
-            let kept = self.job.state().kept(&spec.items[index].id);
+            let Some(kept) = self.kept_text(&spec, index) else {
+                continue;
+            };
             if kept.is_whole() {
                 self.spawn_run(&run, index, None, kept);
                 continue;
@@ -75,17 +80,46 @@
         // The run begins with its first poll; the guard counts it from now on.
         let guard = instance.as_ref().map(Instance::begin);
         let run = Arc::clone(run);
-        self.running.insert(index);
-        self.runs.spawn(async move {
+        let handle = self.runs.spawn(async move {
             drop(guard);
             (index, run_item(run, index, instance, kept).await)
         });
+        self.running.insert(index, handle);
+    }
+
+    /// What there is of an item's text: in this job's log, else of an earlier job. `None` if that gave its result.
+    fn kept_text(&mut self, spec: &JobSpec, index: usize) -> Option<ItemText> {
+        let item = &spec.items[index];
+        let kept = self.job.state().kept(&item.id);
+        if kept.events() > 0 {
+            return Some(kept);
+        }
+        let Some(carried) = self.carried.remove(&item.id) else {
+            return Some(kept);
+        };
+        let reward_call = item.reward_call.as_ref().map_or("", |call| &call.id);
+        let is_scored = reward_call.is_empty() || !carried.score.is_empty();
+        let is_done = carried.is_whole && is_scored && carried.reward_call == reward_call;
+        log::info!(
+            "event=text_carried item={} job={} events={} versions={:?} whole={} scored={is_scored}",
+            item.id,
+            spec.job,
+            carried.events,
+            carried.weight_versions,
+            carried.is_whole
+        );
+        if !is_done {
+            return Some(ItemText::from_kept(carried));
+        }
+        let score = carried.score.clone();
+        self.finish(index, ItemText::from_kept(carried), score);
+        None
     }
 
     fn startable(&self, spec: &JobSpec) -> Vec<usize> {
         let state = self.job.state();
         let mut startable: Vec<usize> = (0..spec.items.len())
-            .filter(|index| !self.running.contains(index) && !self.finished.contains(index))
+            .filter(|index| !self.running.contains_key(index) && !self.finished.contains(index))
             .filter(|index| !state.is_listed(&spec.items[*index].id))
             .collect();
         startable.sort_by_key(|index| std::cmp::Reverse(spec.items[*index].expected_tokens));
@@ -93,7 +127,7 @@
     }
 
     /// How items run under the configuration in force; `None` while no route takes them.
-    fn run_context(&self, spec: &Arc<JobSpec>) -> Option<Arc<RunContext>> {
+    pub(super) fn run_context(&self, spec: &Arc<JobSpec>) -> Option<Arc<RunContext>> {
         let config = self.context.config.current()?;
         let route: &Route = config.route(&spec.host, &spec.path)?;
         Some(Arc::new(RunContext {
@@ -108,6 +142,7 @@
             single_version: route.single_version,
             progress: self.progress.0.clone(),
             stop: self.stop.subscribe(),
+            window: self.window.clone(),
             give_up_at: route.max_queue.map(|age| self.job.opened_at + age),
         }))
     }
--- a/crates/front/src/job/text.rs
+++ b/crates/front/src/job/text.rs
@@ -1,6 +1,7 @@
 //! Text that is made for an item, event by event.
 
-use ladderstage_wire::messages::{JobProgress, JobResult, mod_JobResult::State as ResultState};
+use ladderstage_wire::messages::mod_JobResult::State as ResultState;
+use ladderstage_wire::messages::{JobItem, JobProgress, JobResult, KeptText};
 
 use super::events::Event;
 
@@ -92,6 +93,47 @@
         add_once(&mut self.fresh.versions, version);
     }
 
+    /// Text that an earlier job made; nothing of it is in the journal of this one.
+    pub fn from_kept(kept: KeptText) -> Self {
+        let fresh = Fresh {
+            text_start: 0,
+            first_event: Some(1),
+            events: kept.events,
+            versions: kept.weight_versions.clone(),
+        };
+        Self {
+            text: kept.text,
+            events: kept.events,
+            last_event: Some(kept.last_event),
+            versions: kept.weight_versions,
+            fresh,
+            starts_over: false,
+            has_kept: false,
+            is_whole: kept.is_whole,
+        }
+    }
+
+    /// The text for a later job that has the item again; `None` without events. `score` is that of a whole text, if it has one.
+    pub fn to_kept(&self, item: &JobItem, score: &str) -> Option<KeptText> {
+        let last_event = self.last_event?;
+        let reward_call = item.reward_call.as_ref().map(|call| call.id.clone());
+        Some(KeptText {
+            item: item.id.clone(),
+            text: self.text.clone(),
+            events: self.events,
+            last_event,
+            weight_versions: self.versions.clone(),
+            is_whole: self.is_whole,
+            reward_call: reward_call.unwrap_or_default(),
+            score: score.to_owned(),
+        })
+    }
+
+    /// Notes that the last event was the end of the text.
+    pub fn set_whole(&mut self) {
+        self.is_whole = true;
+    }
+
     /// Drops all text; what the journal has becomes void with the next progress or result.
     pub fn start_over(&mut self) {
         let starts_over = self.starts_over || self.has_kept;
