--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -81,6 +81,16 @@
         gone.iter().for_each(|id| self.remove(id));
     }
 
+    /// An instance by its id.
+    pub fn get(&self, id: &str) -> Option<Arc<Instance>> {
+        self.lock().get(id).cloned()
+    }
+
+    /// Tells those who wait for room that there may be some.
+    pub fn notify(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
     /// Changes with every change of the table.
     pub fn watch(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ladderstage_wire::compression::compress;
 use ladderstage_wire::encode;
@@ -11,7 +11,7 @@
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
     Demand, Done, EndJob, InstancePace, JobBody, JobSpec, ModelWork, ReadJob, ReadJobBody, Refused,
-    Response,
+    Response, WeightNews,
 };
 
 use super::LOG_PREFIX;
@@ -76,6 +76,10 @@
                 let texts = self.take_kept_texts(request).await;
                 ResponseKind::packed_kept_texts(compress(&encode(&texts)))
             }
+            RequestKind::weight_news(news) => {
+                self.take_news(&news);
+                ResponseKind::done(Done {})
+            }
             RequestKind::read_demand(_) => ResponseKind::demand(self.demand()),
             RequestKind::shard_notice(notice) => {
                 if notice.from_owner {
@@ -90,6 +94,23 @@
         Response { kind }
     }
 
+    /// Takes what the giver of orders tells of instances' weights.
+    fn take_news(&self, news: &WeightNews) {
+        let now = Instant::now();
+        for told in &news.instances {
+            let Some(instance) = self.context.backends.get(&told.instance) else {
+                continue;
+            };
+            if told.loading_ms > 0 {
+                let until = now + Duration::from_millis(told.loading_ms);
+                instance.note_loading(&told.model, until);
+            } else {
+                instance.note_version(&told.model, told.version);
+            }
+        }
+        self.context.backends.notify();
+    }
+
     async fn answer_read(&self, request: ReadJob) -> ResponseKind {
         let ReadJob { job, after, .. } = &request;
         let wait = Duration::from_millis(request.wait_ms);
--- a/crates/front/src/orders/given.rs
+++ b/crates/front/src/orders/given.rs
@@ -5,6 +5,7 @@
 
 use super::demand::FleetDemand;
 use super::load_limit::{FinishedLoad, LoadLimit};
+use super::news::NewsSender;
 use super::plan::{Assignment, FleetInstance, ModelDemand, Planned};
 
 /// A load is first looked at after this share of the least time.
@@ -34,6 +35,8 @@
     pub may_trade: bool,
     /// Which model each instance serves.
     pub assignment: Assignment,
+    /// What the fronts are to be told.
+    pub news: NewsSender,
 }
 
 /// An order under way.
@@ -57,6 +60,8 @@
     pub fn begin(&mut self, planned: Planned, limit: Duration) {
         let now = Instant::now();
         let least = self.load_time.unwrap_or(LOOK_INTERVAL * 4);
+        self.news
+            .loading(&planned.instance, &planned.model, planned.version, least);
         let load = Load {
             model: planned.model,
             version: planned.version,
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -172,6 +172,7 @@
                 Ok(false) => {}
                 Err(error) => log::warn!("event=giver_not_named cause=\"{error}\""),
             }
+            given.news.send(&self.nodes);
             tokio::time::sleep(given.next_look()).await;
         }
     }
@@ -211,6 +212,7 @@
             };
             if self.has_loaded(instance, &load).await {
                 given.note_load(&load);
+                given.news.loaded(&id, &load.model, load.version);
                 given.loads.remove(&id);
             } else {
                 given.look_again(&id);
--- a/crates/front/src/orders/mod.rs
+++ b/crates/front/src/orders/mod.rs
@@ -8,6 +8,7 @@
 mod lease;
 mod load_limit;
 mod named;
+mod news;
 mod plan;
 
 pub use candidates::is_candidate;
--- /dev/null
+++ b/crates/front/src/orders/news.rs
@@ -0,0 +1,71 @@
+//! News of instances' weights, from the giver of orders to all fronts.
+//!
+//! Discovery tells of new weights with the instance's next heartbeat, up to 1.2 s late, and says nothing of loads under way. The
+//! giver knows both at once. A front that hears it starts items there sooner, and spares itself starts that would be refused.
+
+use std::time::Duration;
+
+use ladderstage_journal::Peers;
+use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
+use ladderstage_wire::messages::{InstanceWeights, Request, WeightNews};
+use tokio::task::JoinSet;
+
+use crate::nodes::Nodes;
+
+/// How long a front may take to answer; news that come later are of no use.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Collects news and tells them to all other fronts.
+#[derive(Default)]
+pub(super) struct NewsSender {
+    news: Vec<InstanceWeights>,
+    calls: JoinSet<()>,
+}
+
+impl NewsSender {
+    /// An instance has taken an order and loads a version for about `time`.
+    pub fn loading(&mut self, instance: &str, model: &str, version: u64, time: Duration) {
+        self.add(instance, model, version, time.as_millis() as u64);
+    }
+
+    /// An instance has a version.
+    pub fn loaded(&mut self, instance: &str, model: &str, version: u64) {
+        self.add(instance, model, version, 0);
+    }
+
+    fn add(&mut self, instance: &str, model: &str, version: u64, loading_ms: u64) {
+        self.news.push(InstanceWeights {
+            instance: instance.to_owned(),
+            model: model.to_owned(),
+            version,
+            loading_ms,
+        });
+    }
+
+    /// Sends what was collected; a front that does not hear it goes by discovery.
+    pub fn send(&mut self, nodes: &Nodes) {
+        while self.calls.try_join_next().is_some() {}
+        if self.news.is_empty() {
+            return;
+        }
+        let kind = RequestKind::weight_news(WeightNews {
+            instances: std::mem::take(&mut self.news),
+        });
+        let own = nodes.own().node;
+        for front in nodes.successors() {
+            if front.node == own {
+                continue;
+            }
+            let nodes = nodes.clone();
+            let request = Request { kind: kind.clone() };
+            self.calls.spawn(async move {
+                if let Err(error) = nodes.call(&front.node, request, NEWS_TIMEOUT).await {
+                    log::debug!(
+                        "event=weight_news_lost node={} cause=\"{error}\"",
+                        front.node
+                    );
+                }
+            });
+        }
+    }
+}
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -179,6 +179,7 @@
                 | RequestKind::end_job(_)
                 | RequestKind::read_demand(_)
                 | RequestKind::take_kept_texts(_)
+                | RequestKind::weight_news(_)
                 | RequestKind::shard_notice(_)) => match &parts.jobs {
                     Some(jobs) => jobs.handle(kind).await,
                     None => refuse(Reason::MALFORMED, "no jobs at this node"),
