Offer all texts of an ended job to the later one; expect its bound from the newest step

Cause: a group that was listed after the trainer's last read comes back too, and was not offered; the bound that the later job was expected to have was wrong for the first steps; carried texts were lost when no instance had room at once. Tried and taken out: items that began anew as soon as the wanted groups were whole (before the end of the job).

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -13,7 +13,7 @@
 use crate::coordination::Coordination;
 use crate::dialect::SharedCodec;
 use crate::ingress::{self, Ingress, IngressState};
-use crate::job::{Confirmation, JobContext, JobRegistry, TextLengths};
+use crate::job::{Confirmation, JobContext, JobRegistry, NewestSteps, TextLengths};
 use crate::live::LiveService;
 use crate::metrics::Metrics;
 use crate::nodes::{NodeRecord, NodeRole, Nodes};
@@ -115,6 +115,7 @@
         retention: options.job_retention,
         confirmation: Confirmation::default(),
         lengths: TextLengths::default(),
+        steps: NewestSteps::default(),
         activity: inputs.activities.with_instances.clone(),
     });
     let hooks = JobHooks {
--- a/crates/front/src/job/carrying.rs
+++ b/crates/front/src/job/carrying.rs
@@ -1,6 +1,6 @@
 //! Texts on their way from ended jobs to a later one that has their items again.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,11 +38,9 @@
             takers,
         };
         lock(&self.shared.leftovers).push(entry);
-        let newest = lock(&self.shared.newest_steps)
-            .get(&leftover.model)
-            .copied();
-        let next_step = newest.unwrap_or(0).max(leftover.step) + 1;
-        leftover.linger(next_step, receiver).await;
+        let steps = &self.context.steps;
+        let min_version = steps.next_min_version(&leftover.model, leftover.min_version);
+        leftover.linger(min_version, receiver).await;
         lock(&self.shared.leftovers).retain(|entry| !entry.takers.is_closed());
     }
 
@@ -54,7 +52,7 @@
             items,
             train_step,
         } = request;
-        note_step(&mut lock(&self.shared.newest_steps), &model, train_step);
+        self.context.steps.note(&model, train_step, min_version);
         let items: Arc<HashSet<String>> = Arc::new(items.into_iter().collect());
         let mut answers = Vec::new();
         lock(&self.shared.leftovers).retain(|entry| {
@@ -137,9 +135,3 @@
     let half = spec.items.len().div_ceil(2);
     spec.items[..half].iter().map(|item| item.id.as_str())
 }
-
-/// Notes that a job of a step was accepted.
-fn note_step(steps: &mut HashMap<String, u64>, model: &str, step: u64) {
-    let newest = steps.entry(model.to_owned()).or_insert(step);
-    *newest = step.max(*newest);
-}
--- a/crates/front/src/job/leftover.rs
+++ b/crates/front/src/job/leftover.rs
@@ -13,7 +13,8 @@
 use tokio::task::{AbortHandle, JoinSet};
 
 use super::owner::Owner;
-use super::run::{RunContext, RunOutcome, SendWindow, run_item};
+use super::run::{BegunVersions, RunContext, RunOutcome, SendWindow, run_item};
+use super::shared::Job;
 use super::text::ItemText;
 use crate::backend::Demand;
 
@@ -24,6 +25,9 @@
 /// How long an ended job's texts are kept. A trainer asks for its next step within one step's time of the end, 4 s to 8 s.
 const KEEP_TIME: Duration = Duration::from_secs(10);
 
+/// Trainers read about twice a second: what was listed this long before the end may not have been read.
+const READ_INTERVAL: Duration = Duration::from_millis(800);
+
 /// Pause before an item that found no instance is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -44,9 +48,11 @@
     /// Step of the job.
     pub step: u64,
     /// Oldest weight version that the job allowed.
-    min_version: u64,
-    items: Vec<JobItem>,
-    /// What there is of each item: of an item that began anew, also what was made of it before.
+    pub min_version: u64,
+    job: Arc<Job>,
+    /// Items that are likely to come back.
+    likely: Vec<JobItem>,
+    /// What there is of each item without a result: of an item that began anew, also what was made of it before.
     texts: HashMap<String, Vec<KeptText>>,
     runs: JoinSet<(usize, RunOutcome)>,
     /// The items of the runs, by the number that a run goes by.
@@ -61,6 +67,8 @@
 struct RunningItem {
     id: String,
     handle: AbortHandle,
+    /// Weight version under which its text began; `None` before the first event.
+    begun: Option<u64>,
 }
 
 impl Owner {
@@ -74,34 +82,32 @@
             return None;
         };
         self.window.close_at(end_asked_at + SEND_TIME);
-        let spec = self.job.state().spec().cloned();
-        let open = spec.as_ref().map(|spec| self.items_of_open_groups(spec));
-        let (Some(spec), Some(open)) = (spec, open.filter(|open| !open.is_empty())) else {
+        let Some(spec) = self.job.state().spec().cloned() else {
             self.runs.abort_all();
             return None;
         };
+        let likely = self.items_to_come_back(&spec, end_asked_at);
         let mut running = HashMap::new();
         for (index, handle) in &self.running {
-            if open.contains(index) {
+            if likely.contains(index) {
                 let id = spec.items[*index].id.clone();
                 let handle = handle.clone();
-                running.insert(*index, RunningItem { id, handle });
+                let begun = self.begun.get(*index);
+                running.insert(*index, RunningItem { id, handle, begun });
             } else {
                 handle.abort();
             }
         }
-        let texts = self.texts_of(&spec, &open);
         // Made first: new runs stop when those that are under way do.
         let context = self.run_context(&spec);
+        let likely_items = likely.iter().map(|index| spec.items[*index].clone());
         Some(Leftover {
             model: spec.model.clone(),
             step: spec.train_step,
             min_version: spec.min_version,
-            items: open
-                .iter()
-                .map(|index| spec.items[*index].clone())
-                .collect(),
-            texts,
+            job: Arc::clone(&self.job),
+            likely: likely_items.collect(),
+            texts: self.unlisted_texts(&spec, &likely),
             runs: std::mem::take(&mut self.runs),
             running,
             stop: std::mem::replace(&mut self.stop, watch::Sender::new(true)),
@@ -110,43 +116,63 @@
         })
     }
 
-    /// Items of groups that lack a result.
-    fn items_of_open_groups(&self, spec: &JobSpec) -> Vec<usize> {
+    /// Items of groups that the trainer has not read as whole, as far as that can be told: they lack a result, or the last one was
+    /// listed just before the end.
+    fn items_to_come_back(&self, spec: &JobSpec, end_asked_at: Instant) -> Vec<usize> {
         let state = self.job.state();
+        let cutoff = end_asked_at.checked_sub(READ_INTERVAL);
+        let read = cutoff.map_or(0, |cutoff| self.listing.listed_before(cutoff));
+        let read_items: HashSet<&str> = state.results()[..read.min(state.results().len())]
+            .iter()
+            .map(|result| result.item.as_str())
+            .collect();
         let mut groups = BTreeMap::<&str, Vec<usize>>::new();
         for (index, item) in spec.items.iter().enumerate() {
             groups.entry(&item.group).or_default().push(index);
         }
-        let is_open = |group: &Vec<usize>| {
+        let is_unread = |group: &Vec<usize>| {
             let mut items = group.iter().map(|index| &spec.items[*index]);
-            items.any(|item| !state.is_listed(&item.id))
+            items.any(|item| !read_items.contains(item.id.as_str()))
         };
-        groups.into_values().filter(is_open).flatten().collect()
+        groups.into_values().filter(is_unread).flatten().collect()
     }
 
-    /// Texts of items without a run: listed, whole too late to be listed, or kept in the log.
-    fn texts_of(&self, spec: &JobSpec, open: &[usize]) -> HashMap<String, Vec<KeptText>> {
+    /// Texts without a result: whole too late to be listed, or kept in the log.
+    fn unlisted_texts(&self, spec: &JobSpec, items: &[usize]) -> HashMap<String, Vec<KeptText>> {
         let state = self.job.state();
-        let listed: HashMap<&str, &JobResult> = state
-            .results()
-            .iter()
-            .map(|result| (result.item.as_str(), result))
-            .collect();
         let text_of = |index: &usize| {
             let item = &spec.items[*index];
-            if let Some(result) = listed.get(item.id.as_str()) {
-                return kept_of_result(item, result);
-            }
             match self.late.get(index) {
                 Some((text, score)) => text.to_kept(item, score),
                 None => state.kept(&item.id).to_kept(item, ""),
             }
         };
-        let texts = open.iter().filter_map(text_of);
+        let texts = items.iter().filter_map(text_of);
         texts.map(|text| (text.item.clone(), vec![text])).collect()
     }
 }
 
+/// How many results there were at which time.
+#[derive(Debug, Default)]
+pub(super) struct Listing {
+    counts: Vec<(Instant, usize)>,
+}
+
+impl Listing {
+    /// Notes the number of results now.
+    pub fn note(&mut self, results: usize) {
+        if self.counts.last().is_none_or(|(_, last)| *last < results) {
+            self.counts.push((Instant::now(), results));
+        }
+    }
+
+    /// Results that were listed by `time`.
+    pub fn listed_before(&self, time: Instant) -> usize {
+        let before = self.counts.iter().take_while(|(at, _)| *at <= time);
+        before.last().map_or(0, |(_, results)| *results)
+    }
+}
+
 /// The text of a listed result; its lines stand for its events, as nothing goes on after it.
 fn kept_of_result(item: &JobItem, result: &JobResult) -> Option<KeptText> {
     if result.state != ResultState::COMPLETED {
@@ -171,9 +197,11 @@
 
 /// Whether a text may be used where `min_version` is the oldest allowed.
 fn is_allowed(text: &KeptText, min_version: u64) -> bool {
-    text.weight_versions
-        .iter()
-        .all(|version| *version >= min_version)
+    are_allowed(&text.weight_versions, min_version)
+}
+
+fn are_allowed(versions: &[u64], min_version: u64) -> bool {
+    versions.iter().all(|version| *version >= min_version)
 }
 
 /// The text that is the furthest of those that may be used.
@@ -185,11 +213,14 @@
 }
 
 impl Leftover {
-    /// Goes on until a later job takes the texts, or for the time that they are kept. `next_step` is the step whose job will have
-    /// the items again.
-    pub async fn linger(mut self, next_step: u64, mut takers: mpsc::UnboundedReceiver<TakeTexts>) {
-        let later = next_step.saturating_sub(self.step);
-        self.begin_anew(self.min_version + later);
+    /// Goes on until a later job takes the texts, or for the time that they are kept. That job is expected to allow `min_version`
+    /// and newer weights.
+    pub async fn linger(
+        mut self,
+        min_version: u64,
+        mut takers: mpsc::UnboundedReceiver<TakeTexts>,
+    ) {
+        self.begin_anew(min_version);
         let deadline = tokio::time::sleep(KEEP_TIME);
         tokio::pin!(deadline);
         loop {
@@ -215,8 +246,8 @@
         let Some(context) = &self.context else {
             return;
         };
-        let items = self.items.iter();
-        let anew: Vec<JobItem> = items
+        let likely = self.likely.iter();
+        let anew: Vec<JobItem> = likely
             .filter(|item| !self.has_allowed(&item.id, min_version))
             .cloned()
             .collect();
@@ -224,7 +255,7 @@
             "event=leftover_kept job={} step={} items={} anew={} min_version={min_version}",
             context.spec.job,
             self.step,
-            self.items.len(),
+            self.likely.len(),
             anew.len()
         );
         let spec = JobSpec {
@@ -234,6 +265,7 @@
         };
         let context = Arc::new(RunContext {
             spec: Arc::new(spec),
+            begun: BegunVersions::default(),
             ..context.as_ref().clone()
         });
         // Numbers of the new runs follow those of the job's items.
@@ -245,11 +277,22 @@
             let run = async move { (number, run_from_begin(context, index).await) };
             let handle = self.runs.spawn(run);
             let id = item.id.clone();
-            self.running.insert(number, RunningItem { id, handle });
+            let begun = None;
+            self.running
+                .insert(number, RunningItem { id, handle, begun });
         }
     }
 
     fn has_allowed(&self, item: &str, min_version: u64) -> bool {
+        let mut runs = self.running.values();
+        if let Some(run) = runs.find(|run| run.id == item) {
+            return run.begun.is_some_and(|version| version >= min_version);
+        }
+        let state = self.job.state();
+        let listed = state.results().iter().find(|result| result.item == item);
+        if listed.is_some_and(|result| are_allowed(&result.weight_versions, min_version)) {
+            return true;
+        }
         let texts = self.texts.get(item);
         texts.is_some_and(|texts| texts.iter().any(|text| is_allowed(text, min_version)))
     }
@@ -268,7 +311,7 @@
         let Some(RunningItem { id, .. }) = self.running.remove(&index) else {
             return;
         };
-        let Some(item) = self.items.iter().find(|item| item.id == id) else {
+        let Some(item) = self.likely.iter().find(|item| item.id == id) else {
             return;
         };
         let kept = match &outcome {
@@ -290,13 +333,7 @@
                 self.take_run(index, outcome);
             }
         }
-        let wanted = self
-            .texts
-            .into_iter()
-            .filter(|(item, _)| taker.items.contains(item));
-        let texts: Vec<KeptText> = wanted
-            .filter_map(|(_, texts)| best_of(texts, taker.min_version))
-            .collect();
+        let texts = self.texts_for(&taker);
         log::info!(
             "event=leftover_taken step={} texts={} min_version={}",
             self.step,
@@ -307,6 +344,28 @@
     }
 }
 
+impl Leftover {
+    /// What there is of each of the taker's items that this job had too.
+    fn texts_for(&mut self, taker: &TakeTexts) -> Vec<KeptText> {
+        let job = Arc::clone(&self.job);
+        let state = job.state();
+        let results: HashMap<&str, &JobResult> = state
+            .results()
+            .iter()
+            .map(|result| (result.item.as_str(), result))
+            .collect();
+        let items = taker.items.iter().filter_map(|id| state.item(id));
+        items
+            .filter_map(|item| {
+                let mut texts = self.texts.remove(&item.id).unwrap_or_default();
+                let result = results.get(item.id.as_str());
+                texts.extend(result.and_then(|result| kept_of_result(item, result)));
+                best_of(texts, taker.min_version)
+            })
+            .collect()
+    }
+}
+
 /// A job without its items.
 fn about_job(spec: &JobSpec) -> JobSpec {
     JobSpec {
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -24,6 +24,7 @@
 mod state;
 mod stream;
 mod text;
+mod trainer_steps;
 
 pub use confirmation::Confirmation;
 pub use digest::{FoundLog, LogDigest};
@@ -35,6 +36,7 @@
 pub use registry::{AcceptError, JobContext, JobRegistry};
 pub use state::{JobState, entry_bytes};
 pub use text::ItemText;
+pub use trainer_steps::NewestSteps;
 
 /// Prefix of the jobs' logs in the journal; the job's id follows.
 pub const LOG_PREFIX: &str = "job/";
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -13,11 +13,11 @@
 
 use super::appending::{AppendDone, RETRY_PAUSE, append_after, wait_for};
 use super::digest::{FoundLog, LogDigest};
-use super::leftover::Leftover;
+use super::leftover::{Leftover, Listing};
 use super::log_name;
 use super::queue::EntryQueue;
 use super::registry::JobContext;
-use super::run::{RunOutcome, SendWindow};
+use super::run::{BegunVersions, RunOutcome, SendWindow};
 use super::shared::{Command, Job};
 use super::state::JobState;
 use super::text::ItemText;
@@ -63,6 +63,10 @@
     pub(super) stop: watch::Sender<bool>,
     /// When requests may be sent for items.
     pub(super) window: SendWindow,
+    /// How many results there were at which time.
+    pub(super) listing: Listing,
+    /// Weight versions under which the texts of runs begin.
+    pub(super) begun: BegunVersions,
     /// Texts of earlier jobs for items that came back in this one.
     pub(super) carried: HashMap<String, KeptText>,
     /// The question for such texts, while it is under way.
@@ -107,6 +111,8 @@
             runs: JoinSet::new(),
             stop: watch::Sender::new(false),
             window: SendWindow::default(),
+            listing: Listing::default(),
+            begun: BegunVersions::default(),
             carried: HashMap::new(),
             gathering: None,
             late: HashMap::new(),
@@ -297,7 +303,9 @@
             state.is_complete(),
             state.is_ended()
         );
+        let results = state.results().len();
         drop(state);
+        self.listing.note(results);
         self.job.notify();
     }
 
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -21,6 +21,7 @@
 use super::seen::SeenResults;
 use super::shared::{Command, Job};
 use super::state::JobState;
+use super::trainer_steps::NewestSteps;
 use super::{LOG_PREFIX, log_name};
 use crate::activity::Activity;
 use crate::backend::BackendTable;
@@ -56,6 +57,8 @@
     pub confirmation: Confirmation,
     /// How long texts are.
     pub lengths: TextLengths,
+    /// The newest steps of trainers.
+    pub steps: NewestSteps,
     /// Counts the jobs that run at this node.
     pub activity: Activity,
 }
@@ -90,8 +93,6 @@
     pub(super) seen: Mutex<SeenResults>,
     /// What ended jobs left behind here.
     pub(super) leftovers: Mutex<Vec<LeftoverEntry>>,
-    /// The newest step that was accepted anywhere, by model.
-    pub(super) newest_steps: Mutex<HashMap<String, u64>>,
 }
 
 /// Removes a job from those being opened.
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -1,6 +1,7 @@
 //! One item of a batch job: runs it as a stream, takes it up elsewhere when it is cut or slow, until it is whole.
 
-use std::sync::{Arc, OnceLock};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -59,6 +60,37 @@
     pub stop: watch::Receiver<bool>,
     /// When requests may still be sent for the items.
     pub window: SendWindow,
+    /// Weight versions under which the texts of runs begin.
+    pub begun: BegunVersions,
+}
+
+/// The weight version of the first event of each text that is under way, by item. Cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub struct BegunVersions {
+    versions: Arc<Mutex<HashMap<usize, u64>>>,
+}
+
+impl BegunVersions {
+    /// Notes the version that made an event; the first counts.
+    pub fn note(&self, index: usize, version: u64) {
+        self.lock().entry(index).or_insert(version);
+    }
+
+    /// Forgets an item, whose text begins anew.
+    pub fn forget(&self, index: usize) {
+        self.lock().remove(&index);
+    }
+
+    /// The version under which an item's text began; `None` before its first event.
+    pub fn get(&self, index: usize) -> Option<u64> {
+        self.lock().get(&index).copied()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<usize, u64>> {
+        self.versions
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
 }
 
 /// Until when requests may be sent for the items of a job: always while it is open, and for a short time after its end.
--- a/crates/front/src/job/starting.rs
+++ b/crates/front/src/job/starting.rs
@@ -58,10 +58,8 @@
                 Demand::Batch
             };
             let fits = |instance: &Instance| instance.version(&spec.model) >= spec.min_version;
-            let chosen = self
-                .context
-                .backends
-                .choose(&run.service, &spec.model, demand, fits);
+            let backends = &self.context.backends;
+            let chosen = backends.choose(&run.service, &spec.model, demand, fits);
             let Some(instance) = chosen else {
                 self.has_waiting_items = true;
                 return;
@@ -80,6 +78,8 @@
         // The run begins with its first poll; the guard counts it from now on.
         let guard = instance.as_ref().map(Instance::begin);
         let run = Arc::clone(run);
+        self.begun.forget(index);
+        self.carried.remove(&run.spec.items[index].id);
         let handle = self.runs.spawn(async move {
             drop(guard);
             (index, run_item(run, index, instance, kept).await)
@@ -94,7 +94,8 @@
         if kept.events() > 0 {
             return Some(kept);
         }
-        let Some(carried) = self.carried.remove(&item.id) else {
+        let carried = self.carried.get(&item.id).filter(|text| text.events > 0);
+        let Some(carried) = carried.cloned() else {
             return Some(kept);
         };
         let reward_call = item.reward_call.as_ref().map_or("", |call| &call.id);
@@ -143,6 +144,7 @@
             progress: self.progress.0.clone(),
             stop: self.stop.subscribe(),
             window: self.window.clone(),
+            begun: self.begun.clone(),
             give_up_at: route.max_queue.map(|age| self.job.opened_at + age),
         }))
     }
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -71,6 +71,9 @@
             if let Err(end) = take_event(context, instance, event, version, partial) {
                 return end;
             }
+            if let Some(begun) = partial.versions().first() {
+                context.begun.note(index, *begun);
+            }
             pace.note(instance);
         }
         if partial.fresh_events() >= EVENTS_PER_PROGRESS {
