Learn the limit of loads from each load's share of the link, and tell it to later givers

Cause: loads begin and end at different moments, but the number beside one was taken for its whole time: on a link that bears two, four to nine were under way, each for 1.4 s to 2.7 s instead of 0.9 s; the least time crept up with them, so that a new giver took 2.2 s for alone and never came back down. Change: a load's share of the link is summed over its time; the least time only grows slowly; what was learnt goes with the news to all fronts, and a giver who knows nothing learns nothing from its first 3 s.

--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -18,6 +18,7 @@
 use super::reading::{ReadError, body_local, end_local, results_answer};
 use super::registry::{JobRegistry, lock};
 use super::shared::Job;
+use crate::orders::LoadLimit;
 
 /// Jobs accepted within this time count for the demand.
 const DEMAND_WINDOW: Duration = Duration::from_secs(15);
@@ -108,6 +109,11 @@
                 instance.note_version(&told.model, told.version);
             }
         }
+        if news.least_load_ms > 0 {
+            let least = Duration::from_millis(news.least_load_ms);
+            let limit = LoadLimit::from_learnt(news.load_limit as usize, least);
+            self.context.learnt_loads.note(&limit);
+        }
         self.context.backends.notify();
     }
 
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -29,6 +29,7 @@
 use crate::dialect::SharedCodec;
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
+use crate::orders::LearntLoads;
 
 /// An owner answers reads for this long after a majority of replicas last confirmed it: another owner may have listed more
 /// since, and readers may see an older state for a second at most.
@@ -59,6 +60,8 @@
     pub lengths: TextLengths,
     /// The newest steps of trainers.
     pub steps: NewestSteps,
+    /// What givers of orders have learnt of loads.
+    pub learnt_loads: LearntLoads,
     /// Counts the jobs that run at this node.
     pub activity: Activity,
 }
@@ -262,6 +265,11 @@
         }
     }
 
+    /// What givers of orders have learnt of loads, here or by their word.
+    pub fn learnt_loads(&self) -> &LearntLoads {
+        &self.context.learnt_loads
+    }
+
     /// Notes that a majority of replicas answered a heartbeat sent at `asked_at`.
     pub fn on_confirmed(&self, asked_at: Instant) {
         self.context.confirmation.note(asked_at);
--- a/crates/front/src/orders/given.rs
+++ b/crates/front/src/orders/given.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::demand::FleetDemand;
-use super::load_limit::{FinishedLoad, LoadLimit};
+use super::load_limit::{FinishedLoad, LinkShare, LoadLimit};
 use super::news::NewsSender;
 use super::plan::{Assignment, FleetInstance, ModelDemand, Planned};
 
@@ -24,10 +24,11 @@
     pub pauses: HashMap<String, Instant>,
     /// Orders under way, by instance.
     pub loads: HashMap<String, Load>,
-    /// Least time that a load has taken of late.
-    pub load_time: Option<Duration>,
     /// How many loads may be under way at once.
     pub load_limit: LoadLimit,
+    /// Loads that began earlier teach nothing: those of a giver before may have been under way beside them.
+    pub learn_from: Option<Instant>,
+    share: LinkShare,
     /// What the fronts told of their work, and when they were asked.
     pub demand: FleetDemand,
     pub demand_at: Option<Instant>,
@@ -49,6 +50,8 @@
     pub give_up_at: Instant,
     /// Loads under way when it began, this one included.
     pub beside: usize,
+    /// Sum of the link's shares when it began.
+    share_before: Duration,
 }
 
 impl Given {
@@ -59,7 +62,7 @@
     /// Notes an order under way; looked at when such a load is usually done.
     pub fn begin(&mut self, planned: Planned, limit: Duration) {
         let now = Instant::now();
-        let least = self.load_time.unwrap_or(LOOK_INTERVAL * 4);
+        let least = self.load_limit.least().unwrap_or(LOOK_INTERVAL * 4);
         self.news
             .loading(&planned.instance, &planned.model, planned.version, least);
         let load = Load {
@@ -69,29 +72,38 @@
             look_at: now + least.mul_f64(LOOK_SHARE),
             give_up_at: now + limit,
             beside: self.loads.len() + 1,
+            share_before: self.share.sum(now),
         };
         self.loads.insert(planned.instance, load);
+        self.share.set_loads(self.loads.len(), now);
     }
 
-    /// Notes a load that is done: shorter ones count at once for the least time, longer ones bit by bit.
+    /// Forgets an order: it is done, or given up.
+    pub fn end(&mut self, instance: &str) {
+        self.loads.remove(instance);
+        self.share.set_loads(self.loads.len(), Instant::now());
+    }
+
+    /// Learns from a load that is done.
     pub fn note_load(&mut self, load: &Load) {
         let now = Instant::now();
-        let taken = now.saturating_duration_since(load.since);
-        let least = self.load_time.unwrap_or(taken);
-        self.load_time = Some(taken.min((least * 7 + taken) / 8));
+        if self.learn_from.is_some_and(|from| load.since < from) {
+            return;
+        }
         let before = self.load_limit.get();
         let finished = FinishedLoad {
-            taken,
-            least,
+            taken: now.saturating_duration_since(load.since),
+            share: self.share.sum(now).saturating_sub(load.share_before),
             beside: load.beside.max(self.loads.len()),
         };
         self.load_limit.note(finished, now);
         if self.load_limit.get() < before {
             log::info!(
-                "event=load_limit_lowered limit={} before={before} taken_ms={} least_ms={} beside={}",
+                "event=load_limit_lowered limit={} before={before} taken_ms={} share_ms={} least_ms={} beside={}",
                 self.load_limit.get(),
-                taken.as_millis(),
-                least.as_millis(),
+                finished.taken.as_millis(),
+                finished.share.as_millis(),
+                self.load_limit.least().unwrap_or_default().as_millis(),
                 finished.beside
             );
         }
@@ -99,7 +111,7 @@
 
     /// Looks at a load again soon: sooner once it is known how long loads take.
     pub fn look_again(&mut self, instance: &str) {
-        let pause = match self.load_time {
+        let pause = match self.load_limit.least() {
             Some(_) => LOAD_LOOK_INTERVAL,
             None => LOOK_INTERVAL,
         };
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -38,6 +38,10 @@
 /// Longest wait for a load.
 const LOAD_LIMIT: Duration = Duration::from_secs(5);
 
+/// A giver to whom nobody told how long loads take learns nothing from loads of this first time: twice the longest load that
+/// was seen, so that those of an earlier giver are over.
+const SETTLE_TIME: Duration = Duration::from_millis(3_000);
+
 /// How long an instance is left alone whose answer to a call was lost.
 const DOUBT_TIME: Duration = Duration::from_millis(1_500);
 
@@ -157,6 +161,10 @@
     /// Returns why this node is to give orders no more.
     async fn give_while_held(&self, lease: &GiverLease, held: &Held) -> &'static str {
         let mut given = Given::default();
+        match self.jobs.learnt_loads().get() {
+            Some(learnt) => given.load_limit = learnt,
+            None => given.learn_from = Some(Instant::now() + SETTLE_TIME),
+        }
         loop {
             if self.nodes.is_leaving() {
                 return "leaving";
@@ -172,7 +180,8 @@
                 Ok(false) => {}
                 Err(error) => log::warn!("event=giver_not_named cause=\"{error}\""),
             }
-            given.news.send(&self.nodes);
+            self.jobs.learnt_loads().note(&given.load_limit);
+            given.news.send(&self.nodes, &given.load_limit);
             tokio::time::sleep(given.next_look()).await;
         }
     }
@@ -202,18 +211,18 @@
                 continue;
             };
             if now >= load.give_up_at {
-                given.loads.remove(&id);
+                given.end(&id);
                 continue;
             }
             let fleet = self.fleet();
             let Some(instance) = fleet.iter().find(|one| one.id() == id) else {
-                given.loads.remove(&id);
+                given.end(&id);
                 continue;
             };
             if self.has_loaded(instance, &load).await {
                 given.note_load(&load);
                 given.news.loaded(&id, &load.model, load.version);
-                given.loads.remove(&id);
+                given.end(&id);
             } else {
                 given.look_again(&id);
             }
--- a/crates/front/src/orders/news.rs
+++ b/crates/front/src/orders/news.rs
@@ -3,6 +3,7 @@
 //! Discovery tells of new weights with the instance's next heartbeat, up to 1.2 s late, and says nothing of loads under way. The
 //! giver knows both at once. A front that hears it starts items there sooner, and spares itself starts that would be refused.
 
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use ladderstage_journal::Peers;
@@ -10,11 +11,38 @@
 use ladderstage_wire::messages::{InstanceWeights, Request, WeightNews};
 use tokio::task::JoinSet;
 
+use super::load_limit::LoadLimit;
 use crate::nodes::Nodes;
 
 /// How long a front may take to answer; news that come later are of no use.
 const NEWS_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// What givers of orders have learnt of loads: a later giver starts from that. Cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub struct LearntLoads {
+    limit: Arc<Mutex<Option<LoadLimit>>>,
+}
+
+impl LearntLoads {
+    /// Notes what this node has learnt, or was told.
+    pub fn note(&self, limit: &LoadLimit) {
+        if limit.least().is_some() {
+            *self.lock() = Some(limit.clone());
+        }
+    }
+
+    /// What is known.
+    pub fn get(&self) -> Option<LoadLimit> {
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<LoadLimit>> {
+        self.limit
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
 /// Collects news and tells them to all other fronts.
 #[derive(Default)]
 pub(super) struct NewsSender {
@@ -43,13 +71,15 @@
     }
 
     /// Sends what was collected; a front that does not hear it goes by discovery.
-    pub fn send(&mut self, nodes: &Nodes) {
+    pub fn send(&mut self, nodes: &Nodes, limit: &LoadLimit) {
         while self.calls.try_join_next().is_some() {}
         if self.news.is_empty() {
             return;
         }
         let kind = RequestKind::weight_news(WeightNews {
             instances: std::mem::take(&mut self.news),
+            least_load_ms: limit.least().unwrap_or_default().as_millis() as u64,
+            load_limit: limit.get() as u64,
         });
         let own = nodes.own().node;
         for front in nodes.successors() {
--- a/crates/front/tests/load_limit.rs
+++ b/crates/front/tests/load_limit.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use ladderstage_front::orders::{FinishedLoad, LoadLimit};
+use ladderstage_front::orders::{FinishedLoad, LinkShare, LoadLimit};
 use proptest::prelude::*;
 
 /// How long a load takes while nothing else loads.
@@ -22,7 +22,7 @@
         for number in 1..=beside {
             let load = FinishedLoad {
                 taken,
-                least: ALONE,
+                share: taken / beside as u32,
                 beside: number.max(beside + 1 - number),
             };
             limit.note(load, now);
@@ -63,3 +63,46 @@
         prop_assert!(*least * 2 >= free, "{:?}", limits);
     }
 }
+
+/// Loads that begin one after the other, each as soon as the limit allows, on a link that bears two at once. Found on days with a
+/// new giver of orders: the number of loads beside each other was taken for their whole time, and four to nine were under way.
+#[test]
+fn loads_that_begin_at_different_moments_show_what_their_link_bears() {
+    const STEP: Duration = Duration::from_millis(1);
+    let mut limit = LoadLimit::default();
+    let mut share = LinkShare::default();
+    let mut now = Instant::now();
+    let mut loads: Vec<(Instant, Duration, f64, usize)> = Vec::new();
+    let mut above = 0;
+    let mut next_start = now;
+    for _ in 0..120_000 {
+        let speed = (2.0 / loads.len().max(1) as f64).min(1.0);
+        now += STEP;
+        loads
+            .iter_mut()
+            .for_each(|load| load.2 += speed * STEP.as_secs_f64());
+        above += u32::from(loads.len() > 3);
+        let (done, open): (Vec<_>, Vec<_>) = loads
+            .into_iter()
+            .partition(|load| load.2 >= ALONE.as_secs_f64());
+        loads = open;
+        for (since, before, _, beside) in done {
+            let load = FinishedLoad {
+                taken: now - since,
+                share: share.sum(now) - before,
+                beside: beside.max(loads.len() + 1),
+            };
+            limit.note(load, now);
+        }
+        if loads.len() < limit.get() && now >= next_start {
+            loads.push((now, share.sum(now), 0.0, loads.len() + 1));
+            next_start = now + Duration::from_millis(170);
+        }
+        share.set_loads(loads.len(), now);
+    }
+    assert!(limit.get() <= 3, "{limit:?}");
+    assert!(
+        above < 12_000,
+        "more than three loads at once for {above} ms of 120 s"
+    );
+}
