--- a/crates/front/src/coordination.rs
+++ b/crates/front/src/coordination.rs
@@ -138,8 +138,12 @@
     Changes(Vec<Change>),
 }
 
-/// Pause after a failed call.
-const FAILURE_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a failed call; doubles with each further one.
+const FIRST_FAILURE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest pause between failed calls. Each call to the store has its price, refused ones too, and a front is bound to what the
+/// store tells only seconds after it is reached again.
+const LONGEST_FAILURE_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Follows all records under `prefix` for as long as the future is polled. `gather` passes between two answers, so that
 /// changes in quick succession cost one call.
@@ -162,6 +166,7 @@
 ) {
     let mut after = None;
     let mut is_lost = false;
+    let mut failure_pause = FIRST_FAILURE_PAUSE;
     loop {
         let result = match after {
             None => coordination.list(prefix).await.map(|listing| {
@@ -184,6 +189,7 @@
         match result {
             Ok(next) => {
                 after = next;
+                failure_pause = FIRST_FAILURE_PAUSE;
                 if std::mem::take(&mut is_lost) {
                     log::info!(
                         "event=store_regained prefix={prefix} revision={}",
@@ -196,7 +202,8 @@
                 if !std::mem::replace(&mut is_lost, true) {
                     log::warn!("event=store_lost prefix={prefix} cause=\"{error}\"");
                 }
-                tokio::time::sleep(ladderstage_journal::jitter::jittered(FAILURE_PAUSE)).await;
+                tokio::time::sleep(ladderstage_journal::jitter::jittered(failure_pause)).await;
+                failure_pause = (failure_pause * 2).min(LONGEST_FAILURE_PAUSE);
             }
         }
     }
--- a/crates/front/src/nodes.rs
+++ b/crates/front/src/nodes.rs
@@ -27,7 +27,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Between two answers of the watch.
-const GATHER: Duration = Duration::from_millis(200);
+const GATHER: Duration = Duration::from_millis(400);
 
 /// A record that went while the store had trouble may come back: its node counts for this long.
 const GONE_GRACE: Duration = Duration::from_millis(400);
