--- a/crates/front/src/explain/steps.rs
+++ b/crates/front/src/explain/steps.rs
@@ -132,7 +132,7 @@
                 self.row.job = job.to_owned();
                 self.row.model = line.fields.get("model").cloned().unwrap_or_default();
                 self.row.step = number(line, "step");
-                self.row.min_version = number(line, "min_version");
+                self.row.min_version = number(line, "oldest_version");
                 self.row.items = number(line, "items") as usize;
                 self.row.wanted_groups = number(line, "desired_groups") as usize;
                 self.row.accepted_at = at;
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -31,7 +31,7 @@
 /// How an owner's work ended.
 pub(super) enum OwnerEnd {
     /// The job was ended by its client; a later job may have the items again that it left behind.
-    Ended(Option<Leftover>),
+    Ended(Option<Box<Leftover>>),
     /// Another node owns it now.
     Lost,
 }
@@ -400,7 +400,7 @@
         }
         self.job.notify();
         log::info!("event=job_ended job={}", self.job.id);
-        OwnerEnd::Ended(leftover)
+        OwnerEnd::Ended(leftover.map(Box::new))
     }
 }
 
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -394,7 +394,7 @@
             let _activity = activity;
             match owner.run(commands).await {
                 OwnerEnd::Lost => registry.forget(&owned),
-                OwnerEnd::Ended(Some(leftover)) => registry.keep_leftover(leftover).await,
+                OwnerEnd::Ended(Some(leftover)) => registry.keep_leftover(*leftover).await,
                 OwnerEnd::Ended(None) => {}
             }
         });
@@ -464,7 +464,7 @@
 /// What the log tells of a job that was handed in.
 fn describe(spec: &JobSpec) -> String {
     format!(
-        "model={} step={} min_version={} desired_groups={} items={}",
+        "model={} step={} oldest_version={} desired_groups={} items={}",
         spec.model,
         spec.train_step,
         spec.min_version,
--- a/crates/front/tests/explain.rs
+++ b/crates/front/tests/explain.rs
@@ -1,6 +1,6 @@
 //! Stories told from log lines.
 
-use ladderstage_front::explain::{LogLine, Story};
+use ladderstage_front::explain::{LogLine, Story, steps, table};
 
 const LOG: &str = r#"
    4.1000 front-a time=100.100 level=info node=front-a module=m event=job_accepted job=j1 items=2
@@ -59,3 +59,34 @@
         2
     );
 }
+
+const STEPS: &str = r#"
+time=100.000 level=info node=a module=m event=job_accepted job=j1 model=m step=3 oldest_version=2 desired_groups=1 items=2
+time=101.000 level=info node=a module=m event=item_run item=i1 job=j1 group=g1 instance=s1 tokens=9 guess=5 events=3 versions=[2] elapsed_ms=900 outcome=complete
+time=101.100 level=info node=a module=m event=reward_call item=i1 job=j1 request=r1 route=x instance=p elapsed_ms=20 outcome=broken cause="no answer in time"
+time=101.200 level=info node=a module=m event=reward_call item=i1 job=j1 request=r1 route=x instance=q elapsed_ms=20 outcome=scored
+time=101.300 level=info node=a module=m event=item_run item=i2 job=j1 group=g2 instance=s1 tokens=9 guess=5 events=0 versions=[] elapsed_ms=5 outcome=not_taken cause="not run: 503"
+time=102.000 level=info node=a module=m event=job_ended job=j1
+"#;
+
+#[test]
+fn a_step_s_row_tells_what_it_waited_for() {
+    let lines: Vec<LogLine> = STEPS.lines().filter_map(LogLine::parse).collect();
+    let rows = steps(&lines);
+    assert_eq!(rows.len(), 1);
+    let row = &rows[0];
+    assert_eq!((row.step, row.items, row.refused_starts), (3, 2, 1));
+    let last = row.last.as_ref().unwrap();
+    assert_eq!(last.id, "i1");
+    let is_near = |value: f64, expected: f64| (value - expected).abs() < 1e-6;
+    assert!(
+        is_near(last.started, 0.1) && is_near(last.whole, 1.0),
+        "{last:?}"
+    );
+    assert!(
+        is_near(row.wanted_done.unwrap(), 1.2),
+        "the score counts: {row:?}"
+    );
+    assert!(is_near(row.ended.unwrap(), 2.0));
+    assert!(table(&rows).contains("i1 events=3"));
+}
--- /dev/null
+++ b/crates/front/tests/scoring_choice.rs
@@ -0,0 +1,28 @@
+//! Reward calls leave places of their service to live requests.
+
+use ladderstage_front::backend::{Candidate, Demand, choose};
+use proptest::prelude::*;
+
+fn candidate(load: u32, slots: u32) -> Candidate {
+    Candidate {
+        load,
+        slots,
+        is_same_zone: true,
+        pace_ms: None,
+    }
+}
+
+#[test]
+fn the_last_slot_is_left_to_live_requests() {
+    assert_eq!(choose(&[candidate(5, 6)], Demand::Scoring, 0), None);
+    assert_eq!(choose(&[candidate(4, 6)], Demand::Scoring, 0), Some(0));
+    assert_eq!(choose(&[candidate(5, 6)], Demand::Live, 0), Some(0));
+}
+
+proptest! {
+    #[test]
+    fn no_instance_gets_more_calls_than_it_runs_side_by_side(load in 0u32..20, slots in 0u32..20, random: u64) {
+        let chosen = choose(&[candidate(load, slots)], Demand::Scoring, random);
+        prop_assert!(chosen.is_none() || load < slots);
+    }
+}
