End the runs of a job with it unless a trainer waits for its groups

Cause: the runs of any ended job went on for up to 10 s, also of batch jobs whose items never come back. Change: only jobs that wait for groups leave anything behind, and ask for what others left.

--- a/crates/front/src/job/leftover.rs
+++ b/crates/front/src/job/leftover.rs
@@ -82,7 +82,9 @@
             return None;
         };
         self.window.close_at(end_asked_at + SEND_TIME);
-        let Some(spec) = self.job.state().spec().cloned() else {
+        let spec = self.job.state().spec().cloned();
+        // Only trainers, who wait for groups, bring items back.
+        let Some(spec) = spec.filter(|spec| spec.desired_groups > 0) else {
             self.runs.abort_all();
             return None;
         };
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -384,7 +384,8 @@
         }
         let context = Arc::clone(&self.context);
         let digest = LogDigest::of(&entries);
-        let carried = spec.as_ref().map(|spec| self.gather_kept_texts(spec));
+        let trainer_spec = spec.as_ref().filter(|spec| spec.desired_groups > 0);
+        let carried = trainer_spec.map(|spec| self.gather_kept_texts(spec));
         let mut owner = Owner::new(context, Arc::clone(&job), writer, digest, spec);
         owner.gathering = carried;
         let registry = self.clone();
