List at once when the store has forgotten its history

Cause: a follower that was told that its history is gone passed its whole gathering time (1.12 s at a front without jobs) before it listed. With the one before the watch that made up to 2.24 s, more than the 2 s for which a leaving instance may be sent requests. Ruled out: the stand-in of the store (it answers 410 at once) and load (by the code alone the wait is 2 x 1.12 s when the notice comes just after an answer). Change: no pause between that answer and the listing; a line says it.

--- a/crates/front/src/coordination.rs
+++ b/crates/front/src/coordination.rs
@@ -187,14 +187,16 @@
                 }),
         };
         match result {
-            Ok(next) => {
-                after = next;
+            // What the lost history told is as old as the last answer: the listing must not wait for another pause.
+            Ok(None) => {
+                log::info!("event=history_gone prefix={prefix}");
+                after = None;
+            }
+            Ok(Some(at)) => {
+                after = Some(at);
                 failure_pause = FIRST_FAILURE_PAUSE;
                 if std::mem::take(&mut is_lost) {
-                    log::info!(
-                        "event=store_regained prefix={prefix} revision={}",
-                        after.unwrap_or(0)
-                    );
+                    log::info!("event=store_regained prefix={prefix} revision={at}");
                 }
                 pause().await;
             }
