Ask the store less: idle nodes gather changes of nodes for longer, and followers wait for a renewal while it fails

Change: a front without jobs or orders gathers changes of nodes for 2 s, but for its first 2 s; after a second failure a follower waits until another call was carried out, mostly the renewal of the node's lease; the replica set is changed by a node with a disk, as these follow closely; spare disks look each 5 s.

--- a/crates/front/src/coordination.rs
+++ b/crates/front/src/coordination.rs
@@ -127,6 +127,11 @@
 
     /// Ends a lease, and with it its records.
     fn revoke(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), CoordinationError>>;
+
+    /// Returns once another call of this process has been carried out, at the latest after `longest`.
+    fn regained(&self, longest: Duration) -> BoxFuture<'_, ()> {
+        Box::pin(tokio::time::sleep(longest))
+    }
 }
 
 /// What a follower is told.
@@ -138,12 +143,12 @@
     Changes(Vec<Change>),
 }
 
-/// Pause after a failed call; doubles with each further one.
-const FIRST_FAILURE_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a first failed call: a refusal or a lost answer may be the only one.
+const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Longest pause between failed calls. Each call to the store has its price, refused ones too, and a front is bound to what the
-/// store tells only seconds after it is reached again.
-const LONGEST_FAILURE_PAUSE: Duration = Duration::from_millis(1_000);
+/// Longest pause after a further failed call. Each call to the store has its price, refused ones too, and the node's lease is
+/// renewed or taken anew each second and a quarter in any case, for a tenth of it: that shows when the store is back.
+const LONGEST_FAILURE_PAUSE: Duration = Duration::from_secs(10);
 
 /// Follows all records under `prefix` for as long as the future is polled. `gather` passes between two answers, so that
 /// changes in quick succession cost one call.
@@ -166,7 +171,6 @@
 ) {
     let mut after = None;
     let mut is_lost = false;
-    let mut failure_pause = FIRST_FAILURE_PAUSE;
     loop {
         let result = match after {
             None => coordination.list(prefix).await.map(|listing| {
@@ -194,18 +198,19 @@
             }
             Ok(Some(at)) => {
                 after = Some(at);
-                failure_pause = FIRST_FAILURE_PAUSE;
                 if std::mem::take(&mut is_lost) {
                     log::info!("event=store_regained prefix={prefix} revision={at}");
                 }
                 pause().await;
             }
             Err(error) => {
-                if !std::mem::replace(&mut is_lost, true) {
+                if std::mem::replace(&mut is_lost, true) {
+                    coordination.regained(LONGEST_FAILURE_PAUSE).await;
+                } else {
                     log::warn!("event=store_lost prefix={prefix} cause=\"{error}\"");
+                    let pause = ladderstage_journal::jitter::jittered(FAILURE_PAUSE);
+                    tokio::time::sleep(pause).await;
                 }
-                tokio::time::sleep(ladderstage_journal::jitter::jittered(failure_pause)).await;
-                failure_pause = (failure_pause * 2).min(LONGEST_FAILURE_PAUSE);
             }
         }
     }
--- a/crates/front/src/coordination/observed.rs
+++ b/crates/front/src/coordination/observed.rs
@@ -72,6 +72,8 @@
     contact: Mutex<Contact>,
     /// Changes whenever the watches under way may have been forgotten.
     doubt: watch::Sender<u64>,
+    /// Counts calls that were carried out.
+    carried_out: watch::Sender<u64>,
 }
 
 impl<C: Coordination> Observed<C> {
@@ -82,6 +84,7 @@
             calls,
             contact: Mutex::default(),
             doubt: watch::Sender::new(0),
+            carried_out: watch::Sender::new(0),
         }
     }
 
@@ -94,6 +97,9 @@
         let sent = Instant::now();
         let result = call.await;
         self.calls.note(kind, &result);
+        if result.is_ok() {
+            self.carried_out.send_modify(|count| *count += 1);
+        }
         match &result {
             Err(error @ (CoordinationError::Unavailable(_) | CoordinationError::Unknown(_))) => {
                 self.note_silence(error, sent);
@@ -201,4 +207,11 @@
     fn revoke(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), CoordinationError>> {
         Box::pin(self.call("revoke", self.store.revoke(lease)))
     }
+
+    fn regained(&self, longest: Duration) -> BoxFuture<'_, ()> {
+        Box::pin(async move {
+            let mut carried_out = self.carried_out.subscribe();
+            let _ = tokio::time::timeout(longest, carried_out.changed()).await;
+        })
+    }
 }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -149,7 +149,8 @@
     };
     let nodes_task = tokio::spawn({
         let nodes = nodes.clone();
-        async move { nodes.run(coordination).await }
+        let activity = inputs.activities.with_instances.clone();
+        async move { nodes.run(coordination, &activity).await }
     });
     let orders_task = tokio::spawn(async move { giver.run().await });
     let sweep_task = tokio::spawn({
--- a/crates/front/src/nodes.rs
+++ b/crates/front/src/nodes.rs
@@ -12,7 +12,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use crate::coordination::{Change, Coordination, CoordinationError, LeaseId, Update, follow};
+use crate::activity::Activity;
+use crate::coordination::{Change, Coordination, CoordinationError, LeaseId, Update, follow_with};
 
 /// Where the records are.
 const NODE_PREFIX: &str = "ladderstage/node/";
@@ -26,9 +27,16 @@
 /// Pause after a failed renewal or registration.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Between two answers of the watch.
+/// Between two answers of the watch at a node that works with others: one with a disk, a job, or the right to give orders.
 const GATHER: Duration = Duration::from_millis(400);
 
+/// The same at all others. Restarts come in turn, and each changes its node's record three times: with many nodes the answers
+/// about that are most of the calls to the store, and each has its price. A node that is not heard of yet is asked in vain once.
+const IDLE_GATHER: Duration = Duration::from_secs(2);
+
+/// For so long after its start a node follows closely: the others may have started with it.
+const STARTING_TIME: Duration = Duration::from_secs(2);
+
 /// A record that went while the store had trouble may come back: its node counts for this long.
 const GONE_GRACE: Duration = Duration::from_millis(400);
 
@@ -93,9 +101,15 @@
         }
     }
 
-    /// Keeps this node's record and follows all others, for as long as the future is polled.
-    pub async fn run(&self, coordination: Arc<dyn Coordination>) {
-        let follower = follow(Arc::clone(&coordination), NODE_PREFIX, GATHER, |update| {
+    /// Keeps this node's record and follows all others, for as long as the future is polled: closely while `activity` says that
+    /// there is work with them.
+    pub async fn run(&self, coordination: Arc<dyn Coordination>, activity: &Activity) {
+        let started = Instant::now();
+        let pause = || {
+            let is_starting = started.elapsed() < STARTING_TIME;
+            activity.pause(GATHER, if is_starting { GATHER } else { IDLE_GATHER })
+        };
+        let follower = follow_with(Arc::clone(&coordination), NODE_PREFIX, pause, |update| {
             self.take(update);
         });
         tokio::join!(follower, self.keep_registered(&coordination));
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
+use crate::activity::Activity;
 use crate::coordination::Coordination;
 use crate::ingress::serve_metrics;
 use crate::job::LOG_PREFIX;
@@ -123,8 +124,10 @@
         options.peer_address,
         storage.replica_id()
     );
+    let activity = Activity::default();
+    let _holds_disk = activity.begin();
     tokio::select! {
-        () = nodes.run(coordination) => Ok(()),
+        () = nodes.run(coordination, &activity) => Ok(()),
         () = stop => {
             log::info!("event=stopped role=store node={}", options.node);
             Ok(())
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -20,8 +20,9 @@
 /// How long a peer may take to store a new set.
 const FENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Between looks at the record by a node whose disk is no member: the members tell a newcomer, and that may get lost.
-const OUTSIDE_LOOK: Duration = Duration::from_millis(1_500);
+/// Between looks at the record by a node whose disk is no member: the members tell a newcomer, and that may get lost. With many
+/// spare disks these are calls to a service that each have their price.
+const OUTSIDE_LOOK: Duration = Duration::from_secs(5);
 
 /// How long a leaving replica waits for a spare before the set gets smaller.
 const SPARE_WAIT: Duration = Duration::from_secs(2);
@@ -241,9 +242,14 @@
             .collect()
     }
 
-    /// One member tries, so that the key-value service is not asked by all; the swap settles disagreement.
+    /// Whether this node changes the set. One tries, so that the key-value service is not asked by all; the swap settles
+    /// disagreement. It is one of those with a disk, as these follow the others closely, if any is there.
     fn coordinates(&self, set: &ReplicaSet, alive: &[Member]) -> bool {
-        let names = alive.iter().map(|member| member.node.as_str());
+        let has_disks = alive.iter().any(|member| member.replica_id != 0);
+        let eligible = alive
+            .iter()
+            .filter(|member| !has_disks || member.replica_id != 0);
+        let names = eligible.map(|member| member.node.as_str());
         let key = format!("replica-set/{}", set.version);
         rendezvous_first(key.as_bytes(), names) == Some(self.node.as_str())
     }
