Let a giver of orders that loses its lease tell the next one what it ordered

Cause: instances that check no fences must not have orders of two givers within lease_ms, so a new giver kept quiet for 3 s after it had taken the lease, also towards instances that had had no order for long. Ruled out: taking the lease sooner (it is free 1.5 s after the last renewal and taken 0.7 s to 1 s later). Change: a giver that ends while it is well tells all fronts when it sent its last order to which instance. The next one, if the lasting record names just that giver and lease, orders all others at once. Without that word it keeps quiet from when it found the lease free, not from when it has it.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -17,7 +17,7 @@
 use crate::live::LiveService;
 use crate::metrics::Metrics;
 use crate::nodes::{NodeRecord, NodeRole, Nodes};
-use crate::orders::{LearntLoads, OrderGiver, OrderOptions, VersionsNamed};
+use crate::orders::{EndedGivers, LearntLoads, OrderGiver, OrderOptions, VersionsNamed};
 use crate::program::{JobHooks, JournalParts, PeerHandler, PeerParts, ProgramOptions};
 
 /// How long a stopping front still takes new connections, until their source has noticed.
@@ -117,6 +117,7 @@
         lengths: TextLengths::default(),
         steps: NewestSteps::default(),
         learnt_loads: LearntLoads::default(),
+        ended_givers: EndedGivers::default(),
         activity: inputs.activities.with_instances.clone(),
     });
     let hooks = JobHooks {
--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -81,6 +81,10 @@
                 self.take_news(&news);
                 ResponseKind::done(Done {})
             }
+            RequestKind::giver_end(end) => {
+                self.context.ended_givers.note(&end, Instant::now());
+                ResponseKind::done(Done {})
+            }
             RequestKind::read_demand(_) => ResponseKind::demand(self.demand()),
             RequestKind::shard_notice(notice) => {
                 if notice.from_owner {
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -29,7 +29,7 @@
 use crate::dialect::SharedCodec;
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
-use crate::orders::LearntLoads;
+use crate::orders::{EndedGivers, LearntLoads};
 
 /// An owner answers reads for this long after a majority of replicas last confirmed it: another owner may have listed more
 /// since, and readers may see an older state for a second at most.
@@ -62,6 +62,8 @@
     pub steps: NewestSteps,
     /// What givers of orders have learnt of loads.
     pub learnt_loads: LearntLoads,
+    /// The giver of orders that told its end last.
+    pub ended_givers: EndedGivers,
     /// Counts the jobs that run at this node.
     pub activity: Activity,
 }
@@ -270,6 +272,11 @@
         &self.context.learnt_loads
     }
 
+    /// The giver of orders that told its end last.
+    pub fn ended_givers(&self) -> &EndedGivers {
+        &self.context.ended_givers
+    }
+
     /// Notes that a majority of replicas answered a heartbeat sent at `asked_at`.
     pub fn on_confirmed(&self, asked_at: Instant) {
         self.context.confirmation.note(asked_at);
--- a/crates/front/src/orders/given.rs
+++ b/crates/front/src/orders/given.rs
@@ -27,6 +27,8 @@
     pub pauses: HashMap<String, Instant>,
     /// Orders under way, by instance.
     pub loads: HashMap<String, Load>,
+    /// When the last order to each instance was about to be sent, by this giver or the one before.
+    ordered_at: HashMap<String, Instant>,
     /// How many loads may be under way at once.
     pub load_limit: LoadLimit,
     /// Loads that began earlier teach nothing: those of a giver before may have been under way beside them.
@@ -62,6 +64,30 @@
         self.pauses.contains_key(instance) || self.loads.contains_key(instance)
     }
 
+    /// Notes that orders to these instances are about to be sent.
+    pub fn note_orders<'a>(&mut self, instances: impl Iterator<Item = &'a str>) {
+        let now = Instant::now();
+        self.ordered_at
+            .extend(instances.map(|instance| (instance.to_owned(), now)));
+    }
+
+    /// Leaves the instances alone that had orders of another giver less than `quiet` ago.
+    pub fn respect(&mut self, orders: Vec<(String, Instant)>, quiet: Duration) {
+        for (instance, ordered_at) in orders {
+            self.pauses.insert(instance.clone(), ordered_at + quiet);
+            self.ordered_at.insert(instance, ordered_at);
+        }
+    }
+
+    /// Instances that had orders less than `quiet` ago.
+    pub fn recent_orders(&self, quiet: Duration) -> Vec<(String, Instant)> {
+        let recent = self
+            .ordered_at
+            .iter()
+            .filter(|(_, at)| at.elapsed() < quiet);
+        recent.map(|(id, at)| (id.clone(), *at)).collect()
+    }
+
     /// Notes an order under way; looked at when such a load is usually done.
     pub fn begin(&mut self, planned: Planned, limit: Duration) {
         let now = Instant::now();
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -11,8 +11,9 @@
 use super::calls::{CALL_LIMIT, InstanceCalls};
 use super::candidates::is_candidate;
 use super::demand::FleetDemand;
+use super::ended::tell_end;
 use super::given::{Given, LOOK_INTERVAL, Load};
-use super::lease::{GiverLease, Held};
+use super::lease::{GiverLease, Held, LastGiver};
 use super::named::VersionsNamed;
 use super::plan::{FleetInstance, Planned, plan};
 use crate::backend::{BackendTable, Instance, LOADING_PAUSE};
@@ -161,33 +162,76 @@
     async fn hold(&self, lease: &GiverLease, held: Held) {
         let _with_instances = self.activities.with_instances.begin();
         let _with_versions = self.activities.with_versions.begin();
-        tokio::select! {
+        let mut given = self.begin_given();
+        let is_released = tokio::select! {
             loss = lease.keep(&held) => {
                 log::warn!("event=giver_lease_lost fence={} reason={loss}", held.fence);
+                false
             }
-            reason = self.give_while_held(lease, &held) => {
+            reason = self.give_while_held(lease, &held, &mut given) => {
                 log::info!("event=giver_steps_down fence={} reason={reason}", held.fence);
-                lease.release(&held).await;
+                true
             }
+        };
+        if held.is_named() {
+            let own = LastGiver {
+                node: self.nodes.own().node,
+                fence: held.fence,
+            };
+            let orders = given.recent_orders(self.options.quiet);
+            tell_end(&self.nodes, own, &orders).await;
+        }
+        if is_released {
+            lease.release(&held).await;
         }
     }
 
-    /// Returns why this node is to give orders no more.
-    async fn give_while_held(&self, lease: &GiverLease, held: &Held) -> &'static str {
+    /// What a new holder knows.
+    fn begin_given(&self) -> Given {
         let mut given = Given::default();
         match self.jobs.learnt_loads().get() {
             Some(learnt) => given.load_limit = learnt,
             None => given.learn_from = Some(Instant::now() + SETTLE_TIME),
         }
+        given
+    }
+
+    /// Ends the quiet time of a new holder if the last one has told its end: only the instances that had its orders a moment ago are
+    /// left alone.
+    fn look_for_end_of_last(&self, held: &Held, given: &mut Given) {
+        if !held.is_quiet() {
+            return;
+        }
+        let last = held.last.as_ref();
+        let ended = last.and_then(|last| self.jobs.ended_givers().orders_of(last));
+        if let Some(orders) = ended {
+            log::info!(
+                "event=giver_quiet_over fence={} recent_orders={}",
+                held.fence,
+                orders.len()
+            );
+            given.respect(orders, self.options.quiet);
+            held.end_quiet();
+        }
+    }
+
+    /// Returns why this node is to give orders no more.
+    async fn give_while_held(
+        &self,
+        lease: &GiverLease,
+        held: &Held,
+        given: &mut Given,
+    ) -> &'static str {
         loop {
             if self.nodes.is_leaving() {
                 return "leaving";
             }
-            self.refresh_demand(&mut given).await;
+            self.refresh_demand(given).await;
+            self.look_for_end_of_last(held, given);
             match lease.may_order(held).await {
                 Ok(true) => {
-                    self.look_at_loads(&mut given).await;
-                    if self.give_all(held, &mut given).await == Round::Fenced {
+                    self.look_at_loads(given).await;
+                    if self.give_all(held, given).await == Round::Fenced {
                         return "fenced";
                     }
                 }
@@ -276,6 +320,7 @@
         if orders.is_empty() {
             return Round::Enough;
         }
+        given.note_orders(orders.iter().map(|order| order.instance.id()));
         let calls = orders.into_iter().map(|order| async move {
             let outcome = self.give(held, &order.instance, &order.planned).await;
             (order.planned, outcome)
--- a/crates/front/src/orders/lease.rs
+++ b/crates/front/src/orders/lease.rs
@@ -29,18 +29,45 @@
 /// For so long the lease is left to the node that gave orders last, which needs not keep quiet.
 const PRECEDENCE: Duration = Duration::from_millis(700);
 
+/// Who gave orders last, as the lasting record names them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LastGiver {
+    /// Its node.
+    pub node: String,
+    /// The fence of its lease.
+    pub fence: u64,
+}
+
+impl LastGiver {
+    fn write(&self) -> Vec<u8> {
+        format!("{} {}", self.node, self.fence).into_bytes()
+    }
+
+    /// Processes of an earlier version wrote only the node.
+    fn read(value: &[u8]) -> Self {
+        let text = String::from_utf8_lossy(value);
+        let (node, fence) = text.split_once(' ').unwrap_or((&text, ""));
+        Self {
+            node: node.to_owned(),
+            fence: fence.parse().unwrap_or(0),
+        }
+    }
+}
+
 /// A lease that this node holds.
 #[derive(Debug)]
 pub struct Held {
     lease: LeaseId,
     /// Rises with each holder.
     pub fence: u64,
+    /// Who gave orders before; `None`: nobody.
+    pub last: Option<LastGiver>,
     /// Until when the lease certainly lasts, by the steady clock from the send of the last renewal.
     proven_until: watch::Sender<Instant>,
     /// Before this an order of the last holder may be too recent.
-    quiet_until: Instant,
-    /// The lasting record names this node.
-    is_last: AtomicBool,
+    quiet_until: watch::Sender<Instant>,
+    /// The lasting record names this holder.
+    is_named: AtomicBool,
 }
 
 impl Held {
@@ -48,6 +75,21 @@
     pub fn proven_until(&self) -> Instant {
         *self.proven_until.borrow()
     }
+
+    /// Whether this holder may have given orders.
+    pub fn is_named(&self) -> bool {
+        self.is_named.load(Ordering::Relaxed)
+    }
+
+    /// Whether an order of the last holder may still be too recent.
+    pub fn is_quiet(&self) -> bool {
+        Instant::now() < *self.quiet_until.borrow()
+    }
+
+    /// Ends the quiet time: it is known which orders the last holder gave when.
+    pub fn end_quiet(&self) {
+        self.quiet_until.send_replace(Instant::now());
+    }
 }
 
 /// Why a lease is held no more.
@@ -85,8 +127,9 @@
         if record.is_some() && !is_own {
             return Ok(None);
         }
-        let is_last = self.is_last().await?;
-        if !is_last && !is_own {
+        let found_free_at = Instant::now();
+        let last_before = self.last().await?;
+        if !self.is_own(last_before.as_ref()) && !is_own {
             tokio::time::sleep(PRECEDENCE).await;
         }
         let expected = record.map_or(0, |record| record.revision);
@@ -100,18 +143,31 @@
         {
             SwapResult::Won { revision } => {
                 // Asked again under the lease: nobody else becomes the last holder now.
-                let is_last = self.is_last().await?;
-                let quiet = if is_last { Duration::ZERO } else { self.quiet };
+                let last = self.last().await?;
+                // A holder in between has named itself before its first order.
+                let last_order_before = if last == last_before {
+                    found_free_at
+                } else {
+                    Instant::now()
+                };
+                let quiet_until = if self.is_own(last.as_ref()) || last.is_none() {
+                    Instant::now()
+                } else {
+                    last_order_before + self.quiet
+                };
                 log::info!(
-                    "event=giver_lease_gained lease={lease} fence={revision} quiet_ms={}",
-                    quiet.as_millis()
+                    "event=giver_lease_gained lease={lease} fence={revision} last={last:?} quiet_ms={}",
+                    quiet_until
+                        .saturating_duration_since(Instant::now())
+                        .as_millis()
                 );
                 Ok(Some(Held {
                     lease,
                     fence: revision,
+                    last,
                     proven_until: watch::Sender::new(asked_at + GIVER_LEASE),
-                    quiet_until: Instant::now() + quiet,
-                    is_last: AtomicBool::new(is_last),
+                    quiet_until: watch::Sender::new(quiet_until),
+                    is_named: AtomicBool::new(false),
                 }))
             }
             SwapResult::Lost(_) => {
@@ -166,13 +222,16 @@
     /// # Errors
     /// When the store did not take that name; no order may be given then.
     pub async fn may_order(&self, held: &Held) -> Result<bool, CoordinationError> {
-        if Instant::now() < held.quiet_until {
+        if held.is_quiet() {
             return Ok(false);
         }
-        if !held.is_last.load(Ordering::Relaxed) {
-            let value = self.node.clone().into_bytes();
-            self.coordination.put(LAST_KEY, value, None).await?;
-            held.is_last.store(true, Ordering::Relaxed);
+        if !held.is_named() {
+            let own = LastGiver {
+                node: self.node.clone(),
+                fence: held.fence,
+            };
+            self.coordination.put(LAST_KEY, own.write(), None).await?;
+            held.is_named.store(true, Ordering::Relaxed);
         }
         Ok(Instant::now() < held.proven_until())
     }
@@ -183,8 +242,13 @@
         log::info!("event=giver_lease_released fence={}", held.fence);
     }
 
-    async fn is_last(&self) -> Result<bool, CoordinationError> {
-        let last = self.coordination.get(LAST_KEY).await?;
-        Ok(last.is_some_and(|record| record.value == self.node.as_bytes()))
+    async fn last(&self) -> Result<Option<LastGiver>, CoordinationError> {
+        let record = self.coordination.get(LAST_KEY).await?;
+        Ok(record.map(|record| LastGiver::read(&record.value)))
+    }
+
+    /// Whether this node gave orders last.
+    fn is_own(&self, last: Option<&LastGiver>) -> bool {
+        last.is_some_and(|last| last.node == self.node)
     }
 }
--- a/crates/front/src/orders/mod.rs
+++ b/crates/front/src/orders/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod candidates;
 mod demand;
+mod ended;
 mod given;
 mod giver;
 mod lease;
@@ -12,8 +13,9 @@
 mod plan;
 
 pub use candidates::is_candidate;
+pub use ended::EndedGivers;
 pub use giver::{OrderGiver, OrderOptions};
-pub use lease::{GiverLease, Held};
+pub use lease::{GiverLease, Held, LastGiver};
 pub use load_limit::{FinishedLoad, LinkTimes, LinkUse, LoadLimit};
 pub use named::VersionsNamed;
 pub use news::LearntLoads;
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -180,6 +180,7 @@
                 | RequestKind::read_demand(_)
                 | RequestKind::take_kept_texts(_)
                 | RequestKind::weight_news(_)
+                | RequestKind::giver_end(_)
                 | RequestKind::shard_notice(_)) => match &parts.jobs {
                     Some(jobs) => jobs.handle(kind).await,
                     None => refuse(Reason::MALFORMED, "no jobs at this node"),
