--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -12,6 +12,7 @@
 mod owner;
 mod pace;
 mod peers;
+mod questions;
 mod queue;
 mod reading;
 mod registry;
--- /dev/null
+++ b/crates/front/src/job/questions.rs
@@ -0,0 +1,63 @@
+//! Questions about a job to another node, and what its answers say.
+
+use std::time::Duration;
+
+use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
+use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
+use ladderstage_wire::messages::{EndJob, JobResults, ReadJob, ReadJobBody};
+
+use super::reading::{ReadError, unavailable, unpack};
+
+/// Asks for results from position `after` on. `anywhere`: the node may ask the owner in its turn.
+pub(super) fn read_request(id: &str, after: u64, wait: Duration, anywhere: bool) -> RequestKind {
+    RequestKind::read_job(ReadJob {
+        job: id.to_owned(),
+        after,
+        wait_ms: wait.as_millis() as u64,
+        takes_compressed: true,
+        anywhere,
+    })
+}
+
+/// Asks for the body of an item.
+pub(super) fn body_request(id: &str, item: &str, anywhere: bool) -> RequestKind {
+    RequestKind::read_job_body(ReadJobBody {
+        job: id.to_owned(),
+        item: item.to_owned(),
+        anywhere,
+    })
+}
+
+/// Asks to end a job.
+pub(super) fn end_request(id: &str, anywhere: bool) -> RequestKind {
+    RequestKind::end_job(EndJob {
+        job: id.to_owned(),
+        anywhere,
+    })
+}
+
+/// Results that a node answered.
+pub(super) fn results_of(answer: ResponseKind) -> Result<JobResults, ReadError> {
+    match answer {
+        ResponseKind::job_results(results) => Ok(results),
+        ResponseKind::compressed_job_results(packed) => unpack(&packed),
+        _ => Err(unavailable("another answer than asked for")),
+    }
+}
+
+/// The body that a node answered.
+pub(super) fn body_of(answer: ResponseKind) -> Result<Vec<u8>, ReadError> {
+    match answer {
+        ResponseKind::job_body(body) if body.found => Ok(body.body),
+        ResponseKind::job_body(_) => Err(ReadError::NotFound),
+        _ => Err(unavailable("another answer than asked for")),
+    }
+}
+
+/// Whether a node answered that it is done.
+pub(super) fn done_of(answer: ResponseKind) -> Result<(), ReadError> {
+    match answer {
+        ResponseKind::done(_) => Ok(()),
+        _ => Err(unavailable("another answer than asked for")),
+    }
+}
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -5,9 +5,7 @@
 use std::time::{Duration, Instant};
 
 use ladderstage_journal::{Journal, JournalError};
-use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
-use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
-use ladderstage_wire::messages::{EndJob, JobResults, JobSpec, ReadJob, ReadJobBody};
+use ladderstage_wire::messages::{JobResults, JobSpec};
 
 use super::carrying::LeftoverEntry;
 use super::confirmation::Confirmation;
@@ -15,9 +13,8 @@
 use super::lengths::TextLengths;
 use super::locating::Owned;
 use super::owner::{Owner, OwnerEnd};
-use super::reading::{
-    COMMIT_LIMIT, ReadError, body_local, end_local, read_local, unavailable, unpack,
-};
+use super::questions::{body_of, body_request, done_of, end_request, read_request, results_of};
+use super::reading::{COMMIT_LIMIT, ReadError, body_local, end_local, read_local, unavailable};
 use super::seen::SeenResults;
 use super::shared::{Command, Job};
 use super::state::JobState;
@@ -421,54 +418,6 @@
     }
 }
 
-fn read_request(id: &str, after: u64, wait: Duration, anywhere: bool) -> RequestKind {
-    RequestKind::read_job(ReadJob {
-        job: id.to_owned(),
-        after,
-        wait_ms: wait.as_millis() as u64,
-        takes_compressed: true,
-        anywhere,
-    })
-}
-
-fn body_request(id: &str, item: &str, anywhere: bool) -> RequestKind {
-    RequestKind::read_job_body(ReadJobBody {
-        job: id.to_owned(),
-        item: item.to_owned(),
-        anywhere,
-    })
-}
-
-fn end_request(id: &str, anywhere: bool) -> RequestKind {
-    RequestKind::end_job(EndJob {
-        job: id.to_owned(),
-        anywhere,
-    })
-}
-
-fn results_of(answer: ResponseKind) -> Result<JobResults, ReadError> {
-    match answer {
-        ResponseKind::job_results(results) => Ok(results),
-        ResponseKind::compressed_job_results(packed) => unpack(&packed),
-        _ => Err(unavailable("another answer than asked for")),
-    }
-}
-
-fn body_of(answer: ResponseKind) -> Result<Vec<u8>, ReadError> {
-    match answer {
-        ResponseKind::job_body(body) if body.found => Ok(body.body),
-        ResponseKind::job_body(_) => Err(ReadError::NotFound),
-        _ => Err(unavailable("another answer than asked for")),
-    }
-}
-
-fn done_of(answer: ResponseKind) -> Result<(), ReadError> {
-    match answer {
-        ResponseKind::done(_) => Ok(()),
-        _ => Err(unavailable("another answer than asked for")),
-    }
-}
-
 /// What the log tells of a job that was handed in.
 fn describe(spec: &JobSpec) -> String {
     format!(
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::StatusCode;
 use ladderstage_journal::Peers;
 
@@ -12,7 +11,7 @@
 use super::candidates::is_candidate;
 use super::demand::FleetDemand;
 use super::ended::tell_end;
-use super::given::{Given, LOOK_INTERVAL, Load};
+use super::given::{Given, LOOK_INTERVAL};
 use super::lease::{GiverLease, Held, LastGiver};
 use super::named::VersionsNamed;
 use super::plan::{FleetInstance, Planned, plan};
@@ -40,9 +39,6 @@
 /// Longest wait for a load.
 const LOAD_LIMIT: Duration = Duration::from_secs(5);
 
-/// Longest wait for the report of an instance that loads. Reports take some milliseconds, and the others' loads wait for it.
-const REPORT_LIMIT: Duration = Duration::from_millis(100);
-
 /// A giver to whom nobody told how long loads take learns nothing from loads of this first time: twice the longest load that
 /// was seen, so that those of an earlier giver are over.
 const SETTLE_TIME: Duration = Duration::from_millis(3_000);
@@ -97,16 +93,6 @@
     Fenced,
 }
 
-/// What a look at a load shows.
-enum LoadLook {
-    Loaded,
-    Loading,
-    /// The instance did not answer.
-    NoAnswer,
-    /// The instance is gone, or took too long.
-    Over,
-}
-
 /// What a holder does after an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Round {
@@ -255,56 +241,6 @@
         given.may_trade = true;
     }
 
-    /// Looks whether instances that took an order have its version: at all of them at once, as one that hangs must not keep the
-    /// others' news back.
-    async fn look_at_loads(&self, given: &mut Given) {
-        let fleet = self.fleet();
-        let looks = given.due_loads().into_iter().map(|(id, load)| {
-            let instance = fleet.iter().find(|one| one.id() == id);
-            async move {
-                let look = self.look_at_load(instance, &load).await;
-                (id, load, look)
-            }
-        });
-        let mut looks: FuturesUnordered<_> = looks.collect();
-        while let Some((id, load, look)) = looks.next().await {
-            match look {
-                LoadLook::Loaded => {
-                    given.note_load(&load);
-                    given.news.loaded(&id, &load.model, load.version);
-                    given.end(&id);
-                }
-                LoadLook::Loading => given.look_again(&id),
-                LoadLook::NoAnswer => given.look_later(&id),
-                LoadLook::Over => given.end(&id),
-            }
-        }
-    }
-
-    /// `instance` is none if it is gone.
-    async fn look_at_load(&self, instance: Option<&Arc<Instance>>, load: &Load) -> LoadLook {
-        let Some(instance) = instance.filter(|_| Instant::now() < load.give_up_at) else {
-            return LoadLook::Over;
-        };
-        let is_loaded = || instance.version(&load.model) >= load.version;
-        if is_loaded() {
-            return LoadLook::Loaded;
-        }
-        let calls = self.calls();
-        let asking = tokio::time::timeout(REPORT_LIMIT, calls.report(instance));
-        let Ok(Ok(report)) = asking.await else {
-            return LoadLook::NoAnswer;
-        };
-        for (model, version) in &report.versions {
-            instance.note_version(model, *version);
-        }
-        if !report.busy && is_loaded() {
-            LoadLook::Loaded
-        } else {
-            LoadLook::Loading
-        }
-    }
-
     /// Gives orders while there are any.
     async fn give_all(&self, held: &Held, given: &mut Given) -> Round {
         let mut round = Round::More;
@@ -379,7 +315,7 @@
     }
 
     /// Ready instances of the services that hold models.
-    fn fleet(&self) -> Vec<Arc<Instance>> {
+    pub(super) fn fleet(&self) -> Vec<Arc<Instance>> {
         let Some(config) = self.config.current() else {
             return Vec::new();
         };
@@ -447,7 +383,7 @@
         outcome
     }
 
-    fn calls(&self) -> InstanceCalls {
+    pub(super) fn calls(&self) -> InstanceCalls {
         InstanceCalls {
             codec: Arc::clone(&self.codec),
         }
--- /dev/null
+++ b/crates/front/src/orders/looking.rs
@@ -0,0 +1,75 @@
+//! Looks whether loads of weights are done.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+
+use super::given::{Given, Load};
+use super::giver::OrderGiver;
+use crate::backend::Instance;
+
+/// Longest wait for the report of an instance that loads. Reports take some milliseconds, and the others' loads wait for it.
+const REPORT_LIMIT: Duration = Duration::from_millis(100);
+
+/// What a look at a load shows.
+enum LoadLook {
+    Loaded,
+    Loading,
+    /// The instance did not answer.
+    NoAnswer,
+    /// The instance is gone, or took too long.
+    Over,
+}
+
+impl OrderGiver {
+    /// Looks whether instances that took an order have its version: at all of them at once, as one that hangs must not keep the
+    /// others' news back.
+    pub(super) async fn look_at_loads(&self, given: &mut Given) {
+        let fleet = self.fleet();
+        let looks = given.due_loads().into_iter().map(|(id, load)| {
+            let instance = fleet.iter().find(|one| one.id() == id);
+            async move {
+                let look = self.look_at_load(instance, &load).await;
+                (id, load, look)
+            }
+        });
+        let mut looks: FuturesUnordered<_> = looks.collect();
+        while let Some((id, load, look)) = looks.next().await {
+            match look {
+                LoadLook::Loaded => {
+                    given.note_load(&load);
+                    given.news.loaded(&id, &load.model, load.version);
+                    given.end(&id);
+                }
+                LoadLook::Loading => given.look_again(&id),
+                LoadLook::NoAnswer => given.look_later(&id),
+                LoadLook::Over => given.end(&id),
+            }
+        }
+    }
+
+    /// `instance` is none if it is gone.
+    async fn look_at_load(&self, instance: Option<&Arc<Instance>>, load: &Load) -> LoadLook {
+        let Some(instance) = instance.filter(|_| Instant::now() < load.give_up_at) else {
+            return LoadLook::Over;
+        };
+        let is_loaded = || instance.version(&load.model) >= load.version;
+        if is_loaded() {
+            return LoadLook::Loaded;
+        }
+        let calls = self.calls();
+        let asking = tokio::time::timeout(REPORT_LIMIT, calls.report(instance));
+        let Ok(Ok(report)) = asking.await else {
+            return LoadLook::NoAnswer;
+        };
+        for (model, version) in &report.versions {
+            instance.note_version(model, *version);
+        }
+        if !report.busy && is_loaded() {
+            LoadLook::Loaded
+        } else {
+            LoadLook::Loading
+        }
+    }
+}
--- a/crates/front/src/orders/mod.rs
+++ b/crates/front/src/orders/mod.rs
@@ -8,6 +8,7 @@
 mod giver;
 mod lease;
 mod load_limit;
+mod looking;
 mod named;
 mod news;
 mod plan;
