Let weak fronts hand a trainer's steps to the strongest of their zone

Cause: a step was owned by whichever front it met. Ruled out: live requests (715 connections); the instances' keep-alive (9.5 s used of 10 s). Change: a front that is weaker than others of its zone asks one of the strongest to accept and own the step, in turn from step to step; without an answer in 250 ms it accepts the step itself. Machines of one strength keep what they are handed. What was in doubt is never called not run.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -101,6 +101,7 @@
         zone: options.zone.clone(),
         replica_id: 0,
         is_leaving: false,
+        cpu_millis: options.cpu_millis,
     });
     let parts = JournalParts::start(&options, &nodes, None, Arc::clone(&coordination));
     metrics.add_journal(parts.journal.metrics());
--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -81,6 +81,7 @@
                 self.take_news(&news);
                 ResponseKind::done(Done {})
             }
+            RequestKind::accept_job(request) => self.answer_accept(request).await,
             RequestKind::giver_end(end) => {
                 self.context.ended_givers.note(&end, Instant::now());
                 ResponseKind::done(Done {})
@@ -238,7 +239,7 @@
     refused(reason, &error.to_string())
 }
 
-fn refused(reason: Reason, detail: &str) -> ResponseKind {
+pub(super) fn refused(reason: Reason, detail: &str) -> ResponseKind {
     ResponseKind::refused(Refused {
         reason,
         detail: detail.to_owned(),
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -119,11 +119,8 @@
         }
     }
 
-    /// Accepts a job: `Ok` once a majority of store disks holds it, also if it was accepted before.
-    ///
-    /// # Errors
-    /// See [`AcceptError`].
-    pub async fn accept(&self, spec: JobSpec) -> Result<(), AcceptError> {
+    /// Accepts a job and owns it: `Ok` once a majority of store disks holds it, also if it was accepted before, then by any owner.
+    pub(super) async fn accept_here(&self, spec: JobSpec) -> Result<(), AcceptError> {
         let id = spec.job.clone();
         match self.find_accepted(&id).await {
             Ok(Owned::Here(job)) => return self.wait_accepted(&job).await,
--- a/crates/front/src/nodes.rs
+++ b/crates/front/src/nodes.rs
@@ -67,6 +67,9 @@
     pub replica_id: u64,
     /// It is to be emptied or is stopping: no new work for it.
     pub is_leaving: bool,
+    /// Processor time of its machine, in thousandths of a core; 0: unknown.
+    #[serde(default)]
+    pub cpu_millis: u32,
 }
 
 #[derive(Debug, Default)]
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -57,6 +57,8 @@
     pub job_retention: Duration,
     /// Least time between orders of two givers; none is needed where instances refuse those of an earlier one.
     pub order_quiet: Duration,
+    /// Processor time of this machine, in thousandths of a core; 0: unknown.
+    pub cpu_millis: u32,
     /// How long a stop may take.
     pub grace: Duration,
     /// Counts calls to the coordination store.
@@ -181,6 +183,7 @@
                 | RequestKind::take_kept_texts(_)
                 | RequestKind::weight_news(_)
                 | RequestKind::giver_end(_)
+                | RequestKind::accept_job(_)
                 | RequestKind::shard_notice(_)) => match &parts.jobs {
                     Some(jobs) => jobs.handle(kind).await,
                     None => refuse(Reason::MALFORMED, "no jobs at this node"),
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -97,6 +97,7 @@
         zone: options.zone.clone(),
         replica_id: storage.replica_id(),
         is_leaving: false,
+        cpu_millis: options.cpu_millis,
     });
     let parts = JournalParts::start(
         &options,
--- /dev/null
+++ b/crates/front/tests/homes.rs
@@ -0,0 +1,59 @@
+//! Which front is to own a step.
+
+use std::collections::BTreeSet;
+
+use ladderstage_front::job::home;
+use ladderstage_front::nodes::{NodeRecord, NodeRole};
+use proptest::prelude::*;
+
+fn front(node: &str, zone: &str, cpu_millis: u32) -> NodeRecord {
+    NodeRecord {
+        node: node.to_owned(),
+        role: NodeRole::Front,
+        process: 1,
+        peer_address: "127.0.0.1:1".parse().unwrap(),
+        zone: zone.to_owned(),
+        replica_id: 0,
+        is_leaving: false,
+        cpu_millis,
+    }
+}
+
+#[test]
+fn fronts_of_one_strength_keep_what_they_are_handed() {
+    let fronts = [front("a", "z", 250), front("b", "z", 250)];
+    assert_eq!(home(&fronts[0], &fronts, "m", 0), None);
+}
+
+#[test]
+fn steps_stay_in_the_zone_and_leaving_fronts_get_none() {
+    let mut strong = front("strong", "z", 500);
+    let far = front("far", "y", 900);
+    let weak = front("weak", "z", 120);
+    let fronts = [strong.clone(), far.clone(), weak.clone()];
+    assert_eq!(home(&weak, &fronts, "m", 0).as_deref(), Some("strong"));
+    strong.is_leaving = true;
+    assert_eq!(home(&weak, &[strong, far, weak.clone()], "m", 0), None);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_steps_of_a_model_go_round_whichever_weak_front_is_met(
+        strong in 1usize..6,
+        model in "[a-z]{1,8}",
+        first in 0u64..1_000,
+    ) {
+        let mut fronts: Vec<_> = (0..strong).map(|index| front(&format!("s{index}"), "z", 500)).collect();
+        let weak = [front("w0", "z", 120), front("w1", "z", 120)];
+        fronts.extend(weak.clone());
+        let mut homes = BTreeSet::new();
+        for step in first..first + strong as u64 {
+            let met = home(&weak[0], &fronts, &model, step);
+            prop_assert_eq!(&met, &home(&weak[1], &fronts, &model, step));
+            homes.insert(met.unwrap());
+        }
+        prop_assert_eq!(homes.len(), strong);
+    }
+}
