Let a giver that regains its lease respect the orders of the one before

Change: a node keeps the orders of other givers over its own leases until they are old enough. Test: platform/tests/orders.rs, a_giver_that_regains_its_lease_…; without the change the other giver's sampler was ordered (version 3 instead of 2).

--- a/crates/front/src/orders/given.rs
+++ b/crates/front/src/orders/given.rs
@@ -29,6 +29,8 @@
     pub loads: HashMap<String, Load>,
     /// When the last order to each instance was about to be sent, by this giver or the one before.
     ordered_at: HashMap<String, Instant>,
+    /// Orders of other givers that are too recent for one of this node, under this lease or a later one.
+    pub respected: Vec<(String, Instant)>,
     /// How many loads may be under way at once.
     pub load_limit: LoadLimit,
     /// Loads that began earlier teach nothing: those of a giver before may have been under way beside them.
@@ -73,10 +75,11 @@
 
     /// Leaves the instances alone that had orders of another giver less than `quiet` ago.
     pub fn respect(&mut self, orders: Vec<(String, Instant)>, quiet: Duration) {
-        for (instance, ordered_at) in orders {
-            self.pauses.insert(instance.clone(), ordered_at + quiet);
-            self.ordered_at.insert(instance, ordered_at);
+        for (instance, ordered_at) in &orders {
+            self.pauses.insert(instance.clone(), *ordered_at + quiet);
+            self.ordered_at.insert(instance.clone(), *ordered_at);
         }
+        self.respected.extend(orders);
     }
 
     /// Instances that had orders less than `quiet` ago.
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -112,13 +112,14 @@
             node: self.nodes.own().node,
             quiet: self.options.quiet,
         };
+        let mut respected = Vec::new();
         loop {
             if !self.has_models() || !self.is_candidate() {
                 tokio::time::sleep(CANDIDATE_LOOK).await;
                 continue;
             }
             match lease.take().await {
-                Ok(Some(held)) => self.hold(&lease, held).await,
+                Ok(Some(held)) => self.hold(&lease, held, &mut respected).await,
                 Ok(None) => lease.wait_until_free().await,
                 Err(error) => log::warn!("event=giver_lease_not_taken cause=\"{error}\""),
             }
@@ -145,10 +146,12 @@
     }
 
     /// Gives orders until the lease is lost or given back.
-    async fn hold(&self, lease: &GiverLease, held: Held) {
+    /// `respected`: orders of other givers of which this node was told under an earlier lease.
+    async fn hold(&self, lease: &GiverLease, held: Held, respected: &mut Vec<(String, Instant)>) {
         let _with_instances = self.activities.with_instances.begin();
         let _with_versions = self.activities.with_versions.begin();
         let mut given = self.begin_given();
+        given.respect(std::mem::take(respected), self.options.quiet);
         let is_released = tokio::select! {
             loss = lease.keep(&held) => {
                 log::warn!("event=giver_lease_lost fence={} reason={loss}", held.fence);
@@ -159,6 +162,8 @@
                 true
             }
         };
+        *respected = std::mem::take(&mut given.respected);
+        respected.retain(|(_, ordered_at)| ordered_at.elapsed() < self.options.quiet);
         if held.is_named() {
             let own = LastGiver {
                 node: self.nodes.own().node,
