Keep a roster of instances for fronts without work, and gather nodes' records for longer

Change: the giver of orders keeps one leased record of the instances that live requests may go to; a front without batch jobs or orders follows that. Written only when membership changes, under compare-and-swap; the lease goes when the writer dies, freezes, or cannot follow discovery. A front goes back to discovery itself when the record is gone, does not cover its configuration, or work begins; until it has looked it starts no items. Idle nodes gather nodes' records for 8 s, others for 1 s; a call that reaches nobody ends the pause. The stubs of tests/following.rs are replaced by the store in memory, asserting the same.

--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -6,6 +6,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use super::choice::Candidate;
 use super::connection::Connections;
 
@@ -28,7 +30,7 @@
 pub const LOADING_PAUSE: Duration = Duration::from_millis(150);
 
 /// An instance as discovery tells of it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Discovered {
     /// Id of this start of the instance.
     pub id: String,
@@ -43,9 +45,31 @@
     /// Requests that it runs side by side.
     pub slots: u32,
     /// Weight versions by model.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub versions: BTreeMap<String, u64>,
 }
 
+impl Discovered {
+    /// Whether another word about the instance tells the same, weights left out.
+    pub fn is_same_without_weights(&self, other: &Self) -> bool {
+        let Self {
+            id,
+            service,
+            address,
+            zone,
+            is_ready,
+            slots,
+            versions: _,
+        } = self;
+        *id == other.id
+            && *service == other.service
+            && *address == other.address
+            && *zone == other.zone
+            && *is_ready == other.is_ready
+            && *slots == other.slots
+    }
+}
+
 /// Load that an instance told with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Load {
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -15,6 +15,8 @@
     zone: Arc<str>,
     instances: Arc<Mutex<BTreeMap<String, Arc<Instance>>>>,
     changed: watch::Sender<u64>,
+    /// Changes when an instance comes or goes, or anything but its weights changes.
+    membership: watch::Sender<u64>,
 }
 
 impl BackendTable {
@@ -24,16 +26,19 @@
             zone: zone.into(),
             instances: Arc::default(),
             changed: watch::Sender::new(0),
+            membership: watch::Sender::new(0),
         }
     }
 
     /// Takes what discovery tells of one instance.
     pub fn upsert(&self, discovered: Discovered) {
         let mut instances = self.lock();
-        match instances.get(&discovered.id) {
+        let known = instances.get(&discovered.id);
+        let is_same =
+            known.is_some_and(|known| known.discovered().is_same_without_weights(&discovered));
+        match known {
             Some(known) if known.address() == discovered.address => {
-                let was_ready = known.is_ready();
-                if was_ready != discovered.is_ready {
+                if known.is_ready() != discovered.is_ready {
                     log::info!(
                         "event=instance_changed instance={} service={} ready={}",
                         discovered.id,
@@ -56,7 +61,10 @@
             }
         }
         drop(instances);
-        self.changed.send_modify(|count| *count += 1);
+        if !is_same {
+            self.membership.send_modify(|count| *count += 1);
+        }
+        self.notify();
     }
 
     /// Forgets an instance that is gone; requests under way there go on.
@@ -64,18 +72,20 @@
         if let Some(instance) = self.lock().remove(id) {
             instance.connections().close_idle();
             log::info!("event=instance_gone instance={id}");
+            self.membership.send_modify(|count| *count += 1);
         }
-        self.changed.send_modify(|count| *count += 1);
+        self.notify();
     }
 
-    /// Forgets all instances whose ids are not among `kept`.
-    pub fn retain(&self, kept: &[String]) {
+    /// Forgets all instances among those that `is_meant` accepts whose ids are not among `kept`.
+    pub fn retain(&self, kept: &[String], is_meant: impl Fn(&Discovered) -> bool) {
         let gone: Vec<String> = {
             let instances = self.lock();
+            let instances = instances.values();
             instances
-                .keys()
-                .filter(|id| !kept.contains(id))
-                .cloned()
+                .filter(|instance| !kept.iter().any(|id| id == instance.id()))
+                .filter(|instance| is_meant(&instance.discovered()))
+                .map(|instance| instance.id().to_owned())
                 .collect()
         };
         gone.iter().for_each(|id| self.remove(id));
@@ -96,6 +106,20 @@
         self.changed.subscribe()
     }
 
+    /// Changes when an instance comes or goes, or anything but its weights changes.
+    pub fn watch_membership(&self) -> watch::Receiver<u64> {
+        self.membership.subscribe()
+    }
+
+    /// What discovery told last of all instances, sorted by id.
+    pub fn discovered(&self) -> Vec<Discovered> {
+        let instances = self.lock();
+        instances
+            .values()
+            .map(|instance| instance.discovered())
+            .collect()
+    }
+
     /// Instances of a service, sorted by id.
     pub fn of_service(&self, service: &str) -> Vec<Arc<Instance>> {
         let instances = self.lock();
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration in force: routes, services and limits.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -131,6 +131,26 @@
 }
 
 impl ServingConfig {
+    /// Services that live requests may go to: all but those that only routes of batch jobs use. A service without a route counts,
+    /// as a route may be given to it at any moment.
+    pub fn live_services(&self) -> BTreeSet<String> {
+        let used_by = |is_batch: bool| -> BTreeSet<&str> {
+            let routes = self.routes.iter();
+            let wanted = routes.filter(|route| (route.kind == RouteKind::Batch) == is_batch);
+            wanted
+                .flat_map(|route| &route.split)
+                .map(|part| part.service.as_str())
+                .collect()
+        };
+        let (live, batch) = (used_by(false), used_by(true));
+        let names = self.services.keys().map(String::as_str);
+        names
+            .chain(live.iter().copied())
+            .filter(|name| live.contains(name) || !batch.contains(name))
+            .map(str::to_owned)
+            .collect()
+    }
+
     /// The route of a request: of those of its host, the one with the longest matching prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         self.routes
--- a/crates/front/src/coordination.rs
+++ b/crates/front/src/coordination.rs
@@ -7,7 +7,7 @@
 
 use futures_util::future::BoxFuture;
 
-pub use following::{Update, follow, follow_with};
+pub use following::{Follower, Update, follow, follow_with};
 pub use observed::{Observed, StoreCalls};
 
 /// Number of a lease.
--- a/crates/front/src/coordination/following.rs
+++ b/crates/front/src/coordination/following.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Change, Coordination, Record, WatchAnswer};
+use super::{Change, Coordination, CoordinationError, Record, WatchAnswer};
 
 /// What a follower is told.
 #[derive(Debug, Clone)]
@@ -14,6 +14,23 @@
     Changes(Vec<Change>),
 }
 
+/// Who follows records: how closely, and what becomes of the news.
+pub trait Follower: Send {
+    /// Passes between two answers, so that changes in quick succession cost one call.
+    fn pause(&self) -> impl Future<Output = ()> + Send;
+
+    /// Takes what the store told as of its revision `at`; a watch that ended without news tells of no changes.
+    fn take(&mut self, update: Update, at: u64);
+
+    /// The store does not answer: what was told may be old.
+    fn lost(&mut self) {}
+
+    /// A watch is given up after this long and begun anew: its answer may have been lost without a sign.
+    fn longest_watch(&self) -> Duration {
+        Duration::MAX
+    }
+}
+
 /// Pause after a first failed call: a refusal or a lost answer may be the only one.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
@@ -21,60 +38,62 @@
 /// renewed or taken anew each second and a quarter in any case, for a tenth of it: that shows when the store is back.
 const LONGEST_FAILURE_PAUSE: Duration = Duration::from_secs(10);
 
-/// Follows all records under `prefix` for as long as the future is polled. `gather` passes between two answers, so that
-/// changes in quick succession cost one call.
+/// A follower with a fixed pause and a function that takes the news.
+struct FnFollower<F> {
+    gather: Duration,
+    on_update: F,
+}
+
+impl<F: FnMut(Update) + Send> Follower for FnFollower<F> {
+    fn pause(&self) -> impl Future<Output = ()> + Send {
+        tokio::time::sleep(self.gather)
+    }
+
+    fn take(&mut self, update: Update, _at: u64) {
+        (self.on_update)(update);
+    }
+}
+
+/// Follows all records under `prefix` for as long as the future is polled. `gather` passes between two answers.
 pub async fn follow(
     coordination: Arc<dyn Coordination>,
     prefix: &str,
     gather: Duration,
-    on_update: impl FnMut(Update),
+    on_update: impl FnMut(Update) + Send,
 ) {
-    let pause = || tokio::time::sleep(gather);
-    follow_with(coordination, prefix, pause, on_update).await;
+    let mut follower = FnFollower { gather, on_update };
+    follow_with(coordination, prefix, &mut follower).await;
 }
 
-/// As [`follow`], with any pause between two answers.
-pub async fn follow_with<P: Future<Output = ()>>(
+/// As [`follow`], for any [`Follower`].
+pub async fn follow_with(
     coordination: Arc<dyn Coordination>,
     prefix: &str,
-    pause: impl Fn() -> P,
-    mut on_update: impl FnMut(Update),
+    follower: &mut impl Follower,
 ) {
     let mut after = None;
     let mut is_lost = false;
     loop {
         let result = match after {
-            None => coordination.list(prefix).await.map(|listing| {
-                on_update(Update::Snapshot(listing.records));
-                Some(listing.at)
-            }),
-            Some(at) => coordination
-                .watch(prefix, at)
-                .await
-                .map(|answer| match answer {
-                    WatchAnswer::Changes { changes, at } => {
-                        if !changes.is_empty() {
-                            on_update(Update::Changes(changes));
-                        }
-                        Some(at)
-                    }
-                    WatchAnswer::HistoryGone => None,
-                }),
+            None => list(coordination.as_ref(), prefix, follower).await,
+            Some(at) => watch(coordination.as_ref(), prefix, at, follower).await,
         };
         match result {
             // What the lost history told is as old as the last answer: the listing must not wait for another pause.
-            Ok(None) => {
+            Ok(Next::List) => {
                 log::info!("event=history_gone prefix={prefix}");
                 after = None;
             }
-            Ok(Some(at)) => {
+            Ok(Next::WatchAgain) => {}
+            Ok(Next::Watch { at }) => {
                 after = Some(at);
                 if std::mem::take(&mut is_lost) {
                     log::info!("event=store_regained prefix={prefix} revision={at}");
                 }
-                pause().await;
+                follower.pause().await;
             }
             Err(error) => {
+                follower.lost();
                 if std::mem::replace(&mut is_lost, true) {
                     coordination.regained(LONGEST_FAILURE_PAUSE).await;
                 } else {
@@ -86,3 +105,42 @@
         }
     }
 }
+
+/// How following goes on.
+enum Next {
+    /// After a pause, with a watch from a revision.
+    Watch { at: u64 },
+    /// At once, with the same watch.
+    WatchAgain,
+    /// At once, with a listing.
+    List,
+}
+
+async fn list(
+    coordination: &dyn Coordination,
+    prefix: &str,
+    follower: &mut impl Follower,
+) -> Result<Next, CoordinationError> {
+    let listing = coordination.list(prefix).await?;
+    follower.take(Update::Snapshot(listing.records), listing.at);
+    Ok(Next::Watch { at: listing.at })
+}
+
+async fn watch(
+    coordination: &dyn Coordination,
+    prefix: &str,
+    after: u64,
+    follower: &mut impl Follower,
+) -> Result<Next, CoordinationError> {
+    let watching = coordination.watch(prefix, after);
+    let Ok(answer) = tokio::time::timeout(follower.longest_watch(), watching).await else {
+        return Ok(Next::WatchAgain);
+    };
+    match answer? {
+        WatchAnswer::Changes { changes, at } => {
+            follower.take(Update::Changes(changes), at);
+            Ok(Next::Watch { at })
+        }
+        WatchAnswer::HistoryGone => Ok(Next::List),
+    }
+}
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -19,6 +19,7 @@
 use crate::nodes::{NodeRecord, NodeRole, Nodes};
 use crate::orders::{EndedGivers, LearntLoads, OrderGiver, OrderOptions, VersionsNamed};
 use crate::program::{JobHooks, JournalParts, PeerHandler, PeerParts, ProgramOptions};
+use crate::roster::{DirectView, RosterOptions, RosterWriter};
 
 /// How long a stopping front still takes new connections, until their source has noticed.
 const NOTICE_TIME: Duration = Duration::from_millis(2_300);
@@ -49,6 +50,10 @@
     pub versions: VersionsNamed,
     /// What is under way here.
     pub activities: Activities,
+    /// As of when the instances are known from discovery itself.
+    pub view: DirectView,
+    /// How the roster of instances is kept; `None`: none is.
+    pub roster: Option<RosterOptions>,
     /// Names.
     pub codec: SharedCodec,
 }
@@ -111,6 +116,7 @@
         nodes: nodes.clone(),
         config: inputs.config.clone(),
         backends: inputs.backends.clone(),
+        view: inputs.view.clone(),
         codec: Arc::clone(&inputs.codec),
         metrics: Arc::clone(&metrics),
         retention: options.job_retention,
@@ -148,6 +154,14 @@
         options: OrderOptions {
             quiet: options.order_quiet,
         },
+        roster: RosterWriter {
+            coordination: Arc::clone(&coordination),
+            backends: inputs.backends.clone(),
+            config: inputs.config.clone(),
+            view: inputs.view.clone(),
+            nodes: nodes.clone(),
+            options: inputs.roster,
+        },
     };
     let nodes_task = tokio::spawn({
         let nodes = nodes.clone();
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -27,6 +27,7 @@
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
 use crate::orders::{EndedGivers, LearntLoads};
+use crate::roster::DirectView;
 
 /// An owner answers reads for this long after a majority of replicas last confirmed it: another owner may have listed more
 /// since, and readers may see an older state for a second at most.
@@ -45,6 +46,8 @@
     pub config: ConfigInForce,
     /// Instances.
     pub backends: BackendTable,
+    /// Whether their records are followed here.
+    pub view: DirectView,
     /// Names.
     pub codec: SharedCodec,
     /// Counters.
--- a/crates/front/src/job/starting.rs
+++ b/crates/front/src/job/starting.rs
@@ -30,7 +30,9 @@
             return;
         }
         let age = self.context.confirmation.age(self.job.opened_at);
-        if !self.job.is_uncontested() || age > START_TRUST {
+        let is_owner = self.job.is_uncontested() && age <= START_TRUST;
+        // This front may have gone by the roster, which does not name these instances, until the job came.
+        if !is_owner || !self.context.view.is_usable() {
             self.has_waiting_items = true;
             return;
         }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod nodes;
 pub mod orders;
 pub mod program;
+pub mod roster;
 pub mod set_records;
 mod socket;
 pub mod store;
--- a/crates/front/src/nodes.rs
+++ b/crates/front/src/nodes.rs
@@ -13,7 +13,9 @@
 use tokio::sync::watch;
 
 use crate::activity::Activity;
-use crate::coordination::{Change, Coordination, CoordinationError, LeaseId, Update, follow_with};
+use crate::coordination::{
+    Change, Coordination, CoordinationError, Follower, LeaseId, Update, follow_with,
+};
 
 /// Where the records are.
 const NODE_PREFIX: &str = "ladderstage/node/";
@@ -27,12 +29,17 @@
 /// Pause after a failed renewal or registration.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Between two answers of the watch at a node that works with others: one with a disk, a job, or the right to give orders.
-const GATHER: Duration = Duration::from_millis(400);
+/// Between two answers of the watch at a node that works with others: one with a disk, a job, or the right to give orders. A node
+/// that is gone is missed only once its lease is over, three times as late.
+const GATHER: Duration = Duration::from_secs(1);
+
+/// The same while nodes start, and after a call that did not reach its node.
+const CLOSE_GATHER: Duration = Duration::from_millis(400);
 
 /// The same at all others. Restarts come in turn, and each changes its node's record three times: with many nodes the answers
-/// about that are most of the calls to the store, and each has its price. A node that is not heard of yet is asked in vain once.
-const IDLE_GATHER: Duration = Duration::from_secs(2);
+/// about that are most of the calls to the store, and each has its price. Well under the history that stores keep. A call that
+/// does not reach its node ends the pause.
+const IDLE_GATHER: Duration = Duration::from_secs(8);
 
 /// For so long after its start a node follows closely: the others may have started with it.
 const STARTING_TIME: Duration = Duration::from_secs(2);
@@ -90,6 +97,37 @@
     client: Client,
     contact: watch::Sender<Option<Instant>>,
     own_changed: watch::Sender<u64>,
+    /// Calls that did not reach their node: what is known of the nodes may be old.
+    unreached: watch::Sender<u64>,
+}
+
+/// Follows the nodes' records: closely while there is work with other nodes.
+struct NodeFollower<'a> {
+    nodes: &'a Nodes,
+    activity: &'a Activity,
+    started: tokio::time::Instant,
+}
+
+impl Follower for NodeFollower<'_> {
+    async fn pause(&self) {
+        if self.started.elapsed() < STARTING_TIME {
+            return tokio::time::sleep(CLOSE_GATHER).await;
+        }
+        let mut unreached = self.nodes.unreached.subscribe();
+        let in_doubt = async {
+            // The sender lives as long as this node.
+            let _ = unreached.changed().await;
+            tokio::time::sleep(CLOSE_GATHER).await;
+        };
+        tokio::select! {
+            () = self.activity.pause(GATHER, IDLE_GATHER) => {}
+            () = in_doubt => {}
+        }
+    }
+
+    fn take(&mut self, update: Update, _at: u64) {
+        self.nodes.take(update);
+    }
 }
 
 impl Nodes {
@@ -101,21 +139,20 @@
             client: Client::new(),
             contact: watch::Sender::new(None),
             own_changed: watch::Sender::new(0),
+            unreached: watch::Sender::new(0),
         }
     }
 
     /// Keeps this node's record and follows all others, for as long as the future is polled: closely while `activity` says that
     /// there is work with them.
     pub async fn run(&self, coordination: Arc<dyn Coordination>, activity: &Activity) {
-        let started = Instant::now();
-        let pause = || {
-            let is_starting = started.elapsed() < STARTING_TIME;
-            activity.pause(GATHER, if is_starting { GATHER } else { IDLE_GATHER })
+        let mut follower = NodeFollower {
+            nodes: self,
+            activity,
+            started: tokio::time::Instant::now(),
         };
-        let follower = follow_with(Arc::clone(&coordination), NODE_PREFIX, pause, |update| {
-            self.take(update);
-        });
-        tokio::join!(follower, self.keep_registered(&coordination));
+        let following = follow_with(Arc::clone(&coordination), NODE_PREFIX, &mut follower);
+        tokio::join!(following, self.keep_registered(&coordination));
     }
 
     /// When the store last answered this node; `None`: never.
@@ -336,10 +373,14 @@
         timeout: Duration,
     ) -> BoxFuture<'a, Result<Response, CallError>> {
         Box::pin(async move {
-            match self.address(node) {
+            let result = match self.address(node) {
                 Some(address) => self.client.call(address, request, timeout).await,
                 None => Err(CallError::NotSent(format!("no address of {node} is known"))),
+            };
+            if matches!(result, Err(CallError::NotSent(_) | CallError::Unknown(_))) {
+                self.unreached.send_modify(|count| *count += 1);
             }
+            result
         })
     }
 }
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -23,6 +23,7 @@
 use crate::job::JobRegistry;
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
+use crate::roster::RosterWriter;
 
 /// Pause before the lease is tried again.
 const TAKE_PAUSE: Duration = Duration::from_millis(250);
@@ -75,6 +76,8 @@
     pub activities: Activities,
     /// Times.
     pub options: OrderOptions,
+    /// Tells the fronts without such work of the instances.
+    pub roster: RosterWriter,
 }
 
 /// An order to give, and the instance that it goes to.
@@ -161,6 +164,7 @@
                 log::info!("event=giver_steps_down fence={} reason={reason}", held.fence);
                 true
             }
+            () = self.roster.run() => false,
         };
         *respected = std::mem::take(&mut given.respected);
         respected.retain(|(_, ordered_at)| ordered_at.elapsed() < self.options.quiet);
--- /dev/null
+++ b/crates/front/src/roster/record.rs
@@ -0,0 +1,65 @@
+//! What the roster's record holds.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::backend::{BackendTable, Discovered};
+
+/// The instances that live requests may go to as of a revision of the store, without their weights.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster {
+    /// Revision of the store as of which the writer knew them.
+    pub known_at: u64,
+    /// Services whose instances it names.
+    pub services: BTreeSet<String>,
+    /// All instances of these services, sorted by id.
+    pub instances: Vec<Discovered>,
+}
+
+impl Roster {
+    /// The instances of some services in a table that is known as of a revision.
+    pub fn of(table: &BackendTable, services: BTreeSet<String>, known_at: u64) -> Self {
+        let mut instances = table.discovered();
+        instances.retain(|instance| services.contains(&instance.service));
+        instances
+            .iter_mut()
+            .for_each(|instance| instance.versions.clear());
+        Self {
+            known_at,
+            services,
+            instances,
+        }
+    }
+
+    /// Bytes of the record.
+    ///
+    /// # Errors
+    /// When it cannot be written as JSON.
+    pub fn write(&self) -> Result<Vec<u8>, serde_json::Error> {
+        serde_json::to_vec(self)
+    }
+
+    /// Reads the bytes of a record.
+    ///
+    /// # Errors
+    /// When they are no roster.
+    pub fn read(bytes: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(bytes)
+    }
+
+    /// Whether another roster names the same services and instances.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.services == other.services && self.instances == other.instances
+    }
+
+    /// Makes a table hold exactly these instances of the roster's services. What it knows of weights and of other services stays:
+    /// it is the best there is when work begins while the store does not answer.
+    pub fn apply(&self, table: &BackendTable) {
+        let ids: Vec<String> = self.instances.iter().map(|one| one.id.clone()).collect();
+        table.retain(&ids, |instance| self.services.contains(&instance.service));
+        self.instances
+            .iter()
+            .for_each(|instance| table.upsert(instance.clone()));
+    }
+}
--- /dev/null
+++ b/crates/front/src/roster/writer.rs
@@ -0,0 +1,201 @@
+//! Keeps the roster at the node that gives orders.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladderstage_journal::Peers;
+use tokio::time::MissedTickBehavior;
+
+use super::{DirectView, ROSTER_KEY, Roster, RosterOptions};
+use crate::backend::BackendTable;
+use crate::config::ConfigInForce;
+use crate::coordination::{Coordination, CoordinationError, LeaseId, SwapResult};
+use crate::nodes::Nodes;
+
+/// Renewals per lease time: one may be lost, or slow, without the record going.
+const RENEWALS_PER_LEASE: u32 = 3;
+
+/// Pause before a roster that could not be kept is begun anew, and between looks whether it is worth its calls.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Where there is no roster yet it is written once no instance has come or gone for this long: while a system starts they come one
+/// by one, and all fronts would be told of each.
+const SETTLED_AFTER: Duration = Duration::from_secs(2);
+
+/// Longest wait for that.
+const SETTLING_LIMIT: Duration = Duration::from_secs(5);
+
+/// Why a roster is kept no more under one lease.
+#[derive(Debug, thiserror::Error)]
+enum KeepError {
+    #[error(transparent)]
+    Store(#[from] CoordinationError),
+    #[error("too few fronts would read it")]
+    FewReaders,
+    #[error(transparent)]
+    Unwritable(#[from] serde_json::Error),
+}
+
+/// Writes the roster while this node gives orders.
+pub struct RosterWriter {
+    /// The store.
+    pub coordination: Arc<dyn Coordination>,
+    /// The instances.
+    pub backends: BackendTable,
+    /// The configuration.
+    pub config: ConfigInForce,
+    /// As of when they are known here.
+    pub view: DirectView,
+    /// The other nodes.
+    pub nodes: Nodes,
+    /// `None`: the notice time is too short for a roster.
+    pub options: Option<RosterOptions>,
+}
+
+/// What was written under one lease.
+struct Kept {
+    lease: LeaseId,
+    /// Revision of the record; `None`: unknown, as a write got no answer or another node wrote.
+    revision: Option<u64>,
+    /// What was written last; `None`: nothing under this lease, or in doubt.
+    roster: Option<Roster>,
+}
+
+impl RosterWriter {
+    /// Keeps the roster for as long as the future is polled; its record goes with its lease soon after.
+    pub async fn run(&self) {
+        let Some(options) = self.options else {
+            return std::future::pending().await;
+        };
+        loop {
+            self.view.known().await;
+            self.settle().await;
+            if self.has_readers(&options)
+                && let Err(error) = self.keep(&options).await
+            {
+                log::warn!("event=roster_not_kept cause=\"{error}\"");
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Returns at once if there is a roster, else once the instances have settled.
+    async fn settle(&self) {
+        match self.coordination.get(ROSTER_KEY).await {
+            Ok(Some(_)) => return,
+            Ok(None) => {}
+            Err(error) => log::warn!("event=roster_not_read cause=\"{error}\""),
+        }
+        let mut membership = self.backends.watch_membership();
+        let settled = async {
+            while tokio::time::timeout(SETTLED_AFTER, membership.changed())
+                .await
+                .is_ok()
+            {}
+        };
+        // It goes on changing: there is a roster all the same.
+        let _ = tokio::time::timeout(SETTLING_LIMIT, settled).await;
+    }
+
+    fn has_readers(&self, options: &RosterOptions) -> bool {
+        self.nodes.successors().len() >= options.least_fronts
+    }
+
+    /// Writes the roster under one lease, and renews that while the record tells what is known here.
+    async fn keep(&self, options: &RosterOptions) -> Result<(), KeepError> {
+        let mut kept = Kept {
+            lease: self.coordination.grant(options.lease).await?,
+            revision: None,
+            roster: None,
+        };
+        let mut membership = self.backends.watch_membership();
+        let mut config = self.config.watch();
+        let mut renewal = tokio::time::interval(options.lease / RENEWALS_PER_LEASE);
+        renewal.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = membership.changed() => self.write_news(&mut kept).await?,
+                _ = config.changed() => self.write_news(&mut kept).await?,
+                _ = renewal.tick() => {
+                    if !self.has_readers(options) {
+                        return Err(KeepError::FewReaders);
+                    }
+                    self.write_news(&mut kept).await?;
+                    self.renew(&kept).await?;
+                }
+            }
+        }
+    }
+
+    /// Writes the roster if it is not as written; a write that the store does not carry out is tried again later.
+    async fn write_news(&self, kept: &mut Kept) -> Result<(), KeepError> {
+        let Some(known_at) = self.view.known_at() else {
+            return Ok(());
+        };
+        let Some(config) = self.config.current() else {
+            return Ok(());
+        };
+        let roster = Roster::of(&self.backends, config.live_services(), known_at);
+        if kept
+            .roster
+            .as_ref()
+            .is_some_and(|kept| kept.is_same(&roster))
+        {
+            return Ok(());
+        }
+        kept.roster = None;
+        let value = roster.write()?;
+        match self.swap(kept, value).await {
+            Ok(SwapResult::Won { revision }) => {
+                log::info!(
+                    "event=roster_written revision={revision} known_at={known_at} instances={}",
+                    roster.instances.len()
+                );
+                kept.revision = Some(revision);
+                kept.roster = Some(roster);
+                Ok(())
+            }
+            Ok(SwapResult::Lost(_)) => {
+                log::info!("event=roster_overtaken expected={:?}", kept.revision);
+                kept.revision = None;
+                Ok(())
+            }
+            Err(CoordinationError::LeaseOver) => Err(CoordinationError::LeaseOver.into()),
+            Err(error) => {
+                log::warn!("event=roster_not_written cause=\"{error}\"");
+                kept.revision = None;
+                Ok(())
+            }
+        }
+    }
+
+    /// Writes in place of exactly what was there before: a write without an answer that is carried out late finds another
+    /// revision.
+    async fn swap(&self, kept: &Kept, value: Vec<u8>) -> Result<SwapResult, CoordinationError> {
+        let expected = match kept.revision {
+            Some(revision) => revision,
+            None => {
+                let found = self.coordination.get(ROSTER_KEY).await?;
+                found.map_or(0, |record| record.revision)
+            }
+        };
+        self.coordination
+            .swap(ROSTER_KEY, expected, value, Some(kept.lease))
+            .await
+    }
+
+    /// Renews the lease, unless the record may be old.
+    async fn renew(&self, kept: &Kept) -> Result<(), KeepError> {
+        if self.view.known_at().is_none() || kept.roster.is_none() {
+            return Ok(());
+        }
+        match self.coordination.renew(kept.lease).await {
+            Ok(()) => Ok(()),
+            Err(CoordinationError::LeaseOver) => Err(CoordinationError::LeaseOver.into()),
+            Err(error) => {
+                log::warn!("event=roster_not_renewed cause=\"{error}\"");
+                Ok(())
+            }
+        }
+    }
+}
--- a/crates/front/tests/following.rs
+++ b/crates/front/tests/following.rs
@@ -1,110 +1,36 @@
 //! How soon a follower of the store's records learns what it missed.
 
-use std::collections::VecDeque;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+mod support;
+
+use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::BoxFuture;
 use ladderstage_front::coordination::{
-    Coordination, CoordinationError, LeaseId, Listing, Observed, Record, StoreCalls, SwapResult,
-    WatchAnswer, follow,
+    Coordination, Follower, Observed, StoreCalls, Update, follow, follow_with,
 };
-use tokio::time::Instant;
-
-/// A store whose watches answer as scripted, then wait for ever.
-#[derive(Clone, Default)]
-struct ScriptedStore {
-    watch_answers: Arc<Mutex<VecDeque<WatchAnswer>>>,
-    listed_at: Arc<Mutex<Vec<Instant>>>,
-    watched_at: Arc<Mutex<Vec<Instant>>>,
-    is_down: Arc<AtomicBool>,
-}
-
-impl ScriptedStore {
-    fn checked<T>(&self, answer: T) -> Result<T, CoordinationError> {
-        if self.is_down.load(Ordering::Relaxed) {
-            return Err(CoordinationError::Refused("down".to_owned()));
-        }
-        Ok(answer)
-    }
-}
-
-impl Coordination for ScriptedStore {
-    fn get<'a>(&'a self, _: &'a str) -> BoxFuture<'a, Result<Option<Record>, CoordinationError>> {
-        unimplemented!()
-    }
-
-    fn list<'a>(&'a self, _: &'a str) -> BoxFuture<'a, Result<Listing, CoordinationError>> {
-        self.listed_at.lock().unwrap().push(Instant::now());
-        let answer = self.checked(Listing::default());
-        Box::pin(async { answer })
-    }
-
-    fn watch<'a>(
-        &'a self,
-        _: &'a str,
-        _: u64,
-    ) -> BoxFuture<'a, Result<WatchAnswer, CoordinationError>> {
-        self.watched_at.lock().unwrap().push(Instant::now());
-        let answer = self.watch_answers.lock().unwrap().pop_front();
-        Box::pin(async {
-            match answer {
-                Some(answer) => Ok(answer),
-                None => std::future::pending().await,
-            }
-        })
-    }
-
-    fn swap<'a>(
-        &'a self,
-        _: &'a str,
-        _: u64,
-        _: Vec<u8>,
-        _: Option<LeaseId>,
-    ) -> BoxFuture<'a, Result<SwapResult, CoordinationError>> {
-        unimplemented!()
-    }
-
-    fn put<'a>(
-        &'a self,
-        _: &'a str,
-        _: Vec<u8>,
-        _: Option<LeaseId>,
-    ) -> BoxFuture<'a, Result<(), CoordinationError>> {
-        unimplemented!()
-    }
-
-    fn grant(&self, _: Duration) -> BoxFuture<'_, Result<LeaseId, CoordinationError>> {
-        unimplemented!()
-    }
-
-    fn renew(&self, _: LeaseId) -> BoxFuture<'_, Result<(), CoordinationError>> {
-        let answer = self.checked(());
-        Box::pin(async { answer })
-    }
-
-    fn revoke(&self, _: LeaseId) -> BoxFuture<'_, Result<(), CoordinationError>> {
-        unimplemented!()
-    }
-}
+use support::memory_store::{MemoryStore, NodeFaults};
+use tokio::time::sleep;
 
 /// Found by a failed run of CI: a front that was told that history is gone passed its whole gathering time once more before it
 /// listed, and sent requests to an instance 2.2 s after that one had said that it leaves.
 #[tokio::test(start_paused = true)]
 async fn a_follower_whose_history_is_gone_lists_at_once() {
-    let store = ScriptedStore::default();
-    store
-        .watch_answers
-        .lock()
-        .unwrap()
-        .push_back(WatchAnswer::HistoryGone);
-    let followed: Arc<dyn Coordination> = Arc::new(store.clone());
+    let store = MemoryStore::default();
+    store.write("instances/i-1", Vec::new());
+    let followed: Arc<dyn Coordination> = Arc::new(store.of("node"));
     let gather = Duration::from_millis(1_100);
-    let following = follow(followed, "instances/", gather, |_| {});
-    let _ = tokio::time::timeout(Duration::from_secs(5), following).await;
-    let listed_at = store.listed_at.lock().unwrap();
-    let watched_at = store.watched_at.lock().unwrap();
+    let forgetting = async {
+        sleep(gather / 2).await;
+        store.write("instances/i-2", Vec::new());
+        store.forget_history();
+        sleep(Duration::from_secs(5)).await;
+    };
+    tokio::select! {
+        () = follow(followed, "instances/", gather, |_| {}) => unreachable!("a follower goes on for ever"),
+        () = forgetting => {}
+    }
+    let listed_at = store.called_at("node", "list", "instances/");
+    let watched_at = store.called_at("node", "watch", "instances/");
     assert_eq!(listed_at.len(), 2);
     assert_eq!(listed_at[1], watched_at[0]);
 }
@@ -113,10 +39,15 @@
 /// asked once a second, and each refused call has its price.
 #[tokio::test(start_paused = true)]
 async fn followers_of_a_store_that_refuses_wait_for_another_call_to_be_carried_out() {
-    let store = ScriptedStore::default();
-    store.is_down.store(true, Ordering::Relaxed);
+    let store = MemoryStore::default();
+    let refused = NodeFaults {
+        is_refused: true,
+        ..NodeFaults::default()
+    };
     let observed: Arc<dyn Coordination> =
-        Arc::new(Observed::new(store.clone(), StoreCalls::default()));
+        Arc::new(Observed::new(store.of("node"), StoreCalls::default()));
+    let lease = observed.grant(Duration::from_secs(60)).await.unwrap();
+    store.set_faults("node", refused);
     let following = follow(
         Arc::clone(&observed),
         "instances/",
@@ -125,13 +56,13 @@
     );
     let renewals = async {
         for _ in 0..9 {
-            tokio::time::sleep(Duration::from_secs(1)).await;
-            let _ = observed.renew(1).await;
+            sleep(Duration::from_secs(1)).await;
+            let _ = observed.renew(lease).await;
         }
-        let while_down = store.listed_at.lock().unwrap().len();
-        store.is_down.store(false, Ordering::Relaxed);
-        let _ = observed.renew(1).await;
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        let while_down = store.calls("node", "list", "instances/");
+        store.set_faults("node", NodeFaults::default());
+        observed.renew(lease).await.unwrap();
+        sleep(Duration::from_millis(50)).await;
         while_down
     };
     let while_down = tokio::select! {
@@ -139,5 +70,31 @@
         while_down = renewals => while_down,
     };
     assert_eq!(while_down, 2);
-    assert_eq!(store.listed_at.lock().unwrap().len(), 3);
+    assert_eq!(store.calls("node", "list", "instances/"), 3);
+}
+
+/// A watch whose answer was lost without a sign tells nothing until its time is over.
+#[tokio::test(start_paused = true)]
+async fn a_watch_is_begun_anew_when_it_was_silent_for_long() {
+    struct Impatient;
+
+    impl Follower for Impatient {
+        fn pause(&self) -> impl Future<Output = ()> + Send {
+            sleep(Duration::from_millis(10))
+        }
+
+        fn take(&mut self, _: Update, _: u64) {}
+
+        fn longest_watch(&self) -> Duration {
+            Duration::from_secs(5)
+        }
+    }
+
+    let store = MemoryStore::default();
+    let followed: Arc<dyn Coordination> = Arc::new(store.of("node"));
+    let mut follower = Impatient;
+    let following = follow_with(followed, "instances/", &mut follower);
+    let _ = tokio::time::timeout(Duration::from_secs(21), following).await;
+    assert_eq!(store.calls("node", "watch", "instances/"), 5);
+    assert_eq!(store.calls("node", "list", "instances/"), 1);
 }
--- /dev/null
+++ b/crates/front/tests/roster.rs
@@ -0,0 +1,519 @@
+//! The roster of instances: who learns of a change by it, how late, and what happens when its writer fails.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladderstage_front::activity::Activity;
+use ladderstage_front::backend::{BackendTable, Discovered};
+use ladderstage_front::config::{
+    ConfigInForce, Route, RouteKind, ServiceSpec, ServingConfig, WeightedService,
+};
+use ladderstage_front::coordination::{Change, Coordination, Follower, Update, follow_with};
+use ladderstage_front::nodes::{NodeRecord, NodeRole, Nodes};
+use ladderstage_front::roster::{
+    DirectSource, DirectView, ROSTER_KEY, Roster, RosterOptions, RosterReader, RosterWriter,
+};
+use proptest::prelude::*;
+use support::memory_store::{MemoryStore, NodeFaults, NodeStore};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+/// Where the instances' own records are in these tests.
+const INSTANCES: &str = "instances/";
+
+/// Time within which a front must hear that an instance leaves.
+const LIMIT: Duration = Duration::from_millis(1_600);
+
+/// Calls and scheduling, on top of the times that the options name.
+const CALLS: Duration = Duration::from_millis(60);
+
+fn options() -> RosterOptions {
+    let options = RosterOptions::within(LIMIT, Duration::from_secs(1)).expect("long enough");
+    RosterOptions {
+        least_fronts: 1,
+        ..options
+    }
+}
+
+fn instance(id: &str) -> Discovered {
+    Discovered {
+        id: id.to_owned(),
+        service: "scorer".to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "a".to_owned(),
+        is_ready: true,
+        slots: 6,
+        versions: BTreeMap::new(),
+    }
+}
+
+fn write(store: &MemoryStore, instance: &Discovered) {
+    let value = serde_json::to_vec(instance).unwrap();
+    store.write(&format!("{INSTANCES}{}", instance.id), value);
+}
+
+/// A configuration with a route to each of some services.
+fn config_of(version: u64, routes: &[(RouteKind, &str)]) -> ServingConfig {
+    let route = |(kind, service): &(RouteKind, &str)| Route {
+        name: (*service).to_owned(),
+        host: "host".to_owned(),
+        path_prefix: format!("/{service}/"),
+        kind: *kind,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        priority: 0,
+        split: vec![WeightedService {
+            service: (*service).to_owned(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        max_queue: None,
+        result_deadline: None,
+        single_version: false,
+        resumable: false,
+    };
+    ServingConfig {
+        version,
+        routes: routes.iter().map(route).collect(),
+        services: routes
+            .iter()
+            .map(|(_, service)| ((*service).to_owned(), ServiceSpec::default()))
+            .collect(),
+        ..ServingConfig::default()
+    }
+}
+
+struct InstanceRecords {
+    coordination: Arc<dyn Coordination>,
+    backends: BackendTable,
+    gather: Duration,
+}
+
+struct RecordFollower<'a> {
+    records: &'a InstanceRecords,
+    view: &'a DirectView,
+}
+
+impl Follower for RecordFollower<'_> {
+    fn pause(&self) -> impl Future<Output = ()> + Send {
+        sleep(self.records.gather)
+    }
+
+    fn take(&mut self, update: Update, at: u64) {
+        let table = &self.records.backends;
+        let id = |key: &str| key.strip_prefix(INSTANCES).unwrap().to_owned();
+        let changes = match update {
+            Update::Changes(changes) => changes,
+            Update::Snapshot(records) => {
+                let ids: Vec<String> = records.iter().map(|record| id(&record.key)).collect();
+                table.retain(&ids, |_| true);
+                records.into_iter().map(Change::Written).collect()
+            }
+        };
+        for change in changes {
+            match change {
+                Change::Written(record) => {
+                    table.upsert(serde_json::from_slice(&record.value).unwrap());
+                }
+                Change::Removed { key } => table.remove(&id(&key)),
+            }
+        }
+        self.view.note(at);
+    }
+
+    fn lost(&mut self) {
+        self.view.note_lost();
+    }
+}
+
+impl DirectSource for InstanceRecords {
+    async fn follow(&self, view: &DirectView) {
+        let mut follower = RecordFollower {
+            records: self,
+            view,
+        };
+        follow_with(Arc::clone(&self.coordination), INSTANCES, &mut follower).await;
+    }
+}
+
+/// A node that learns of instances, and may keep the roster.
+struct Node {
+    backends: BackendTable,
+    config: ConfigInForce,
+    view: DirectView,
+    activity: Activity,
+    coordination: NodeStore,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl Node {
+    fn start(store: &MemoryStore, name: &str, gather: Duration) -> Self {
+        let coordination = store.of(name);
+        let backends = BackendTable::new("a");
+        let config = ConfigInForce::default();
+        config.offer(config_of(1, &[(RouteKind::Safe, "scorer")]));
+        let view = DirectView::default();
+        let activity = Activity::default();
+        let reader = RosterReader {
+            coordination: Arc::new(coordination.clone()),
+            backends: backends.clone(),
+            config: config.clone(),
+            view: view.clone(),
+            activity: activity.clone(),
+            options: Some(options()),
+            source: InstanceRecords {
+                coordination: Arc::new(coordination.clone()),
+                backends: backends.clone(),
+                gather,
+            },
+        };
+        let reading = tokio::spawn(async move { reader.run().await });
+        Self {
+            backends,
+            config,
+            view,
+            activity,
+            coordination,
+            tasks: vec![reading],
+        }
+    }
+
+    /// A node with work, which keeps the roster.
+    fn start_writer(store: &MemoryStore, name: &str) -> Self {
+        let mut node = Self::start(store, name, options().writer_gather);
+        let work = node.activity.begin();
+        let writer = RosterWriter {
+            coordination: Arc::new(node.coordination.clone()),
+            backends: node.backends.clone(),
+            config: node.config.clone(),
+            view: node.view.clone(),
+            nodes: Nodes::new(NodeRecord {
+                node: name.to_owned(),
+                role: NodeRole::Front,
+                process: 1,
+                peer_address: "127.0.0.1:9".parse().unwrap(),
+                zone: "a".to_owned(),
+                replica_id: 0,
+                is_leaving: false,
+                cpu_millis: 0,
+            }),
+            options: Some(options()),
+        };
+        node.tasks.push(tokio::spawn(async move {
+            let _work = work;
+            writer.run().await;
+        }));
+        node
+    }
+
+    fn is_ready(&self, id: &str) -> Option<bool> {
+        self.backends.get(id).map(|instance| instance.is_ready())
+    }
+
+    /// Waits until this node goes by the roster.
+    async fn rests(&self) {
+        while self.view.known_at().is_none() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        while self.view.known_at().is_some() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Waits until this node knows that an instance takes no new work; returns how long that took.
+    async fn hears_that_it_leaves(&self, id: &str) -> Duration {
+        let started = Instant::now();
+        while self.is_ready(id) != Some(false) {
+            assert!(started.elapsed() < Duration::from_secs(20), "never heard");
+            sleep(Duration::from_millis(5)).await;
+        }
+        started.elapsed()
+    }
+}
+
+/// A store with instances, a node that keeps the roster, and one without work that goes by it.
+async fn fleet() -> (MemoryStore, Node, Node) {
+    let store = MemoryStore::default();
+    write(&store, &instance("i-1"));
+    write(&store, &instance("i-2"));
+    let writer = Node::start_writer(&store, "writer");
+    let reader = Node::start(&store, "reader", options().reader_gather);
+    reader.rests().await;
+    (store, writer, reader)
+}
+
+fn leave(store: &MemoryStore, id: &str) {
+    let leaving = Discovered {
+        is_ready: false,
+        ..instance(id)
+    };
+    write(store, &leaving);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_front_without_work_pays_nothing_for_new_weights() {
+    let (store, writer, reader) = fleet().await;
+    // The watches of the roster begin again after their pauses.
+    sleep(options().reader_gather * 2).await;
+    let calls = |kind, key| store.calls("reader", kind, key);
+    let before = (calls("watch", INSTANCES), calls("watch", ROSTER_KEY));
+    for version in 1..40 {
+        let mut loaded = instance("i-1");
+        loaded.versions.insert("model".to_owned(), version);
+        write(&store, &loaded);
+        sleep(Duration::from_millis(250)).await;
+    }
+    let after = (calls("watch", INSTANCES), calls("watch", ROSTER_KEY));
+    assert_eq!(after, before);
+    let known = writer.backends.get("i-1").unwrap().version("model");
+    assert!(known >= 36, "{known}");
+    assert_eq!(reader.is_ready("i-1"), Some(true));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_front_without_work_hears_in_time_that_an_instance_leaves_or_is_gone() {
+    let (store, _writer, reader) = fleet().await;
+    let in_time = options().writer_gather + options().reader_gather + CALLS;
+    for round in 0..20_u64 {
+        sleep(Duration::from_millis(37 * round)).await;
+        leave(&store, "i-1");
+        let taken = reader.hears_that_it_leaves("i-1").await;
+        assert!(taken <= in_time, "{taken:?}");
+        write(&store, &instance("i-1"));
+        store.remove(&format!("{INSTANCES}i-2"));
+        sleep(in_time).await;
+        assert_eq!(reader.is_ready("i-2"), None);
+        write(&store, &instance("i-2"));
+        sleep(in_time).await;
+        assert_eq!(reader.is_ready("i-1"), Some(true));
+        assert_eq!(reader.is_ready("i-2"), Some(true));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn news_that_a_dead_writer_did_not_write_arrive_within_the_longest_time() {
+    for offset in [0, 130, 260, 390, 520] {
+        let (store, writer, reader) = fleet().await;
+        sleep(Duration::from_millis(offset)).await;
+        drop(writer);
+        leave(&store, "i-1");
+        let taken = reader.hears_that_it_leaves("i-1").await;
+        assert!(taken <= options().longest() + CALLS, "{taken:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_writer_that_is_cut_off_loses_its_readers_in_time() {
+    let (store, _writer, reader) = fleet().await;
+    let cut_off = NodeFaults {
+        is_cut_off: true,
+        ..NodeFaults::default()
+    };
+    store.set_faults("writer", cut_off);
+    leave(&store, "i-1");
+    let taken = reader.hears_that_it_leaves("i-1").await;
+    assert!(taken <= options().longest() + CALLS, "{taken:?}");
+    // It may write again once it is back.
+    store.set_faults("writer", NodeFaults::default());
+}
+
+/// Its renewals would be carried out all the while.
+#[tokio::test(start_paused = true)]
+async fn a_writer_that_cannot_follow_discovery_lets_the_roster_go() {
+    let (store, _writer, reader) = fleet().await;
+    let blind = NodeFaults {
+        refused_prefixes: [INSTANCES.to_owned()].into(),
+        ..NodeFaults::default()
+    };
+    store.set_faults("writer", blind);
+    leave(&store, "i-1");
+    let taken = reader.hears_that_it_leaves("i-1").await;
+    assert!(taken <= options().longest() + CALLS, "{taken:?}");
+    assert!(store.read(ROSTER_KEY).is_none());
+    store.set_faults("writer", NodeFaults::default());
+    write(&store, &instance("i-1"));
+    sleep(Duration::from_secs(20)).await;
+    assert!(store.read(ROSTER_KEY).is_some());
+    assert!(
+        reader.view.known_at().is_none(),
+        "goes by the roster once more"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_write_does_not_undo_a_later_one() {
+    for late in [10, 200, 600, 1_500, 3_000] {
+        let (store, _writer, reader) = fleet().await;
+        let loses_answer = NodeFaults {
+            late_swap: Some(Duration::from_millis(late)),
+            ..NodeFaults::default()
+        };
+        store.set_faults("writer", loses_answer);
+        store.remove(&format!("{INSTANCES}i-2"));
+        sleep(options().writer_gather).await;
+        leave(&store, "i-1");
+        reader.hears_that_it_leaves("i-1").await;
+        for _ in 0..1_000 {
+            assert_eq!(reader.is_ready("i-1"), Some(false));
+            sleep(Duration::from_millis(5)).await;
+        }
+        let bytes = store.read(ROSTER_KEY).expect("kept");
+        let roster = Roster::read(&bytes).unwrap();
+        assert_eq!(roster.instances.len(), 1);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_front_with_work_learns_of_weights_at_once_and_rests_again_later() {
+    let (store, _writer, reader) = fleet().await;
+    let mut loaded = instance("i-1");
+    loaded.versions.insert("model".to_owned(), 7);
+    write(&store, &loaded);
+    sleep(Duration::from_secs(3)).await;
+    let version = || reader.backends.get("i-1").unwrap().version("model");
+    assert_eq!(version(), 0);
+    let work = reader.activity.begin();
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(version(), 7);
+    drop(work);
+    sleep(Duration::from_secs(20)).await;
+    assert!(reader.view.known_at().is_none(), "goes by the roster");
+    assert_eq!(version(), 7, "weights that are known stay known");
+}
+
+/// Found by a day on which the store turned a front away that had just been handed a step: it knew no instance for 8 s.
+#[tokio::test(start_paused = true)]
+async fn a_front_that_is_turned_away_as_work_begins_uses_the_instances_it_knew() {
+    let store = MemoryStore::default();
+    let labeler = Discovered {
+        service: "labeler".to_owned(),
+        ..instance("i-9")
+    };
+    write(&store, &instance("i-1"));
+    write(&store, &labeler);
+    let _writer = Node::start_writer(&store, "writer");
+    let reader = Node::start(&store, "reader", options().reader_gather);
+    reader.rests().await;
+    assert!(!reader.view.is_usable(), "their records may be old");
+    let turned_away = NodeFaults {
+        refused_prefixes: [INSTANCES.to_owned(), ROSTER_KEY.to_owned()].into(),
+        ..NodeFaults::default()
+    };
+    store.set_faults("reader", turned_away);
+    let _work = reader.activity.begin();
+    sleep(CALLS).await;
+    assert!(reader.view.is_usable(), "there is nothing better");
+    assert_eq!(reader.is_ready("i-9"), Some(true));
+}
+
+#[tokio::test(start_paused = true)]
+async fn work_waits_for_the_records_of_instances_that_the_roster_does_not_name() {
+    let store = MemoryStore::default();
+    let labeler = Discovered {
+        service: "labeler".to_owned(),
+        ..instance("i-9")
+    };
+    write(&store, &instance("i-1"));
+    write(&store, &labeler);
+    let _writer = Node::start_writer(&store, "writer");
+    let reader = Node::start(&store, "reader", options().reader_gather);
+    reader.rests().await;
+    store.remove(&format!("{INSTANCES}i-9"));
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(reader.is_ready("i-9"), Some(true), "not heard of");
+    let _work = reader.activity.begin();
+    while !reader.view.is_usable() {
+        sleep(Duration::from_millis(1)).await;
+    }
+    assert_eq!(reader.is_ready("i-9"), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_front_whose_configuration_names_another_service_follows_discovery() {
+    let (store, writer, reader) = fleet().await;
+    let new = Discovered {
+        service: "labeler".to_owned(),
+        ..instance("i-9")
+    };
+    write(&store, &new);
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(reader.is_ready("i-9"), None, "not in the roster");
+    let moved = [(RouteKind::Safe, "scorer"), (RouteKind::Safe, "labeler")];
+    reader.config.offer(config_of(2, &moved));
+    sleep(CALLS).await;
+    assert_eq!(reader.is_ready("i-9"), Some(true));
+    writer.config.offer(config_of(2, &moved));
+    sleep(Duration::from_secs(10)).await;
+    assert!(reader.view.known_at().is_none(), "goes by the roster");
+    assert_eq!(reader.is_ready("i-9"), Some(true));
+}
+
+#[test]
+fn services_that_only_batch_jobs_use_are_not_for_live_requests() {
+    let mut config = config_of(
+        1,
+        &[
+            (RouteKind::Batch, "labeler"),
+            (RouteKind::Safe, "scorer"),
+            (RouteKind::Batch, "both"),
+            (RouteKind::Streaming, "both"),
+        ],
+    );
+    let without_route = "without-route".to_owned();
+    config
+        .services
+        .insert(without_route, ServiceSpec::default());
+    let live: Vec<String> = config.live_services().into_iter().collect();
+    assert_eq!(live, ["both", "scorer", "without-route"]);
+}
+
+/// A writer that was held up for a while holds an older state than a front that followed discovery itself.
+#[tokio::test(start_paused = true)]
+async fn a_front_does_not_go_back_to_an_older_roster() {
+    let store = MemoryStore::default();
+    write(&store, &instance("i-1"));
+    let old = Roster {
+        known_at: 1,
+        services: ["scorer".to_owned()].into(),
+        instances: vec![instance("i-1")],
+    };
+    leave(&store, "i-1");
+    store.write(ROSTER_KEY, old.write().unwrap());
+    let reader = Node::start(&store, "reader", options().reader_gather);
+    for _ in 0..4_000 {
+        sleep(Duration::from_millis(5)).await;
+        assert_ne!(reader.is_ready("i-1"), Some(true));
+    }
+    assert!(reader.view.known_at().is_some(), "follows discovery");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_roster_that_cannot_be_read_is_none() {
+    let (store, writer, reader) = fleet().await;
+    drop(writer);
+    store.write(ROSTER_KEY, b"no roster".to_vec());
+    leave(&store, "i-1");
+    let taken = reader.hears_that_it_leaves("i-1").await;
+    assert!(taken <= options().reader_gather + CALLS, "{taken:?}");
+}
+
+proptest! {
+    #[test]
+    fn the_longest_time_is_within_the_limit(limit_ms in 0_u64..20_000, lease_ms in 100_u64..5_000) {
+        let limit = Duration::from_millis(limit_ms);
+        let lease = Duration::from_millis(lease_ms);
+        if let Some(options) = RosterOptions::within(limit, lease) {
+            prop_assert!(options.longest() <= limit);
+            prop_assert!(options.lease >= lease);
+        }
+    }
+}
