Take jobs of processes that are gone sooner, and give jobs without an owner to the strongest fronts

Change: a log whose owner's process is in no present node's record counts as untended after 0.48 s of silence (a heartbeat and a half); such logs, and those of a front that stops, go to the fronts with the most processor time. Fleets of equal machines choose as before.

--- a/crates/front/src/job/handover.rs
+++ b/crates/front/src/job/handover.rs
@@ -5,12 +5,13 @@
 
 use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
-use ladderstage_wire::messages::{Member, Request, ShardNotice};
+use ladderstage_wire::messages::{Request, ShardNotice};
 
 use super::locating::PEER_TIMEOUT;
 use super::log_name;
 use super::registry::{JobRegistry, lock};
 use super::shared::{Command, Job};
+use crate::nodes::{NodeRecord, NodeRole, strongest};
 
 /// Between looks at the jobs that are still here.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
@@ -79,13 +80,15 @@
         }
     }
 
-    /// A front for the job at `index`: one of the half that started last, as restarts in turn come to the others first.
-    fn successor(&self, index: usize) -> Option<Member> {
-        let own = self.context.nodes.own().node;
-        let mut others = self.context.nodes.successors();
-        others.retain(|member| member.node != own);
+    /// A front for the job at `index`: one of the strongest, of the half that started last, as restarts in turn come to the others
+    /// first.
+    fn successor(&self, index: usize) -> Option<NodeRecord> {
         let nodes = &self.context.nodes;
-        others.sort_by_key(|member| std::cmp::Reverse(nodes.seen_since(&member.node)));
+        let own = nodes.own().node;
+        let mut others = nodes.with_role(NodeRole::Front);
+        others.retain(|front| front.node != own);
+        let mut others = strongest(others);
+        others.sort_by_key(|front| std::cmp::Reverse(nodes.seen_since(&front.node)));
         let half = others.len().div_ceil(2).max(1);
         others.into_iter().nth(index % half)
     }
--- a/crates/front/src/nodes.rs
+++ b/crates/front/src/nodes.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::BoxFuture;
+use ladderstage::ids::ProcessId;
 use ladderstage_journal::Peers;
 use ladderstage_transport::{CallError, Client};
 use ladderstage_wire::messages::{Member, MemberState, Request, Response};
@@ -366,6 +367,24 @@
         fronts.map(member).collect()
     }
 
+    fn takers(&self) -> Vec<Member> {
+        strongest(self.with_role(NodeRole::Front))
+            .iter()
+            .map(member)
+            .collect()
+    }
+
+    fn is_gone(&self, process: ProcessId) -> bool {
+        let is_own = self.own().process == process;
+        let known = lock(&self.known);
+        let mut present = known
+            .present
+            .iter()
+            .filter_map(|node| known.records.get(node));
+        // Before the first listing nothing is known.
+        !is_own && !known.present.is_empty() && present.all(|record| record.process != process)
+    }
+
     fn call<'a>(
         &'a self,
         node: &'a str,
@@ -385,6 +404,14 @@
     }
 }
 
+/// Those that take new work and have the most processor time: a batch job takes all of a weak machine's.
+pub fn strongest(mut records: Vec<NodeRecord>) -> Vec<NodeRecord> {
+    records.retain(|record| !record.is_leaving);
+    let most = records.iter().map(|record| record.cpu_millis).max();
+    records.retain(|record| Some(record.cpu_millis) == most);
+    records
+}
+
 fn member(record: &NodeRecord) -> Member {
     Member {
         node: record.node.clone(),
--- a/crates/front/tests/nodes.rs
+++ b/crates/front/tests/nodes.rs
@@ -7,7 +7,7 @@
 
 use ladderstage_front::activity::Activity;
 use ladderstage_front::coordination::Coordination;
-use ladderstage_front::nodes::{NodeRecord, NodeRole, Nodes};
+use ladderstage_front::nodes::{NodeRecord, NodeRole, Nodes, strongest};
 use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::{FetchReplicaSet, Request};
@@ -61,6 +61,24 @@
     (watcher, other)
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_process_is_gone_once_its_node_runs_another() {
+    let store = MemoryStore::default();
+    let activity = Activity::default();
+    let watcher = Running::start(&store, record("watcher", 7), &activity);
+    assert!(!watcher.nodes.is_gone(1), "nothing is known yet");
+    let other = Running::start(&store, record("other", 1), &activity);
+    sleep(STARTED).await;
+    assert!(!watcher.nodes.is_gone(1));
+    assert!(!watcher.nodes.is_gone(7), "this one");
+    drop(other);
+    let _work = activity.begin();
+    let _again = Running::start(&store, record("other", 2), &activity);
+    sleep(Duration::from_millis(1_500)).await;
+    assert!(watcher.nodes.is_gone(1));
+    assert!(!watcher.nodes.is_gone(2));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_call_that_reaches_nobody_makes_a_node_without_work_look_again() {
     let store = MemoryStore::default();
@@ -84,3 +102,30 @@
     sleep(Duration::from_millis(600)).await;
     assert!(watcher.nodes.is_present("third"));
 }
+
+#[test]
+fn the_strongest_are_those_with_the_most_processor_time_that_do_not_leave() {
+    let of = |node: &str, cpu_millis, is_leaving| NodeRecord {
+        cpu_millis,
+        is_leaving,
+        ..record(node, 1)
+    };
+    let names = |records: Vec<NodeRecord>| -> Vec<String> {
+        strongest(records)
+            .into_iter()
+            .map(|record| record.node)
+            .collect()
+    };
+    let mixed = vec![
+        of("weak", 120, false),
+        of("strong", 500, false),
+        of("leaving", 800, true),
+        of("strong-too", 500, false),
+    ];
+    assert_eq!(names(mixed), ["strong", "strong-too"]);
+    assert_eq!(
+        names(vec![of("one", 0, false), of("two", 0, false)]),
+        ["one", "two"]
+    );
+    assert!(names(vec![of("leaving", 100, true)]).is_empty());
+}
--- a/crates/journal/src/peers.rs
+++ b/crates/journal/src/peers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use ladderstage::ids::ProcessId;
 use ladderstage_transport::CallError;
 use ladderstage_wire::messages::{Member, Request, Response};
 
@@ -16,6 +17,16 @@
         self.alive()
     }
 
+    /// Members that logs without an owner go to; by default all that may take one.
+    fn takers(&self) -> Vec<Member> {
+        self.successors()
+    }
+
+    /// Whether a process is known to be over. A hint: only what is done sooner depends on it.
+    fn is_gone(&self, _process: ProcessId) -> bool {
+        false
+    }
+
     /// Calls a node.
     fn call<'a>(
         &'a self,
--- a/crates/journal/src/replica.rs
+++ b/crates/journal/src/replica.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use ladderstage::ids::ProcessId;
 use ladderstage::journal::heartbeat::HeartbeatTable;
 use ladderstage_storage::{Storage, StorageError};
 use ladderstage_wire::messages::mod_Refused::Reason;
@@ -22,6 +23,10 @@
 /// Logs that one export answer carries at most.
 const MAX_EXPORTED_LOGS: u32 = 256;
 
+/// Share of the owner timeout after which the log of a process that is over counts as untended: a heartbeat and a half, in case
+/// what is heard of processes is late.
+const GONE_OWNER_SHARE: f64 = 0.4;
+
 /// Answers for this node's data folder; a node without one refuses.
 pub(crate) struct ReplicaService {
     pub storage: Option<Storage>,
@@ -167,14 +172,24 @@
         respond(result.map(|_| Done {}), ResponseKind::done)
     }
 
-    /// Open logs whose names start with `prefix` and whose owner was silent for `timeout`.
-    pub fn untended(&self, prefix: &str, timeout: Duration) -> Vec<String> {
+    /// Open logs whose names start with `prefix` and whose owner was silent for `timeout`, or for a share of it if `is_gone` says
+    /// that its process is over.
+    pub fn untended(
+        &self,
+        prefix: &str,
+        timeout: Duration,
+        is_gone: impl Fn(ProcessId) -> bool,
+    ) -> Vec<String> {
         let Some(storage) = &self.storage else {
             return Vec::new();
         };
-        let open = storage.open_logs(prefix);
+        let open = storage.open_logs_with_owners(prefix).into_iter();
+        let open = open.map(|(log, owner)| match is_gone(owner) {
+            true => (log, timeout.mul_f64(GONE_OWNER_SHARE)),
+            false => (log, timeout),
+        });
         let now = self.now();
-        self.lock_heartbeats().untended(open, now, timeout)
+        self.lock_heartbeats().silent(open, now, timeout)
     }
 
     fn storage_for(&self, log: &str) -> Result<&Storage, Response> {
--- a/crates/journal/src/untended.rs
+++ b/crates/journal/src/untended.rs
@@ -54,7 +54,9 @@
 impl UntendedWatch {
     async fn look(&self) {
         let service = &self.calls.service;
-        let untended = service.untended(self.tended_prefix, self.owner_timeout);
+        let peers = &self.calls.peers;
+        let is_gone = |process| peers.is_gone(process);
+        let untended = service.untended(self.tended_prefix, self.owner_timeout, is_gone);
         let notices = self.by_successor(untended).into_iter();
         let sends = notices.map(|(successor, logs)| self.notify(successor, logs));
         futures_util::future::join_all(sends).await;
@@ -62,10 +64,10 @@
 
     /// Groups the logs by the member that rendezvous hashing names for each.
     fn by_successor(&self, logs: Vec<String>) -> BTreeMap<String, Vec<String>> {
-        let alive = self.calls.peers.successors();
+        let takers = self.calls.peers.takers();
         let mut notices = BTreeMap::<String, Vec<String>>::new();
         for log in logs {
-            let names = alive.iter().map(|member| member.node.as_str());
+            let names = takers.iter().map(|member| member.node.as_str());
             let successor = rendezvous_first(log.as_bytes(), names);
             let successor = successor.unwrap_or(&self.node).to_owned();
             let notice = notices.entry(successor).or_default();
--- a/crates/ladderstage/src/journal/heartbeat.rs
+++ b/crates/ladderstage/src/journal/heartbeat.rs
@@ -52,17 +52,28 @@
         open: impl IntoIterator<Item = String>,
         now: Duration,
         timeout: Duration,
+    ) -> Vec<String> {
+        let open = open.into_iter().map(|log| (log, timeout));
+        self.silent(open, now, timeout)
+    }
+
+    /// As [`HeartbeatTable::untended`], with a timeout of each log's own, `longest` at most.
+    pub fn silent(
+        &mut self,
+        open: impl IntoIterator<Item = (String, Duration)>,
+        now: Duration,
+        longest: Duration,
     ) -> Vec<String> {
         let was_paused = self
             .looked_at
             .replace(now)
-            .is_some_and(|looked_at| now.saturating_sub(looked_at) > timeout);
+            .is_some_and(|looked_at| now.saturating_sub(looked_at) > longest);
         let mut known = std::mem::take(&mut self.heard_at);
         if was_paused {
             known.clear();
         }
         let mut untended = Vec::new();
-        for log in open {
+        for (log, timeout) in open {
             let heard_at = known.remove(&log).unwrap_or(now);
             if now.saturating_sub(heard_at) >= timeout {
                 untended.push(log.clone());
--- a/crates/ladderstage/tests/journal/rules.rs
+++ b/crates/ladderstage/tests/journal/rules.rs
@@ -295,6 +295,19 @@
     assert_eq!(table.untended(open(), at(162), timeout), [LOG]);
 }
 
+#[test]
+fn each_log_may_be_silent_for_a_time_of_its_own() {
+    let longest = Duration::from_secs(3);
+    let at = Duration::from_secs;
+    let open = || [("a".to_owned(), at(1)), ("b".to_owned(), longest)];
+    let mut table = HeartbeatTable::default();
+    assert!(table.silent(open(), at(100), longest).is_empty());
+    assert_eq!(table.silent(open(), at(101), longest), ["a"]);
+    table.touch("a", at(101));
+    assert!(table.silent(open(), at(101), longest).is_empty());
+    assert_eq!(table.silent(open(), at(103), longest), ["a", "b"]);
+}
+
 #[test]
 fn a_read_takes_the_newest_log_of_a_quorum() {
     let reply = |replica_id, round, entries: &[&str]| ReadLogReply {
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -5,6 +5,7 @@
 use std::thread::JoinHandle;
 use std::time::Instant;
 
+use ladderstage::ids::ProcessId;
 use ladderstage::journal::WriterEpoch;
 use ladderstage::journal::replica::LogState;
 use ladderstage_wire::messages::{
@@ -210,6 +211,15 @@
             .collect()
     }
 
+    /// As [`Storage::open_logs`], each with the process that its promised epoch belongs to.
+    pub fn open_logs_with_owners(&self, prefix: &str) -> Vec<(String, ProcessId)> {
+        let content = self.content();
+        logs_with_prefix(&content, prefix)
+            .filter(|(_, record)| record.state.needs_owner())
+            .map(|(log, record)| (log.clone(), record.state.promised.owner))
+            .collect()
+    }
+
     /// Describes the logs that start with `prefix`.
     pub fn describe_logs(&self, prefix: &str) -> DescribeLogsReply {
         let content = self.content();
