Move long texts to fast instances with others beside, and wait less for a first event

Change: the rest of a text of 24 events or more asks for what long items ask for; the first event is awaited for 20 times the typical pace, 1.1 s to 2.5 s.

--- a/crates/front/src/job/pace.rs
+++ b/crates/front/src/job/pace.rs
@@ -62,9 +62,10 @@
             return None;
         }
         let model = &context.spec.model;
+        let demand = rest_demand(partial.events());
         let other = context
             .backends
-            .choose(&context.service, model, Demand::Batch, |other| {
+            .choose(&context.service, model, demand, |other| {
                 other.id() != instance.id() && fits(context, partial, other)
             })?;
         let theirs = other
@@ -76,6 +77,16 @@
     }
 }
 
+/// What the rest of a text with `events` so far asks of an instance: one that has been long is likely to go on for long, and an
+/// idle slow instance is worse for it than a fast one with others beside.
+pub fn rest_demand(events: u64) -> Demand {
+    if events >= LONG_RUN_EVENTS {
+        Demand::LongBatch
+    } else {
+        Demand::Batch
+    }
+}
+
 /// Whether a run with `events` so far should go on where an event takes `theirs_ms` instead of `own_ms`. A run that has been
 /// long is likely to go on for about as long again; what that saves has to outweigh the move.
 pub fn pays_to_move(own_ms: f64, theirs_ms: f64, events: u64) -> bool {
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -9,11 +9,12 @@
 use ladderstage_wire::messages::{JobProgress, JobSpec};
 use tokio::sync::{mpsc, watch};
 
+use super::pace::rest_demand;
 use super::scoring::{ScoreEnd, score};
 use super::stream::follow_stream;
 use super::text::ItemText;
 use crate::backend::{
-    AnswerId, BackendTable, Demand, ExchangeError, Instance, LOADING_PAUSE, RequestHead, send,
+    AnswerId, BackendTable, ExchangeError, Instance, LOADING_PAUSE, RequestHead, send,
 };
 use crate::config::ConfigInForce;
 use crate::dialect::SharedCodec;
@@ -25,8 +26,15 @@
 /// How long a text of one weight version waits for an instance that still has it.
 const VERSION_WAIT: Duration = Duration::from_millis(500);
 
-/// Longest wait for the first event of a run.
-pub(super) const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(2_500);
+/// Longest wait for the first event of a run, where it is not known how fast events come.
+const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// The same in times between two events: a prompt is read in less than one, and an item that waits for a place for longer than so
+/// many is better off elsewhere.
+const FIRST_EVENT_PACES: f64 = 20.0;
+
+/// Shortest such wait: connecting again after a lost packet takes a second.
+const LEAST_FIRST_EVENT_LIMIT: Duration = Duration::from_millis(1_100);
 
 /// How long an instance whose weights proved too old is left out for that model.
 pub(super) const STALE_WEIGHTS_PAUSE: Duration = Duration::from_secs(1);
@@ -64,6 +72,26 @@
     pub begun: BegunVersions,
 }
 
+impl RunContext {
+    /// Longest wait for the first event of a run: a step bears a long item that begins anew once at an instance that hangs, if that is
+    /// noticed soon.
+    pub(super) fn first_event_limit(&self) -> Duration {
+        let typical_ms = self.backends.typical_pace(&self.service);
+        first_event_limit(typical_ms)
+    }
+}
+
+/// Longest wait for the first event of a run where events typically come each `typical_ms`.
+pub fn first_event_limit(typical_ms: Option<f64>) -> Duration {
+    let by_pace = typical_ms.and_then(|pace_ms| {
+        let seconds = pace_ms * FIRST_EVENT_PACES / 1e3;
+        Duration::try_from_secs_f64(seconds).ok()
+    });
+    by_pace.map_or(FIRST_EVENT_LIMIT, |limit| {
+        limit.clamp(LEAST_FIRST_EVENT_LIMIT, FIRST_EVENT_LIMIT)
+    })
+}
+
 /// The weight version of the first event of each text that is under way, by item. Cheap to clone.
 #[derive(Debug, Clone, Default)]
 pub struct BegunVersions {
@@ -340,16 +368,12 @@
     partial: &ItemText,
 ) -> Option<Arc<Instance>> {
     let backends = &context.backends;
+    let demand = rest_demand(partial.events());
     let choose = |exclude_last: bool| {
-        backends.choose(
-            &context.service,
-            &context.spec.model,
-            Demand::Batch,
-            |instance| {
-                let is_excluded = exclude_last && instance.id() == last.id();
-                !is_excluded && fits(context, partial, instance)
-            },
-        )
+        backends.choose(&context.service, &context.spec.model, demand, |instance| {
+            let is_excluded = exclude_last && instance.id() == last.id();
+            !is_excluded && fits(context, partial, instance)
+        })
     };
     choose(true).or_else(|| choose(false))
 }
@@ -389,7 +413,7 @@
         &attempt_id,
         AnswerId::Required,
     );
-    let reply = match tokio::time::timeout(FIRST_EVENT_LIMIT, sending).await {
+    let reply = match tokio::time::timeout(context.first_event_limit(), sending).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(error)) => return on_exchange_error(context, instance, &error),
         Err(_) => {
--- a/crates/front/src/job/starting.rs
+++ b/crates/front/src/job/starting.rs
@@ -6,6 +6,7 @@
 use ladderstage_wire::messages::JobSpec;
 
 use super::owner::Owner;
+use super::pace::rest_demand;
 use super::run::{RunContext, run_item};
 use super::text::ItemText;
 use crate::backend::{Demand, Instance};
@@ -57,7 +58,7 @@
             let demand = if is_long {
                 Demand::LongBatch
             } else {
-                Demand::Batch
+                rest_demand(kept.events())
             };
             let fits = |instance: &Instance| instance.version(&spec.model) >= spec.min_version;
             let backends = &self.context.backends;
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -8,7 +8,7 @@
 
 use super::events::{Event, EventParser};
 use super::pace::Pace;
-use super::run::{FIRST_EVENT_LIMIT, RunContext, RunEnd, STALE_WEIGHTS_PAUSE};
+use super::run::{RunContext, RunEnd, STALE_WEIGHTS_PAUSE};
 use super::text::ItemText;
 use crate::backend::{Instance, Reply, keep_alive};
 
@@ -35,7 +35,7 @@
     let mut pace = Pace::default();
     loop {
         let limit = if pace.events == 0 {
-            FIRST_EVENT_LIMIT
+            context.first_event_limit()
         } else {
             NEXT_EVENT_LIMIT
         };
--- a/crates/front/tests/pace.rs
+++ b/crates/front/tests/pace.rs
@@ -1,6 +1,7 @@
 //! When a run is moved to a faster instance.
 
-use ladderstage_front::job::pays_to_move;
+use ladderstage_front::backend::{Candidate, choose};
+use ladderstage_front::job::{first_event_limit, pays_to_move, rest_demand};
 
 #[test]
 fn a_slow_run_moves_where_that_saves_more_than_the_move_costs() {
@@ -16,3 +17,30 @@
     assert!(!pays_to_move(4.0, 1.0, 4));
     assert!(!pays_to_move(2.0, 1.0, 40));
 }
+
+/// Found in the logs of a day: of two free instances the rest of a long text got the idle one, which was a third slower, so that
+/// moving there did not pay, and the text stayed where it was.
+#[test]
+fn the_rest_of_a_long_text_goes_to_the_fastest_instance_with_room() {
+    let instance = |load, pace_ms| Candidate {
+        load,
+        slots: 8,
+        is_same_zone: true,
+        pace_ms: Some(pace_ms),
+    };
+    let idle_and_fast = [instance(0, 66.0), instance(5, 48.0), instance(1, 66.0)];
+    assert_eq!(choose(&idle_and_fast, rest_demand(4), 0), Some(0));
+    assert_eq!(choose(&idle_and_fast, rest_demand(24), 0), Some(1));
+    let full = [instance(0, 66.0), instance(8, 48.0), instance(1, 66.0)];
+    assert_eq!(choose(&full, rest_demand(24), 0), Some(0));
+}
+
+/// Found in the logs of a day: items of 6.3 s waited 2.5 s at an instance that hung, and their steps were late.
+#[test]
+fn the_first_event_is_awaited_for_about_as_long_as_it_takes() {
+    let wait_ms = |pace_ms| first_event_limit(pace_ms).as_millis();
+    assert_eq!(wait_ms(Some(47.0)), 1_100);
+    assert_eq!(wait_ms(Some(80.0)), 1_600);
+    assert_eq!(wait_ms(Some(900.0)), 2_500);
+    assert_eq!(wait_ms(None), 2_500);
+}
