--- a/crates/front/src/job/leftover.rs
+++ b/crates/front/src/job/leftover.rs
@@ -13,7 +13,8 @@
 use tokio::task::{AbortHandle, JoinSet};
 
 use super::owner::Owner;
-use super::run::{BegunVersions, RunContext, RunOutcome, SendWindow, run_item};
+use super::run::{RunOutcome, run_item};
+use super::run_context::{BegunVersions, RunContext, SendWindow};
 use super::shared::Job;
 use super::text::ItemText;
 use crate::backend::Demand;
--- a/crates/front/src/job/pace.rs
+++ b/crates/front/src/job/pace.rs
@@ -2,7 +2,8 @@
 
 use std::time::Instant;
 
-use super::run::{RunContext, fits};
+use super::run::fits;
+use super::run_context::RunContext;
 use super::text::ItemText;
 use crate::backend::{Demand, Instance};
 
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -1,23 +1,16 @@
 //! One item of a batch job: runs it as a stream, takes it up elsewhere when it is cut or slow, until it is whole.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
-use ladderstage_wire::messages::{JobProgress, JobSpec};
-use tokio::sync::{mpsc, watch};
 
+use super::run_context::RunContext;
 use super::scoring::{ScoreEnd, score};
 use super::stream::follow_stream;
 use super::text::ItemText;
-use crate::backend::{
-    AnswerId, BackendTable, Demand, ExchangeError, Instance, LOADING_PAUSE, RequestHead, send,
-};
-use crate::config::ConfigInForce;
-use crate::dialect::SharedCodec;
-use crate::metrics::Metrics;
+use crate::backend::{AnswerId, Demand, ExchangeError, Instance, LOADING_PAUSE, RequestHead, send};
 
 /// Pause before another instance is looked for when none has room.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(25);
@@ -25,119 +18,9 @@
 /// How long a text of one weight version waits for an instance that still has it.
 const VERSION_WAIT: Duration = Duration::from_millis(500);
 
-/// Longest wait for the first event of a run, where it is not known how fast events come.
-const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(2_500);
-
-/// The same in times between two events: a prompt is read in less than one, and an item that waits for a place for longer than so
-/// many is better off elsewhere.
-const FIRST_EVENT_PACES: f64 = 20.0;
-
-/// Shortest such wait: connecting again after a lost packet takes a second.
-const LEAST_FIRST_EVENT_LIMIT: Duration = Duration::from_millis(1_100);
-
 /// How long an instance whose weights proved too old is left out for that model.
 pub(super) const STALE_WEIGHTS_PAUSE: Duration = Duration::from_secs(1);
 
-/// What runs of a job share.
-#[derive(Clone)]
-pub struct RunContext {
-    /// Instances.
-    pub backends: BackendTable,
-    /// Names.
-    pub codec: SharedCodec,
-    /// Routes, of reward calls too.
-    pub config: ConfigInForce,
-    /// Counters.
-    pub metrics: Arc<Metrics>,
-    /// The job.
-    pub spec: Arc<JobSpec>,
-    /// Service that runs its items.
-    pub service: String,
-    /// How urgent its items are at instances.
-    pub rank: HeaderValue,
-    /// Failed attempts after which an item is given up.
-    pub max_attempts: u32,
-    /// Every text must come from one weight version.
-    pub single_version: bool,
-    /// When items are given up.
-    pub give_up_at: Option<Instant>,
-    /// Takes text that is to be kept.
-    pub progress: mpsc::UnboundedSender<JobProgress>,
-    /// Tells that another node, or a later job, is to go on.
-    pub stop: watch::Receiver<bool>,
-    /// When requests may still be sent for the items.
-    pub window: SendWindow,
-    /// Weight versions under which the texts of runs begin.
-    pub begun: BegunVersions,
-}
-
-impl RunContext {
-    /// Longest wait for the first event of a run: a step bears a long item that begins anew once at an instance that hangs, if that is
-    /// noticed soon.
-    pub(super) fn first_event_limit(&self) -> Duration {
-        let typical_ms = self.backends.typical_pace(&self.service);
-        first_event_limit(typical_ms)
-    }
-}
-
-/// Longest wait for the first event of a run where events typically come each `typical_ms`.
-pub fn first_event_limit(typical_ms: Option<f64>) -> Duration {
-    let by_pace = typical_ms.and_then(|pace_ms| {
-        let seconds = pace_ms * FIRST_EVENT_PACES / 1e3;
-        Duration::try_from_secs_f64(seconds).ok()
-    });
-    by_pace.map_or(FIRST_EVENT_LIMIT, |limit| {
-        limit.clamp(LEAST_FIRST_EVENT_LIMIT, FIRST_EVENT_LIMIT)
-    })
-}
-
-/// The weight version of the first event of each text that is under way, by item. Cheap to clone.
-#[derive(Debug, Clone, Default)]
-pub struct BegunVersions {
-    versions: Arc<Mutex<HashMap<usize, u64>>>,
-}
-
-impl BegunVersions {
-    /// Notes the version that made an event; the first counts.
-    pub fn note(&self, index: usize, version: u64) {
-        self.lock().entry(index).or_insert(version);
-    }
-
-    /// Forgets an item, whose text begins anew.
-    pub fn forget(&self, index: usize) {
-        self.lock().remove(&index);
-    }
-
-    /// The version under which an item's text began; `None` before its first event.
-    pub fn get(&self, index: usize) -> Option<u64> {
-        self.lock().get(&index).copied()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<usize, u64>> {
-        self.versions
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner())
-    }
-}
-
-/// Until when requests may be sent for the items of a job: always while it is open, and for a short time after its end.
-#[derive(Debug, Clone, Default)]
-pub struct SendWindow {
-    closes_at: Arc<OnceLock<Instant>>,
-}
-
-impl SendWindow {
-    /// Sends end at `at`; only the first call counts.
-    pub fn close_at(&self, at: Instant) {
-        let _ = self.closes_at.set(at);
-    }
-
-    /// Whether a request may be sent now.
-    pub fn is_open(&self) -> bool {
-        self.closes_at.get().is_none_or(|at| Instant::now() < *at)
-    }
-}
-
 /// How one run at one instance ended.
 pub(super) enum RunEnd {
     Complete,
--- a/crates/front/src/job/scoring.rs
+++ b/crates/front/src/job/scoring.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 use ladderstage_wire::messages::RewardCall;
 
-use super::run::RunContext;
+use super::run_context::RunContext;
 use crate::backend::{AnswerId, Demand, ExchangeError, Instance, RequestHead, send};
 use crate::config::Route;
 
--- a/crates/front/src/job/starting.rs
+++ b/crates/front/src/job/starting.rs
@@ -7,7 +7,8 @@
 
 use super::owner::Owner;
 use super::pace::rest_demand;
-use super::run::{RunContext, run_item};
+use super::run::run_item;
+use super::run_context::RunContext;
 use super::text::ItemText;
 use crate::backend::{Demand, Instance};
 use crate::config::Route;
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -8,7 +8,8 @@
 
 use super::events::{Event, EventParser};
 use super::pace::Pace;
-use super::run::{RunContext, RunEnd, STALE_WEIGHTS_PAUSE};
+use super::run::{RunEnd, STALE_WEIGHTS_PAUSE};
+use super::run_context::RunContext;
 use super::text::ItemText;
 use crate::backend::{Instance, Reply, keep_alive};
 
