Copy to a new replica only what it lacks, from the near ones first

Change: the newcomer names the logs that it holds with their epochs and lengths; copies of logs that are as new come without entries, with their promises only, and an import never takes such a copy for a log. Replicas of its own zone are asked first, so that the whole copy crosses no zone where there is one. Ruled out: asking for descriptions and single logs (one call a log).

--- a/crates/journal/src/replica.rs
+++ b/crates/journal/src/replica.rs
@@ -1,17 +1,19 @@
 //! The replica's side: answers journal messages from this node's data folder.
 
+use std::collections::HashMap;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use ladderstage::ids::ProcessId;
 use ladderstage::journal::heartbeat::HeartbeatTable;
+use ladderstage::journal::replica;
 use ladderstage_storage::{Storage, StorageError};
 use ladderstage_wire::messages::mod_Refused::Reason;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
-    Append, DescribeLogs, Done, ExportLogs, FenceReplicaSet, ImportLogs, Install, OwnerHeartbeat,
-    OwnerHeartbeatReply, ReadLog, Refused, Response, Seal,
+    Append, DescribeLogs, Done, ExportLogs, ExportLogsReply, FenceReplicaSet, ImportLogs, Install,
+    KnownLog, OwnerHeartbeat, OwnerHeartbeatReply, ReadLog, Refused, Response, Seal,
 };
 
 use super::hooks::HookSlot;
@@ -145,7 +147,10 @@
             return refused(Reason::NOT_READY, "not fenced for that replica set yet");
         }
         let limit = request.limit.clamp(1, MAX_EXPORTED_LOGS) as usize;
-        let result = storage.export_logs(&request.after, limit).await;
+        let mut result = storage.export_logs(&request.after, limit).await;
+        if let Ok(page) = &mut result {
+            leave_out_known(page, &request.known);
+        }
         respond(result, ResponseKind::export_logs)
     }
 
@@ -230,6 +235,17 @@
     }
 }
 
+/// Leaves out what the asker has from another replica: copies of whole logs from each of a majority would be most of what a
+/// replacement sends.
+fn leave_out_known(page: &mut ExportLogsReply, known: &[KnownLog]) {
+    let known: HashMap<&str, &KnownLog> = known.iter().map(|one| (one.log.as_str(), one)).collect();
+    for exported in &mut page.logs {
+        if let Some(known) = known.get(exported.log.as_str()) {
+            replica::leave_out_known(exported, known);
+        }
+    }
+}
+
 fn not_a_replica() -> Response {
     refused(Reason::NOT_A_REPLICA, "this node has no data folder")
 }
--- a/crates/journal/src/replica_set/copy.rs
+++ b/crates/journal/src/replica_set/copy.rs
@@ -22,6 +22,9 @@
 /// Logs in one page at most.
 const LOGS_PER_PAGE: u32 = 64;
 
+/// Logs held here that are named in the question for a page at most: some of them may not be among those of the page.
+const KNOWN_PER_PAGE: usize = 4 * LOGS_PER_PAGE as usize;
+
 /// Why a copy is not complete.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum CopyError {
@@ -66,6 +69,8 @@
 
 /// A copy to this node's data folder.
 pub(crate) struct LogCopy {
+    /// This node.
+    pub node: String,
     pub peers: Arc<dyn Peers>,
     pub storage: Storage,
 }
@@ -84,7 +89,7 @@
         let mut failures = Vec::new();
         let mut logs = 0;
         let mut needed = 0;
-        for member in &set.current {
+        for member in &self.near_first(&set.current) {
             if quorum.is_covered_by(&copied) {
                 break;
             }
@@ -153,6 +158,21 @@
         Ok(copied)
     }
 
+    /// Those in this node's zone first: the first copy is whole, and later ones bring only what it lacks.
+    fn near_first(&self, members: &[ReplicaMember]) -> Vec<ReplicaMember> {
+        let alive = self.peers.alive();
+        let zone_of = |node: &str| {
+            alive
+                .iter()
+                .find(|one| one.node == node)
+                .map(|one| &one.zone)
+        };
+        let own_zone = zone_of(&self.node);
+        let mut members = members.to_vec();
+        members.sort_by_key(|member| own_zone.is_none() || zone_of(&member.node) != own_zone);
+        members
+    }
+
     async fn copy_replica(
         &self,
         set: &ReplicaSet,
@@ -189,6 +209,7 @@
             replica_set_version: set.version,
             after: after.to_owned(),
             limit: LOGS_PER_PAGE,
+            known: self.storage.known_logs(after, KNOWN_PER_PAGE),
         });
         match self.call(member, request).await? {
             ResponseKind::export_logs(page) => Ok(page),
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -164,6 +164,7 @@
             return Ok(0);
         };
         let copy = LogCopy {
+            node: self.node.clone(),
             peers: Arc::clone(&self.peers),
             storage: storage.clone(),
         };
@@ -208,6 +209,7 @@
             return Ok(());
         };
         let copy = LogCopy {
+            node: self.node.clone(),
             peers: Arc::clone(&self.peers),
             storage: storage.clone(),
         };
--- a/crates/ladderstage/src/journal/replica.rs
+++ b/crates/ladderstage/src/journal/replica.rs
@@ -4,7 +4,9 @@
 //! stores first and answers only once that is durable.
 
 use ladderstage_wire::messages::mod_WriteReply::Outcome;
-use ladderstage_wire::messages::{Append, ExportedLog, Install, LogDescription, Seal, WriteReply};
+use ladderstage_wire::messages::{
+    Append, ExportedLog, Install, KnownLog, LogDescription, Seal, WriteReply,
+};
 
 use super::epoch::WriterEpoch;
 use super::quorum::ReplicaId;
@@ -185,12 +187,27 @@
     }
 }
 
+/// Whether a copy of a log takes the place of one of epoch `log_epoch` with `length` entries.
+fn is_newer(exported: &ExportedLog, log_epoch: WriterEpoch, retired: bool, length: u64) -> bool {
+    let exported_epoch = WriterEpoch::from(&exported.log_epoch);
+    (exported_epoch, exported.retired, exported.length) > (log_epoch, retired, length)
+}
+
+/// Leaves the entries out of a copy for a replica that holds the log as `known`, which is as new.
+pub fn leave_out_known(exported: &mut ExportedLog, known: &KnownLog) {
+    let log_epoch = WriterEpoch::from(&known.log_epoch);
+    if !is_newer(exported, log_epoch, known.retired, known.length) {
+        exported.entries.clear();
+    }
+}
+
 /// Takes in a log that was copied from another replica. Promises only rise, and an older copy changes nothing else.
 pub fn import(state: &LogState, exported: &ExportedLog) -> Decision {
     let log_epoch = WriterEpoch::from(&exported.log_epoch);
     let promised = WriterEpoch::from(&exported.promised).max(log_epoch);
-    let is_newer = (log_epoch, exported.retired, exported.length)
-        > (state.log_epoch, state.retired, state.length);
+    // Entries are left out where this replica said that it is as new: it never holds an older state than it told.
+    let is_whole = exported.retired || exported.entries.len() as u64 == exported.length;
+    let is_newer = is_whole && is_newer(exported, state.log_epoch, state.retired, state.length);
     let mut after = state.clone();
     if promised > state.promised {
         after.promised = promised;
--- a/crates/ladderstage/tests/journal/rules.rs
+++ b/crates/ladderstage/tests/journal/rules.rs
@@ -7,12 +7,12 @@
 use crate::support::{LOG, identity, quorum_of};
 use ladderstage::journal::heartbeat::HeartbeatTable;
 use ladderstage::journal::read::{LogRead, LogSurvey};
-use ladderstage::journal::replica::LogState;
+use ladderstage::journal::replica::{EntryChange, LogState, import, leave_out_known};
 use ladderstage::journal::writer::{LogWriterState, ReplicaWrite, SealProgress, Sealing};
 use ladderstage::journal::{EpochSource, Quorum, WriterEpoch};
 use ladderstage_wire::messages::{
-    DescribeLogsReply, LogDescription, LogEntry, OwnedLog, ReadLogReply, ReplicaMember, ReplicaSet,
-    SealReply,
+    DescribeLogsReply, ExportedLog, KnownLog, LogDescription, LogEntry, OwnedLog, ReadLogReply,
+    ReplicaMember, ReplicaSet, SealReply,
 };
 
 fn epoch(round: u64, owner: u64) -> WriterEpoch {
@@ -356,3 +356,39 @@
         );
     }
 }
+
+#[test]
+fn a_copy_leaves_out_what_the_asker_holds_and_never_takes_its_place() {
+    let exported = |round, entries: u64| ExportedLog {
+        log: LOG.to_owned(),
+        promised: epoch(9, 1).to_wire(),
+        log_epoch: epoch(round, 1).to_wire(),
+        length: entries,
+        entries: (0..entries).map(|_| LogEntry::default()).collect(),
+        ..ExportedLog::default()
+    };
+    let known = KnownLog {
+        log: LOG.to_owned(),
+        log_epoch: epoch(5, 1).to_wire(),
+        length: 2,
+        retired: false,
+    };
+    let state = LogState {
+        promised: epoch(5, 1),
+        log_epoch: epoch(5, 1),
+        length: 2,
+        ..LogState::default()
+    };
+    for (round, entries, is_newer) in [(5, 2, false), (4, 7, false), (5, 3, true), (6, 1, true)] {
+        let mut copy = exported(round, entries);
+        leave_out_known(&mut copy, &known);
+        assert_eq!(copy.entries.is_empty(), !is_newer, "{round} {entries}");
+        let decision = import(&state, &copy);
+        assert_eq!(decision.entries == EntryChange::Replace, is_newer);
+        assert_eq!(decision.state.promised, epoch(9, 1), "promises are copied");
+    }
+    let mut behind = exported(5, 2);
+    leave_out_known(&mut behind, &known);
+    let decision = import(&LogState::default(), &behind);
+    assert_eq!(decision.entries, EntryChange::Keep, "nothing is lost by it");
+}
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -1,5 +1,6 @@
 //! The handle through which a daemon uses its data folder.
 
+use std::ops::Bound;
 use std::path::Path;
 use std::sync::{Arc, Mutex, RwLock, RwLockReadGuard};
 use std::thread::JoinHandle;
@@ -9,8 +10,8 @@
 use ladderstage::journal::WriterEpoch;
 use ladderstage::journal::replica::LogState;
 use ladderstage_wire::messages::{
-    Append, DescribeLogsReply, ExportLogsReply, ExportedLog, Install, ReadLogReply, ReplicaSet,
-    Seal, SealReply, WriteReply,
+    Append, DescribeLogsReply, ExportLogsReply, ExportedLog, Install, KnownLog, ReadLogReply,
+    ReplicaSet, Seal, SealReply, WriteReply,
 };
 use redb::{Database, ReadableDatabase};
 use tokio::sync::{Semaphore, mpsc, oneshot};
@@ -220,6 +221,20 @@
             .collect()
     }
 
+    /// The first `limit` logs after the name `after`, as they are held here.
+    pub fn known_logs(&self, after: &str, limit: usize) -> Vec<KnownLog> {
+        let content = self.content();
+        let after = (Bound::Excluded(after), Bound::Unbounded);
+        let logs = content.logs.range::<str, _>(after).take(limit);
+        logs.map(|(log, record)| KnownLog {
+            log: log.clone(),
+            log_epoch: record.state.log_epoch.to_wire(),
+            length: record.state.length,
+            retired: record.state.retired,
+        })
+        .collect()
+    }
+
     /// Describes the logs that start with `prefix`.
     pub fn describe_logs(&self, prefix: &str) -> DescribeLogsReply {
         let content = self.content();
