Wait for the first load reports before the isolation test expects service

Change: the test waits until the daemon has served once; all that it asserted before is asserted as it was.

--- a/crates/bench/tests/isolation.rs
+++ b/crates/bench/tests/isolation.rs
@@ -39,6 +39,13 @@
     let cluster = Cluster::start_ready(&config()).await.unwrap();
     let daemon = &cluster.daemons[CUT_OFF];
     let url = daemon.url();
+    // A daemon is ready with its bundle, and has the engines' first load reports up to a second later.
+    until("first load reports", BOUND, async || {
+        let caller = Caller::new(&url);
+        let probe = caller.complete(MODEL_POOL, "first", TOKENS, false);
+        probe.await.is_ok()
+    })
+    .await;
     assert_serves(&url, "before").await;
     cut_off(&cluster);
     until("no new work taken", BOUND, async || {
--- a/crates/front/tests/roster.rs
+++ b/crates/front/tests/roster.rs
@@ -251,6 +251,21 @@
     (store, writer, reader)
 }
 
+/// The same with an instance, `i-9`, of a service that the roster leaves out.
+async fn fleet_with_labeler() -> (MemoryStore, Node, Node) {
+    let store = MemoryStore::default();
+    let labeler = Discovered {
+        service: "labeler".to_owned(),
+        ..instance("i-9")
+    };
+    write(&store, &instance("i-1"));
+    write(&store, &labeler);
+    let writer = Node::start_writer(&store, "writer");
+    let reader = Node::start(&store, "reader", options().reader_gather);
+    reader.rests().await;
+    (store, writer, reader)
+}
+
 fn leave(store: &MemoryStore, id: &str) {
     let leaving = Discovered {
         is_ready: false,
@@ -393,16 +408,7 @@
 /// Found by a day on which the store turned a front away that had just been handed a step: it knew no instance for 8 s.
 #[tokio::test(start_paused = true)]
 async fn a_front_that_is_turned_away_as_work_begins_uses_the_instances_it_knew() {
-    let store = MemoryStore::default();
-    let labeler = Discovered {
-        service: "labeler".to_owned(),
-        ..instance("i-9")
-    };
-    write(&store, &instance("i-1"));
-    write(&store, &labeler);
-    let _writer = Node::start_writer(&store, "writer");
-    let reader = Node::start(&store, "reader", options().reader_gather);
-    reader.rests().await;
+    let (store, _writer, reader) = fleet_with_labeler().await;
     assert!(!reader.view.is_usable(), "their records may be old");
     let turned_away = NodeFaults {
         refused_prefixes: [INSTANCES.to_owned(), ROSTER_KEY.to_owned()].into(),
@@ -417,16 +423,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn work_waits_for_the_records_of_instances_that_the_roster_does_not_name() {
-    let store = MemoryStore::default();
-    let labeler = Discovered {
-        service: "labeler".to_owned(),
-        ..instance("i-9")
-    };
-    write(&store, &instance("i-1"));
-    write(&store, &labeler);
-    let _writer = Node::start_writer(&store, "writer");
-    let reader = Node::start(&store, "reader", options().reader_gather);
-    reader.rests().await;
+    let (store, _writer, reader) = fleet_with_labeler().await;
     store.remove(&format!("{INSTANCES}i-9"));
     sleep(Duration::from_secs(5)).await;
     assert_eq!(reader.is_ready("i-9"), Some(true), "not heard of");
