Let a burst of loads lower their limit once

Change: a slow load that began before the limit was lowered last teaches nothing: it had those beside it that the limit was lowered for. The test was not run against the code before; the log shows what it did.

--- a/crates/front/src/orders/load_limit.rs
+++ b/crates/front/src/orders/load_limit.rs
@@ -41,6 +41,8 @@
     least_at: Option<Instant>,
     hold: Duration,
     held_until: Option<Instant>,
+    /// When the limit was lowered last.
+    lowered_at: Option<Instant>,
     /// What each of the latest loads shows that the link bears, as long as all of them were slow.
     shown: Vec<f64>,
     /// Loads slowed each other down before: the limit is near what the link bears.
@@ -70,6 +72,7 @@
             least_at: None,
             hold: FIRST_HOLD,
             held_until: None,
+            lowered_at: None,
             shown: Vec::new(),
             is_near: false,
             even_loads: 0,
@@ -120,9 +123,11 @@
         }
     }
 
-    /// A load with few others beside it is slow by itself and shows nothing.
+    /// A load with few others beside it is slow by itself and shows nothing. One that began before the limit was lowered last had
+    /// those beside it that the limit was lowered for: each burst of too many lowers it once.
     fn note_slow_load(&mut self, load: &FinishedLoad, least: Duration, now: Instant) {
-        if load.beside <= LEAST_LIMIT {
+        let began_before = |at: Instant| now.saturating_duration_since(at) < load.taken;
+        if load.beside <= LEAST_LIMIT || self.lowered_at.is_some_and(began_before) {
             return;
         }
         self.shown.push(load.link.borne(least));
@@ -137,6 +142,7 @@
         self.limit = (shown.round() as usize).clamp(LEAST_LIMIT, self.limit);
         self.is_near = true;
         self.even_loads = 0;
+        self.lowered_at = Some(now);
         if !self.is_held(now) {
             self.held_until = Some(now + self.hold);
             self.hold = (self.hold * 2).min(LONGEST_HOLD);
--- a/crates/front/tests/load_limit.rs
+++ b/crates/front/tests/load_limit.rs
@@ -223,3 +223,36 @@
     (0..3).for_each(|_| limit.note(&slow(true), now));
     assert!(limit.get() < 6, "loads that are known exactly do");
 }
+
+/// Found in the logs of two days: 25 loads had begun at once on a link that bears nine, and each three of them that ended lowered the
+/// limit again, to five.
+#[test]
+fn a_burst_of_too_many_loads_lowers_the_limit_once() {
+    let start = Instant::now();
+    let least = Duration::from_millis(900);
+    let mut limit = LoadLimit::from_learnt(25, least);
+    let mut link = LinkUse::default();
+    link.set_loads(25, start);
+    let burst = |taken_ms| {
+        let now = start + Duration::from_millis(taken_ms);
+        let load = FinishedLoad {
+            taken: now - start,
+            link: link.since(&LinkUse::default(), now),
+            beside: 25,
+            is_exact: true,
+        };
+        (load, now)
+    };
+    let limits: Vec<usize> = (0..25)
+        .map(|number| {
+            let (load, now) = burst(1_500 + 40 * number);
+            limit.note(&load, now);
+            limit.get()
+        })
+        .collect();
+    assert!(limits[2] < 25, "{limits:?}");
+    assert!(
+        limits[2..].iter().all(|one| *one == limits[2]),
+        "{limits:?}"
+    );
+}
