Ask the store for less at each of many nodes

Ruled out: relays of the store's word between fronts (what a front believes would hang on another one; more to build than these steps together); asking the store only when a request comes (no fewer calls at fronts that get requests).

Tests first failed where they concern what was there (calls of a weak front, stale listings, the wait).

--- a/crates/front/src/activity.rs
+++ b/crates/front/src/activity.rs
@@ -49,6 +49,16 @@
         self.wait_for(false).await;
     }
 
+    /// Returns once there has been no work for `rest`.
+    pub async fn rested(&self, rest: Duration) {
+        loop {
+            self.idle().await;
+            if tokio::time::timeout(rest, self.active()).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Passes `busy` while work is under way, and up to `idle`, the longer time, while none is.
     pub async fn pause(&self, busy: Duration, idle: Duration) {
         tokio::time::sleep(busy).await;
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
 
@@ -17,6 +17,10 @@
     changed: watch::Sender<u64>,
     /// Changes when an instance comes or goes, or anything but its weights changes.
     membership: watch::Sender<u64>,
+    /// Whether any instance was ever told of.
+    is_fed: watch::Sender<bool>,
+    /// Whether a request came before that.
+    is_wanted: watch::Sender<bool>,
 }
 
 impl BackendTable {
@@ -27,6 +31,8 @@
             instances: Arc::default(),
             changed: watch::Sender::new(0),
             membership: watch::Sender::new(0),
+            is_fed: watch::Sender::new(false),
+            is_wanted: watch::Sender::new(false),
         }
     }
 
@@ -61,12 +67,32 @@
             }
         }
         drop(instances);
+        self.is_fed
+            .send_if_modified(|is_fed| !std::mem::replace(is_fed, true));
         if !is_same {
             self.membership.send_modify(|count| *count += 1);
         }
         self.notify();
     }
 
+    /// Asks for instances if none was ever told of, and waits for the first one, `longest` at most.
+    pub async fn first_fed(&self, longest: Duration) {
+        if *self.is_fed.borrow() {
+            return;
+        }
+        self.is_wanted.send_replace(true);
+        let mut is_fed = self.is_fed.subscribe();
+        // Whether it came in time shows when an instance is chosen.
+        let _ = tokio::time::timeout(longest, is_fed.wait_for(|is_fed| *is_fed)).await;
+    }
+
+    /// Returns once somebody asked for instances before the first one was told of.
+    pub async fn wanted(&self) {
+        let mut is_wanted = self.is_wanted.subscribe();
+        // The sender lives as long as this table.
+        let _ = is_wanted.wait_for(|is_wanted| *is_wanted).await;
+    }
+
     /// Forgets an instance that is gone; requests under way there go on.
     pub fn remove(&self, id: &str) {
         if let Some(instance) = self.lock().remove(id) {
--- a/crates/front/src/coordination.rs
+++ b/crates/front/src/coordination.rs
@@ -93,9 +93,27 @@
     /// The record at `key`.
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Record>, CoordinationError>>;
 
+    /// The record at `key` as it is, or was some seconds ago: a stale read, for a tenth of the price of the other where the store
+    /// offers it.
+    fn get_stale<'a>(
+        &'a self,
+        key: &'a str,
+    ) -> BoxFuture<'a, Result<Option<Record>, CoordinationError>> {
+        self.get(key)
+    }
+
     /// All records under `prefix`.
     fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Listing, CoordinationError>>;
 
+    /// As [`Coordination::list`], as of a revision that may be some seconds old: a stale read. A watch from there tells what came
+    /// since.
+    fn list_stale<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> BoxFuture<'a, Result<Listing, CoordinationError>> {
+        self.list(prefix)
+    }
+
     /// Waits for changes under `prefix` after revision `after`.
     fn watch<'a>(
         &'a self,
--- a/crates/front/src/coordination/following.rs
+++ b/crates/front/src/coordination/following.rs
@@ -25,6 +25,12 @@
     /// The store does not answer: what was told may be old.
     fn lost(&mut self) {}
 
+    /// Whether the first listing may be a stale read. The watch from its revision begins at once and tells what came since; until
+    /// that is answered, or waits, what was told is as old as that read.
+    fn may_begin_stale(&self) -> bool {
+        false
+    }
+
     /// A watch is given up after this long and begun anew: its answer may have been lost without a sign.
     fn longest_watch(&self) -> Duration {
         Duration::MAX
@@ -52,9 +58,14 @@
     fn take(&mut self, update: Update, _at: u64) {
         (self.on_update)(update);
     }
+
+    fn may_begin_stale(&self) -> bool {
+        true
+    }
 }
 
-/// Follows all records under `prefix` for as long as the future is polled. `gather` passes between two answers.
+/// Follows all records under `prefix` for as long as the future is polled, from a stale listing on. `gather` passes between two
+/// answers.
 pub async fn follow(
     coordination: Arc<dyn Coordination>,
     prefix: &str,
@@ -73,8 +84,11 @@
 ) {
     let mut after = None;
     let mut is_lost = false;
+    // What is listed once more, as history is gone, must not be older than what was told before.
+    let mut may_be_stale = follower.may_begin_stale();
     loop {
         let result = match after {
+            None if may_be_stale => list_stale(coordination.as_ref(), prefix, follower).await,
             None => list(coordination.as_ref(), prefix, follower).await,
             Some(at) => watch(coordination.as_ref(), prefix, at, follower).await,
         };
@@ -84,6 +98,10 @@
                 log::info!("event=history_gone prefix={prefix}");
                 after = None;
             }
+            Ok(Next::WatchAtOnce { at }) => {
+                after = Some(at);
+                may_be_stale = false;
+            }
             Ok(Next::WatchAgain) => {}
             Ok(Next::Watch { at }) => {
                 after = Some(at);
@@ -110,6 +128,8 @@
 enum Next {
     /// After a pause, with a watch from a revision.
     Watch { at: u64 },
+    /// At once, with a watch from a revision.
+    WatchAtOnce { at: u64 },
     /// At once, with the same watch.
     WatchAgain,
     /// At once, with a listing.
@@ -126,6 +146,16 @@
     Ok(Next::Watch { at: listing.at })
 }
 
+async fn list_stale(
+    coordination: &dyn Coordination,
+    prefix: &str,
+    follower: &mut impl Follower,
+) -> Result<Next, CoordinationError> {
+    let listing = coordination.list_stale(prefix).await?;
+    follower.take(Update::Snapshot(listing.records), listing.at);
+    Ok(Next::WatchAtOnce { at: listing.at })
+}
+
 async fn watch(
     coordination: &dyn Coordination,
     prefix: &str,
--- a/crates/front/src/coordination/observed.rs
+++ b/crates/front/src/coordination/observed.rs
@@ -150,10 +150,24 @@
         Box::pin(self.call("get", self.store.get(key)))
     }
 
+    fn get_stale<'a>(
+        &'a self,
+        key: &'a str,
+    ) -> BoxFuture<'a, Result<Option<Record>, CoordinationError>> {
+        Box::pin(self.call("get_stale", self.store.get_stale(key)))
+    }
+
     fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Listing, CoordinationError>> {
         Box::pin(self.call("list", self.store.list(prefix)))
     }
 
+    fn list_stale<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> BoxFuture<'a, Result<Listing, CoordinationError>> {
+        Box::pin(self.call("list_stale", self.store.list_stale(prefix)))
+    }
+
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -25,6 +25,9 @@
 /// A second instance is asked after this share of the target latency, where requests may run twice.
 const HEDGE_SHARE: f64 = 0.6;
 
+/// How long a request waits for the first instances at a node that has just started: a listing takes some tens of milliseconds.
+const FIRST_INSTANCES_WAIT: Duration = Duration::from_millis(300);
+
 /// Time that the client's own path takes, kept back from what instances are told.
 const RETURN_MARGIN: Duration = Duration::from_millis(10);
 
@@ -131,6 +134,7 @@
         limit: Instant,
         progress: &mut Progress,
     ) -> LiveAnswer {
+        self.backends.first_fed(FIRST_INSTANCES_WAIT).await;
         let service = route.pick_service(rand::random());
         let mut under_way = FuturesUnordered::new();
         let mut hedge_at = Instant::now();
--- a/crates/front/src/nodes.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -1,4 +1,9 @@
-//! The nodes of the system: each keeps a leased record of itself, and all follow the records.
+//! The nodes of the system: each keeps a leased record of itself, and learns of the others' records.
+//!
+//! Nodes that work with others follow the records closely ([`following`]); the many without such work read them now and then.
+
+mod following;
+mod registration;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -14,40 +19,17 @@
 use tokio::sync::watch;
 
 use crate::activity::Activity;
-use crate::coordination::{
-    Change, Coordination, CoordinationError, Follower, LeaseId, Update, follow_with,
-};
+use crate::coordination::{Change, Coordination, CoordinationError, Record, Update};
 
 /// Where the records are.
 const NODE_PREFIX: &str = "ladderstage/node/";
 
-/// How long a record outlives its node.
-const NODE_LEASE: Duration = Duration::from_secs(3);
-
-/// Renewals per lease time.
-const RENEWALS_PER_LEASE: u32 = 3;
-
-/// Pause after a failed renewal or registration.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
-
-/// Between two answers of the watch at a node that works with others: one with a disk, a job, or the right to give orders. A node
-/// that is gone is missed only once its lease is over, three times as late.
-const GATHER: Duration = Duration::from_secs(1);
-
-/// The same while nodes start, and after a call that did not reach its node.
-const CLOSE_GATHER: Duration = Duration::from_millis(400);
-
-/// The same at all others. Restarts come in turn, and each changes its node's record three times: with many nodes the answers
-/// about that are most of the calls to the store, and each has its price. Well under the history that stores keep. A call that
-/// does not reach its node ends the pause.
-const IDLE_GATHER: Duration = Duration::from_secs(8);
-
-/// For so long after its start a node follows closely: the others may have started with it.
-const STARTING_TIME: Duration = Duration::from_secs(2);
-
 /// A record that went while the store had trouble may come back: its node counts for this long.
 const GONE_GRACE: Duration = Duration::from_millis(400);
 
+/// So many news of one answer get a line each; of more, as at the start of a fleet, their number is told.
+const MOST_NEWS_LINES: usize = 16;
+
 /// What a node does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -88,6 +70,10 @@
     /// When each node's present process was first heard of.
     seen_since: BTreeMap<String, Instant>,
     gone_at: BTreeMap<String, Instant>,
+    /// Revision of the store as of which all this is known.
+    at: u64,
+    /// When the last reading that was not stale was taken.
+    read_at: Option<Instant>,
 }
 
 /// All nodes as last heard of, and calls to them. Cheap to clone.
@@ -102,35 +88,6 @@
     unreached: watch::Sender<u64>,
 }
 
-/// Follows the nodes' records: closely while there is work with other nodes.
-struct NodeFollower<'a> {
-    nodes: &'a Nodes,
-    activity: &'a Activity,
-    started: tokio::time::Instant,
-}
-
-impl Follower for NodeFollower<'_> {
-    async fn pause(&self) {
-        if self.started.elapsed() < STARTING_TIME {
-            return tokio::time::sleep(CLOSE_GATHER).await;
-        }
-        let mut unreached = self.nodes.unreached.subscribe();
-        let in_doubt = async {
-            // The sender lives as long as this node.
-            let _ = unreached.changed().await;
-            tokio::time::sleep(CLOSE_GATHER).await;
-        };
-        tokio::select! {
-            () = self.activity.pause(GATHER, IDLE_GATHER) => {}
-            () = in_doubt => {}
-        }
-    }
-
-    fn take(&mut self, update: Update, _at: u64) {
-        self.nodes.take(update);
-    }
-}
-
 impl Nodes {
     /// Knows only this node so far.
     pub fn new(own: NodeRecord) -> Self {
@@ -144,16 +101,38 @@
         }
     }
 
-    /// Keeps this node's record and follows all others, for as long as the future is polled: closely while `activity` says that
+    /// Keeps this node's record and learns of all others, for as long as the future is polled: closely while `activity` says that
     /// there is work with them.
     pub async fn run(&self, coordination: Arc<dyn Coordination>, activity: &Activity) {
-        let mut follower = NodeFollower {
-            nodes: self,
-            activity,
-            started: tokio::time::Instant::now(),
-        };
-        let following = follow_with(Arc::clone(&coordination), NODE_PREFIX, &mut follower);
-        tokio::join!(following, self.keep_registered(&coordination));
+        tokio::join!(
+            following::run(self, &coordination, activity),
+            registration::keep(self, &coordination, activity)
+        );
+    }
+
+    /// Reads all records now, if they were not read for `age`.
+    ///
+    /// # Errors
+    /// When the store did not answer.
+    pub async fn refresh(
+        &self,
+        coordination: &dyn Coordination,
+        age: Duration,
+    ) -> Result<(), CoordinationError> {
+        let read_at = lock(&self.known).read_at;
+        if read_at.is_some_and(|at| at.elapsed() < age) {
+            return Ok(());
+        }
+        let listing = coordination.list(NODE_PREFIX).await?;
+        self.take(Update::Snapshot(listing.records), listing.at);
+        Ok(())
+    }
+
+    /// Whether this node is one of the fronts with the most processor time among those that are known.
+    fn is_strongest(&self) -> bool {
+        let own = self.own().node;
+        let strongest = strongest(self.with_role(NodeRole::Front));
+        strongest.iter().any(|record| record.node == own)
     }
 
     /// When the store last answered this node; `None`: never.
@@ -203,95 +182,34 @@
         found
     }
 
-    async fn keep_registered(&self, coordination: &Arc<dyn Coordination>) {
-        loop {
-            match self.register(coordination).await {
-                Ok(lease) => {
-                    log::info!(
-                        "event=node_registered node={} lease={lease}",
-                        self.own().node
-                    );
-                    self.renew_until_over(coordination, lease).await;
-                    log::warn!(
-                        "event=node_lease_over node={} lease={lease}",
-                        self.own().node
-                    );
-                }
-                Err(error) => {
-                    log::warn!("event=node_not_registered cause=\"{error}\"");
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    async fn register(
-        &self,
-        coordination: &Arc<dyn Coordination>,
-    ) -> Result<LeaseId, CoordinationError> {
-        let lease = coordination.grant(NODE_LEASE).await?;
-        self.write_record(coordination, lease).await?;
-        self.note_contact();
-        Ok(lease)
-    }
-
-    async fn write_record(
-        &self,
-        coordination: &Arc<dyn Coordination>,
-        lease: LeaseId,
-    ) -> Result<(), CoordinationError> {
-        let own = self.own();
-        let value = serde_json::to_vec(&own).unwrap_or_default();
-        let key = format!("{NODE_PREFIX}{}", own.node);
-        coordination.put(&key, value, Some(lease)).await
-    }
-
-    /// Returns once the lease is over.
-    async fn renew_until_over(&self, coordination: &Arc<dyn Coordination>, lease: LeaseId) {
-        let mut own_changed = self.own_changed.subscribe();
-        loop {
-            tokio::select! {
-                () = tokio::time::sleep(NODE_LEASE / RENEWALS_PER_LEASE) => {}
-                _ = own_changed.changed() => {
-                    if self.write_record(coordination, lease).await.is_err() {
-                        return;
-                    }
-                }
-            }
-            match coordination.renew(lease).await {
-                Ok(()) => self.note_contact(),
-                Err(CoordinationError::LeaseOver) => return,
-                Err(error) => {
-                    log::warn!("event=node_lease_not_renewed cause=\"{error}\"");
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                }
-            }
-        }
+    /// Whether any other front is known.
+    fn knows_others(&self) -> bool {
+        let own = self.own().node;
+        lock(&self.known)
+            .records
+            .values()
+            .any(|record| record.role == NodeRole::Front && record.node != own)
     }
 
     fn note_contact(&self) {
         self.contact.send_replace(Some(Instant::now()));
     }
 
-    fn take(&self, update: Update) {
+    /// Takes what the store tells as of its revision `at`; what is older than what is known here changes nothing.
+    fn take(&self, update: Update, at: u64) {
         let mut known = lock(&self.known);
+        if at < known.at {
+            log::debug!("event=nodes_older at={at} known={}", known.at);
+            return;
+        }
+        known.at = at;
+        known.read_at = Some(Instant::now());
         match update {
-            Update::Snapshot(records) => {
-                let kept: BTreeSet<String> = records
-                    .iter()
-                    .filter_map(|record| record.key.strip_prefix(NODE_PREFIX))
-                    .map(str::to_owned)
-                    .collect();
-                let present = known.present.clone();
-                present
-                    .difference(&kept)
-                    .for_each(|node| known.remove(node));
-                records
-                    .iter()
-                    .for_each(|record| known.insert(&record.value));
-            }
+            Update::Snapshot(records) => known.take_all(&records),
             Update::Changes(changes) => changes.into_iter().for_each(|change| match change {
-                Change::Written(record) => known.insert(&record.value),
+                Change::Written(record) => {
+                    known.insert(&record.value, true);
+                }
                 Change::Removed { key } => {
                     known.remove(key.strip_prefix(NODE_PREFIX).unwrap_or_default());
                 }
@@ -299,6 +217,13 @@
         }
     }
 
+    /// As [`Nodes::take`], of a stale read.
+    fn take_stale(&self, records: Vec<Record>, at: u64) {
+        let read_at = lock(&self.known).read_at;
+        self.take(Update::Snapshot(records), at);
+        lock(&self.known).read_at = read_at;
+    }
+
     fn address(&self, node: &str) -> Option<SocketAddr> {
         lock(&self.known)
             .records
@@ -308,7 +233,36 @@
 }
 
 impl Known {
-    fn insert(&mut self, value: &[u8]) {
+    /// Takes all records that there are: nodes without one are gone.
+    fn take_all(&mut self, records: &[Record]) {
+        let kept: BTreeSet<&str> = records
+            .iter()
+            .filter_map(|record| record.key.strip_prefix(NODE_PREFIX))
+            .collect();
+        let present = self.present.iter();
+        let gone: Vec<String> = present
+            .filter(|node| !kept.contains(node.as_str()))
+            .cloned()
+            .collect();
+        gone.iter().for_each(|node| self.remove(node));
+        let is_news = |record: &&Record| self.is_news(&record.value);
+        let news = records.iter().filter(is_news).count();
+        let has_lines = news <= MOST_NEWS_LINES;
+        if !has_lines {
+            log::info!("event=nodes_seen count={news} of={}", records.len());
+        }
+        records
+            .iter()
+            .for_each(|record| self.insert(&record.value, has_lines));
+    }
+
+    fn is_news(&self, value: &[u8]) -> bool {
+        let record = serde_json::from_slice::<NodeRecord>(value);
+        record.is_ok_and(|record| self.records.get(&record.node) != Some(&record))
+    }
+
+    /// `has_line`: whether news of it are logged.
+    fn insert(&mut self, value: &[u8], has_line: bool) {
         let Ok(record) = serde_json::from_slice::<NodeRecord>(value) else {
             log::warn!("event=node_record_unreadable");
             return;
@@ -318,7 +272,7 @@
         if known_process != Some(record.process) {
             self.seen_since.insert(node.clone(), Instant::now());
         }
-        if self.records.get(&node) != Some(&record) {
+        if has_line && self.records.get(&node) != Some(&record) {
             log::info!(
                 "event=node_seen node={node} process={} address={} replica_id={} leaving={}",
                 record.process,
--- a/crates/front/src/roster/mod.rs
+++ b/crates/front/src/roster/mod.rs
@@ -17,7 +17,7 @@
 mod view;
 mod writer;
 
-pub use options::RosterOptions;
+pub use options::{FIRST_START_WAIT, RESTART_WAIT, RosterOptions};
 pub use reader::{DirectSource, RosterReader};
 pub use record::Roster;
 pub use view::DirectView;
--- a/crates/front/src/roster/options.rs
+++ b/crates/front/src/roster/options.rs
@@ -16,6 +16,13 @@
 /// each idle front about half a call a second; on a small fleet nearly every front has work.
 const LEAST_FRONTS: usize = 16;
 
+/// How long a node of a system that starts for the first time waits for a roster: it is written once the instances have settled, 7 s
+/// after the start at most (`writer`), and the giver of orders has its lease.
+pub const FIRST_START_WAIT: Duration = Duration::from_secs(8);
+
+/// The same for a node that is started again: a roster that is there is known with the first answer of the store.
+pub const RESTART_WAIT: Duration = Duration::from_millis(500);
+
 /// When there is a roster, and its times.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RosterOptions {
--- a/crates/front/src/roster/reader.rs
+++ b/crates/front/src/roster/reader.rs
@@ -36,6 +36,8 @@
     pub activity: Activity,
     /// `None`: the notice time is too short for a roster.
     pub options: Option<RosterOptions>,
+    /// How long a node that has just started waits for a roster before it follows discovery.
+    pub first_wait: Duration,
     /// Discovery.
     pub source: S,
 }
@@ -59,30 +61,48 @@
     }
 
     async fn feed(&self, known: &KnownRoster) {
+        if self.begins_by_roster(known).await {
+            self.go_by_roster(known).await;
+        }
         loop {
             tokio::select! {
                 () = self.source.follow(&self.view) => return,
                 () = self.may_rest(known) => {}
             }
             self.view.note_resting();
-            log::info!("event=instances_by_roster");
-            self.follow_roster(known).await;
-            log::info!(
-                "event=instances_by_discovery working={}",
-                self.activity.is_active()
-            );
+            self.go_by_roster(known).await;
+        }
+    }
+
+    /// Waits for a roster at the start, until work begins or a request needs instances. A fleet whose nodes all list discovery as they
+    /// start, and hear of each instance that starts beside them, pays for that many times.
+    async fn begins_by_roster(&self, known: &KnownRoster) -> bool {
+        if self.first_wait.is_zero() {
+            return false;
+        }
+        let mut known = known.subscribe();
+        tokio::select! {
+            _ = known.wait_for(|roster| roster.as_ref().is_some_and(|one| self.covers_config(one))) => true,
+            () = tokio::time::sleep(self.first_wait) => false,
+            () = self.activity.active() => false,
+            () = self.backends.wanted() => false,
         }
     }
 
+    async fn go_by_roster(&self, known: &KnownRoster) {
+        log::info!("event=instances_by_roster");
+        self.follow_roster(known).await;
+        log::info!(
+            "event=instances_by_discovery working={}",
+            self.activity.is_active()
+        );
+    }
+
     /// Returns once there has been no work for a while and the roster is as good as what is known from discovery.
     async fn may_rest(&self, known: &KnownRoster) {
         loop {
             if self.activity.is_active() {
-                self.activity.idle().await;
-                let worked_again = tokio::time::timeout(REST_AFTER_WORK, self.activity.active());
-                if worked_again.await.is_ok() {
-                    continue;
-                }
+                self.activity.rested(REST_AFTER_WORK).await;
             }
             tokio::select! {
                 () = self.roster_is_as_new(known) => return,
@@ -160,6 +180,11 @@
 }
 
 impl Follower for RosterFollower<'_> {
+    /// A node that has just started trusts a roster that is some seconds old for as long as the watch takes.
+    fn may_begin_stale(&self) -> bool {
+        true
+    }
+
     fn pause(&self) -> impl Future<Output = ()> + Send {
         tokio::time::sleep(self.gather)
     }
--- a/crates/front/src/set_records.rs
+++ b/crates/front/src/set_records.rs
@@ -7,7 +7,7 @@
 use ladderstage_wire::messages::{ReplicaMember, ReplicaSet};
 use ladderstage_wire::{decode, encode};
 
-use crate::coordination::{Coordination, CoordinationError, SwapResult};
+use crate::coordination::{Coordination, CoordinationError, Record, SwapResult};
 use crate::nodes::{NodeRole, Nodes};
 
 /// The record of the set in force.
@@ -25,17 +25,26 @@
     RecordError::Service(error.to_string())
 }
 
+/// What a read of the record found.
+fn recorded(
+    found: Result<Option<Record>, CoordinationError>,
+) -> Result<Option<RecordedSet>, RecordError> {
+    let Some(record) = found.map_err(failed)? else {
+        return Ok(None);
+    };
+    Ok(Some(RecordedSet {
+        set: decode(&record.value)?,
+        mod_revision: record.revision,
+    }))
+}
+
 impl SetRecords for CoordinatedSetRecords {
     fn read(&self) -> BoxFuture<'_, Result<Option<RecordedSet>, RecordError>> {
-        Box::pin(async move {
-            let Some(record) = self.coordination.get(SET_KEY).await.map_err(failed)? else {
-                return Ok(None);
-            };
-            Ok(Some(RecordedSet {
-                set: decode(&record.value)?,
-                mod_revision: record.revision,
-            }))
-        })
+        Box::pin(async move { recorded(self.coordination.get(SET_KEY).await) })
+    }
+
+    fn read_stale(&self) -> BoxFuture<'_, Result<Option<RecordedSet>, RecordError>> {
+        Box::pin(async move { recorded(self.coordination.get_stale(SET_KEY).await) })
     }
 
     fn swap(
--- a/crates/front/tests/roster.rs
+++ b/crates/front/tests/roster.rs
@@ -157,6 +157,16 @@
 
 impl Node {
     fn start(store: &MemoryStore, name: &str, gather: Duration) -> Self {
+        Self::start_waiting(store, name, gather, Duration::ZERO)
+    }
+
+    /// As [`Node::start`]; `first_wait`: for so long the node waits for a roster first.
+    fn start_waiting(
+        store: &MemoryStore,
+        name: &str,
+        gather: Duration,
+        first_wait: Duration,
+    ) -> Self {
         let coordination = store.of(name);
         let backends = BackendTable::new("a");
         let config = ConfigInForce::default();
@@ -170,6 +180,7 @@
             view: view.clone(),
             activity: activity.clone(),
             options: Some(options()),
+            first_wait,
             source: InstanceRecords {
                 coordination: Arc::new(coordination.clone()),
                 backends: backends.clone(),
@@ -493,6 +504,49 @@
     assert!(reader.view.known_at().is_some(), "follows discovery");
 }
 
+/// Found by counting the calls of a calm day of 250 fronts: all listed discovery as they started, and heard of each instance that
+/// started beside them.
+#[tokio::test(start_paused = true)]
+async fn a_front_that_starts_beside_the_giver_waits_for_its_roster() {
+    let store = MemoryStore::default();
+    write(&store, &instance("i-1"));
+    let reader = Node::start_waiting(
+        &store,
+        "reader",
+        options().reader_gather,
+        Duration::from_secs(8),
+    );
+    let _writer = Node::start_writer(&store, "writer");
+    sleep(Duration::from_secs(7)).await;
+    assert_eq!(reader.is_ready("i-1"), Some(true));
+    assert_eq!(store.calls("reader", "list", INSTANCES), 0);
+    leave(&store, "i-1");
+    let taken = reader.hears_that_it_leaves("i-1").await;
+    assert!(taken <= options().longest() + CALLS, "{taken:?}");
+    assert_eq!(store.calls("reader", "list", INSTANCES), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_front_without_a_roster_follows_discovery_once_a_request_comes_or_the_wait_is_over() {
+    for (asked_after, known_after) in [(Some(3_000), 3_100), (None, 8_100)] {
+        let store = MemoryStore::default();
+        write(&store, &instance("i-1"));
+        let wait = Duration::from_secs(8);
+        let reader = Node::start_waiting(&store, "reader", options().reader_gather, wait);
+        let asking = async {
+            if let Some(asked_after) = asked_after {
+                sleep(Duration::from_millis(asked_after)).await;
+                reader.backends.first_fed(Duration::from_millis(300)).await;
+                assert_eq!(reader.is_ready("i-1"), Some(true));
+            }
+        };
+        let watching = sleep(Duration::from_millis(known_after));
+        tokio::join!(asking, watching);
+        assert_eq!(reader.is_ready("i-1"), Some(true));
+        assert!(reader.view.known_at().is_some(), "follows discovery");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_roster_that_cannot_be_read_is_none() {
     let (store, writer, reader) = fleet().await;
--- a/crates/front/tests/support/memory_store.rs
+++ b/crates/front/tests/support/memory_store.rs
@@ -20,6 +20,8 @@
     pub is_refused: bool,
     /// Watches and listings under these prefixes are refused.
     pub refused_prefixes: BTreeSet<String>,
+    /// Stale reads lack the changes of so many last revisions.
+    pub stale_by: u64,
     /// The next swap is carried out after this long, and never answered.
     pub late_swap: Option<Duration>,
 }
@@ -236,6 +238,29 @@
         })
     }
 
+    fn list_stale<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> BoxFuture<'a, Result<Listing, CoordinationError>> {
+        Box::pin(async move {
+            self.begin("list_stale", prefix).await?;
+            let stale_by = self.faults().stale_by;
+            Ok(self.store.with(|state| {
+                let at = state.revision - stale_by.min(state.revision);
+                let records = state.records.values().map(|(record, _)| record);
+                let records = records.filter(|record| record.key.starts_with(prefix));
+                Listing {
+                    // Records that were changed since are left out: how they were before is not kept.
+                    records: records
+                        .filter(|record| record.revision <= at)
+                        .cloned()
+                        .collect(),
+                    at,
+                }
+            }))
+        })
+    }
+
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
--- a/crates/journal/src/replica_set/bootstrap.rs
+++ b/crates/journal/src/replica_set/bootstrap.rs
@@ -45,9 +45,14 @@
     }
 
     async fn look(&self, replica_sets: &ReplicaSets) -> Result<(), RecordError> {
-        let set = match self.records.read().await? {
+        let recorded = match self.own {
+            Some(_) => self.records.read().await?,
+            // The first set is made by nodes with a disk; the others may learn of it later.
+            None => self.records.read_stale().await?,
+        };
+        let set = match recorded {
             Some(recorded) => Some(recorded.set),
-            None if self.may_bootstrap => self.make_first().await?,
+            None if self.may_bootstrap && self.own.is_some() => self.make_first().await?,
             None => None,
         };
         if let Some(set) = set {
--- a/crates/journal/src/replica_set/records.rs
+++ b/crates/journal/src/replica_set/records.rs
@@ -29,6 +29,11 @@
     /// The recorded set; perhaps an older one than the newest.
     fn read(&self) -> BoxFuture<'_, Result<Option<RecordedSet>, RecordError>>;
 
+    /// As [`SetRecords::read`], perhaps some seconds old, where that is cheaper.
+    fn read_stale(&self) -> BoxFuture<'_, Result<Option<RecordedSet>, RecordError>> {
+        self.read()
+    }
+
     /// Puts `set` in the place of what was recorded at revision `expected` (0: nothing). Returns the set now in
     /// force.
     fn swap(
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -186,7 +186,7 @@
     }
 
     async fn learn_recorded(&self) -> Result<(), RecordError> {
-        if let Some(recorded) = self.records.read().await? {
+        if let Some(recorded) = self.records.read_stale().await? {
             self.replica_sets.learn_or_log(recorded.set).await;
         }
         Ok(())
