Estimate the limit of loads from many loads at once, and let strong fronts give orders

Three causes: three slow loads in a row were taken for a full link while a fifth of the instances were slow; a new giver took the limit of the one before, which was on its way up, for what the link bears; and the giver, a front of 0.12 cores that told 250 fronts of each load, noticed loads 0.25 s late.

Ruled out: a limit from settings (nothing tells it); comparing with the fleet's shortest load (instances report up to 0.2 s late, so hardly any load looks that short).

Change: the latest loads are judged together, against the median time of loads with few others beside them; both views of a link, that on which the loads agree better counts; doubling until loads slow each other down, also over givers; a lower limit that does not make loads faster is taken back. A line `load_done` a load.

Red first: sick instances, all slower, and a new giver's rise failed on the code before.

--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -114,9 +114,10 @@
                 instance.note_version(&told.model, told.version);
             }
         }
-        if news.least_load_ms > 0 {
-            let least = Duration::from_millis(news.least_load_ms);
-            let limit = LoadLimit::from_learnt(news.load_limit as usize, least);
+        if news.usual_load_ms > 0 {
+            let usual = Duration::from_millis(news.usual_load_ms);
+            let limit = news.load_limit as usize;
+            let limit = LoadLimit::from_learnt(limit, usual, news.limit_is_near);
             self.context.learnt_loads.note(&limit);
         }
         self.context.backends.notify();
--- a/crates/front/src/orders/given.rs
+++ b/crates/front/src/orders/given.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use super::demand::FleetDemand;
-use super::load_limit::{FinishedLoad, LinkUse, LoadLimit};
+use super::link_use::LinkUse;
+use super::load_limit::{FinishedLoad, LoadLimit, LoadTiming};
 use super::news::NewsSender;
 use super::plan::{Assignment, FleetInstance, ModelDemand, Planned};
 
@@ -64,8 +65,16 @@
     pub beside: usize,
     /// Use of the link until it began.
     link_before: LinkUse,
-    /// It is known when it began, and it was looked at whenever that was due.
-    is_exact: bool,
+    /// Whether it is known when it began, and it was looked at whenever that was due.
+    timing: LoadTiming,
+}
+
+impl Load {
+    fn note_late_look(&mut self) {
+        if self.timing == LoadTiming::Exact {
+            self.timing = LoadTiming::NoticedLate;
+        }
+    }
 }
 
 impl Given {
@@ -120,7 +129,11 @@
             give_up_at: now + limit,
             beside: self.loads.len() + 1,
             link_before: self.link.clone(),
-            is_exact: is_taken,
+            timing: if is_taken {
+                LoadTiming::Exact
+            } else {
+                LoadTiming::Unknown
+            },
         };
         self.loads.insert(planned.instance, load);
         self.link.set_loads(self.loads.len(), now);
@@ -134,7 +147,9 @@
             .iter_mut()
             .filter(|(_, load)| load.look_at <= now);
         due.map(|(id, load)| {
-            load.is_exact &= now.saturating_duration_since(load.look_at) <= LATE_LOOK;
+            if now.saturating_duration_since(load.look_at) > LATE_LOOK {
+                load.note_late_look();
+            }
             (id.clone(), load.clone())
         })
         .collect()
@@ -147,8 +162,21 @@
     }
 
     /// Learns from a load that is done.
-    pub fn note_load(&mut self, load: &Load) {
+    pub fn note_load(&mut self, instance: &str, load: &Load) {
         let now = Instant::now();
+        let mut load = load.clone();
+        if now.saturating_duration_since(load.look_at) > LATE_LOOK {
+            load.note_late_look();
+        }
+        log::info!(
+            "event=load_done instance={instance} model={} version={} taken_ms={} beside={} timing={:?} limit={}",
+            load.model,
+            load.version,
+            now.saturating_duration_since(load.since).as_millis(),
+            load.beside,
+            load.timing,
+            self.load_limit.get()
+        );
         if self.learn_from.is_some_and(|from| load.since < from) {
             return;
         }
@@ -156,17 +184,18 @@
         let finished = FinishedLoad {
             taken: now.saturating_duration_since(load.since),
             link: self.link.since(&load.link_before, now),
-            beside: load.beside.max(self.loads.len()),
-            is_exact: load.is_exact,
+            at_begin: load.beside,
+            timing: load.timing,
         };
         self.load_limit.note(&finished, now);
-        if self.load_limit.get() < before {
+        if self.load_limit.get() != before {
             log::info!(
-                "event=load_limit_lowered limit={} before={before} taken_ms={} least_ms={} beside={}",
+                "event=load_limit_changed limit={} before={before} taken_ms={} usual_ms={} at_begin={} near={}",
                 self.load_limit.get(),
                 finished.taken.as_millis(),
-                self.load_limit.least().unwrap_or_default().as_millis(),
-                finished.beside
+                self.load_limit.usual().unwrap_or_default().as_millis(),
+                finished.at_begin,
+                self.load_limit.is_near()
             );
         }
     }
@@ -183,7 +212,7 @@
     /// Looks again at a load whose instance did not answer.
     pub fn look_later(&mut self, instance: &str) {
         if let Some(load) = self.loads.get_mut(instance) {
-            load.is_exact = false;
+            load.note_late_look();
         }
         self.look_after(instance, SILENT_LOOK_INTERVAL);
     }
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -5,7 +5,6 @@
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::StatusCode;
-use ladderstage_journal::Peers;
 
 use super::calls::{CALL_LIMIT, InstanceCalls};
 use super::candidates::is_candidate;
@@ -22,7 +21,7 @@
 use crate::front::Activities;
 use crate::job::JobRegistry;
 use crate::metrics::Metrics;
-use crate::nodes::Nodes;
+use crate::nodes::{NodeRole, Nodes};
 use crate::roster::RosterWriter;
 
 /// Pause before the lease is tried again.
@@ -31,6 +30,10 @@
 /// Between looks whether this node is to try to become the giver.
 const CANDIDATE_LOOK: Duration = Duration::from_millis(500);
 
+/// A node tries to become the giver only if it knows the others as of this time ago: one that has just started with all others may
+/// know itself only.
+const NODES_AGE: Duration = Duration::from_secs(5);
+
 /// Between questions to the fronts about their work.
 const DEMAND_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -146,6 +149,14 @@
                 tokio::time::sleep(CANDIDATE_LOOK).await;
                 continue;
             }
+            // Who is a candidate by what was known some time ago may be none.
+            let refreshed = self.nodes.refresh(self.coordination.as_ref(), NODES_AGE);
+            if let Err(error) = refreshed.await {
+                log::warn!("event=giver_nodes_not_read cause=\"{error}\"");
+            }
+            if !self.is_candidate() {
+                continue;
+            }
             match lease.take().await {
                 Ok(Some(held)) => self.hold(&lease, held, &mut respected).await,
                 Ok(None) => lease.wait_until_free().await,
@@ -157,9 +168,10 @@
 
     fn is_candidate(&self) -> bool {
         let own = self.nodes.own();
-        let fronts = self.nodes.successors();
-        let names = fronts.iter().map(|front| front.node.as_str());
-        !own.is_leaving && is_candidate(&own.node, names)
+        let fronts = self.nodes.with_role(NodeRole::Front);
+        let fronts = fronts.iter().filter(|front| !front.is_leaving);
+        let ranked = fronts.map(|front| (front.node.as_str(), front.cpu_millis));
+        !own.is_leaving && is_candidate(&own.node, ranked)
     }
 
     /// Whether any service holds models; the lease is taken before the first version is named.
@@ -262,7 +274,8 @@
                 Err(error) => log::warn!("event=giver_not_named cause=\"{error}\""),
             }
             self.jobs.learnt_loads().note(&given.load_limit);
-            given.news.send(&self.nodes, &given.load_limit);
+            let audience = given.demand.audience(&self.nodes);
+            given.news.send(&self.nodes, &audience, &given.load_limit);
             let pause = tokio::time::sleep(given.next_look());
             if let Standing::Fenced = take_answers(given, &mut answers, pause).await {
                 return "fenced";
--- a/crates/front/src/orders/looking.rs
+++ b/crates/front/src/orders/looking.rs
@@ -38,7 +38,7 @@
         while let Some((id, load, look)) = looks.next().await {
             match look {
                 LoadLook::Loaded => {
-                    given.note_load(&load);
+                    given.note_load(&id, &load);
                     given.news.loaded(&id, &load.model, load.version);
                     given.end(&id);
                 }
--- a/crates/front/src/orders/news.rs
+++ b/crates/front/src/orders/news.rs
@@ -1,8 +1,9 @@
-//! News of instances' weights, from the giver of orders to all fronts.
+//! News of instances' weights, from the giver of orders to the fronts that work with them.
 //!
 //! Discovery tells of new weights with the instance's next heartbeat, up to 1.2 s late, and says nothing of loads under way. The
 //! giver knows both at once. A front that hears it starts items there sooner, and spares itself starts that would be refused.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -43,7 +44,7 @@
     }
 }
 
-/// Collects news and tells them to all other fronts.
+/// Collects news and tells them to other fronts.
 #[derive(Default)]
 pub(super) struct NewsSender {
     news: Vec<InstanceWeights>,
@@ -70,30 +71,27 @@
         });
     }
 
-    /// Sends what was collected; a front that does not hear it goes by discovery.
-    pub fn send(&mut self, nodes: &Nodes, limit: &LoadLimit) {
+    /// Sends what was collected to an audience; a front that does not hear it goes by discovery. To tell hundreds of fronts of each
+    /// load takes a weak giver so long that it notices loads late.
+    pub fn send(&mut self, nodes: &Nodes, audience: &BTreeSet<String>, limit: &LoadLimit) {
         while self.calls.try_join_next().is_some() {}
         if self.news.is_empty() {
             return;
         }
         let kind = RequestKind::weight_news(WeightNews {
             instances: std::mem::take(&mut self.news),
-            least_load_ms: limit.least().unwrap_or_default().as_millis() as u64,
+            usual_load_ms: limit.usual().unwrap_or_default().as_millis() as u64,
             load_limit: limit.get() as u64,
+            limit_is_near: limit.is_near(),
         });
         let own = nodes.own().node;
-        for front in nodes.successors() {
-            if front.node == own {
-                continue;
-            }
+        for front in audience.iter().filter(|front| **front != own) {
             let nodes = nodes.clone();
+            let front = front.clone();
             let request = Request { kind: kind.clone() };
             self.calls.spawn(async move {
-                if let Err(error) = nodes.call(&front.node, request, NEWS_TIMEOUT).await {
-                    log::debug!(
-                        "event=weight_news_lost node={} cause=\"{error}\"",
-                        front.node
-                    );
+                if let Err(error) = nodes.call(&front, request, NEWS_TIMEOUT).await {
+                    log::debug!("event=weight_news_lost node={front} cause=\"{error}\"");
                 }
             });
         }
