--- a/crates/front/src/orders/given.rs
+++ b/crates/front/src/orders/given.rs
@@ -161,11 +161,14 @@
         self.link.set_loads(self.loads.len(), Instant::now());
     }
 
-    /// Learns from a load that is done.
-    pub fn note_load(&mut self, instance: &str, load: &Load) {
+    /// Learns from a load that is done. `is_by_report`: its instance's own report said so.
+    pub fn note_load(&mut self, instance: &str, load: &Load, is_by_report: bool) {
         let now = Instant::now();
         let mut load = load.clone();
-        if now.saturating_duration_since(load.look_at) > LATE_LOOK {
+        if !is_by_report {
+            // Reports tell of some time ago; a load that is known from elsewhere seems shorter than others by that.
+            load.timing = LoadTiming::Unknown;
+        } else if now.saturating_duration_since(load.look_at) > LATE_LOOK {
             load.note_late_look();
         }
         log::info!(
--- a/crates/front/src/orders/load_limit.rs
+++ b/crates/front/src/orders/load_limit.rs
@@ -6,9 +6,9 @@
 //! slow each other down the limit is twice what is proven, so that it doubles with each wave of them. Then it is what the slow loads
 //! showed, and rises slowly above it, as links change.
 //!
-//! A full link slows all loads that share it; a sick instance only its own. And the end of a load is noticed up to a quarter of its
-//! time late, as instances tell their state of some time ago. So no single load shows anything: the latest ones are looked at
-//! together, against the median time of loads with few others beside them.
+//! A full link slows all loads that share it; a sick instance only its own. And the end of a load is noticed late, as instances tell
+//! their state of some time ago. So no single load shows anything: the latest ones are looked at together, against the median time of
+//! loads with few others beside them that were noticed in the same way.
 //!
 //! What slows a load down differs by link: the loads that were under way when it began set its pace once, or those that are under way
 //! at each moment share the link anew. Each slow load is looked at both ways; the way on which the latest loads agree better counts.
@@ -155,7 +155,7 @@
     Exact,
     /// It was looked at late: it may have taken less time.
     NoticedLate,
-    /// It is not known when it began.
+    /// It is not known when it began, or its end was heard of in another way than those of others.
     Unknown,
 }
 
--- a/crates/front/src/orders/looking.rs
+++ b/crates/front/src/orders/looking.rs
@@ -14,7 +14,10 @@
 
 /// What a look at a load shows.
 enum LoadLook {
+    /// Its report says so.
     Loaded,
+    /// It was heard from elsewhere.
+    KnownLoaded,
     Loading,
     /// The instance did not answer.
     NoAnswer,
@@ -37,8 +40,9 @@
         let mut looks: FuturesUnordered<_> = looks.collect();
         while let Some((id, load, look)) = looks.next().await {
             match look {
-                LoadLook::Loaded => {
-                    given.note_load(&id, &load);
+                look @ (LoadLook::Loaded | LoadLook::KnownLoaded) => {
+                    let is_by_report = matches!(look, LoadLook::Loaded);
+                    given.note_load(&id, &load, is_by_report);
                     given.news.loaded(&id, &load.model, load.version);
                     given.end(&id);
                 }
@@ -56,7 +60,7 @@
         };
         let is_loaded = || instance.version(&load.model) >= load.version;
         if is_loaded() {
-            return LoadLook::Loaded;
+            return LoadLook::KnownLoaded;
         }
         let calls = self.calls();
         let asking = tokio::time::timeout(REPORT_LIMIT, calls.report(instance));
