--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -1,6 +1,6 @@
 //! The nodes of the system: each keeps a leased record of itself, and learns of the others' records.
 //!
-//! Nodes that work with others follow the records closely ([`following`]); the many without such work read them now and then.
+//! Nodes that work with others follow the records closely (`following`); the many without such work read them now and then.
 
 mod following;
 mod registration;
