Tell whose a request is, and take it only with a key of a tenant

Cause: configurations have tenants with keys now. Ingress answers 401 to a key that the newest configuration does not hold, and 503 where a newer one may hold it. The tenant goes with live requests, items and reward calls, its rank before the route's; a job goes by its tenant and id, so that another tenant's keys find nothing; texts left behind are told to the same tenant only. Log lines name the deciding version.

--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -7,6 +7,8 @@
 use http::HeaderValue;
 use tokio::sync::watch;
 
+use crate::tenant::{KeyDigest, KeyRefusal, Tenant, holder};
+
 /// What may be repeated on a route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -58,15 +60,22 @@
     pub single_version: bool,
     /// A stream may be taken up at another instance.
     pub resumable: bool,
+    /// Requests need no key.
+    pub is_public: bool,
 }
 
 /// Lowest rank that instances know.
 const LOWEST_RANK: u8 = 9;
 
+/// Keys that were taken away and are still told apart from unknown ones, at most.
+const MOST_RETIRED_KEYS: usize = 4_096;
+
 impl Route {
-    /// Value of the header that tells instances how urgent a request is.
-    pub fn rank(&self) -> HeaderValue {
-        HeaderValue::from(u16::from(self.priority.min(LOWEST_RANK)))
+    /// Value of the header that tells instances how urgent a request is: a tenant's rank goes before the route's.
+    pub fn rank(&self, tenant: Option<&Tenant>) -> HeaderValue {
+        let by_tenant = tenant.and_then(|tenant| tenant.priority);
+        let rank = by_tenant.unwrap_or(self.priority);
+        HeaderValue::from(u16::from(rank.min(LOWEST_RANK)))
     }
 
     /// Service for a request, by the weights; `random` is any number.
@@ -128,9 +137,46 @@
     pub services: BTreeMap<String, ServiceSpec>,
     /// Bounds of what clients may send.
     pub limits: Limits,
+    /// Who may send requests; empty: everybody, without a key.
+    pub tenants: Vec<Arc<Tenant>>,
+    /// Keys that earlier versions held, with the version that took each away: for the log only.
+    pub retired_keys: BTreeMap<KeyDigest, u64>,
 }
 
 impl ServingConfig {
+    /// The tenant of a request that carries `key`.
+    ///
+    /// # Errors
+    /// Why it is nobody's.
+    pub fn tenant_of(&self, key: Option<&KeyDigest>) -> Result<&Arc<Tenant>, KeyRefusal> {
+        let key = key.ok_or(KeyRefusal::Missing)?;
+        holder(&self.tenants, key).ok_or_else(|| match self.retired_keys.get(key) {
+            Some(version) => KeyRefusal::TakenAway { version: *version },
+            None => KeyRefusal::Unknown,
+        })
+    }
+
+    /// A tenant by its name.
+    pub fn tenant(&self, name: &str) -> Option<&Arc<Tenant>> {
+        self.tenants
+            .iter()
+            .find(|tenant| tenant.name.as_ref() == name)
+    }
+
+    /// Remembers which keys of the version before this one takes away.
+    fn retire_keys_of(&mut self, previous: &Self) {
+        self.retired_keys = previous.retired_keys.clone();
+        for key in self.tenants.iter().flat_map(|tenant| &tenant.keys) {
+            self.retired_keys.remove(key);
+        }
+        let earlier = previous.tenants.iter().flat_map(|tenant| &tenant.keys);
+        for key in earlier.filter(|key| holder(&self.tenants, key).is_none()) {
+            if self.retired_keys.len() < MOST_RETIRED_KEYS {
+                self.retired_keys.entry(*key).or_insert(self.version);
+            }
+        }
+    }
+
     /// Services that live requests may go to: all but those that only routes of batch jobs use. A service without a route counts,
     /// as a route may be given to it at any moment.
     pub fn live_services(&self) -> BTreeSet<String> {
@@ -177,19 +223,25 @@
 
 impl ConfigInForce {
     /// Takes a version unless one as new is in force; returns whether it was taken. A process never goes back.
-    pub fn offer(&self, config: ServingConfig) -> bool {
+    pub fn offer(&self, mut config: ServingConfig) -> bool {
         self.current.send_if_modified(|current| {
             let known = current.as_ref().map(|known| known.version);
             if known.is_some_and(|known| known >= config.version) {
                 return false;
             }
+            if let Some(previous) = current {
+                config.retire_keys_of(previous);
+            }
+            let keys: usize = config.tenants.iter().map(|tenant| tenant.keys.len()).sum();
             log::info!(
-                "event=config_in_force version={} previous={} routes={}",
+                "event=config_in_force version={} previous={} routes={} tenants={} keys={keys} retired_keys={}",
                 config.version,
                 known.unwrap_or(0),
-                config.routes.len()
+                config.routes.len(),
+                config.tenants.len(),
+                config.retired_keys.len()
             );
-            *current = Some(Arc::new(config));
+            *current = Some(Arc::new(std::mem::take(&mut config)));
             true
         })
     }
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -19,6 +19,8 @@
     pub response_stamp: HeaderName,
     /// Id of the only instance that may run the request.
     pub expect_instance: HeaderName,
+    /// Name of the tenant that a request is for.
+    pub tenant: HeaderName,
     /// Id of the answering instance.
     pub instance_id: HeaderName,
     /// Rank at the instance, 0 first.
@@ -61,6 +63,19 @@
     },
 }
 
+impl JobCall {
+    /// The call with another name of its job.
+    #[must_use]
+    pub fn map_job(mut self, name: impl FnOnce(String) -> String) -> Self {
+        match &mut self {
+            Self::Read { job, .. } | Self::Body { job, .. } | Self::End { job } => {
+                *job = name(std::mem::take(job));
+            }
+        }
+        self
+    }
+}
+
 /// What an instance tells of itself.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct InstanceReport {
--- a/crates/front/src/explain/line.rs
+++ b/crates/front/src/explain/line.rs
@@ -45,7 +45,10 @@
     /// Whether the line is about the request, item or job `id`.
     pub fn is_about(&self, id: &str) -> bool {
         let mut fields = ID_FIELDS.iter();
-        fields.any(|field| self.fields.get(*field).is_some_and(|value| value == id))
+        // Where there are tenants, a job goes by the tenant's name and its id.
+        let names =
+            |value: &str| value == id || value.rsplit_once('/').is_some_and(|(_, own)| own == id);
+        fields.any(|field| self.fields.get(*field).is_some_and(|value| names(value)))
     }
 
     /// Whether it tells of something that went wrong.
--- a/crates/front/src/ingress/answers.rs
+++ b/crates/front/src/ingress/answers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, RETRY_AFTER as RETRY_AFTER_HEADER};
+use http::header::{CONTENT_TYPE, RETRY_AFTER as RETRY_AFTER_HEADER, WWW_AUTHENTICATE};
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -142,6 +142,14 @@
     whole(status, Bytes::new())
 }
 
+/// The request carries no key that allows it.
+pub(super) fn no_key() -> Response<AnswerBody> {
+    let mut response = empty(StatusCode::UNAUTHORIZED);
+    let scheme = HeaderValue::from_static("Bearer");
+    response.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+    response
+}
+
 /// The request has not run and will not; says when to come back.
 pub(super) fn not_run() -> Response<AnswerBody> {
     let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/front/src/ingress/mod.rs
+++ b/crates/front/src/ingress/mod.rs
@@ -15,24 +15,26 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HOST};
+use http::header::{AUTHORIZATION, CONNECTION, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use ladderstage_wire::messages::JobSpec;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use self::answers::{AnswerBody, counted, empty, json, not_run, to_response, whole};
-use crate::config::{ConfigInForce, Route, RouteKind};
+use self::answers::{AnswerBody, counted, empty, json, no_key, not_run, to_response, whole};
+use crate::config::{ConfigInForce, Route, RouteKind, ServingConfig};
 use crate::dialect::{JobCall, SharedCodec};
-use crate::job::{AcceptError, JobRegistry, ReadError};
+use crate::job::{AcceptError, JobRegistry, ReadError, job_key};
 use crate::live::{LiveRequest, LiveService};
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
 use crate::socket;
+use crate::tenant::{Caller, KeyRefusal, bearer_key};
 
 /// Pause after a failed accept, such as when no descriptor is free.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
@@ -110,6 +112,17 @@
     }
 }
 
+/// What became of a request, for its answer and its line in the log.
+struct Answered {
+    /// Name of the route, or what stands for one.
+    route: String,
+    /// Name of the tenant.
+    tenant: Option<Arc<str>>,
+    /// Version of the configuration that decided; 0: none.
+    version: u64,
+    response: Response<AnswerBody>,
+}
+
 /// Accepts connections until idle ones are to be closed: a request that came later could not be answered before the end.
 pub async fn serve(listener: TcpListener, ingress: Arc<Ingress>) {
     let mut closing = ingress.state.closing.subscribe();
@@ -178,7 +191,8 @@
             .headers()
             .get(&self.codec.headers().attempt_id)
             .cloned();
-        let (route, mut response) = self.respond(request, received).await;
+        let mut answered = self.respond(request, received).await;
+        let response = &mut answered.response;
         if let Some(id) = attempt_id {
             let name = self.codec.headers().attempt_id.clone();
             response.headers_mut().entry(name).or_insert(id);
@@ -188,14 +202,20 @@
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        self.log(&route, &response, received);
-        response.map(|body| counted(body, guard))
+        self.log(&answered, received);
+        answered.response.map(|body| counted(body, guard))
     }
 
-    fn log(&self, route: &str, response: &Response<AnswerBody>, received: Instant) {
+    fn log(&self, answered: &Answered, received: Instant) {
+        let Answered {
+            route,
+            tenant,
+            version,
+            response,
+        } = answered;
+        let tenant = tenant.as_deref().unwrap_or("-");
         let id = response.headers().get(&self.codec.headers().attempt_id);
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
-        let version = self.config.current().map_or(0, |config| config.version);
         let status = response.status().as_u16();
         // Failures are warnings, which are not left out when many lines are written.
         let level = if status < 400 {
@@ -205,51 +225,93 @@
         };
         log::log!(
             level,
-            "event=request_answered request={id} route={route} config={version} status={status} elapsed_ms={}",
+            "event=request_answered request={id} route={route} tenant={tenant} config={version} status={status} elapsed_ms={}",
             received.elapsed().as_millis()
         );
         let status = status.to_string();
         self.metrics
             .requests
-            .with_label_values(&[route, &status])
+            .with_label_values(&[route.as_str(), &status])
             .inc();
         self.metrics
             .request_seconds
             .observe(received.elapsed().as_secs_f64());
     }
 
-    /// The name of the route and the answer.
-    async fn respond(
-        &self,
-        request: Request<Incoming>,
-        received: Instant,
-    ) -> (String, Response<AnswerBody>) {
-        let nowhere = |response| ("-".to_owned(), response);
+    async fn respond(&self, request: Request<Incoming>, received: Instant) -> Answered {
+        let mut answered = Answered {
+            route: "-".to_owned(),
+            tenant: None,
+            version: 0,
+            response: not_run(),
+        };
         let Some(config) = self.config.current() else {
-            return nowhere(not_run());
+            return answered;
         };
+        answered.version = config.version;
         let path = request.uri().path().to_owned();
         let Some(host) = host(&request) else {
-            return nowhere(empty(StatusCode::BAD_REQUEST));
+            answered.response = empty(StatusCode::BAD_REQUEST);
+            return answered;
         };
         let route = config.route(&host, &path);
         let call = self
             .codec
             .job_call(request.method(), &path, request.uri().query());
-        if let (None, Some(call)) = (route, call) {
-            let wait = self.wait(request.headers());
-            return ("jobs".to_owned(), self.job_call(call, wait).await);
-        }
-        let Some(route) = route else {
-            return nowhere(self.no_route());
+        answered.route = match (route, &call) {
+            (Some(route), _) => route.name.clone(),
+            (None, Some(_)) => "jobs".to_owned(),
+            (None, None) => {
+                answered.response = self.no_route();
+                return answered;
+            }
         };
-        let response = self.route_request(route, &host, request, received).await;
-        (route.name.clone(), response)
+        let caller = match caller(&config, route, request.headers()) {
+            Ok(caller) => caller,
+            Err(refusal) => {
+                answered.response = self.refuse_key(&config, &request, refusal);
+                return answered;
+            }
+        };
+        answered.tenant = caller.tenant().map(|tenant| Arc::clone(&tenant.name));
+        answered.response = match (route, call) {
+            (Some(route), _) => {
+                let asked = self.route_request(route, caller, &host, request, received);
+                asked.await
+            }
+            (None, Some(call)) => {
+                let wait = self.wait(request.headers());
+                self.job_call(call, &caller, wait).await
+            }
+            (None, None) => self.no_route(),
+        };
+        answered
+    }
+
+    /// 401 is said only while the configuration in force is known to be the newest: a newer one may hold the key.
+    fn refuse_key(
+        &self,
+        config: &ServingConfig,
+        request: &Request<Incoming>,
+        refusal: KeyRefusal,
+    ) -> Response<AnswerBody> {
+        let id = request.headers().get(&self.codec.headers().attempt_id);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
+        let is_newest = self.has_newest_config();
+        let age = self.nodes.last_contact().map(|at| at.elapsed().as_millis());
+        log::warn!(
+            "event=key_refused request={id} config={} reason={refusal} config_is_newest={is_newest} contact_ms={age:?}",
+            config.version
+        );
+        let refused = &self.metrics.refused_keys;
+        refused.with_label_values(&[refusal.label()]).inc();
+        if is_newest { no_key() } else { not_run() }
     }
 
     async fn route_request(
         &self,
         route: &Route,
+        caller: Caller,
         host: &str,
         request: Request<Incoming>,
         received: Instant,
@@ -274,7 +336,7 @@
         };
         if route.kind == RouteKind::Batch && parts.method == Method::POST {
             return self
-                .hand_in(&attempt_id, host, parts.uri.path(), &body)
+                .hand_in(&attempt_id, &caller, host, parts.uri.path(), &body)
                 .await;
         }
         let deadline = read_number(&parts.headers, &names.deadline_ms)
@@ -285,6 +347,7 @@
             uri: parts.uri,
             headers: parts.headers,
             body,
+            caller,
             received,
             deadline,
         };
@@ -295,13 +358,18 @@
     async fn hand_in(
         &self,
         attempt_id: &HeaderValue,
+        caller: &Caller,
         host: &str,
         path: &str,
         body: &[u8],
     ) -> Response<AnswerBody> {
-        let id = attempt_id.to_str().unwrap_or_default();
+        let tenant = caller.tenant().map(|tenant| tenant.name.as_ref());
+        let id = &job_key(tenant, attempt_id.to_str().unwrap_or_default());
         let spec = match self.codec.read_job(id, host, path, body) {
-            Ok(spec) => spec,
+            Ok(spec) => JobSpec {
+                tenant: tenant.unwrap_or_default().to_owned(),
+                ..spec
+            },
             Err(cause) => {
                 log::warn!("event=job_unreadable job={id} cause=\"{cause}\"");
                 return empty(StatusCode::BAD_REQUEST);
@@ -320,7 +388,15 @@
         }
     }
 
-    async fn job_call(&self, call: JobCall, wait: Duration) -> Response<AnswerBody> {
+    /// A job is found by its own tenant's keys only.
+    async fn job_call(
+        &self,
+        call: JobCall,
+        caller: &Caller,
+        wait: Duration,
+    ) -> Response<AnswerBody> {
+        let tenant = caller.tenant().map(|tenant| tenant.name.as_ref());
+        let call = call.map_job(|id| job_key(tenant, &id));
         let (job, result) = match &call {
             JobCall::Read { job, after } => {
                 let read = self.jobs.read(job, *after, wait).await;
@@ -357,20 +433,42 @@
 
     /// 404 is said only while the configuration in force is known to be the newest.
     fn no_route(&self) -> Response<AnswerBody> {
-        let contact = self.nodes.last_contact();
-        if contact.is_some_and(|at| at.elapsed() < CONTACT_TRUST) {
+        if self.has_newest_config() {
             empty(StatusCode::NOT_FOUND)
         } else {
             not_run()
         }
     }
 
+    fn has_newest_config(&self) -> bool {
+        let contact = self.nodes.last_contact();
+        contact.is_some_and(|at| at.elapsed() < CONTACT_TRUST)
+    }
+
     fn wait(&self, headers: &HeaderMap) -> Duration {
         let asked = read_number(headers, &self.codec.headers().wait_ms).unwrap_or(0);
         Duration::from_millis(asked).min(LONGEST_WAIT)
     }
 }
 
+/// Whose request it is. Calls about jobs go to no route, and are nobody's without a key.
+fn caller(
+    config: &ServingConfig,
+    route: Option<&Route>,
+    headers: &HeaderMap,
+) -> Result<Caller, KeyRefusal> {
+    if config.tenants.is_empty() {
+        return Ok(Caller::Unchecked);
+    }
+    let authorization = headers.get(AUTHORIZATION);
+    let key = authorization.and_then(|value| bearer_key(value.as_bytes()));
+    match config.tenant_of(key.as_ref()) {
+        Ok(tenant) => Ok(Caller::Tenant(Arc::clone(tenant))),
+        Err(_) if route.is_some_and(|route| route.is_public) => Ok(Caller::Anonymous),
+        Err(refusal) => Err(refusal),
+    }
+}
+
 /// Host of a request, without its port.
 fn host(request: &Request<Incoming>) -> Option<String> {
     let host = request.headers().get(HOST)?.to_str().ok()?;
--- a/crates/front/src/job/carrying.rs
+++ b/crates/front/src/job/carrying.rs
@@ -23,6 +23,7 @@
 
 /// What waits for a later job of its model.
 pub(super) struct LeftoverEntry {
+    tenant: String,
     model: String,
     step: u64,
     takers: mpsc::UnboundedSender<TakeTexts>,
@@ -33,6 +34,7 @@
     pub(super) async fn keep_leftover(&self, leftover: Leftover) {
         let (takers, receiver) = mpsc::unbounded_channel();
         let entry = LeftoverEntry {
+            tenant: leftover.tenant.clone(),
             model: leftover.model.clone(),
             step: leftover.step,
             takers,
@@ -51,12 +53,14 @@
             min_version,
             items,
             train_step,
+            tenant,
         } = request;
         self.context.steps.note(&model, train_step, min_version);
         let items: Arc<HashSet<String>> = Arc::new(items.into_iter().collect());
         let mut answers = Vec::new();
         lock(&self.shared.leftovers).retain(|entry| {
-            let is_for_it = entry.model == model && entry.step < train_step;
+            let is_of_trainer = entry.tenant == tenant && entry.model == model;
+            let is_for_it = is_of_trainer && entry.step < train_step;
             if is_for_it {
                 let (answer, texts) = oneshot::channel();
                 let items = Arc::clone(&items);
@@ -85,6 +89,7 @@
             // The trainer puts what comes back first, and it is half of the job at most.
             items: carried_part(spec).map(str::to_owned).collect(),
             train_step: spec.train_step,
+            tenant: spec.tenant.clone(),
         };
         let registry = self.clone();
         Box::pin(async move {
--- a/crates/front/src/job/leftover.rs
+++ b/crates/front/src/job/leftover.rs
@@ -44,6 +44,8 @@
 
 /// Items of groups that were not whole when their job ended, and their runs.
 pub(super) struct Leftover {
+    /// Tenant of the job.
+    pub tenant: String,
     /// Model of the job.
     pub model: String,
     /// Step of the job.
@@ -105,6 +107,7 @@
         let context = self.run_context(&spec);
         let likely_items = likely.iter().map(|index| spec.items[*index].clone());
         Some(Leftover {
+            tenant: spec.tenant.clone(),
             model: spec.model.clone(),
             step: spec.train_step,
             min_version: spec.min_version,
@@ -380,6 +383,7 @@
         min_version: spec.min_version,
         desired_groups: spec.desired_groups,
         items: Vec::new(),
+        tenant: spec.tenant.clone(),
     }
 }
 
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -46,6 +46,18 @@
 /// Prefix of the jobs' logs in the journal; the job's id follows.
 pub const LOG_PREFIX: &str = "job/";
 
+/// By what a job is known among the nodes and in the journal: jobs of two tenants that have the same id are two jobs. Without
+/// tenants it is the id itself. A tenant's name may hold any sign, so what would end it is escaped.
+pub fn job_key(tenant: Option<&str>, id: &str) -> String {
+    match tenant {
+        Some(tenant) => {
+            let tenant = tenant.replace('%', "%25").replace('/', "%2f");
+            format!("{tenant}/{id}")
+        }
+        None => id.to_owned(),
+    }
+}
+
 /// Name of a job's log.
 pub fn log_name(job: &str) -> String {
     format!("{LOG_PREFIX}{job}")
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -11,6 +11,7 @@
 use super::stream::follow_stream;
 use super::text::ItemText;
 use crate::backend::{AnswerId, Demand, ExchangeError, Instance, LOADING_PAUSE, RequestHead, send};
+use crate::tenant::set_tenant;
 
 /// Pause before another instance is looked for when none has room.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(25);
@@ -364,6 +365,10 @@
         http::header::HOST,
         HeaderValue::from_str(&context.spec.host).ok()?,
     );
+    headers.remove(&names.tenant);
+    if !context.spec.tenant.is_empty() {
+        set_tenant(&mut headers, &names.tenant, &context.spec.tenant);
+    }
     headers.insert(names.attempt_id.clone(), attempt_id.clone());
     headers.insert(names.request_priority.clone(), context.rank.clone());
     let expected = HeaderValue::from_str(instance.id()).ok()?;
--- a/crates/front/src/job/scoring.rs
+++ b/crates/front/src/job/scoring.rs
@@ -12,6 +12,7 @@
 use super::run_context::RunContext;
 use crate::backend::{AnswerId, Demand, ExchangeError, Instance, RequestHead, send};
 use crate::config::Route;
+use crate::tenant::set_tenant;
 
 /// Pause before a route or an instance is looked for again.
 const LOOK_PAUSE: Duration = Duration::from_millis(25);
@@ -168,7 +169,10 @@
         headers.insert(HOST, host);
         headers.insert(names.attempt_id.clone(), self.attempt_id.clone());
         headers.insert(names.deadline_ms.clone(), HeaderValue::from(deadline_ms));
-        headers.insert(names.request_priority.clone(), self.route.rank());
+        headers.insert(names.request_priority.clone(), self.rank());
+        if !self.context.spec.tenant.is_empty() {
+            set_tenant(&mut headers, &names.tenant, &self.context.spec.tenant);
+        }
         headers.insert(names.expect_instance.clone(), expected);
         Ok(RequestHead {
             method: Method::POST,
@@ -177,6 +181,15 @@
         })
     }
 
+    /// The rank of the job's tenant goes before that of the call's route.
+    fn rank(&self) -> HeaderValue {
+        let config = self.context.config.current();
+        let tenant = config
+            .as_ref()
+            .and_then(|config| config.tenant(&self.context.spec.tenant));
+        self.route.rank(tenant.map(AsRef::as_ref))
+    }
+
     /// Takes in a call that ended; `Some` ends the scoring.
     fn take(&self, index: usize, ended: Attempt, failures: &mut u32) -> Option<ScoreEnd> {
         let now = Instant::now();
--- a/crates/front/src/job/starting.rs
+++ b/crates/front/src/job/starting.rs
@@ -135,6 +135,7 @@
     pub(super) fn run_context(&self, spec: &Arc<JobSpec>) -> Option<Arc<RunContext>> {
         let config = self.context.config.current()?;
         let route: &Route = config.route(&spec.host, &spec.path)?;
+        let tenant = config.tenant(&spec.tenant);
         Some(Arc::new(RunContext {
             backends: self.context.backends.clone(),
             codec: Arc::clone(&self.context.codec),
@@ -142,7 +143,7 @@
             metrics: Arc::clone(&self.context.metrics),
             spec: Arc::clone(spec),
             service: route.pick_service(rand::random()).to_owned(),
-            rank: route.rank(),
+            rank: route.rank(tenant.map(AsRef::as_ref)),
             max_attempts: route.max_attempts,
             single_version: route.single_version,
             progress: self.progress.0.clone(),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,7 +1,7 @@
 //! The programs that run beside a linearizable coordination store: `front` serves clients and owns batch jobs, `store` keeps
 //! a replica of the journal.
 //!
-//! How a request flows: [`ingress`] reads it, [`config`] names route and service, [`backend`] chooses an instance, [`live`]
+//! How a request flows: [`ingress`] reads it, [`tenant`] says whose it is, [`config`] names route and service, [`backend`] chooses an instance, [`live`]
 //! sends it and answers. How a batch job flows: [`ingress`] accepts it, [`job`] schedules, runs, records and reads it.
 //! [`orders`] changes weight versions. What is outside is reached through [`coordination`] and [`dialect`].
 
@@ -26,3 +26,4 @@
 pub mod set_records;
 mod socket;
 pub mod store;
+pub mod tenant;
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -15,6 +15,7 @@
 use crate::config::{Route, RouteKind};
 use crate::dialect::SharedCodec;
 use crate::metrics::Metrics;
+use crate::tenant::Caller;
 
 /// Largest answer that is held whole before it is passed on.
 const WHOLE_ANSWER_LIMIT: usize = 32 * 1024 * 1024;
@@ -44,6 +45,8 @@
     pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// Whose it is.
+    pub caller: Caller,
     /// When its head was read.
     pub received: Instant,
     /// When the client stops waiting; `None`: it did not say.
@@ -238,7 +241,12 @@
         let left = limit.saturating_duration_since(Instant::now());
         let left = left.saturating_sub(RETURN_MARGIN).as_millis().max(1) as u64;
         headers.insert(names.deadline_ms.clone(), HeaderValue::from(left));
-        headers.insert(names.request_priority.clone(), route.rank());
+        let tenant = request.caller.tenant();
+        headers.insert(
+            names.request_priority.clone(),
+            route.rank(tenant.map(AsRef::as_ref)),
+        );
+        request.caller.set_headers(&mut headers, &names.tenant);
         if let Ok(id) = HeaderValue::from_str(instance.id()) {
             headers.insert(names.expect_instance.clone(), id);
         }
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -20,6 +20,8 @@
     pub requests: IntCounterVec,
     /// Time to the answer of live requests, in seconds.
     pub request_seconds: Histogram,
+    /// Requests whose key was refused, by reason.
+    pub refused_keys: IntCounterVec,
     /// Attempts at instances for live requests.
     pub attempts: IntCounter,
     /// Item runs by outcome.
@@ -71,6 +73,11 @@
                 &["route", "outcome"],
             ),
             request_seconds,
+            refused_keys: vec(
+                "ladderstage_refused_keys_total",
+                "Requests without a usable key by reason",
+                &["reason"],
+            ),
             attempts: counter("ladderstage_attempts_total", "Attempts at instances"),
             item_runs: vec(
                 "ladderstage_item_runs_total",
--- a/crates/front/tests/explain.rs
+++ b/crates/front/tests/explain.rs
@@ -90,3 +90,12 @@
     assert!(is_near(row.ended.unwrap(), 2.0));
     assert!(table(&rows).contains("i1 events=3"));
 }
+
+#[test]
+fn a_job_of_a_tenant_is_found_by_the_id_that_its_client_knows() {
+    let line = "time=12.0 level=info node=front-1 module=job event=job_accepted job=huka270/7c41e0 items=4";
+    let line = LogLine::parse(line).unwrap();
+    assert!(line.is_about("7c41e0"));
+    assert!(line.is_about("huka270/7c41e0"));
+    assert!(!line.is_about("c41e0"));
+}
--- a/crates/front/tests/roster.rs
+++ b/crates/front/tests/roster.rs
@@ -74,6 +74,7 @@
         result_deadline: None,
         single_version: false,
         resumable: false,
+        is_public: false,
     };
     ServingConfig {
         version,
