Report use by windows, fixed in the store before it is sent

Change: fronts count requests that began to run, by window and process, and tell their counts to two others; the holder of the lease of orders gathers a window's counts, fixes the report in one record by compare-and-swap, and only then sends it, again until it is taken. A receiver that has seen a higher fence ends a holder's reporting. Ruled out: a report sent as gathered, and a blind write: tests/usage.rs explores all interleavings of two holders, late writes and late calls, and finds two counts for one window with either.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -20,6 +20,8 @@
 use crate::orders::{EndedGivers, LearntLoads, OrderGiver, OrderOptions, VersionsNamed};
 use crate::program::{JobHooks, JournalParts, PeerHandler, PeerParts, ProgramOptions};
 use crate::roster::{DirectView, RosterOptions, RosterWriter};
+use crate::usage::sharing::share;
+use crate::usage::{ReportSink, UsageMeter, UsageOptions, UsageReporter, WindowClock};
 
 /// How long a stopping front still takes new connections, until their source has noticed.
 const NOTICE_TIME: Duration = Duration::from_millis(2_300);
@@ -56,8 +58,22 @@
     pub roster: Option<RosterOptions>,
     /// Names.
     pub codec: SharedCodec,
+    /// Reports of use; `None`: nobody wants them.
+    pub usage: Option<UsageInputs>,
 }
 
+/// What reports of use need.
+#[derive(Clone)]
+pub struct UsageInputs {
+    /// When they are due.
+    pub options: UsageOptions,
+    /// Where they go.
+    pub sink: Arc<dyn ReportSink>,
+}
+
+/// Length of windows where nobody wants reports.
+const UNREPORTED_WINDOW: Duration = Duration::from_secs(60);
+
 /// Addresses that clients and the platform use.
 #[derive(Debug, Clone, Copy)]
 pub struct FrontAddresses {
@@ -108,6 +124,9 @@
         is_leaving: false,
         cpu_millis: options.cpu_millis,
     });
+    let reports = inputs.usage.as_ref();
+    let window = reports.map_or(UNREPORTED_WINDOW, |usage| usage.options.window);
+    let meter = UsageMeter::new(nodes.own().process, WindowClock::new(window));
     let parts = JournalParts::start(&options, &nodes, None, Arc::clone(&coordination));
     metrics.add_journal(parts.journal.metrics());
     metrics.add_store_calls(&options.store_calls);
@@ -135,12 +154,25 @@
         journal: parts.journal.clone(),
         replica_sets: parts.replica_sets.clone(),
         jobs: Some(jobs.clone()),
+        usage: Some(meter.clone()),
     });
     let state = Arc::new(IngressState::default());
-    listen(
-        &options, addresses, &inputs, &nodes, &jobs, &metrics, &state,
-    )
-    .await?;
+    let live = LiveService {
+        backends: inputs.backends.clone(),
+        codec: Arc::clone(&inputs.codec),
+        metrics: Arc::clone(&metrics),
+        usage: meter.clone(),
+    };
+    let ingress = Ingress {
+        config: inputs.config.clone(),
+        live,
+        jobs: jobs.clone(),
+        codec: Arc::clone(&inputs.codec),
+        nodes: nodes.clone(),
+        metrics: Arc::clone(&metrics),
+        state: Arc::clone(&state),
+    };
+    listen(&options, addresses, ingress).await?;
     let giver = OrderGiver {
         coordination: Arc::clone(&coordination),
         nodes: nodes.clone(),
@@ -162,7 +194,19 @@
             nodes: nodes.clone(),
             options: inputs.roster,
         },
+        usage: inputs.usage.clone().map(|usage| UsageReporter {
+            coordination: Arc::clone(&coordination),
+            nodes: nodes.clone(),
+            meter: meter.clone(),
+            options: usage.options,
+            sink: usage.sink,
+            metrics: Arc::clone(&metrics),
+        }),
     };
+    let sharing_task = inputs.usage.as_ref().map(|_| {
+        let nodes = nodes.clone();
+        tokio::spawn(async move { share(&meter, &nodes).await })
+    });
     let nodes_task = tokio::spawn({
         let nodes = nodes.clone();
         let activity = inputs.activities.with_instances.clone();
@@ -184,6 +228,9 @@
     orders_task.abort();
     sweep_task.abort();
     nodes_task.abort();
+    if let Some(task) = sharing_task {
+        task.abort();
+    }
     log::info!(
         "event=stopped role=front node={} requests={}",
         options.node,
@@ -195,32 +242,16 @@
 async fn listen(
     options: &ProgramOptions,
     addresses: FrontAddresses,
-    inputs: &FrontInputs,
-    nodes: &Nodes,
-    jobs: &JobRegistry,
-    metrics: &Arc<Metrics>,
-    state: &Arc<IngressState>,
+    ingress: Ingress,
 ) -> Result<(), FrontError> {
     let clients = bind(addresses.clients).await?;
-    let ingress = Ingress {
-        config: inputs.config.clone(),
-        live: LiveService {
-            backends: inputs.backends.clone(),
-            codec: Arc::clone(&inputs.codec),
-            metrics: Arc::clone(metrics),
-        },
-        jobs: jobs.clone(),
-        codec: Arc::clone(&inputs.codec),
-        nodes: nodes.clone(),
-        metrics: Arc::clone(metrics),
-        state: Arc::clone(state),
-    };
+    let metrics = Arc::clone(&ingress.metrics);
+    let config = ingress.config.clone();
+    let state = Arc::clone(&ingress.state);
+    let jobs = ingress.jobs.clone();
     tokio::spawn(ingress::serve(clients, Arc::new(ingress)));
     if let Some(address) = addresses.readiness {
         let listener = bind(address).await?;
-        let config = inputs.config.clone();
-        let state = Arc::clone(state);
-        let jobs = jobs.clone();
         // Clients of a front that is cut off from the journal are better served by others.
         let is_ready =
             move || config.current().is_some() && !state.is_draining() && !jobs.is_cut_off();
@@ -228,7 +259,7 @@
     }
     if let Some(address) = options.metrics_address {
         let listener = bind(address).await?;
-        tokio::spawn(ingress::serve_metrics(listener, Arc::clone(metrics)));
+        tokio::spawn(ingress::serve_metrics(listener, metrics));
     }
     Ok(())
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! How a request flows: [`ingress`] reads it, [`tenant`] says whose it is, [`config`] names route and service, [`backend`] chooses an instance, [`live`]
 //! sends it and answers. How a batch job flows: [`ingress`] accepts it, [`job`] schedules, runs, records and reads it.
-//! [`orders`] changes weight versions. What is outside is reached through [`coordination`] and [`dialect`].
+//! [`orders`] changes weight versions, [`usage`] reports what was served. What is outside is reached through [`coordination`] and [`dialect`].
 
 #![warn(missing_docs)]
 
@@ -27,3 +27,4 @@
 mod socket;
 pub mod store;
 pub mod tenant;
+pub mod usage;
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -16,6 +16,7 @@
 use crate::dialect::SharedCodec;
 use crate::metrics::Metrics;
 use crate::tenant::Caller;
+use crate::usage::UsageMeter;
 
 /// Largest answer that is held whole before it is passed on.
 const WHOLE_ANSWER_LIMIT: usize = 32 * 1024 * 1024;
@@ -86,6 +87,8 @@
     pub codec: SharedCodec,
     /// Counters.
     pub metrics: Arc<Metrics>,
+    /// Counts what began to run.
+    pub usage: UsageMeter,
 }
 
 struct Attempt {
@@ -107,6 +110,8 @@
     possible_runs: u32,
     /// An instance's own failure, passed on if nothing better comes.
     failure: Option<(StatusCode, HeaderMap, Bytes)>,
+    /// The request was counted for its tenant.
+    is_counted: bool,
 }
 
 impl LiveService {
@@ -267,6 +272,9 @@
     ) -> Option<LiveAnswer> {
         self.log(route, request, &ended);
         let now = Instant::now();
+        if ended.result.is_ok() && !std::mem::replace(&mut progress.is_counted, true) {
+            self.count(request, ended.started);
+        }
         match ended.result {
             Ok(AttemptAnswer::Stream(reply, guard)) => {
                 ended.instance.note_success();
@@ -305,6 +313,13 @@
         }
     }
 
+    /// Counts a request that began to run; instances of these services begin when a request arrives.
+    fn count(&self, request: &LiveRequest, started: Instant) {
+        if let Some(tenant) = request.caller.tenant() {
+            self.usage.note_begun(&tenant.name, started);
+        }
+    }
+
     /// A request that may have run is sent again only where that is allowed.
     fn after_broken(&self, route: &Route) -> Option<LiveAnswer> {
         match route.kind {
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -32,6 +32,8 @@
     pub jobs: IntCounterVec,
     /// Orders to instances by outcome.
     pub orders: IntCounterVec,
+    /// Reports of use by outcome.
+    pub usage_reports: IntCounterVec,
     /// Log lines left out because too many were written.
     pub dropped_log_lines: IntCounter,
 }
@@ -95,6 +97,11 @@
                 "Orders to instances by outcome",
                 &["outcome"],
             ),
+            usage_reports: vec(
+                "ladderstage_usage_reports_total",
+                "Reports of use by outcome",
+                &["outcome"],
+            ),
             dropped_log_lines: counter(
                 "ladderstage_log_lines_dropped_total",
                 "Log lines left out because too many were written",
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -23,6 +23,7 @@
 use crate::metrics::Metrics;
 use crate::nodes::{NodeRole, Nodes};
 use crate::roster::RosterWriter;
+use crate::usage::UsageReporter;
 
 /// Pause before the lease is tried again.
 const TAKE_PAUSE: Duration = Duration::from_millis(250);
@@ -81,6 +82,8 @@
     pub options: OrderOptions,
     /// Tells the fronts without such work of the instances.
     pub roster: RosterWriter,
+    /// Reports use under the same lease; `None`: nobody wants reports.
+    pub usage: Option<UsageReporter>,
 }
 
 /// An order to give, and the instance that it goes to.
@@ -145,7 +148,7 @@
         };
         let mut respected = Vec::new();
         loop {
-            if !self.has_models() || !self.is_candidate() {
+            if !self.has_duties() || !self.is_candidate() {
                 tokio::time::sleep(CANDIDATE_LOOK).await;
                 continue;
             }
@@ -174,15 +177,16 @@
         !own.is_leaving && is_candidate(&own.node, ranked)
     }
 
-    /// Whether any service holds models; the lease is taken before the first version is named.
-    fn has_models(&self) -> bool {
+    /// Whether any service holds models, or use is to be reported; the lease is taken before the first version is named.
+    fn has_duties(&self) -> bool {
         let config = self.config.current();
-        config.is_some_and(|config| {
-            config
-                .services
-                .values()
-                .any(|service| !service.models.is_empty())
-        })
+        self.usage.is_some()
+            || config.is_some_and(|config| {
+                config
+                    .services
+                    .values()
+                    .any(|service| !service.models.is_empty())
+            })
     }
 
     /// Gives orders until the lease is lost or given back.
@@ -202,6 +206,7 @@
                 true
             }
             () = self.roster.run() => false,
+            () = self.report_usage(lease, &held) => false,
         };
         *respected = std::mem::take(&mut given.respected);
         respected.retain(|(_, ordered_at)| ordered_at.elapsed() < self.options.quiet);
@@ -218,6 +223,14 @@
         }
     }
 
+    /// Reports use, if anybody wants that; a holder whose report was fenced reports no more.
+    async fn report_usage(&self, lease: &GiverLease, held: &Held) {
+        if let Some(usage) = &self.usage {
+            usage.run(lease, held).await;
+        }
+        std::future::pending::<()>().await;
+    }
+
     /// What a new holder knows.
     fn begin_given(&self) -> Given {
         let mut given = Given::default();
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -20,6 +20,7 @@
 use crate::job::{JobRegistry, LOG_PREFIX};
 use crate::nodes::Nodes;
 use crate::set_records::CoordinatedSetRecords;
+use crate::usage::UsageMeter;
 
 /// Between an owner's heartbeats to the replicas.
 const OWNER_HEARTBEAT: Duration = Duration::from_millis(300);
@@ -160,6 +161,7 @@
     pub journal: Journal,
     pub replica_sets: ReplicaSets,
     pub jobs: Option<JobRegistry>,
+    pub usage: Option<UsageMeter>,
 }
 
 /// Answers other nodes once the parts are there.
@@ -188,6 +190,14 @@
                     Some(jobs) => jobs.handle(kind).await,
                     None => refuse(Reason::MALFORMED, "no jobs at this node"),
                 },
+                kind @ (RequestKind::usage_note(_) | RequestKind::read_usage(_)) => {
+                    match &parts.usage {
+                        Some(meter) => Response {
+                            kind: meter.answer(kind),
+                        },
+                        None => refuse(Reason::MALFORMED, "no counts of use at this node"),
+                    }
+                }
                 RequestKind::None => refuse(Reason::MALFORMED, "no known request"),
                 kind => parts.journal.handle(kind).await,
             }
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -118,6 +118,7 @@
         journal: parts.journal.clone(),
         replica_sets: parts.replica_sets.clone(),
         jobs: None,
+        usage: None,
     });
     log::info!(
         "event=started role=store node={} address={} replica_id={}",
