List the results of a step by whole groups

A read that finds a result is answered at once, and the trainer looks again half a second later; results listed one by one keep it in its pauses. Two steps in flight and 7.2 s of text let such a trainer fall 0.4 s further behind its pace with each step. Change: results of a step are held until their group is whole and a second at most after that, or until enough groups are, or until they are due; a read meanwhile is held as the protocol allows, and answered at the moment of the last group. The text of a held result is in the log. A job without steps, one that is due, and one taken over list each result as it comes. Ruled out: holding reads though results exist, which the protocol does not allow.

--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -13,6 +13,7 @@
 
 use super::appending::{AppendDone, RETRY_PAUSE, append_after, wait_for};
 use super::digest::{FoundLog, LogDigest};
+use super::group_listing::GroupListing;
 use super::leftover::{Leftover, Listing};
 use super::log_name;
 use super::queue::EntryQueue;
@@ -44,6 +45,27 @@
     Lost,
 }
 
+/// What an item came to.
+enum DoneItem {
+    /// Its text is whole; the score is empty where nothing scores it.
+    Whole { text: ItemText, score: String },
+    /// It is given up.
+    GivenUp,
+}
+
+impl DoneItem {
+    fn into_result(self, item: &str) -> JobResult {
+        match self {
+            Self::Whole { text, score } => text.into_result(item, score),
+            Self::GivenUp => JobResult {
+                item: item.to_owned(),
+                state: ResultState::TERMINATED,
+                ..JobResult::default()
+            },
+        }
+    }
+}
+
 /// Owns one job.
 pub(super) struct Owner {
     pub(super) context: Arc<JobContext>,
@@ -74,6 +96,12 @@
     pub(super) gathering: Option<BoxFuture<'static, Vec<KeptText>>>,
     /// Texts that were whole when no result was taken any more.
     pub(super) late: HashMap<usize, (ItemText, String)>,
+    /// Which results are listed when; `None` until the first one.
+    groups: Option<GroupListing>,
+    /// Items that are done and not listed yet.
+    held: HashMap<usize, DoneItem>,
+    /// The job was accepted here, so that it is known when its results are due.
+    is_accepted_here: bool,
     pub(super) enders: Vec<oneshot::Sender<()>>,
     /// When the end was first asked for here; `None` also for a job that was found ended.
     pub(super) end_asked_at: Option<Instant>,
@@ -96,6 +124,7 @@
         spec: Option<JobSpec>,
     ) -> Self {
         let mut queue = EntryQueue::default();
+        let is_accepted_here = spec.is_some();
         if let Some(spec) = spec {
             queue.accept(spec);
         }
@@ -117,6 +146,9 @@
             carried: HashMap::new(),
             gathering: None,
             late: HashMap::new(),
+            groups: None,
+            held: HashMap::new(),
+            is_accepted_here,
             enders: Vec::new(),
             end_asked_at: None,
             has_waiting_items: false,
@@ -135,6 +167,7 @@
         let mut config_changed = self.context.config.watch();
         let mut appending: Option<BoxFuture<'static, AppendDone>> = None;
         loop {
+            let list_at = self.list_at();
             if appending.is_none() {
                 appending = self.next_append();
             }
@@ -167,6 +200,7 @@
                         return self.end(cause);
                     }
                 }
+                () = until(list_at) => self.list_ready(),
                 () = until(self.job.reclaim_at()), if appending.is_none() => {
                     if let Some(cause) = self.reclaim().await {
                         return self.end(cause);
@@ -181,6 +215,12 @@
 
     /// Takes no results any more. Runs go on: a later job may have their items again.
     fn queue_end(&mut self) {
+        for (index, done) in std::mem::take(&mut self.held) {
+            if let DoneItem::Whole { text, score } = done {
+                self.late.insert(index, (text, score));
+            }
+        }
+        self.groups = None;
         self.queue.end();
     }
 
@@ -208,7 +248,58 @@
         }
     }
 
-    /// Queues the result of an item whose text is whole and scored.
+    /// When results that are held are to be listed at the latest.
+    fn list_at(&self) -> Option<Instant> {
+        self.groups.as_ref()?.list_at()
+    }
+
+    /// Queues the results that are to be listed now.
+    fn list_ready(&mut self) {
+        let spec = self.job.state().spec().cloned();
+        let (Some(spec), Some(groups)) = (spec, &mut self.groups) else {
+            return;
+        };
+        for index in groups.take_ready(Instant::now()) {
+            if let Some(done) = self.held.remove(&index) {
+                let result = done.into_result(&spec.items[index].id);
+                self.queue.result(result);
+            }
+        }
+    }
+
+    /// When the results of the job are due; `None` if that is not known here.
+    fn due(&self, spec: &JobSpec) -> Option<Instant> {
+        let config = self.context.config.current()?;
+        let route = config.route(&spec.host, &spec.path)?;
+        let due = self.job.opened_at + route.result_deadline?;
+        self.is_accepted_here.then_some(due)
+    }
+
+    /// Takes the result of an item, and holds it until it is to be listed. Its text is kept in the log meanwhile: whoever owns the job
+    /// next needs not make it again.
+    fn take_done(&mut self, index: usize, done: DoneItem) {
+        let Some(spec) = self.job.state().spec().cloned() else {
+            return;
+        };
+        self.finished.insert(index);
+        if self.groups.is_none() {
+            let due = self.due(&spec);
+            let state = self.job.state();
+            self.groups = Some(GroupListing::new(&spec, due, |item| state.is_listed(item)));
+        }
+        self.held.insert(index, done);
+        if let Some(groups) = &mut self.groups {
+            groups.finish(index, Instant::now());
+        }
+        self.list_ready();
+        if let Some(DoneItem::Whole { text, .. }) = self.held.get_mut(&index)
+            && let Some(progress) = text.end(&spec.items[index].id)
+        {
+            self.queue.progress(progress);
+        }
+    }
+
+    /// Takes an item whose text is whole and scored.
     pub(super) fn finish(&mut self, index: usize, text: ItemText, score: String) {
         if self.queue.has_end() {
             self.late.insert(index, (text, score));
@@ -218,27 +309,18 @@
             return;
         };
         self.context.lengths.note(&spec.model, text.events());
-        let result = text.into_result(&spec.items[index].id, score);
-        self.queue_result(index, result, "completed");
+        self.count_run("completed");
+        self.take_done(index, DoneItem::Whole { text, score });
     }
 
     fn give_up(&mut self, index: usize) {
-        let Some(spec) = self.job.state().spec().cloned() else {
-            return;
-        };
-        let result = JobResult {
-            item: spec.items[index].id.clone(),
-            state: ResultState::TERMINATED,
-            ..JobResult::default()
-        };
-        self.queue_result(index, result, "terminated");
+        self.count_run("terminated");
+        self.take_done(index, DoneItem::GivenUp);
     }
 
-    fn queue_result(&mut self, index: usize, result: JobResult, outcome: &str) {
+    fn count_run(&self, outcome: &str) {
         let runs = &self.context.metrics.item_runs;
         runs.with_label_values(&[outcome]).inc();
-        self.finished.insert(index);
-        self.queue.result(result);
     }
 
     fn on_progress(&mut self, progress: JobProgress) {
@@ -367,6 +449,8 @@
         self.runs = JoinSet::new();
         self.running.clear();
         self.finished.clear();
+        self.held.clear();
+        self.groups = None;
         self.progress = mpsc::unbounded_channel();
         let is_accepted = self.job.state().spec().is_some();
         let is_ended = self.queue.has_end() || self.job.state().is_ended();
--- /dev/null
+++ b/crates/front/tests/group_listing.rs
@@ -0,0 +1,188 @@
+//! Which results of a step are listed when, and what that is worth to a trainer that reads twice a second.
+
+use std::time::{Duration, Instant};
+
+use ladderstage_front::job::GroupListing;
+use ladderstage_wire::messages::{JobItem, JobSpec};
+use proptest::prelude::*;
+
+/// Between two reads of a trainer that is answered at once.
+const READ_PAUSE_MS: u64 = 500;
+
+/// Longest time that a read is held.
+const LONGEST_HOLD_MS: u64 = 1_000;
+
+/// When the results of a step are due.
+const DUE_MS: u64 = 7_500;
+
+fn step(groups: usize, size: usize, wanted: u32) -> JobSpec {
+    let items = (0..groups * size).map(|index| JobItem {
+        id: format!("i{index}"),
+        group: format!("g{}", index / size),
+        ..JobItem::default()
+    });
+    JobSpec {
+        desired_groups: wanted,
+        items: items.collect(),
+        ..JobSpec::default()
+    }
+}
+
+/// When the items of a step are listed, in milliseconds, where they are done at `done_ms`.
+fn listed_at(spec: &JobSpec, due: Option<u64>, done_ms: &[u64]) -> Vec<Option<u64>> {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut listing = GroupListing::new(spec, due.map(at), |_| false);
+    let mut listed = vec![None; done_ms.len()];
+    for now in 0..=15_000 {
+        for (index, _) in done_ms.iter().enumerate().filter(|(_, done)| **done == now) {
+            listing.finish(index, at(now));
+        }
+        for index in listing.take_ready(at(now)) {
+            assert!(listed[index].is_none(), "listed twice");
+            listed[index] = Some(now);
+        }
+    }
+    listed
+}
+
+/// When a trainer ends a step: it looks whether enough groups are whole each half second, or as soon as a longer read is answered.
+fn ended_at(spec: &JobSpec, listed: &[Option<u64>], offset: u64) -> u64 {
+    let mut read = offset;
+    let mut known = 0;
+    loop {
+        let count = |at: u64| {
+            listed
+                .iter()
+                .flatten()
+                .filter(|listed| **listed <= at)
+                .count()
+        };
+        let answered = (read..read + LONGEST_HOLD_MS).find(|at| count(*at) > known);
+        let answered = answered.unwrap_or(read + LONGEST_HOLD_MS);
+        known = count(answered);
+        read = answered.max(read + READ_PAUSE_MS);
+        if whole_groups(spec, listed, answered) >= spec.desired_groups as usize {
+            return read;
+        }
+    }
+}
+
+fn whole_groups(spec: &JobSpec, listed: &[Option<u64>], at: u64) -> usize {
+    let mut groups = std::collections::BTreeMap::<&str, bool>::new();
+    for (item, listed) in spec.items.iter().zip(listed) {
+        let is_listed = listed.is_some_and(|listed| listed <= at);
+        *groups.entry(&item.group).or_insert(true) &= is_listed;
+    }
+    groups.into_values().filter(|is_whole| *is_whole).count()
+}
+
+/// Texts of which one in forty is as long as texts get, the others a fifth of that on average.
+fn done_times(spec: &JobSpec, seed: u64) -> Vec<u64> {
+    let mut state = seed | 1;
+    let mut random = || {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        (state >> 11) as f64 / (1_u64 << 53) as f64
+    };
+    let items = spec.items.iter();
+    items
+        .map(|_| {
+            let seconds = if random() < 0.025 {
+                7.0 + random() * 0.2
+            } else {
+                (-(1.0 - random()).ln()).min(6.5)
+            };
+            (seconds * 1e3) as u64
+        })
+        .collect()
+}
+
+/// The step of a trainer that waits for 26 groups of 28: read one by one as they end, the results told it of the last group 0.65 s
+/// late on average; listed by groups, 0.3 s at most.
+#[test]
+fn a_trainer_hears_of_its_last_group_sooner() {
+    let spec = step(28, 8, 26);
+    let (mut one_by_one, mut by_groups) = (0, 0);
+    const STEPS: u64 = 16;
+    for seed in 1..=STEPS {
+        let done = done_times(&spec, seed.wrapping_mul(0x9E37_79B9_7F4A_7C15));
+        let at_once: Vec<Option<u64>> = done.iter().copied().map(Some).collect();
+        let by_group = listed_at(&spec, Some(DUE_MS), &done);
+        let enough = (0..)
+            .find(|at| whole_groups(&spec, &at_once, *at) >= 26)
+            .unwrap();
+        one_by_one += ended_at(&spec, &at_once, seed * 12 % 500) - enough;
+        by_groups += ended_at(&spec, &by_group, seed * 12 % 500) - enough;
+    }
+    println!(
+        "one by one {} ms, by groups {} ms",
+        one_by_one / STEPS,
+        by_groups / STEPS
+    );
+    assert!(one_by_one / STEPS > 500, "{one_by_one}");
+    assert!(by_groups / STEPS < 300, "{by_groups}");
+}
+
+#[test]
+fn groups_are_listed_whole_and_at_once_when_enough_are() {
+    let spec = step(3, 2, 2);
+    let listed = listed_at(&spec, Some(DUE_MS), &[100, 300, 200, 9_000, 400, 500]);
+    // Two groups are whole at 500 ms. The third is past the time when results are due: its first item is listed then.
+    assert_eq!(listed[..2], [Some(500); 2]);
+    assert_eq!(listed[4..], [Some(500); 2]);
+    assert_eq!(listed[2], Some(DUE_MS - 150));
+    assert_eq!(listed[3], Some(9_000));
+}
+
+#[test]
+fn a_whole_group_waits_a_second_at_most() {
+    let spec = step(3, 1, 3);
+    let listed = listed_at(&spec, Some(DUE_MS), &[100, 900, 5_000]);
+    assert_eq!(listed, [Some(1_100), Some(1_100), Some(5_000)]);
+}
+
+#[test]
+fn results_of_a_job_that_is_no_step_or_whose_time_is_not_known_are_listed_as_they_come() {
+    let done = [100, 900, 5_000];
+    let expected: Vec<Option<u64>> = done.iter().copied().map(Some).collect();
+    assert_eq!(listed_at(&step(1, 3, 0), Some(DUE_MS), &done), expected);
+    assert_eq!(listed_at(&step(1, 3, 1), None, &done), expected);
+}
+
+#[test]
+fn groups_count_what_the_log_lists_already() {
+    let spec = step(2, 2, 2);
+    let now = Instant::now();
+    let due = now + Duration::from_secs(5);
+    let mut listing = GroupListing::new(&spec, Some(due), |item| item == "i0" || item == "i1");
+    listing.finish(2, now);
+    assert!(listing.take_ready(now).is_empty());
+    listing.finish(3, now);
+    assert_eq!(listing.take_ready(now).len(), 2);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, cases: 24, ..ProptestConfig::default() })]
+
+    /// Every result is listed once: not before it is there, and a second after its group is whole or when it is due at the latest.
+    #[test]
+    fn every_result_is_listed_in_time(
+        groups in 1_usize..6,
+        size in 1_usize..4,
+        wanted in 0_u32..6,
+        times in proptest::collection::vec(0_u64..12_000, 18),
+    ) {
+        let spec = step(groups, size, wanted);
+        let done = &times[..groups * size];
+        let listed = listed_at(&spec, Some(DUE_MS), done);
+        for (index, listed) in listed.iter().enumerate() {
+            let group = index / size;
+            let whole = *done[group * size..(group + 1) * size].iter().max().unwrap();
+            let latest = (whole + 1_000).min(DUE_MS - 150).max(done[index]);
+            let listed = listed.unwrap();
+            prop_assert!(done[index] <= listed && listed <= latest, "{} {} {}", done[index], listed, latest);
+        }
+    }
+}
