Judge a run by its latest events, and its rest by what is left of a text

Change: the pace of the latest eight events counts where it is far above the other instance's; the rest of a text is bounded by the longest one of late. Tests: three in pace.rs, new.

--- a/crates/front/src/job/pace.rs
+++ b/crates/front/src/job/pace.rs
@@ -10,10 +10,10 @@
 /// A run that is slower than the typical pace by this factor goes on elsewhere.
 const SLOW_FACTOR: f64 = 1.5;
 
-/// The same for a run that has been long: it is likely to go on for long.
+/// The same for a run that is expected to go on for long.
 const LONG_RUN_SLOW_FACTOR: f64 = 1.15;
 
-/// Events after which a run counts as long.
+/// Events from which on a text, or the rest of one, counts as long.
 const LONG_RUN_EVENTS: u64 = 24;
 
 /// Milliseconds that a move costs: another connection, admission, and the prompt read again.
@@ -22,6 +22,10 @@
 /// Events after which a run's pace is known.
 const EVENTS_FOR_PACE: u32 = 3;
 
+/// A run whose last events came slower than those of the other instance by this factor goes on there, however fast it was before: an
+/// instance that turns slow is left after some events, and a stumble of the front that reads them is no reason.
+const TURNED_SLOW_FACTOR: f64 = 1.8;
+
 /// Events between two looks at the pace.
 const EVENTS_PER_LOOK: u32 = 4;
 
@@ -34,6 +38,8 @@
     last_at: Option<Instant>,
     /// The last event that began a look at the instance's pace.
     look_at: Option<Instant>,
+    /// Paces of the last two looks, in milliseconds an event, the newer one first.
+    looks_ms: [Option<f64>; 2],
 }
 
 impl Pace {
@@ -56,7 +62,15 @@
         }
         let since = self.look_at.replace(now)?;
         let taken = now.saturating_duration_since(since);
-        Some(taken.as_secs_f64() * 1e3 / f64::from(EVENTS_PER_LOOK))
+        let pace_ms = taken.as_secs_f64() * 1e3 / f64::from(EVENTS_PER_LOOK);
+        self.looks_ms = [Some(pace_ms), self.looks_ms[0]];
+        Some(pace_ms)
+    }
+
+    /// The pace over the last two looks, in milliseconds an event; `None` before the second one.
+    pub fn recent_ms(&self) -> Option<f64> {
+        let [last, before] = self.looks_ms;
+        Some((last? + before?) / 2.0)
     }
 
     /// Why the run should go on elsewhere: it is much slower than a typical run, and another instance has room.
@@ -70,12 +84,14 @@
             return None;
         }
         let taken = self.last_at?.saturating_duration_since(self.first_at?);
-        let own = taken.as_secs_f64() * 1e3 / f64::from(self.events - 1);
+        let whole = taken.as_secs_f64() * 1e3 / f64::from(self.events - 1);
         let typical = context.backends.typical_pace(&context.service)?;
-        if !pays_to_move(own, typical, partial.events()) {
+        let model = &context.spec.model;
+        let rest = expected_rest(partial.events(), context.lengths.longest(model));
+        let own = self.own_pace(whole, typical);
+        if !pays_to_move(own, typical, rest) {
             return None;
         }
-        let model = &context.spec.model;
         let demand = rest_demand(partial.events());
         let other = context
             .backends
@@ -86,9 +102,26 @@
             .candidate("", Instant::now())
             .pace_ms
             .unwrap_or(typical);
-        let pays = pays_to_move(own, theirs, partial.events());
+        let pays = pays_to_move(self.own_pace(whole, theirs), theirs, rest);
         pays.then(|| format!("slow: {own:.0} ms an event against {theirs:.0}"))
     }
+
+    /// The pace that the rest of the run is expected to have: that of the whole run, or of its last events where they are much slower
+    /// than those of an instance with `theirs_ms` an event.
+    pub fn own_pace(&self, whole_ms: f64, theirs_ms: f64) -> f64 {
+        let recent = self.recent_ms();
+        let turned_slow = recent.filter(|recent| *recent > theirs_ms * TURNED_SLOW_FACTOR);
+        turned_slow.map_or(whole_ms, |recent| recent.max(whole_ms))
+    }
+}
+
+/// Events that a text with `events` so far is expected to have still: as many again, as one that has been long is likely to go on, but
+/// not more than the longest recent text of its model had; 0: that is not known. A text of 145 events was moved after 144.
+pub fn expected_rest(events: u64, longest: u64) -> u64 {
+    if longest == 0 {
+        return events;
+    }
+    events.min(longest.saturating_sub(events))
 }
 
 /// What the rest of a text with `events` so far asks of an instance: one that has been long is likely to go on for long, and an
@@ -101,14 +134,14 @@
     }
 }
 
-/// Whether a run with `events` so far should go on where an event takes `theirs_ms` instead of `own_ms`. A run that has been
-/// long is likely to go on for about as long again; what that saves has to outweigh the move.
-pub fn pays_to_move(own_ms: f64, theirs_ms: f64, events: u64) -> bool {
-    let factor = if events >= LONG_RUN_EVENTS {
+/// Whether a run that is expected to have `rest` events still should go on where an event takes `theirs_ms` instead of `own_ms`: what
+/// that saves has to outweigh the move.
+pub fn pays_to_move(own_ms: f64, theirs_ms: f64, rest: u64) -> bool {
+    let factor = if rest >= LONG_RUN_EVENTS {
         LONG_RUN_SLOW_FACTOR
     } else {
         SLOW_FACTOR
     };
-    let saved_ms = (own_ms - theirs_ms) * events as f64;
+    let saved_ms = (own_ms - theirs_ms) * rest as f64;
     own_ms > theirs_ms * factor && saved_ms > MOVE_COST_MS
 }
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -8,6 +8,7 @@
 use ladderstage_wire::messages::{JobProgress, JobSpec};
 use tokio::sync::{mpsc, watch};
 
+use super::lengths::TextLengths;
 use crate::backend::BackendTable;
 use crate::config::ConfigInForce;
 use crate::dialect::SharedCodec;
@@ -54,6 +55,8 @@
     pub window: SendWindow,
     /// Weight versions under which the texts of runs begin.
     pub begun: BegunVersions,
+    /// How long texts are.
+    pub lengths: TextLengths,
 }
 
 impl RunContext {
--- a/crates/front/src/job/starting.rs
+++ b/crates/front/src/job/starting.rs
@@ -150,6 +150,7 @@
             stop: self.stop.subscribe(),
             window: self.window.clone(),
             begun: self.begun.clone(),
+            lengths: self.context.lengths.clone(),
             give_up_at: route.max_queue.map(|age| self.job.opened_at + age),
         }))
     }
--- a/crates/front/tests/pace.rs
+++ b/crates/front/tests/pace.rs
@@ -3,7 +3,7 @@
 use ladderstage_front::backend::{Candidate, Demand, choose};
 use std::time::{Duration, Instant};
 
-use ladderstage_front::job::{Pace, first_event_limit, pays_to_move, rest_demand};
+use ladderstage_front::job::{Pace, expected_rest, first_event_limit, pays_to_move, rest_demand};
 
 #[test]
 fn a_slow_run_moves_where_that_saves_more_than_the_move_costs() {
@@ -85,3 +85,57 @@
     let others_wait = [instance(9, 66.0), instance(9, 48.0)];
     assert_eq!(choose(&others_wait, Demand::CutBatch, 0), None);
 }
+
+/// Found in the logs of a day: a text at an instance that turned three times slower after a hundred events went on there to its end,
+/// as the mean over the whole run hardly rose.
+#[test]
+fn a_run_leaves_an_instance_that_turns_slow_however_fast_it_was_before() {
+    let start = Instant::now();
+    let mut pace = Pace::default();
+    let mut at_ms = 0;
+    let mut left_after = None;
+    for event in 1..=145_u64 {
+        at_ms += if event <= 100 { 50 } else { 150 };
+        pace.take(start + Duration::from_millis(at_ms));
+        let whole = at_ms as f64 / event as f64;
+        let own = pace.own_pace(whole, 50.0);
+        let rest = expected_rest(event, 145);
+        if left_after.is_none() && pays_to_move(own, 50.0, rest) {
+            left_after = Some(event);
+        }
+    }
+    assert!(
+        left_after.is_some_and(|event| (101..=109).contains(&event)),
+        "{left_after:?}"
+    );
+}
+
+#[test]
+fn a_stumble_of_the_reader_is_no_reason_to_move() {
+    let start = Instant::now();
+    let mut pace = Pace::default();
+    for event in 1..=60_u64 {
+        // Nothing is read for a quarter of a second, then what had come meanwhile.
+        let read_at = if (30..35).contains(&event) {
+            35 * 50
+        } else {
+            event * 50
+        };
+        pace.take(start + Duration::from_millis(read_at));
+        let own = pace.own_pace(50.0, 50.0);
+        assert!(
+            !pays_to_move(own, 50.0, event),
+            "at event {event}: {own} ms"
+        );
+    }
+}
+
+#[test]
+fn the_rest_of_a_text_is_bounded_by_the_longest_ones() {
+    assert_eq!(expected_rest(24, 145), 24);
+    assert_eq!(expected_rest(100, 145), 45);
+    assert_eq!(expected_rest(144, 145), 1);
+    assert_eq!(expected_rest(150, 145), 0);
+    assert_eq!(expected_rest(30, 0), 30);
+    assert!(!pays_to_move(59.0, 48.0, expected_rest(144, 145)));
+}
