Bound the rest of a text by the most that its item may have

Change: tokens that the item may have, by the tokens of one event of its service. Test: pace.rs, as before with the other bound.

--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -100,6 +100,8 @@
     pub max_connections: u32,
     /// Models that its instances hold; empty for plain applications.
     pub models: Vec<String>,
+    /// Tokens that one event of their streams holds; 0: unknown.
+    pub tokens_per_event: u64,
 }
 
 /// Bounds of what a client may send.
--- a/crates/front/src/job/lengths.rs
+++ b/crates/front/src/job/lengths.rs
@@ -1,16 +1,16 @@
 //! How long the texts of each model have been of late.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// A length counts for so long.
 const LENGTH_WINDOW: Duration = Duration::from_secs(20);
 
-/// The longest text of each model, in events. Cheap to clone.
-#[derive(Debug, Clone, Default)]
+/// The longest text of each model, in events.
+#[derive(Debug, Default)]
 pub struct TextLengths {
-    longest: Arc<Mutex<BTreeMap<String, (u64, Instant)>>>,
+    longest: Mutex<BTreeMap<String, (u64, Instant)>>,
 }
 
 impl TextLengths {
--- a/crates/front/src/job/pace.rs
+++ b/crates/front/src/job/pace.rs
@@ -79,6 +79,7 @@
         context: &RunContext,
         instance: &Instance,
         partial: &ItemText,
+        most_events: Option<u64>,
     ) -> Option<String> {
         if self.events <= EVENTS_FOR_PACE || self.events % EVENTS_PER_LOOK != 0 {
             return None;
@@ -87,7 +88,7 @@
         let whole = taken.as_secs_f64() * 1e3 / f64::from(self.events - 1);
         let typical = context.backends.typical_pace(&context.service)?;
         let model = &context.spec.model;
-        let rest = expected_rest(partial.events(), context.lengths.longest(model));
+        let rest = expected_rest(partial.events(), most_events);
         let own = self.own_pace(whole, typical);
         if !pays_to_move(own, typical, rest) {
             return None;
@@ -116,12 +117,10 @@
 }
 
 /// Events that a text with `events` so far is expected to have still: as many again, as one that has been long is likely to go on, but
-/// not more than the longest recent text of its model had; 0: that is not known. A text of 145 events was moved after 144.
-pub fn expected_rest(events: u64, longest: u64) -> u64 {
-    if longest == 0 {
-        return events;
-    }
-    events.min(longest.saturating_sub(events))
+/// not more than `most` in all, if that is known. A text of 145 events was moved after 144. The longest text of late is no such bound:
+/// at the start of the first steps it is a short one.
+pub fn expected_rest(events: u64, most: Option<u64>) -> u64 {
+    most.map_or(events, |most| events.min(most.saturating_sub(events)))
 }
 
 /// What the rest of a text with `events` so far asks of an instance: one that has been long is likely to go on for long, and an
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -8,7 +8,6 @@
 use ladderstage_wire::messages::{JobProgress, JobSpec};
 use tokio::sync::{mpsc, watch};
 
-use super::lengths::TextLengths;
 use crate::backend::{BackendTable, LOADING_PAUSE};
 use crate::config::ConfigInForce;
 use crate::dialect::SharedCodec;
@@ -56,13 +55,20 @@
     pub window: SendWindow,
     /// Weight versions under which the texts of runs begin.
     pub begun: BegunVersions,
-    /// How long texts are.
-    pub lengths: TextLengths,
+    /// Tokens that one event holds; 0: unknown.
+    pub tokens_per_event: u64,
     /// What is known of loads of weights.
     pub learnt_loads: LearntLoads,
 }
 
 impl RunContext {
+    /// Events that an item's text has at most; `None` if that is not known.
+    pub(super) fn most_events(&self, index: usize) -> Option<u64> {
+        self.spec.items[index]
+            .tokens
+            .checked_div(self.tokens_per_event)
+    }
+
     /// Longest wait for the first event of a run: a step bears a long item that begins anew once at an instance that hangs, if that is
     /// noticed soon.
     pub(super) fn first_event_limit(&self) -> Duration {
--- a/crates/front/src/job/starting.rs
+++ b/crates/front/src/job/starting.rs
@@ -136,13 +136,18 @@
         let config = self.context.config.current()?;
         let route: &Route = config.route(&spec.host, &spec.path)?;
         let tenant = config.tenant(&spec.tenant);
+        let service = route.pick_service(rand::random());
+        let tokens_per_event = config
+            .services
+            .get(service)
+            .map_or(0, |one| one.tokens_per_event);
         Some(Arc::new(RunContext {
             backends: self.context.backends.clone(),
             codec: Arc::clone(&self.context.codec),
             config: self.context.config.clone(),
             metrics: Arc::clone(&self.context.metrics),
             spec: Arc::clone(spec),
-            service: route.pick_service(rand::random()).to_owned(),
+            service: service.to_owned(),
             rank: route.rank(tenant.map(AsRef::as_ref)),
             max_attempts: route.max_attempts,
             single_version: route.single_version,
@@ -150,7 +155,7 @@
             stop: self.stop.subscribe(),
             window: self.window.clone(),
             begun: self.begun.clone(),
-            lengths: self.context.lengths.clone(),
+            tokens_per_event,
             learnt_loads: self.context.learnt_loads.clone(),
             give_up_at: route.max_queue.map(|age| self.job.opened_at + age),
         }))
--- a/crates/front/tests/pace.rs
+++ b/crates/front/tests/pace.rs
@@ -101,7 +101,7 @@
         pace.take(start + Duration::from_millis(at_ms));
         let whole = at_ms as f64 / event as f64;
         let own = pace.own_pace(whole, 50.0);
-        let rest = expected_rest(event, 145);
+        let rest = expected_rest(event, Some(145));
         if left_after.is_none() && pays_to_move(own, 50.0, rest) {
             left_after = Some(event);
         }
@@ -133,13 +133,13 @@
 }
 
 #[test]
-fn the_rest_of_a_text_is_bounded_by_the_longest_ones() {
-    assert_eq!(expected_rest(24, 145), 24);
-    assert_eq!(expected_rest(100, 145), 45);
-    assert_eq!(expected_rest(144, 145), 1);
-    assert_eq!(expected_rest(150, 145), 0);
-    assert_eq!(expected_rest(30, 0), 30);
-    assert!(!pays_to_move(59.0, 48.0, expected_rest(144, 145)));
+fn the_rest_of_a_text_is_bounded_by_the_most_that_it_may_have() {
+    assert_eq!(expected_rest(24, Some(145)), 24);
+    assert_eq!(expected_rest(100, Some(145)), 45);
+    assert_eq!(expected_rest(144, Some(145)), 1);
+    assert_eq!(expected_rest(150, Some(145)), 0);
+    assert_eq!(expected_rest(30, None), 30);
+    assert!(!pays_to_move(59.0, 48.0, expected_rest(144, Some(145))));
 }
 
 #[test]
