--- a/crates/front/src/ingress/answers.rs
+++ b/crates/front/src/ingress/answers.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-use super::RequestGuard;
+use super::state::RequestGuard;
 use crate::backend::{Lease, RunGuard, end_to_end, keep_alive};
 use crate::live::{LiveAnswer, RETRY_AFTER};
 
--- /dev/null
+++ b/crates/front/src/ingress/caller.rs
@@ -0,0 +1,27 @@
+//! Whose a request is, by the key that it carries.
+
+use std::sync::Arc;
+
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
+
+use crate::config::{Route, ServingConfig};
+use crate::tenant::{Caller, KeyRefusal, bearer_key};
+
+/// Whose request it is. Calls about jobs go to no route, and are nobody's without a key.
+pub(super) fn caller(
+    config: &ServingConfig,
+    route: Option<&Route>,
+    headers: &HeaderMap,
+) -> Result<Caller, KeyRefusal> {
+    if config.tenants.is_empty() {
+        return Ok(Caller::Unchecked);
+    }
+    let authorization = headers.get(AUTHORIZATION);
+    let key = authorization.and_then(|value| bearer_key(value.as_bytes()));
+    match config.tenant_of(key.as_ref()) {
+        Ok(tenant) => Ok(Caller::Tenant(Arc::clone(tenant))),
+        Err(_) if route.is_some_and(|route| route.is_public) => Ok(Caller::Anonymous),
+        Err(refusal) => Err(refusal),
+    }
+}
--- a/crates/front/src/ingress/mod.rs
+++ b/crates/front/src/ingress/mod.rs
@@ -4,18 +4,21 @@
 //! connection's close are needed here, and Rocket offers none of them.
 
 mod answers;
+mod caller;
 mod listeners;
+mod state;
 
 pub use listeners::{serve_metrics, serve_readiness};
+pub use state::IngressState;
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::{AUTHORIZATION, CONNECTION, HOST};
+use http::header::{CONNECTION, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -24,9 +27,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use ladderstage_wire::messages::JobSpec;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 use self::answers::{AnswerBody, counted, empty, json, no_key, not_run, to_response, whole};
+use self::caller::caller;
+use self::state::RequestGuard;
 use crate::config::{ConfigInForce, Route, RouteKind, ServingConfig};
 use crate::dialect::{JobCall, SharedCodec};
 use crate::job::{AcceptError, JobRegistry, ReadError, job_key};
@@ -34,7 +38,7 @@
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
 use crate::socket;
-use crate::tenant::{Caller, KeyRefusal, bearer_key};
+use crate::tenant::{Caller, KeyRefusal};
 
 /// Pause after a failed accept, such as when no descriptor is free.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
@@ -63,55 +67,6 @@
     pub state: Arc<IngressState>,
 }
 
-/// What a stop needs to know of the connections.
-#[derive(Debug)]
-pub struct IngressState {
-    is_draining: AtomicBool,
-    requests: AtomicU64,
-    closing: watch::Sender<bool>,
-}
-
-impl Default for IngressState {
-    fn default() -> Self {
-        Self {
-            is_draining: AtomicBool::new(false),
-            requests: AtomicU64::new(0),
-            closing: watch::Sender::new(false),
-        }
-    }
-}
-
-impl IngressState {
-    /// Says from now on with each answer that its connection ends.
-    pub fn drain(&self) {
-        self.is_draining.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether a stop has begun.
-    pub fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed)
-    }
-
-    /// Closes each connection once no request is on it.
-    pub fn close_idle(&self) {
-        self.closing.send_replace(true);
-    }
-
-    /// Requests that are being answered.
-    pub fn requests(&self) -> u64 {
-        self.requests.load(Ordering::Relaxed)
-    }
-}
-
-/// Counts a request until its answer was written or given up.
-pub(super) struct RequestGuard(Arc<IngressState>);
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.0.requests.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// What became of a request, for its answer and its line in the log.
 struct Answered {
     /// Name of the route, or what stands for one.
@@ -451,24 +406,6 @@
     }
 }
 
-/// Whose request it is. Calls about jobs go to no route, and are nobody's without a key.
-fn caller(
-    config: &ServingConfig,
-    route: Option<&Route>,
-    headers: &HeaderMap,
-) -> Result<Caller, KeyRefusal> {
-    if config.tenants.is_empty() {
-        return Ok(Caller::Unchecked);
-    }
-    let authorization = headers.get(AUTHORIZATION);
-    let key = authorization.and_then(|value| bearer_key(value.as_bytes()));
-    match config.tenant_of(key.as_ref()) {
-        Ok(tenant) => Ok(Caller::Tenant(Arc::clone(tenant))),
-        Err(_) if route.is_some_and(|route| route.is_public) => Ok(Caller::Anonymous),
-        Err(refusal) => Err(refusal),
-    }
-}
-
 /// Host of a request, without its port.
 fn host(request: &Request<Incoming>) -> Option<String> {
     let host = request.headers().get(HOST)?.to_str().ok()?;
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -6,13 +6,13 @@
 
 use futures_util::future::BoxFuture;
 use ladderstage_journal::{JournalError, LogWriter};
-use ladderstage_wire::messages::mod_JobResult::State as ResultState;
-use ladderstage_wire::messages::{JobProgress, JobResult, JobSpec, KeptText, LogEntry};
+use ladderstage_wire::messages::{JobProgress, JobSpec, KeptText, LogEntry};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, JoinSet};
 
 use super::appending::{AppendDone, RETRY_PAUSE, append_after, wait_for};
 use super::digest::{FoundLog, LogDigest};
+use super::done::DoneItem;
 use super::group_listing::GroupListing;
 use super::leftover::{Leftover, Listing};
 use super::log_name;
@@ -45,27 +45,6 @@
     Lost,
 }
 
-/// What an item came to.
-enum DoneItem {
-    /// Its text is whole; the score is empty where nothing scores it.
-    Whole { text: ItemText, score: String },
-    /// It is given up.
-    GivenUp,
-}
-
-impl DoneItem {
-    fn into_result(self, item: &str) -> JobResult {
-        match self {
-            Self::Whole { text, score } => text.into_result(item, score),
-            Self::GivenUp => JobResult {
-                item: item.to_owned(),
-                state: ResultState::TERMINATED,
-                ..JobResult::default()
-            },
-        }
-    }
-}
-
 /// Owns one job.
 pub(super) struct Owner {
     pub(super) context: Arc<JobContext>,
@@ -97,11 +76,11 @@
     /// Texts that were whole when no result was taken any more.
     pub(super) late: HashMap<usize, (ItemText, String)>,
     /// Which results are listed when; `None` until the first one.
-    groups: Option<GroupListing>,
+    pub(super) groups: Option<GroupListing>,
     /// Items that are done and not listed yet.
-    held: HashMap<usize, DoneItem>,
+    pub(super) held: HashMap<usize, DoneItem>,
     /// The job was accepted here, so that it is known when its results are due.
-    is_accepted_here: bool,
+    pub(super) is_accepted_here: bool,
     pub(super) enders: Vec<oneshot::Sender<()>>,
     /// When the end was first asked for here; `None` also for a job that was found ended.
     pub(super) end_asked_at: Option<Instant>,
@@ -248,81 +227,6 @@
         }
     }
 
-    /// When results that are held are to be listed at the latest.
-    fn list_at(&self) -> Option<Instant> {
-        self.groups.as_ref()?.list_at()
-    }
-
-    /// Queues the results that are to be listed now.
-    fn list_ready(&mut self) {
-        let spec = self.job.state().spec().cloned();
-        let (Some(spec), Some(groups)) = (spec, &mut self.groups) else {
-            return;
-        };
-        for index in groups.take_ready(Instant::now()) {
-            if let Some(done) = self.held.remove(&index) {
-                let result = done.into_result(&spec.items[index].id);
-                self.queue.result(result);
-            }
-        }
-    }
-
-    /// When the results of the job are due; `None` if that is not known here.
-    fn due(&self, spec: &JobSpec) -> Option<Instant> {
-        let config = self.context.config.current()?;
-        let route = config.route(&spec.host, &spec.path)?;
-        let due = self.job.opened_at + route.result_deadline?;
-        self.is_accepted_here.then_some(due)
-    }
-
-    /// Takes the result of an item, and holds it until it is to be listed. Its text is kept in the log meanwhile: whoever owns the job
-    /// next needs not make it again.
-    fn take_done(&mut self, index: usize, done: DoneItem) {
-        let Some(spec) = self.job.state().spec().cloned() else {
-            return;
-        };
-        self.finished.insert(index);
-        if self.groups.is_none() {
-            let due = self.due(&spec);
-            let state = self.job.state();
-            self.groups = Some(GroupListing::new(&spec, due, |item| state.is_listed(item)));
-        }
-        self.held.insert(index, done);
-        if let Some(groups) = &mut self.groups {
-            groups.finish(index, Instant::now());
-        }
-        self.list_ready();
-        if let Some(DoneItem::Whole { text, .. }) = self.held.get_mut(&index)
-            && let Some(progress) = text.end(&spec.items[index].id)
-        {
-            self.queue.progress(progress);
-        }
-    }
-
-    /// Takes an item whose text is whole and scored.
-    pub(super) fn finish(&mut self, index: usize, text: ItemText, score: String) {
-        if self.queue.has_end() {
-            self.late.insert(index, (text, score));
-            return;
-        }
-        let Some(spec) = self.job.state().spec().cloned() else {
-            return;
-        };
-        self.context.lengths.note(&spec.model, text.events());
-        self.count_run("completed");
-        self.take_done(index, DoneItem::Whole { text, score });
-    }
-
-    fn give_up(&mut self, index: usize) {
-        self.count_run("terminated");
-        self.take_done(index, DoneItem::GivenUp);
-    }
-
-    fn count_run(&self, outcome: &str) {
-        let runs = &self.context.metrics.item_runs;
-        runs.with_label_values(&[outcome]).inc();
-    }
-
     fn on_progress(&mut self, progress: JobProgress) {
         self.queue.progress(progress);
     }
