--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -37,7 +37,7 @@
 pub use group_listing::GroupListing;
 pub use home::home;
 pub use lengths::TextLengths;
-pub use pace::{ExpectedLength, Pace, pays_to_move, rest_demand};
+pub use pace::{Pace, expected_rest, pays_to_move, rest_demand};
 pub use queue::EntryQueue;
 pub use reading::ReadError;
 pub use registry::{AcceptError, JobContext, JobRegistry};
--- a/crates/front/src/job/pace.rs
+++ b/crates/front/src/job/pace.rs
@@ -79,7 +79,7 @@
         context: &RunContext,
         instance: &Instance,
         partial: &ItemText,
-        length: ExpectedLength,
+        most_events: Option<u64>,
     ) -> Option<String> {
         if self.events <= EVENTS_FOR_PACE || self.events % EVENTS_PER_LOOK != 0 {
             return None;
@@ -88,12 +88,12 @@
         let whole = taken.as_secs_f64() * 1e3 / f64::from(self.events - 1);
         let typical = context.backends.typical_pace(&context.service)?;
         let model = &context.spec.model;
-        let rest = length.rest(partial.events());
+        let rest = expected_rest(partial.events(), most_events);
         let own = self.own_pace(whole, typical);
         if !pays_to_move(own, typical, rest) {
             return None;
         }
-        let demand = rest_demand(partial.events().max(rest));
+        let demand = rest_demand(partial.events());
         let other = context
             .backends
             .choose(&context.service, model, demand, |other| {
@@ -116,24 +116,11 @@
     }
 }
 
-/// What is known of the length of a text before it is made, in events.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct ExpectedLength {
-    /// The client's guess, right at the median and often far off; 0: none.
-    pub guess: u64,
-    /// The most that it may have; `None`: not known.
-    pub most: Option<u64>,
-}
-
-impl ExpectedLength {
-    /// Events that the text is expected to have still after the first `events`: what the guess leaves, or as many again where that is
-    /// more, as a text that has been long is likely to go on, within the most that it may have. By the guess a long text leaves a slow
-    /// instance after four events instead of 24, 0.3 s sooner; by the most it stays where it is after 144 events of 145.
-    pub fn rest(self, events: u64) -> u64 {
-        let expected = events.max(self.guess.saturating_sub(events));
-        let left = self.most.map(|most| most.saturating_sub(events));
-        left.map_or(expected, |left| expected.min(left))
-    }
+/// Events that a text with `events` so far is expected to have still: as many again, as one that has been long is likely to go on, but
+/// not more than `most` in all, if that is known. A text of 145 events was moved after 144. The longest text of late is no such bound:
+/// at the start of the first steps it is a short one.
+pub fn expected_rest(events: u64, most: Option<u64>) -> u64 {
+    most.map_or(events, |most| events.min(most.saturating_sub(events)))
 }
 
 /// What the rest of a text with `events` so far asks of an instance: one that has been long is likely to go on for long, and an
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -8,7 +8,6 @@
 use ladderstage_wire::messages::{JobProgress, JobSpec};
 use tokio::sync::{mpsc, watch};
 
-use super::pace::ExpectedLength;
 use crate::backend::{BackendTable, LOADING_PAUSE};
 use crate::config::ConfigInForce;
 use crate::dialect::SharedCodec;
@@ -63,14 +62,11 @@
 }
 
 impl RunContext {
-    /// What is known of the length of an item's text before it is made.
-    pub(super) fn expected_length(&self, index: usize) -> ExpectedLength {
-        let item = &self.spec.items[index];
-        let guess = item.expected_tokens.checked_div(self.tokens_per_event);
-        ExpectedLength {
-            guess: guess.unwrap_or(0),
-            most: item.tokens.checked_div(self.tokens_per_event),
-        }
+    /// Events that an item's text has at most; `None` if that is not known.
+    pub(super) fn most_events(&self, index: usize) -> Option<u64> {
+        self.spec.items[index]
+            .tokens
+            .checked_div(self.tokens_per_event)
     }
 
     /// Longest wait for the first event of a run: a step bears a long item that begins anew once at an instance that hangs, if that is
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -35,7 +35,7 @@
         || headers.contains_key(http::header::TRANSFER_ENCODING);
     let mut parser = EventParser::new(names.weight_version.as_str());
     let mut pace = Pace::default();
-    let length = context.expected_length(index);
+    let most_events = context.most_events(index);
     loop {
         let limit = if pace.events == 0 {
             context.first_event_limit()
@@ -85,7 +85,7 @@
                 let _ = context.progress.send(progress);
             }
         }
-        if let Some(cause) = pace.reason_to_move(context, instance, partial, length) {
+        if let Some(cause) = pace.reason_to_move(context, instance, partial, most_events) {
             return RunEnd::Move(cause);
         }
     }
