Begin after a record of reports that cannot be read with the window that goes on

Cause, found by reading: a holder that could not read what earlier ones had fixed began with windows that may have been reported, so that one could have got two counts. Change: it begins with the window that goes on. Keys that are taken away are told apart by a set instead of comparing all with all. Not tested: no test writes such a record; the model and the four tests of reports pass as before.

--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -168,11 +168,11 @@
     /// Remembers which keys of the version before this one takes away.
     fn retire_keys_of(&mut self, previous: &Self) {
         self.retired_keys = previous.retired_keys.clone();
-        for key in self.tenants.iter().flat_map(|tenant| &tenant.keys) {
-            self.retired_keys.remove(key);
-        }
+        let tenants = self.tenants.iter();
+        let keys: BTreeSet<&KeyDigest> = tenants.flat_map(|tenant| &tenant.keys).collect();
+        self.retired_keys.retain(|key, _| !keys.contains(key));
         let earlier = previous.tenants.iter().flat_map(|tenant| &tenant.keys);
-        for key in earlier.filter(|key| holder(&self.tenants, key).is_none()) {
+        for key in earlier.filter(|key| !keys.contains(key)) {
             if self.retired_keys.len() < MOST_RETIRED_KEYS {
                 self.retired_keys.entry(*key).or_insert(self.version);
             }
--- a/crates/front/src/usage/reporter.rs
+++ b/crates/front/src/usage/reporter.rs
@@ -107,6 +107,22 @@
     }
 }
 
+/// What the store holds.
+enum FoundReports {
+    Fixed(FixedReports),
+    /// A record that cannot be read; the next report takes its place.
+    Unreadable,
+}
+
+impl FoundReports {
+    fn into_fixed(self) -> FixedReports {
+        match self {
+            Self::Fixed(fixed) => fixed,
+            Self::Unreadable => FixedReports::default(),
+        }
+    }
+}
+
 /// Reports use while this node holds the lease.
 pub struct UsageReporter {
     /// The store.
@@ -171,15 +187,22 @@
 
     /// Reads what earlier holders have fixed.
     async fn begin(&self) -> Holding {
-        let (revision, fixed) = self.read_fixed().await;
+        let (revision, found) = self.read_fixed().await;
         let clock = self.meter.clock();
         let now = Instant::now();
         let current = clock.window_of(now);
         let oldest = current.saturating_sub(KEPT_REPORTS as u64 - 1);
-        // Before the first holder of all became one, requests may have run already.
-        let first = clock.window_of(self.meter.started_at());
-        let next = fixed.newest().map_or(first, |newest| newest + 1);
+        let next = match &found {
+            // Before the first holder of all became one, requests may have run already.
+            FoundReports::Fixed(fixed) => fixed.newest().map_or_else(
+                || clock.window_of(self.meter.started_at()),
+                |newest| newest + 1,
+            ),
+            // Any window that is over may have been reported.
+            FoundReports::Unreadable => current,
+        };
         let next = next.max(oldest);
+        let fixed = found.into_fixed();
         // Whether an earlier holder got through with its last reports is not known.
         let is_due = |window: &u64| clock.since_end(*window, now) < Some(self.options.due);
         let unsent = fixed.reports.keys().copied().filter(is_due);
@@ -194,16 +217,15 @@
         }
     }
 
-    async fn read_fixed(&self) -> (u64, FixedReports) {
+    async fn read_fixed(&self) -> (u64, FoundReports) {
         loop {
             match self.coordination.get(REPORTS_KEY).await {
-                Ok(None) => return (0, FixedReports::default()),
+                Ok(None) => return (0, FoundReports::Fixed(FixedReports::default())),
                 Ok(Some(record)) => match serde_json::from_slice(&record.value) {
-                    Ok(fixed) => return (record.revision, fixed),
+                    Ok(fixed) => return (record.revision, FoundReports::Fixed(fixed)),
                     Err(error) => {
-                        // What an earlier holder sent is not known any more: a window that may have been reported is left out.
                         log::error!("event=usage_reports_unreadable cause=\"{error}\"");
-                        return (record.revision, FixedReports::default());
+                        return (record.revision, FoundReports::Unreadable);
                     }
                 },
                 Err(error) => {
@@ -270,7 +292,8 @@
 
     /// Takes what the store holds now: of this node's own swap without an answer, or of another holder.
     async fn catch_up(&self, holding: &mut Holding) {
-        let (revision, fixed) = self.read_fixed().await;
+        let (revision, found) = self.read_fixed().await;
+        let fixed = found.into_fixed();
         log::info!(
             "event=usage_reports_read revision={revision} newest={:?}",
             fixed.newest()
