Keep what givers of orders learn of loads in a lasting record

Change: the giver writes its limit, the usual time of a load and whether the limit is near what the link bears, every 3 s at most where they changed; a giver that neither knows nor was told any reads them.

--- a/crates/front/src/orders/given.rs
+++ b/crates/front/src/orders/given.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::demand::FleetDemand;
+use super::learnt::LearntWriter;
 use super::link_use::LinkUse;
 use super::load_limit::{FinishedLoad, LoadLimit, LoadTiming};
 use super::news::NewsSender;
@@ -51,6 +52,8 @@
     pub assignment: Assignment,
     /// What the fronts are to be told.
     pub news: NewsSender,
+    /// Keeps what is learnt of loads.
+    pub learnt: LearntWriter,
 }
 
 /// An order under way.
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -11,6 +11,7 @@
 use super::demand::FleetDemand;
 use super::ended::tell_end;
 use super::given::{Given, LOOK_INTERVAL};
+use super::learnt::learnt_limit;
 use super::lease::{GiverLease, Held, LastGiver};
 use super::named::VersionsNamed;
 use super::plan::{FleetInstance, Planned, plan};
@@ -194,7 +195,7 @@
     async fn hold(&self, lease: &GiverLease, held: Held, respected: &mut Vec<(String, Instant)>) {
         let _with_instances = self.activities.with_instances.begin();
         let _with_versions = self.activities.with_versions.begin();
-        let mut given = self.begin_given();
+        let mut given = self.begin_given().await;
         given.respect(std::mem::take(respected), self.options.quiet);
         let is_released = tokio::select! {
             loss = lease.keep(&held) => {
@@ -232,9 +233,10 @@
     }
 
     /// What a new holder knows.
-    fn begin_given(&self) -> Given {
+    async fn begin_given(&self) -> Given {
         let mut given = Given::default();
-        match self.jobs.learnt_loads().get() {
+        let learnt = self.jobs.learnt_loads();
+        match learnt_limit(learnt, self.coordination.as_ref()).await {
             Some(learnt) => given.load_limit = learnt,
             None => given.learn_from = Some(Instant::now() + SETTLE_TIME),
         }
@@ -287,6 +289,7 @@
                 Err(error) => log::warn!("event=giver_not_named cause=\"{error}\""),
             }
             self.jobs.learnt_loads().note(&given.load_limit);
+            given.learnt.save(&given.load_limit, &self.coordination);
             let audience = given.demand.audience(&self.nodes);
             given.news.send(&self.nodes, &audience, &given.load_limit);
             let pause = tokio::time::sleep(given.next_look());
