Tell by content which requests break runs, and whether their instances ended

Cause: in the incident logs and metrics could not tell whether requests under which instances ended were the same one, nor an end of an instance from a reset connection. Change: a run whose connection broke (live request, stream, item, reward call) is followed by a look whether somebody still listens at the instance's address; one warning names the run, the instance, a digest of the request's content (host, method, path, tenant, body; no key) and what became of the instance, and ladderstage_broken_runs_total counts by that. No decision changes. Conclusion: one content in several ends, an instance that ends by itself and a reset can now be told apart.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -20,6 +20,7 @@
 use crate::orders::{EndedGivers, LearntLoads, OrderGiver, OrderOptions, VersionsNamed};
 use crate::program::{JobHooks, JournalParts, PeerHandler, PeerParts, ProgramOptions};
 use crate::roster::{DirectView, RosterOptions, RosterWriter};
+use crate::suspects::Suspects;
 use crate::usage::sharing::share;
 use crate::usage::{ReportSink, UsageMeter, UsageOptions, UsageReporter, WindowClock};
 
@@ -130,6 +131,7 @@
     let parts = JournalParts::start(&options, &nodes, None, Arc::clone(&coordination));
     metrics.add_journal(parts.journal.metrics());
     metrics.add_store_calls(&options.store_calls);
+    let suspects = Suspects::new(Arc::clone(&metrics));
     let jobs = JobRegistry::new(JobContext {
         journal: parts.journal.clone(),
         nodes: nodes.clone(),
@@ -145,6 +147,7 @@
         learnt_loads: LearntLoads::default(),
         ended_givers: EndedGivers::default(),
         activity: inputs.activities.with_instances.clone(),
+        suspects: suspects.clone(),
     });
     let hooks = JobHooks {
         jobs: Some(jobs.clone()),
@@ -162,6 +165,7 @@
         codec: Arc::clone(&inputs.codec),
         metrics: Arc::clone(&metrics),
         usage: meter.clone(),
+        suspects,
     };
     let ingress = Ingress {
         config: inputs.config.clone(),
--- a/crates/front/src/ingress/answers.rs
+++ b/crates/front/src/ingress/answers.rs
@@ -11,8 +11,8 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use super::state::RequestGuard;
-use crate::backend::{Lease, RunGuard, end_to_end, keep_alive};
-use crate::live::{LiveAnswer, RETRY_AFTER};
+use crate::backend::{Lease, end_to_end, keep_alive};
+use crate::live::{LiveAnswer, RETRY_AFTER, StreamRun};
 
 /// Error of a body that is aborted.
 pub(super) type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -32,7 +32,7 @@
             *response.headers_mut() = headers;
             response
         }
-        LiveAnswer::Stream { reply, guard } => {
+        LiveAnswer::Stream { reply, run } => {
             let status = reply.status;
             let (headers, body, lease) = reply.into_parts();
             let rest = keep_alive(&headers);
@@ -40,7 +40,7 @@
                 body,
                 lease: Some(lease),
                 rest,
-                _guard: guard,
+                run: Some(run),
             };
             let mut response = Response::new(BodyExt::boxed(body));
             *response.status_mut() = status;
@@ -57,7 +57,7 @@
     body: Incoming,
     lease: Option<Lease>,
     rest: Option<Duration>,
-    _guard: RunGuard,
+    run: Option<StreamRun>,
 }
 
 impl Body for StreamedBody {
@@ -75,6 +75,12 @@
                 lease.give_back(rest);
             }
         }
+        if let Some(Err(_)) = frame
+            && let Some(run) = self.run.take()
+        {
+            // The client's connection is aborted meanwhile.
+            tokio::spawn(run.look());
+        }
         Poll::Ready(frame.map(|frame| frame.map_err(Into::into)))
     }
 
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -28,6 +28,7 @@
 use crate::nodes::Nodes;
 use crate::orders::{EndedGivers, LearntLoads};
 use crate::roster::DirectView;
+use crate::suspects::Suspects;
 
 /// An owner answers reads for this long after a majority of replicas last confirmed it: another owner may have listed more
 /// since, and readers may see an older state for a second at most.
@@ -66,6 +67,8 @@
     pub ended_givers: EndedGivers,
     /// Counts the jobs that run at this node.
     pub activity: Activity,
+    /// Requests under which instances end.
+    pub suspects: Suspects,
 }
 
 /// Why a job was not accepted.
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -33,6 +33,8 @@
     NotTaken(String),
     /// The item goes on at another instance.
     Move(String),
+    /// The connection broke; the item goes on at another instance.
+    Broken(String),
 }
 
 /// What came of running an item.
@@ -176,6 +178,10 @@
         let started = Instant::now();
         let end = run_once(context, index, &instance, partial).await;
         log_run(context, index, &instance, partial, started, &end);
+        if let RunEnd::Broken(_) = end {
+            let content = context.item_content(index);
+            context.look(index, &instance, content, started).await;
+        }
         match end {
             RunEnd::Complete => return Some(TextEnd::Whole),
             RunEnd::Impossible => return Some(TextEnd::Impossible),
@@ -186,7 +192,7 @@
                 }
             }
             RunEnd::NotTaken(_) if partial.events() == 0 && failures == 0 => return None,
-            RunEnd::NotTaken(_) | RunEnd::Move(_) => {}
+            RunEnd::NotTaken(_) | RunEnd::Move(_) | RunEnd::Broken(_) => {}
         }
         let Some(next) = next_instance(context, &instance, partial).await else {
             return Some(TextEnd::Closed);
@@ -208,7 +214,7 @@
         RunEnd::Impossible => "impossible".to_owned(),
         RunEnd::Failed => "failed".to_owned(),
         RunEnd::NotTaken(cause) => format!("not_taken cause=\"{cause}\""),
-        RunEnd::Move(cause) => format!("moved cause=\"{cause}\""),
+        RunEnd::Move(cause) | RunEnd::Broken(cause) => format!("moved cause=\"{cause}\""),
     };
     log::info!(
         "event=item_run item={} job={} group={} instance={} tokens={} guess={} events={} versions={:?} elapsed_ms={} outcome={outcome}",
@@ -345,7 +351,7 @@
     if error.is_not_run() {
         RunEnd::NotTaken(error.to_string())
     } else {
-        RunEnd::Move(error.to_string())
+        RunEnd::Broken(error.to_string())
     }
 }
 
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -4,15 +4,18 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
-use http::HeaderValue;
+use http::{HeaderValue, Method};
 use ladderstage_wire::messages::{JobProgress, JobSpec};
 use tokio::sync::{mpsc, watch};
 
-use crate::backend::{BackendTable, LOADING_PAUSE};
+use crate::backend::{BackendTable, Instance, LOADING_PAUSE};
 use crate::config::ConfigInForce;
 use crate::dialect::SharedCodec;
 use crate::metrics::Metrics;
 use crate::orders::LearntLoads;
+use crate::suspects::{
+    BrokenRun, ContentDigest, InstanceFate, RequestContent, RunSubject, Suspects,
+};
 
 /// Longest wait for the first event of a run, where it is not known how fast events come.
 const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(2_500);
@@ -59,9 +62,48 @@
     pub tokens_per_event: u64,
     /// What is known of loads of weights.
     pub learnt_loads: LearntLoads,
+    /// Requests under which instances end.
+    pub suspects: Suspects,
 }
 
 impl RunContext {
+    /// What the item at `index` has in common with its repeats, in this job and in later ones.
+    pub(super) fn item_content(&self, index: usize) -> ContentDigest {
+        let item = &self.spec.items[index];
+        self.content(&self.spec.host, &item.path, &item.body)
+    }
+
+    /// What its repeats share with a request that is sent for this job.
+    pub(super) fn content(&self, host: &str, path: &str, body: &[u8]) -> ContentDigest {
+        ContentDigest::of(&RequestContent {
+            host,
+            method: Method::POST.as_str(),
+            path,
+            tenant: &self.spec.tenant,
+            body,
+        })
+    }
+
+    /// Finds out what became of an instance under a run of the item at `index` whose connection broke.
+    pub(super) async fn look(
+        &self,
+        index: usize,
+        instance: &Arc<Instance>,
+        content: ContentDigest,
+        began: Instant,
+    ) -> InstanceFate {
+        let run = BrokenRun {
+            subject: RunSubject::Item {
+                id: &self.spec.items[index].id,
+                job: &self.spec.job,
+            },
+            instance,
+            content,
+            began,
+        };
+        self.suspects.look(&run).await
+    }
+
     /// Events that an item's text has at most; `None` if that is not known.
     pub(super) fn most_events(&self, index: usize) -> Option<u64> {
         self.spec.items[index]
--- a/crates/front/src/job/scoring.rs
+++ b/crates/front/src/job/scoring.rs
@@ -114,6 +114,7 @@
             tokio::select! {
                 Some(ended) = under_way.next() => {
                     hedge_at = Instant::now();
+                    self.look(index, &ended).await;
                     if let Some(end) = self.take(index, ended, failures) {
                         return Some(end);
                     }
@@ -181,6 +182,20 @@
         })
     }
 
+    /// Finds out what became of an instance under a call whose connection broke.
+    async fn look(&self, index: usize, ended: &Attempt) {
+        if let Err(ExchangeError::Broken(_)) = &ended.result {
+            let reward = self.reward;
+            let content = self
+                .context
+                .content(&reward.host, &reward.path, &reward.body);
+            let context = self.context;
+            context
+                .look(index, &ended.instance, content, ended.started)
+                .await;
+        }
+    }
+
     /// The rank of the job's tenant goes before that of the call's route.
     fn rank(&self) -> HeaderValue {
         let config = self.context.config.current();
--- a/crates/front/src/job/starting.rs
+++ b/crates/front/src/job/starting.rs
@@ -157,6 +157,7 @@
             begun: self.begun.clone(),
             tokens_per_event,
             learnt_loads: self.context.learnt_loads.clone(),
+            suspects: self.context.suspects.clone(),
             give_up_at: route.max_queue.map(|age| self.job.opened_at + age),
         }))
     }
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -49,7 +49,7 @@
             }
             Ok(Some(Err(error))) => {
                 instance.note_failure(Instant::now());
-                return RunEnd::Move(format!("cut: {error}"));
+                return RunEnd::Broken(format!("cut: {error}"));
             }
             Ok(Some(Ok(frame))) => frame,
             Ok(None) if is_framed && parser.is_at_boundary() => {
@@ -57,7 +57,7 @@
                 lease.give_back(keep_alive(&headers));
                 return RunEnd::Complete;
             }
-            Ok(None) => return RunEnd::Move("ended without an end mark".to_owned()),
+            Ok(None) => return RunEnd::Broken("ended without an end mark".to_owned()),
         };
         let Ok(data) = frame.into_data() else {
             continue;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod set_records;
 mod socket;
 pub mod store;
+pub mod suspects;
 pub mod tenant;
 pub mod usage;
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -15,6 +15,7 @@
 use crate::config::{Route, RouteKind};
 use crate::dialect::SharedCodec;
 use crate::metrics::Metrics;
+use crate::suspects::{BrokenRun, ContentDigest, RequestContent, RunSubject, Suspects};
 use crate::tenant::Caller;
 use crate::usage::UsageMeter;
 
@@ -54,6 +55,26 @@
     pub deadline: Option<Instant>,
 }
 
+impl LiveRequest {
+    /// Id of the client attempt, for the log.
+    pub fn id(&self) -> &str {
+        self.attempt_id.to_str().unwrap_or("?")
+    }
+
+    /// What its repeats share with it.
+    fn content(&self, route: &Route) -> ContentDigest {
+        let path = self.uri.path_and_query();
+        let tenant = self.caller.tenant();
+        ContentDigest::of(&RequestContent {
+            host: &route.host,
+            method: self.method.as_str(),
+            path: path.map_or("", |path| path.as_str()),
+            tenant: tenant.map_or("", |tenant| &tenant.name),
+            body: &self.body,
+        })
+    }
+}
+
 /// What a client is answered.
 #[derive(Debug)]
 pub enum LiveAnswer {
@@ -66,12 +87,12 @@
         /// Body.
         body: Bytes,
     },
-    /// The begin of a stream; the guard counts it until its end.
+    /// The begin of a stream; the run is there until its end.
     Stream {
         /// The answer.
         reply: Reply,
-        /// Counts the request at its instance.
-        guard: RunGuard,
+        /// The run that makes it.
+        run: StreamRun,
     },
     /// The request has not run and will not.
     NotRun,
@@ -79,6 +100,35 @@
     Failed(StatusCode),
 }
 
+/// The run of a stream that is passed on.
+#[derive(Debug)]
+pub struct StreamRun {
+    /// Counts the request at its instance.
+    _guard: RunGuard,
+    instance: Arc<Instance>,
+    id: HeaderValue,
+    route: String,
+    content: ContentDigest,
+    began: Instant,
+    suspects: Suspects,
+}
+
+impl StreamRun {
+    /// Finds out what became of the instance, as its connection broke.
+    pub async fn look(self) {
+        let run = BrokenRun {
+            subject: RunSubject::Request {
+                id: self.id.to_str().unwrap_or("?"),
+                route: &self.route,
+            },
+            instance: &self.instance,
+            content: self.content,
+            began: self.began,
+        };
+        self.suspects.look(&run).await;
+    }
+}
+
 /// Serves live requests.
 pub struct LiveService {
     /// Instances.
@@ -89,6 +139,8 @@
     pub metrics: Arc<Metrics>,
     /// Counts what began to run.
     pub usage: UsageMeter,
+    /// Requests under which instances end.
+    pub suspects: Suspects,
 }
 
 struct Attempt {
@@ -225,6 +277,9 @@
                     .map(|(status, headers, body)| AttemptAnswer::Whole(status, headers, body)),
                 Err(error) => Err(error),
             };
+            if let Err(ExchangeError::Broken(_)) = &result {
+                self.look(route, request, &instance, started).await;
+            }
             Attempt {
                 instance,
                 result,
@@ -233,6 +288,26 @@
         })
     }
 
+    /// Finds out what became of an instance under a request whose connection broke.
+    async fn look(
+        &self,
+        route: &Route,
+        request: &LiveRequest,
+        instance: &Arc<Instance>,
+        began: Instant,
+    ) {
+        let run = BrokenRun {
+            subject: RunSubject::Request {
+                id: request.id(),
+                route: &route.name,
+            },
+            instance,
+            content: request.content(route),
+            began,
+        };
+        self.suspects.look(&run).await;
+    }
+
     /// Headers for the instance: the client's, with the time that is left, the route's rank and the instance that is meant.
     fn head(
         &self,
@@ -278,7 +353,16 @@
         match ended.result {
             Ok(AttemptAnswer::Stream(reply, guard)) => {
                 ended.instance.note_success();
-                Some(LiveAnswer::Stream { reply, guard })
+                let run = StreamRun {
+                    _guard: guard,
+                    instance: ended.instance,
+                    id: request.attempt_id.clone(),
+                    route: route.name.clone(),
+                    content: request.content(route),
+                    began: ended.started,
+                    suspects: self.suspects.clone(),
+                };
+                Some(LiveAnswer::Stream { reply, run })
             }
             Ok(AttemptAnswer::Whole(status, headers, body)) => {
                 let is_signed = headers.contains_key(&self.codec.headers().response_stamp);
@@ -338,7 +422,7 @@
         };
         log::info!(
             "event=attempt request={} route={} instance={} in_flight={} elapsed_ms={} outcome={outcome}",
-            request.attempt_id.to_str().unwrap_or("?"),
+            request.id(),
             route.name,
             ended.instance.id(),
             ended.instance.in_flight(),
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -24,6 +24,8 @@
     pub refused_keys: IntCounterVec,
     /// Attempts at instances for live requests.
     pub attempts: IntCounter,
+    /// Requests whose connection to an instance broke while it may have run them, by what became of the instance.
+    pub broken_runs: IntCounterVec,
     /// Item runs by outcome.
     pub item_runs: IntCounterVec,
     /// Reward calls by outcome.
@@ -81,6 +83,11 @@
                 &["reason"],
             ),
             attempts: counter("ladderstage_attempts_total", "Attempts at instances"),
+            broken_runs: vec(
+                "ladderstage_broken_runs_total",
+                "Requests whose connection to an instance broke by what became of the instance",
+                &["instance"],
+            ),
             item_runs: vec(
                 "ladderstage_item_runs_total",
                 "Runs of batch-job items by outcome",
