--- a/crates/daemon/src/hooks.rs
+++ b/crates/daemon/src/hooks.rs
@@ -61,8 +61,14 @@
         self.own_bundle_evidence()
     }
 
-    fn heartbeat_round(&self, asked_at: Instant, evidence: Vec<BundleEvidence>, majority: bool) {
+    fn heartbeat_round(
+        &self,
+        asked_at: ladderstage_clock::Instant,
+        evidence: Vec<BundleEvidence>,
+        majority: bool,
+    ) {
         if let Some(parts) = self.parts() {
+            let asked_at = asked_at.to_steady();
             parts.bundles.heartbeat_round(asked_at, &evidence, majority);
         }
     }
--- a/crates/daemon/tests/journal/network.rs
+++ b/crates/daemon/tests/journal/network.rs
@@ -47,7 +47,12 @@
         BundleEvidence::default()
     }
 
-    fn heartbeat_round(&self, _asked_at: Instant, evidence: Vec<BundleEvidence>, majority: bool) {
+    fn heartbeat_round(
+        &self,
+        _asked_at: ladderstage_clock::Instant,
+        evidence: Vec<BundleEvidence>,
+        majority: bool,
+    ) {
         let all_have_it = evidence.iter().all(|evidence| evidence.revision == BUNDLE);
         if majority && all_have_it {
             let mut seen = self.seen.lock().unwrap();
--- a/crates/daemon/tests/shards/nodes.rs
+++ b/crates/daemon/tests/shards/nodes.rs
@@ -250,7 +250,7 @@
         BundleEvidence::default()
     }
 
-    fn heartbeat_round(&self, _: Instant, _: Vec<BundleEvidence>, _: bool) {}
+    fn heartbeat_round(&self, _: ladderstage_clock::Instant, _: Vec<BundleEvidence>, _: bool) {}
 
     fn fenced(&self, log: &str) {
         self.0.fenced(log);
--- a/crates/front/src/backend/connection.rs
+++ b/crates/front/src/backend/connection.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use ladderstage_clock::Instant;
 use tokio::net::TcpStream;
 
 use crate::socket;
--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -1,13 +1,14 @@
 //! One request to one instance, and whether it may have run.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use ladderstage_clock::Instant;
 
 use super::connection::Lease;
 use super::instance::{Instance, Load};
--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
 use super::choice::Candidate;
 use super::connection::Connections;
@@ -110,6 +112,8 @@
     connections: Connections,
     in_flight: AtomicU32,
     known: Mutex<Known>,
+    /// A later start of it is known.
+    has_ended: watch::Sender<bool>,
 }
 
 impl Known {
@@ -138,6 +142,7 @@
             id: discovered.id.clone(),
             started_unix_ms: discovered.started_unix_ms,
             address: discovered.address,
+            has_ended: watch::Sender::new(false),
             connections: Connections::new(discovered.address),
             in_flight: AtomicU32::new(0),
             known: Mutex::new(Known {
@@ -166,6 +171,29 @@
         self.started_unix_ms
     }
 
+    /// Whether a word about the start at `started_unix_ms` is about this one; 0: unknown, as from instances that do not tell.
+    pub fn is_start(&self, started_unix_ms: u64) -> bool {
+        started_unix_ms == 0 || self.started_unix_ms == 0 || started_unix_ms == self.started_unix_ms
+    }
+
+    /// Notes that a later start of it is known: whatever runs here has ended.
+    pub fn note_ended(&self) {
+        self.connections.close_idle();
+        self.has_ended.send_replace(true);
+    }
+
+    /// Whether a later start of it is known.
+    pub fn has_ended(&self) -> bool {
+        *self.has_ended.borrow()
+    }
+
+    /// Returns once a later start of it is known.
+    pub async fn ended(&self) {
+        let mut has_ended = self.has_ended.subscribe();
+        // The sender lives as long as this instance.
+        let _ = has_ended.wait_for(|has_ended| *has_ended).await;
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use tokio::sync::watch;
 
 use super::choice::{Candidate, Demand, choose, median};
@@ -36,14 +37,32 @@
         }
     }
 
-    /// Takes what discovery tells of one instance.
-    pub fn upsert(&self, discovered: Discovered) {
+    /// Takes what discovery tells of one instance. Nothing that is believed of one start outlives it, and a word about an earlier start
+    /// than the known one, which may come late, changes nothing.
+    pub fn upsert(&self, mut discovered: Discovered) {
         let mut instances = self.lock();
         let known = instances.get(&discovered.id);
+        if let Some(known) = known {
+            let start = known.started_unix_ms();
+            if discovered.started_unix_ms == 0 {
+                discovered.started_unix_ms = start;
+            }
+            if discovered.started_unix_ms < start {
+                log::info!(
+                    "event=instance_word_late instance={} started={} known={start}",
+                    discovered.id,
+                    discovered.started_unix_ms
+                );
+                return;
+            }
+        }
         let is_same =
             known.is_some_and(|known| known.discovered().is_same_without_weights(&discovered));
         match known {
-            Some(known) if known.address() == discovered.address => {
+            Some(known)
+                if known.address() == discovered.address
+                    && known.started_unix_ms() == discovered.started_unix_ms =>
+            {
                 if known.is_ready() != discovered.is_ready {
                     log::info!(
                         "event=instance_changed instance={} service={} ready={}",
@@ -56,14 +75,18 @@
             }
             _ => {
                 log::info!(
-                    "event=instance_added instance={} service={} address={} ready={}",
+                    "event=instance_added instance={} service={} address={} started={} before={} ready={}",
                     discovered.id,
                     discovered.service,
                     discovered.address,
+                    discovered.started_unix_ms,
+                    known.map_or(0, |known| known.started_unix_ms()),
                     discovered.is_ready
                 );
                 let id = discovered.id.clone();
-                instances.insert(id, Arc::new(Instance::new(discovered)));
+                if let Some(earlier) = instances.insert(id, Arc::new(Instance::new(discovered))) {
+                    earlier.note_ended();
+                }
             }
         }
         drop(instances);
@@ -75,6 +98,18 @@
         self.notify();
     }
 
+    /// An instance says itself when it started. If that is later than what discovery told, it has been started again, and nothing
+    /// that was believed of it holds but where it is.
+    pub fn note_start(&self, instance: &Instance, started_unix_ms: u64) {
+        if started_unix_ms > instance.started_unix_ms() {
+            self.upsert(Discovered {
+                started_unix_ms,
+                versions: BTreeMap::new(),
+                ..instance.discovered()
+            });
+        }
+    }
+
     /// Asks for instances if none was ever told of, and waits for the first one, `longest` at most.
     pub async fn first_fed(&self, longest: Duration) {
         if *self.is_fed.borrow() {
--- a/crates/front/src/coordination.rs
+++ b/crates/front/src/coordination.rs
@@ -147,6 +147,9 @@
     /// Ends a lease, and with it its records.
     fn revoke(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), CoordinationError>>;
 
+    /// Gives up the watches under way, as their answers may never come; whoever waits for them begins anew.
+    fn doubt_watches(&self) {}
+
     /// Returns once another call of this process has been carried out, at the latest after `longest`.
     fn regained(&self, longest: Duration) -> BoxFuture<'_, ()> {
         Box::pin(tokio::time::sleep(longest))
--- a/crates/front/src/coordination/observed.rs
+++ b/crates/front/src/coordination/observed.rs
@@ -5,9 +5,10 @@
 //! and gives its watches up when another call got no answer, and once more when the store answers again.
 
 use std::sync::{Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use ladderstage_clock::Instant;
 use prometheus::{IntCounterVec, Opts};
 use tokio::sync::watch;
 
@@ -184,7 +185,7 @@
                     answer
                 }
                 _ = doubt.changed() => {
-                    let cause = "another call got no answer, or the store is back";
+                    let cause = "another call got no answer, the store is back, or this machine was suspended";
                     Err(CoordinationError::Unavailable(cause.to_owned()))
                 }
             }
@@ -222,6 +223,10 @@
         Box::pin(self.call("revoke", self.store.revoke(lease)))
     }
 
+    fn doubt_watches(&self) {
+        self.doubt.send_modify(|count| *count += 1);
+    }
+
     fn regained(&self, longest: Duration) -> BoxFuture<'_, ()> {
         Box::pin(async move {
             let mut carried_out = self.carried_out.subscribe();
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -85,6 +85,8 @@
     pub busy: bool,
     /// Orders taken since its start.
     pub order_sequence: u64,
+    /// When it started, in milliseconds since the epoch by its own clock; 0: it does not tell.
+    pub started_unix_ms: u64,
 }
 
 /// An order to change the weight version of a model.
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_transport::Server;
 use tokio::net::TcpListener;
 
@@ -21,6 +22,7 @@
 use crate::program::{JobHooks, JournalParts, PeerHandler, PeerParts, ProgramOptions};
 use crate::roster::{DirectView, RosterOptions, RosterWriter};
 use crate::suspects::{SuspectSharing, Suspects};
+use crate::suspension::watch_suspensions;
 use crate::usage::sharing::share;
 use crate::usage::{ReportSink, UsageMeter, UsageOptions, UsageReporter, WindowClock};
 
@@ -220,6 +222,10 @@
         };
         async move { sharing.run(unshared).await }
     });
+    let suspension_task = tokio::spawn({
+        let (coordination, metrics) = (Arc::clone(&coordination), Arc::clone(&metrics));
+        async move { watch_suspensions(coordination.as_ref(), &metrics).await }
+    });
     let nodes_task = tokio::spawn({
         let nodes = nodes.clone();
         let activity = inputs.activities.with_instances.clone();
@@ -242,6 +248,7 @@
     sweep_task.abort();
     nodes_task.abort();
     suspects_task.abort();
+    suspension_task.abort();
     if let Some(task) = sharing_task {
         task.abort();
     }
--- a/crates/front/src/ingress/mod.rs
+++ b/crates/front/src/ingress/mod.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HOST};
@@ -25,6 +25,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use ladderstage_clock::Instant;
 use ladderstage_wire::messages::JobSpec;
 use tokio::net::{TcpListener, TcpStream};
 
--- a/crates/front/src/job/confirmation.rs
+++ b/crates/front/src/job/confirmation.rs
@@ -1,7 +1,9 @@
 //! When a majority of replicas last confirmed this node's logs.
 
 use std::sync::{Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use ladderstage_clock::Instant;
 
 /// The send time of the last question in which a majority of replicas confirmed this node's logs.
 #[derive(Debug, Default)]
--- a/crates/front/src/job/done.rs
+++ b/crates/front/src/job/done.rs
@@ -1,7 +1,6 @@
 //! Items that are done: their results are held until they are to be listed, then queued for the job's log.
 
-use std::time::Instant;
-
+use ladderstage_clock::Instant;
 use ladderstage_wire::messages::mod_JobResult::State as ResultState;
 use ladderstage_wire::messages::{JobResult, JobSpec};
 
--- a/crates/front/src/job/group_listing.rs
+++ b/crates/front/src/job/group_listing.rs
@@ -7,8 +7,9 @@
 //! meets a read that is held.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_wire::messages::JobSpec;
 
 /// Longest time that a whole group waits for others: as long as a read is held at most, so that a trainer who reads all the time has
--- a/crates/front/src/job/handover.rs
+++ b/crates/front/src/job/handover.rs
@@ -1,8 +1,9 @@
 //! A planned stop: this node's jobs go to other fronts with all that was made of them.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::{Request, ShardNotice};
--- a/crates/front/src/job/home.rs
+++ b/crates/front/src/job/home.rs
@@ -6,9 +6,10 @@
 //! fronts own all steps, connections to instances are used again. The home lies in the zone of the front that was met, so that
 //! what the trainer reads crosses no zones.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ladderstage::routing::rendezvous;
+use ladderstage_clock::Instant;
 use ladderstage_journal::Peers;
 use ladderstage_transport::CallError;
 use ladderstage_wire::messages::mod_Refused::Reason;
--- a/crates/front/src/job/leftover.rs
+++ b/crates/front/src/job/leftover.rs
@@ -5,8 +5,9 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_wire::messages::mod_JobResult::State as ResultState;
 use ladderstage_wire::messages::{JobItem, JobResult, JobSpec, KeptText};
 use tokio::sync::{mpsc, oneshot, watch};
--- a/crates/front/src/job/lengths.rs
+++ b/crates/front/src/job/lengths.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use ladderstage_clock::Instant;
 
 /// A length counts for so long.
 const LENGTH_WINDOW: Duration = Duration::from_secs(20);
--- a/crates/front/src/job/locating.rs
+++ b/crates/front/src/job/locating.rs
@@ -1,9 +1,10 @@
 //! Which node owns a job, and questions to it.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ladderstage::routing::rendezvous_first;
+use ladderstage_clock::Instant;
 use ladderstage_journal::Peers;
 use ladderstage_transport::CallError;
 use ladderstage_wire::messages::mod_Refused::Reason;
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use ladderstage_clock::Instant;
 use ladderstage_journal::{JournalError, LogWriter};
 use ladderstage_wire::messages::{JobProgress, JobSpec, KeptText, LogEntry};
 use tokio::sync::{mpsc, oneshot, watch};
--- a/crates/front/src/job/pace.rs
+++ b/crates/front/src/job/pace.rs
@@ -1,11 +1,10 @@
 //! How fast a run is, and whether it should go on at another instance.
 
-use std::time::Instant;
-
 use super::run::fits;
 use super::run_context::RunContext;
 use super::text::ItemText;
 use crate::backend::{Demand, Instance};
+use ladderstage_clock::Instant;
 
 /// A run that is slower than the typical pace by this factor goes on elsewhere.
 const SLOW_FACTOR: f64 = 1.5;
--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_wire::compression::compress;
 use ladderstage_wire::encode;
 use ladderstage_wire::messages::mod_Refused::Reason;
@@ -104,7 +105,8 @@
     fn take_news(&self, news: &WeightNews) {
         let now = Instant::now();
         for told in &news.instances {
-            let Some(instance) = self.context.backends.get(&told.instance) else {
+            let instance = self.context.backends.get(&told.instance);
+            let Some(instance) = instance.filter(|one| one.is_start(told.started_unix_ms)) else {
                 continue;
             };
             if told.loading_ms > 0 {
--- a/crates/front/src/job/reading.rs
+++ b/crates/front/src/job/reading.rs
@@ -1,7 +1,8 @@
 //! Reading and ending a job at its owner.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_wire::compression::{compress, decompress};
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{JobResult, JobResults};
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_journal::{Journal, JournalError};
 use ladderstage_wire::messages::{JobResults, JobSpec};
 
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -1,10 +1,11 @@
 //! One item of a batch job: runs it as a stream, takes it up elsewhere when it is cut or slow, until it is whole.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
+use ladderstage_clock::Instant;
 
 use super::run_context::{RunContext, refusal_pause};
 use super::scoring::{ScoreEnd, score};
@@ -180,7 +181,11 @@
             return Some(TextEnd::Closed);
         };
         let started = Instant::now();
-        let end = run_once(context, index, &instance, partial).await;
+        let end = tokio::select! {
+            end = run_once(context, index, &instance, partial) => end,
+            // Behind a cut its connection would stay silent until the next event is overdue.
+            () = instance.ended() => RunEnd::Broken("the instance was started again".to_owned()),
+        };
         log_run(context, index, &instance, partial, started, &end);
         match end {
             RunEnd::Broken(_) => context.look(index, &instance, content(), started).await,
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -2,9 +2,10 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http::{HeaderValue, Method};
+use ladderstage_clock::Instant;
 use ladderstage_wire::messages::{JobProgress, JobSpec};
 use tokio::sync::{mpsc, watch};
 
--- a/crates/front/src/job/scoring.rs
+++ b/crates/front/src/job/scoring.rs
@@ -1,12 +1,13 @@
 //! The reward call of an item: scores its whole text, on another instance when one fails, until there is a score.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
+use ladderstage_clock::Instant;
 use ladderstage_wire::messages::RewardCall;
 
 use super::run_context::RunContext;
--- a/crates/front/src/job/seen.rs
+++ b/crates/front/src/job/seen.rs
@@ -4,8 +4,9 @@
 //! again. Trainers and whoever looks at their jobs read the same results several times, mostly in other zones than the owner's.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_wire::messages::{JobResult, JobResults};
 
 use super::reading::page_of;
--- a/crates/front/src/job/shared.rs
+++ b/crates/front/src/job/shared.rs
@@ -2,8 +2,9 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::registry::lock;
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -1,10 +1,11 @@
 //! The stream of one run: its events become the item's text, until it ends, breaks, or is better taken up elsewhere.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http::{HeaderMap, HeaderName};
 use http_body_util::BodyExt;
+use ladderstage_clock::Instant;
 
 use super::events::{Event, EventParser};
 use super::pace::Pace;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -27,5 +27,6 @@
 mod socket;
 pub mod store;
 pub mod suspects;
+mod suspension;
 pub mod tenant;
 pub mod usage;
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -1,12 +1,13 @@
 //! Live requests: attempts within the route's budget and the client's deadline, and what the client is told.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
+use ladderstage_clock::Instant;
 
 use crate::backend::{
     AnswerId, BackendTable, Demand, ExchangeError, Instance, Reply, RequestHead, RunGuard,
@@ -157,11 +158,14 @@
     instance: Arc<Instance>,
     result: Result<AttemptAnswer, ExchangeError>,
     started: Instant,
+    /// Counts it at the instance.
+    guard: RunGuard,
+    permit: RunPermit,
 }
 
 enum AttemptAnswer {
     Whole(StatusCode, HeaderMap, Bytes),
-    Stream(Reply, RunGuard, RunPermit),
+    Stream(Reply),
 }
 
 /// Progress of one request over its attempts.
@@ -183,11 +187,7 @@
         let mut progress = Progress::default();
         let work = self.work(route, request, limit, &mut progress);
         let ended = tokio::time::timeout_at(limit.into(), work).await;
-        ended.unwrap_or(if progress.possible_runs == 0 {
-            LiveAnswer::NotRun
-        } else {
-            LiveAnswer::Failed(StatusCode::GATEWAY_TIMEOUT)
-        })
+        ended.unwrap_or_else(|_| out_of_time(&progress))
     }
 
     fn limit(&self, route: &Route, request: &LiveRequest) -> Instant {
@@ -209,6 +209,10 @@
         let mut under_way = FuturesUnordered::new();
         let mut hedge_at = Instant::now();
         loop {
+            // The timer that ends this work stood still if the machine was suspended.
+            if Instant::now() >= limit {
+                return out_of_time(progress);
+            }
             let may_start = progress.possible_runs < route.max_attempts.max(1);
             let is_due = under_way.is_empty() || Instant::now() >= hedge_at;
             let mut held = None;
@@ -282,25 +286,11 @@
             let started = Instant::now();
             let head = self.head(route, request, &instance, limit);
             let guard = instance.begin();
-            let names = self.codec.headers();
-            let sent = send(
-                &instance,
-                names,
-                &head,
-                &request.body,
-                &request.attempt_id,
-                AnswerId::Required,
-            )
-            .await;
-            let result = match sent {
-                Ok(reply) if route.kind == RouteKind::Streaming => {
-                    Ok(AttemptAnswer::Stream(reply, guard, permit))
+            let result = tokio::select! {
+                result = self.exchange(route, request, &instance, &head) => result,
+                () = instance.ended() => {
+                    Err(ExchangeError::Broken("the instance was started again".to_owned()))
                 }
-                Ok(reply) => reply
-                    .read_whole(WHOLE_ANSWER_LIMIT)
-                    .await
-                    .map(|(status, headers, body)| AttemptAnswer::Whole(status, headers, body)),
-                Err(error) => Err(error),
             };
             if let Err(ExchangeError::Broken(_)) = &result {
                 self.look(route, request, &instance, started).await;
@@ -309,10 +299,30 @@
                 instance,
                 result,
                 started,
+                guard,
+                permit,
             }
         })
     }
 
+    /// Sends the request to one instance and reads the answer, of a stream its head.
+    async fn exchange(
+        &self,
+        route: &Route,
+        request: &LiveRequest,
+        instance: &Arc<Instance>,
+        head: &RequestHead,
+    ) -> Result<AttemptAnswer, ExchangeError> {
+        let names = self.codec.headers();
+        let (body, id) = (&request.body, &request.attempt_id);
+        let reply = send(instance, names, head, body, id, AnswerId::Required).await?;
+        if route.kind == RouteKind::Streaming {
+            return Ok(AttemptAnswer::Stream(reply));
+        }
+        let (status, headers, body) = reply.read_whole(WHOLE_ANSWER_LIMIT).await?;
+        Ok(AttemptAnswer::Whole(status, headers, body))
+    }
+
     /// Finds out what became of an instance under a request whose connection broke.
     async fn look(
         &self,
@@ -376,11 +386,11 @@
             self.count(request, ended.started);
         }
         match ended.result {
-            Ok(AttemptAnswer::Stream(reply, guard, permit)) => {
+            Ok(AttemptAnswer::Stream(reply)) => {
                 ended.instance.note_success();
                 let run = StreamRun {
-                    _guard: guard,
-                    _permit: permit,
+                    _guard: ended.guard,
+                    _permit: ended.permit,
                     instance: ended.instance,
                     id: request.attempt_id.clone(),
                     route: route.name.clone(),
@@ -443,7 +453,7 @@
     fn log(&self, route: &Route, request: &LiveRequest, ended: &Attempt) {
         let outcome = match &ended.result {
             Ok(AttemptAnswer::Whole(status, ..)) => format!("answered status={}", status.as_u16()),
-            Ok(AttemptAnswer::Stream(reply, ..)) => {
+            Ok(AttemptAnswer::Stream(reply)) => {
                 format!("streaming status={}", reply.status.as_u16())
             }
             Err(error) => format!("failed cause=\"{error}\""),
@@ -460,6 +470,15 @@
     }
 }
 
+/// The answer when the time of the client or the route is over.
+fn out_of_time(progress: &Progress) -> LiveAnswer {
+    if progress.possible_runs == 0 {
+        LiveAnswer::NotRun
+    } else {
+        LiveAnswer::Failed(StatusCode::GATEWAY_TIMEOUT)
+    }
+}
+
 /// The answer when no attempt is under way and none may begin.
 fn give_up(progress: &mut Progress, held: Option<HeldBack>) -> LiveAnswer {
     match progress.failure.take() {
--- a/crates/front/src/logging.rs
+++ b/crates/front/src/logging.rs
@@ -8,7 +8,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use ladderstage_clock::Instant;
 
 /// Environment variable with the filter, as `env_logger` reads it.
 const FILTER_VARIABLE: &str = "LADDERSTAGE_LOG";
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -42,6 +42,8 @@
     pub orders: IntCounterVec,
     /// Reports of use by outcome.
     pub usage_reports: IntCounterVec,
+    /// Times that the machine was suspended.
+    pub suspensions: IntCounter,
     /// Log lines left out because too many were written.
     pub dropped_log_lines: IntCounter,
 }
@@ -135,6 +137,10 @@
                 "Reports of use by outcome",
                 &["outcome"],
             ),
+            suspensions: counter(
+                "ladderstage_suspensions_total",
+                "Times that the machine was suspended",
+            ),
             dropped_log_lines: counter(
                 "ladderstage_log_lines_dropped_total",
                 "Log lines left out because too many were written",
--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -8,10 +8,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::future::BoxFuture;
 use ladderstage::ids::ProcessId;
+use ladderstage_clock::Instant;
 use ladderstage_journal::Peers;
 use ladderstage_transport::{CallError, Client};
 use ladderstage_wire::messages::{Member, MemberState, Request, Response};
--- a/crates/front/src/orders/demand.rs
+++ b/crates/front/src/orders/demand.rs
@@ -1,8 +1,9 @@
 //! What all fronts tell of their work: how much of it each model has, how long its texts are, and how fast instances are.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
--- a/crates/front/src/orders/ended.rs
+++ b/crates/front/src/orders/ended.rs
@@ -5,9 +5,10 @@
 //! itself to which instances it gave orders of late. All others may have orders of the next giver at once.
 
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::future::join_all;
+use ladderstage_clock::Instant;
 use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::{GiverEnd, RecentOrder, Request};
--- a/crates/front/src/orders/given.rs
+++ b/crates/front/src/orders/given.rs
@@ -1,7 +1,7 @@
 //! What a holder of the lease remembers of the orders that it gave.
 
 use std::collections::{HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::demand::FleetDemand;
 use super::learnt::LearntWriter;
@@ -9,6 +9,8 @@
 use super::load_limit::{FinishedLoad, LoadLimit, LoadTiming};
 use super::news::NewsSender;
 use super::plan::{Assignment, FleetInstance, ModelDemand, Planned, most_trades};
+use crate::backend::Instance;
+use ladderstage_clock::Instant;
 
 /// A load is first looked at after this share of the least time.
 const LOOK_SHARE: f64 = 0.97;
@@ -61,6 +63,8 @@
 pub(super) struct Load {
     pub model: String,
     pub version: u64,
+    /// Start of the instance that took it; a later one knows nothing of it.
+    pub started_unix_ms: u64,
     pub since: Instant,
     pub look_at: Instant,
     pub give_up_at: Instant,
@@ -118,15 +122,22 @@
     }
 
     /// Notes an order under way; looked at when such a load is usually done. `is_taken`: the instance has said that it took it.
-    pub fn begin(&mut self, planned: Planned, limit: Duration, is_taken: bool) {
+    pub fn begin(
+        &mut self,
+        instance: &Instance,
+        planned: Planned,
+        limit: Duration,
+        is_taken: bool,
+    ) {
         let now = Instant::now();
         let least = self.load_limit.least().unwrap_or(LOOK_INTERVAL * 4);
         self.news
-            .loading(&planned.instance, &planned.model, planned.version, least);
+            .loading(instance, &planned.model, planned.version, least);
         self.link.set_loads(self.loads.len(), now);
         let load = Load {
             model: planned.model,
             version: planned.version,
+            started_unix_ms: instance.started_unix_ms(),
             since: now,
             look_at: now + least.mul_f64(LOOK_SHARE),
             give_up_at: now + limit,
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -1,10 +1,11 @@
 //! The node that gives orders: holds a lease, proves it by the steady clock, and stops by itself.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::StatusCode;
+use ladderstage_clock::Instant;
 
 use super::calls::{CALL_LIMIT, InstanceCalls};
 use super::candidates::is_candidate;
@@ -117,19 +118,19 @@
 /// Takes what comes of orders until the pause is over.
 async fn take_answers(
     given: &mut Given,
-    answers: &mut FuturesUnordered<impl Future<Output = (Planned, Outcome)>>,
+    answers: &mut FuturesUnordered<impl Future<Output = (Order, Outcome)>>,
     pause: tokio::time::Sleep,
 ) -> Standing {
     tokio::pin!(pause);
     loop {
-        let (planned, outcome) = tokio::select! {
+        let (Order { instance, planned }, outcome) = tokio::select! {
             () = &mut pause => return Standing::Holder,
             Some(answer) = answers.next() => answer,
         };
         given.ordering.remove(&planned.instance);
         match outcome {
-            Outcome::Loading => given.begin(planned, LOAD_LIMIT, true),
-            Outcome::InDoubt => given.begin(planned, DOUBT_TIME, false),
+            Outcome::Loading => given.begin(&instance, planned, LOAD_LIMIT, true),
+            Outcome::InDoubt => given.begin(&instance, planned, DOUBT_TIME, false),
             Outcome::Pause(pause) => {
                 let until = Instant::now() + pause;
                 given.pauses.insert(planned.instance, until);
@@ -363,9 +364,9 @@
     }
 
     /// Gives one order; returns it with what follows.
-    async fn give(&self, held: &Held, order: Order) -> (Planned, Outcome) {
+    async fn give(&self, held: &Held, order: Order) -> (Order, Outcome) {
         let outcome = self.give_to(held, &order.instance, &order.planned).await;
-        (order.planned, outcome)
+        (order, outcome)
     }
 
     async fn give_to(&self, held: &Held, instance: &Arc<Instance>, planned: &Planned) -> Outcome {
@@ -379,6 +380,10 @@
                 return Outcome::Pause(DOUBT_TIME);
             }
         };
+        if !instance.is_start(report.started_unix_ms) {
+            self.backends.note_start(instance, report.started_unix_ms);
+            return Outcome::Pause(LOOK_INTERVAL);
+        }
         for (model, version) in &report.versions {
             instance.note_version(model, *version);
         }
--- a/crates/front/src/orders/learnt.rs
+++ b/crates/front/src/orders/learnt.rs
@@ -5,8 +5,9 @@
 //! 2.6 s instead of 1.0 s: the steps of those 15 s found no instance with their weights (log of a day with a closing kill).
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use serde::{Deserialize, Serialize};
 use tokio::task::JoinSet;
 
--- a/crates/front/src/orders/lease.rs
+++ b/crates/front/src/orders/lease.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use tokio::sync::watch;
 
 use crate::coordination::{Coordination, CoordinationError, LeaseId, SwapResult};
--- a/crates/front/src/orders/link_use.rs
+++ b/crates/front/src/orders/link_use.rs
@@ -1,6 +1,8 @@
 //! How many loads shared the link that brings weights, and for how long.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use ladderstage_clock::Instant;
 
 /// For how long how many loads were under way at once: the time with one load first, then that with two, and so on.
 #[derive(Debug, Clone, Default, PartialEq)]
--- a/crates/front/src/orders/load_limit.rs
+++ b/crates/front/src/orders/load_limit.rs
@@ -16,9 +16,10 @@
 //! Too many loads at once bring no weights sooner and keep instances from work for longer; too few leave the link unused.
 
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::link_use::LinkTimes;
+use ladderstage_clock::Instant;
 
 /// Loads that are always tried at once.
 const LEAST_LIMIT: usize = 2;
--- a/crates/front/src/orders/looking.rs
+++ b/crates/front/src/orders/looking.rs
@@ -1,9 +1,10 @@
 //! Looks whether loads of weights are done.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
+use ladderstage_clock::Instant;
 
 use super::given::{Given, Load};
 use super::giver::OrderGiver;
@@ -34,16 +35,18 @@
             let instance = fleet.iter().find(|one| one.id() == id);
             async move {
                 let look = self.look_at_load(instance, &load).await;
-                (id, load, look)
+                (id, load, instance, look)
             }
         });
         let mut looks: FuturesUnordered<_> = looks.collect();
-        while let Some((id, load, look)) = looks.next().await {
+        while let Some((id, load, instance, look)) = looks.next().await {
             match look {
                 look @ (LoadLook::Loaded | LoadLook::KnownLoaded) => {
                     let is_by_report = matches!(look, LoadLook::Loaded);
                     given.note_load(&id, &load, is_by_report);
-                    given.news.loaded(&id, &load.model, load.version);
+                    if let Some(instance) = instance {
+                        given.news.loaded(instance, &load.model, load.version);
+                    }
                     given.end(&id);
                 }
                 LoadLook::Loading => given.look_again(&id),
@@ -55,6 +58,8 @@
 
     /// `instance` is none if it is gone.
     async fn look_at_load(&self, instance: Option<&Arc<Instance>>, load: &Load) -> LoadLook {
+        let is_same_start = |one: &&Arc<Instance>| one.is_start(load.started_unix_ms);
+        let instance = instance.filter(is_same_start);
         let Some(instance) = instance.filter(|_| Instant::now() < load.give_up_at) else {
             return LoadLook::Over;
         };
@@ -67,6 +72,10 @@
         let Ok(Ok(report)) = asking.await else {
             return LoadLook::NoAnswer;
         };
+        if !instance.is_start(report.started_unix_ms) {
+            self.backends.note_start(instance, report.started_unix_ms);
+            return LoadLook::Over;
+        }
         for (model, version) in &report.versions {
             instance.note_version(model, *version);
         }
--- a/crates/front/src/orders/mod.rs
+++ b/crates/front/src/orders/mod.rs
@@ -19,7 +19,7 @@
 pub use ended::EndedGivers;
 pub use giver::{OrderGiver, OrderOptions};
 pub use learnt::{LearntWriter, learnt_limit};
-pub use lease::{GiverLease, Held, LastGiver};
+pub use lease::{GiverLease, Held, LastGiver, LeaseLoss};
 pub use link_use::{LinkTimes, LinkUse};
 pub use load_limit::{FinishedLoad, LoadLimit, LoadTiming};
 pub use named::VersionsNamed;
--- a/crates/front/src/orders/named.rs
+++ b/crates/front/src/orders/named.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
 
 use super::plan::ModelDemand;
+use ladderstage_clock::Instant;
 
 /// A version and when this process heard of it.
 #[derive(Debug, Clone, Copy)]
--- a/crates/front/src/orders/news.rs
+++ b/crates/front/src/orders/news.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinSet;
 
 use super::load_limit::LoadLimit;
+use crate::backend::Instance;
 use crate::nodes::Nodes;
 
 /// How long a front may take to answer; news that come later are of no use.
@@ -53,18 +54,19 @@
 
 impl NewsSender {
     /// An instance has taken an order and loads a version for about `time`.
-    pub fn loading(&mut self, instance: &str, model: &str, version: u64, time: Duration) {
+    pub fn loading(&mut self, instance: &Instance, model: &str, version: u64, time: Duration) {
         self.add(instance, model, version, time.as_millis() as u64);
     }
 
     /// An instance has a version.
-    pub fn loaded(&mut self, instance: &str, model: &str, version: u64) {
+    pub fn loaded(&mut self, instance: &Instance, model: &str, version: u64) {
         self.add(instance, model, version, 0);
     }
 
-    fn add(&mut self, instance: &str, model: &str, version: u64, loading_ms: u64) {
+    fn add(&mut self, instance: &Instance, model: &str, version: u64, loading_ms: u64) {
         self.news.push(InstanceWeights {
-            instance: instance.to_owned(),
+            instance: instance.id().to_owned(),
+            started_unix_ms: instance.started_unix_ms(),
             model: model.to_owned(),
             version,
             loading_ms,
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -5,8 +5,9 @@
 use std::path::PathBuf;
 use std::pin::Pin;
 use std::sync::{Arc, OnceLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_journal::replica_set::{ReplicaSetTask, ReplicaSets};
 use ladderstage_journal::{InitialReplicas, Journal, JournalHooks, JournalOptions};
 use ladderstage_storage::Storage;
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 use crate::nodes::{NodeRecord, NodeRole, Nodes};
 use crate::program::{JobHooks, JournalParts, PeerHandler, PeerParts, ProgramOptions};
+use crate::suspension::watch_suspensions;
 
 /// Memory for the database's pages; most reads are of logs written a moment ago.
 const CACHE_BYTES: usize = 4 * 1024 * 1024;
@@ -105,13 +106,13 @@
         Some(storage.clone()),
         Arc::clone(&coordination),
     );
+    let metrics = Arc::new(Metrics::new());
     if let Some(address) = options.metrics_address {
-        let metrics = Arc::new(Metrics::new());
         metrics.add_journal(parts.journal.metrics());
         metrics.add_store_calls(&options.store_calls);
         let listener = TcpListener::bind(address).await;
         let listener = listener.map_err(|error| StoreError::Listen { address, error })?;
-        tokio::spawn(serve_metrics(listener, metrics));
+        tokio::spawn(serve_metrics(listener, Arc::clone(&metrics)));
     }
     parts.journal.set_hooks(Arc::new(JobHooks { jobs: None }));
     let _ = handler.parts.set(PeerParts {
@@ -130,7 +131,8 @@
     let activity = Activity::default();
     let _holds_disk = activity.begin();
     tokio::select! {
-        () = nodes.run(coordination, &activity) => Ok(()),
+        () = nodes.run(Arc::clone(&coordination), &activity) => Ok(()),
+        () = watch_suspensions(coordination.as_ref(), &metrics) => Ok(()),
         () = stop => {
             log::info!("event=stopped role=store node={}", options.node);
             Ok(())
--- a/crates/front/src/suspects/ledger.rs
+++ b/crates/front/src/suspects/ledger.rs
@@ -6,9 +6,10 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::content::ContentDigest;
+use ladderstage_clock::Instant;
 
 /// Ends after which a live request's content is held back. Before a service of three instances that one request ends twice a second, others
 /// were served 27,779 of 27,780 times with two, 27,146 with three, 9,140 without a bound; one was held back for ends that others caused
--- a/crates/front/src/suspects/mod.rs
+++ b/crates/front/src/suspects/mod.rs
@@ -12,8 +12,9 @@
 use std::fmt;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_wire::messages::SuspectNews;
 use tokio::sync::mpsc;
 
@@ -197,7 +198,11 @@
     /// Finds out what became of the instance under a run that broke, and suspects its content if the instance ended.
     pub async fn look(&self, run: &BrokenRun<'_>) -> InstanceFate {
         let run_ms = run.began.elapsed().as_millis();
-        let fate = probe(run.instance.address()).await;
+        let fate = if run.instance.has_ended() {
+            InstanceFate::Ended
+        } else {
+            probe(run.instance.address()).await
+        };
         let content = run.content;
         let start = run.instance.start_name();
         let is_new = fate == InstanceFate::Ended
--- a/crates/front/src/suspects/sharing.rs
+++ b/crates/front/src/suspects/sharing.rs
@@ -5,10 +5,11 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use ladderstage_clock::Instant;
 use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::{Request, SuspectNews};
@@ -48,6 +49,15 @@
 /// read which nodes there are.
 const SECOND_READ: Duration = Duration::from_secs(5);
 
+/// How new a reading of the store must be.
+#[derive(Debug, Clone, Copy)]
+enum Reading {
+    /// It may be seconds old, for a tenth of the price: nothing was missed but what came before the start.
+    Stale,
+    /// News may have been missed until just now.
+    Newest,
+}
+
 /// Shares what this node knows of suspected contents.
 pub struct SuspectSharing {
     /// What is known here.
@@ -146,10 +156,13 @@
         let started = Instant::now();
         let mut unwritten = BTreeSet::new();
         let mut has_second_read = false;
-        let mut must_read = true;
+        let mut wanted = Some(Reading::Stale);
         loop {
-            if must_read {
-                must_read = self.read_all(!has_second_read).await.is_err();
+            if let Some(reading) = wanted
+                && self.is_in_touch()
+                && self.read_all(reading).await.is_ok()
+            {
+                wanted = None;
             }
             let received = tokio::time::timeout(LOOK_PAUSE, news.recv()).await;
             match received {
@@ -162,23 +175,25 @@
             self.write_all(&mut unwritten).await;
             if !has_second_read && started.elapsed() > SECOND_READ {
                 has_second_read = true;
-                must_read = true;
+                wanted.get_or_insert(Reading::Stale);
+            }
+            if !self.is_in_touch() {
+                wanted = Some(Reading::Newest);
             }
-            must_read |= self.is_out_of_touch();
         }
     }
 
-    fn is_out_of_touch(&self) -> bool {
+    /// Whether the store answered this node lately. Reading it before it does would cost a call a second at each node that is cut off.
+    fn is_in_touch(&self) -> bool {
         let contact = self.nodes.last_contact();
-        contact.is_some_and(|at| at.elapsed() > OUT_OF_TOUCH)
+        contact.is_none_or(|at| at.elapsed() < OUT_OF_TOUCH)
     }
 
-    /// Takes what the store holds. A stale reading is a tenth of the price, and does at the start.
-    async fn read_all(&self, may_be_stale: bool) -> Result<(), CoordinationError> {
-        let listing = if may_be_stale {
-            self.coordination.list_stale(PREFIX).await
-        } else {
-            self.coordination.list(PREFIX).await
+    /// Takes what the store holds.
+    async fn read_all(&self, reading: Reading) -> Result<(), CoordinationError> {
+        let listing = match reading {
+            Reading::Stale => self.coordination.list_stale(PREFIX).await,
+            Reading::Newest => self.coordination.list(PREFIX).await,
         };
         let records = listing
             .inspect_err(|error| log::warn!("event=suspects_not_read cause=\"{error}\""))?
--- a/crates/front/src/usage/meter.rs
+++ b/crates/front/src/usage/meter.rs
@@ -5,8 +5,8 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
 
+use ladderstage_clock::Instant;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{Done, ProcessUsage, TenantCount, Usage};
--- a/crates/front/src/usage/reporter.rs
+++ b/crates/front/src/usage/reporter.rs
@@ -5,9 +5,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::future::{BoxFuture, join_all};
+use ladderstage_clock::Instant;
 use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
--- a/crates/front/src/usage/windows.rs
+++ b/crates/front/src/usage/windows.rs
@@ -1,6 +1,8 @@
 //! Windows of time, by a clock that does not jump.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use ladderstage_clock::Instant;
 
 /// How reports of use are due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/front/tests/ended_givers.rs
+++ b/crates/front/tests/ended_givers.rs
@@ -1,7 +1,8 @@
 //! What a front remembers of a giver of orders that has told its end.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_front::orders::{EndedGivers, LastGiver};
 use ladderstage_wire::messages::{GiverEnd, RecentOrder};
 
--- a/crates/front/tests/group_listing.rs
+++ b/crates/front/tests/group_listing.rs
@@ -1,7 +1,8 @@
 //! Which results of a step are listed when, and what that is worth to a trainer that reads twice a second.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_front::job::GroupListing;
 use ladderstage_wire::messages::{JobItem, JobSpec};
 use proptest::prelude::*;
--- a/crates/front/tests/load_limit.rs
+++ b/crates/front/tests/load_limit.rs
@@ -1,7 +1,8 @@
 //! How many loads may be under way at once is learnt from how long they take.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_front::orders::{FinishedLoad, LinkUse, LoadLimit, LoadTiming};
 use proptest::prelude::*;
 
--- a/crates/front/tests/pace.rs
+++ b/crates/front/tests/pace.rs
@@ -1,7 +1,8 @@
 //! When a run is moved to a faster instance.
 
+use ladderstage_clock::Instant;
 use ladderstage_front::backend::{Candidate, Demand, choose};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ladderstage_front::job::{
     Pace, expected_rest, first_event_limit, pays_to_move, refusal_pause, rest_demand,
--- a/crates/front/tests/suspect_load.rs
+++ b/crates/front/tests/suspect_load.rs
@@ -7,8 +7,9 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_front::suspects::{
     Admission, ContentDigest, ITEM_MOST_ENDS, LIVE_MOST_ENDS, SuspectLedger,
 };
--- a/crates/front/tests/suspects.rs
+++ b/crates/front/tests/suspects.rs
@@ -1,7 +1,8 @@
 //! Contents under which instances end: what is suspected, held back and cleared.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_front::suspects::{
     Admission, ContentDigest, FIRST_HOLD, LONGEST_HOLD, MOST_CONTENTS, RequestContent, SUSPICION,
     SuspectLedger,
--- /dev/null
+++ b/crates/front/tests/suspensions.rs
@@ -0,0 +1,78 @@
+//! A machine that was suspended believes nothing for longer than it is true: its steady clock stood still meanwhile.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladderstage_clock::Instant;
+use ladderstage_clock::testing::suspend;
+use ladderstage_front::backend::{BackendTable, Discovered};
+use ladderstage_front::job::Confirmation;
+use ladderstage_front::orders::{GiverLease, LeaseLoss};
+use ladderstage_front::usage::WindowClock;
+use support::memory_store::MemoryStore;
+
+const SLEEP: Duration = Duration::from_secs(20);
+
+fn lease(store: &MemoryStore, node: &str) -> GiverLease {
+    GiverLease {
+        coordination: Arc::new(store.of(node)),
+        node: node.to_owned(),
+        quiet: Duration::ZERO,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_wakes_gives_no_order_before_its_lease_is_renewed() {
+    let store = MemoryStore::default();
+    let lease = lease(&store, "front-1");
+    let held = lease.take().await.unwrap().unwrap();
+    assert!(lease.may_order(&held).await.unwrap());
+    suspend(SLEEP);
+    assert!(!lease.may_order(&held).await.unwrap());
+    // The store let the lease run out meanwhile, and the next renewal says so.
+    tokio::time::advance(SLEEP).await;
+    assert_eq!(lease.keep(&held).await, LeaseLoss::Over);
+}
+
+#[test]
+fn an_owner_that_wakes_has_an_old_confirmation() {
+    let confirmation = Confirmation::default();
+    let taken_at = Instant::now();
+    confirmation.note(Instant::now());
+    assert!(confirmation.age(taken_at) < SLEEP);
+    suspend(SLEEP);
+    assert!(confirmation.age(taken_at) >= SLEEP);
+}
+
+#[test]
+fn windows_go_on_while_the_machine_sleeps() {
+    let window = Duration::from_secs(5);
+    let clock = WindowClock::new(window);
+    let before = clock.window_of(Instant::now());
+    suspend(SLEEP);
+    let after = clock.window_of(Instant::now());
+    assert!(after >= before + 4, "{before} {after}");
+}
+
+#[test]
+fn a_pause_of_an_instance_is_over_after_the_sleep() {
+    let table = BackendTable::new("a");
+    table.upsert(Discovered {
+        id: "i-1".to_owned(),
+        service: "service".to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "a".to_owned(),
+        is_ready: true,
+        slots: 8,
+        started_unix_ms: 0,
+        versions: [].into(),
+    });
+    let instance = table.get("i-1").unwrap();
+    instance.note_pace(40.0, Instant::now());
+    instance.note_failure(Instant::now());
+    suspend(SLEEP);
+    assert!(instance.is_usable("", Instant::now()));
+    assert_eq!(instance.recent_pace_ms(), None);
+}
--- a/crates/front/tests/usage.rs
+++ b/crates/front/tests/usage.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_front::usage::{FixedReports, UsageMeter, WindowClock};
 use ladderstage_wire::messages::{ProcessUsage, TenantCount};
 use proptest::prelude::*;
--- a/crates/journal/src/heartbeat.rs
+++ b/crates/journal/src/heartbeat.rs
@@ -2,11 +2,12 @@
 
 use std::collections::BTreeSet;
 use std::sync::{Arc, Weak};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use ladderstage::ids::ProcessId;
 use ladderstage::journal::{WriterEpoch, quorum};
+use ladderstage_clock::Instant;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
--- a/crates/journal/src/hooks.rs
+++ b/crates/journal/src/hooks.rs
@@ -1,8 +1,8 @@
 //! What the journal tells the other parts of its node.
 
 use std::sync::{Arc, OnceLock};
-use std::time::Instant;
 
+use ladderstage_clock::Instant;
 use ladderstage_wire::messages::BundleEvidence;
 
 /// Called from the journal's tasks; implementations return at once.
--- a/crates/journal/src/replica.rs
+++ b/crates/journal/src/replica.rs
@@ -1,5 +1,10 @@
 //! The replica's side: answers journal messages from this node's data folder.
 
+#![expect(
+    clippy::disallowed_methods,
+    reason = "how long an owner was silent is the time in which it could have been heard: not that of a suspension of this machine"
+)]
+
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -1,5 +1,10 @@
 //! Replaces lost replicas: one at a time, through a joint set, with a copy in between.
 
+#![expect(
+    clippy::disallowed_methods,
+    reason = "how long a replica is missing is the time in which it could have been seen: not that of a suspension of this machine"
+)]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -2,11 +2,12 @@
 
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ladderstage::journal::WriterEpoch;
 use ladderstage::journal::quorum::{self, ReplicaId};
 use ladderstage::journal::writer::{LogWriterState, ReplicaWrite};
+use ladderstage_clock::Instant;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::mod_WriteReply::Outcome;
