Count restarts and bad records, show starts in the log, and keep new circles between modules out

Cause: what was new of instances had no counters, and a line named only the id of an instance; modules of front::job used each other in circles. Change: ladderstage_instance_restarts_total, ladderstage_unreadable_records_total{reason}; started= in the lines of attempts, item runs and reward calls.

--- a/crates/front/src/backend/mod.rs
+++ b/crates/front/src/backend/mod.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod connection;
+mod counters;
 mod exchange;
 mod instance;
 mod table;
@@ -9,6 +10,7 @@
 pub(crate) use choice::median;
 pub use choice::{Candidate, Demand, choose};
 pub use connection::{ConnectError, Connections, Lease};
+pub use counters::DiscoveryCounters;
 pub(crate) use exchange::keep_alive;
 pub use exchange::{AnswerId, ExchangeError, Reply, RequestHead, end_to_end, send};
 pub use instance::{Discovered, Instance, LOADING_PAUSE, Load, RunGuard};
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 
 use super::choice::{Candidate, Demand, choose, median};
+use super::counters::DiscoveryCounters;
 use super::instance::{Discovered, Instance};
 
 /// The instances by id. Cheap to clone.
@@ -22,6 +23,7 @@
     is_fed: watch::Sender<bool>,
     /// Whether a request came before that.
     is_wanted: watch::Sender<bool>,
+    counters: DiscoveryCounters,
 }
 
 impl BackendTable {
@@ -34,9 +36,22 @@
             membership: watch::Sender::new(0),
             is_fed: watch::Sender::new(false),
             is_wanted: watch::Sender::new(false),
+            counters: DiscoveryCounters::default(),
         }
     }
 
+    /// What was counted of discovery.
+    pub fn counters(&self) -> &DiscoveryCounters {
+        &self.counters
+    }
+
+    /// Forgets an instance whose record names none any more; `reason` is a label of metrics.
+    pub fn forget_unreadable(&self, id: &str, reason: &str) {
+        let unreadable = &self.counters.unreadable_records;
+        unreadable.with_label_values(&[reason]).inc();
+        self.remove(id);
+    }
+
     /// Takes what discovery tells of one instance. Nothing that is believed of one start outlives it, and a word about an earlier start
     /// than the known one, which may come late, changes nothing.
     pub fn upsert(&self, mut discovered: Discovered) {
@@ -86,6 +101,7 @@
                 let id = discovered.id.clone();
                 if let Some(earlier) = instances.insert(id, Arc::new(Instance::new(discovered))) {
                     earlier.note_ended();
+                    self.counters.restarts.inc();
                 }
             }
         }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -133,6 +133,7 @@
     let parts = JournalParts::start(&options, &nodes, None, Arc::clone(&coordination));
     metrics.add_journal(parts.journal.metrics());
     metrics.add_store_calls(&options.store_calls);
+    metrics.add_discovery(inputs.backends.counters());
     let (suspects, unshared) = Suspects::new(Arc::clone(&metrics));
     let jobs = JobRegistry::new(JobContext {
         journal: parts.journal.clone(),
--- a/crates/front/src/job/carrying.rs
+++ b/crates/front/src/job/carrying.rs
@@ -15,7 +15,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::leftover::{Leftover, TakeTexts};
-use super::registry::{JobRegistry, lock};
+use super::lock::lock;
+use super::registry::JobRegistry;
 
 /// How long a new job waits for texts of earlier ones. Its own acceptance takes 40 ms to 80 ms; a front that does not answer
 /// must not hold the job up for longer.
--- /dev/null
+++ b/crates/front/src/job/context.rs
@@ -0,0 +1,53 @@
+//! What the jobs of this node work with.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladderstage_journal::Journal;
+
+use super::confirmation::Confirmation;
+use super::lengths::TextLengths;
+use super::trainer_steps::NewestSteps;
+use crate::activity::Activity;
+use crate::backend::BackendTable;
+use crate::config::ConfigInForce;
+use crate::dialect::SharedCodec;
+use crate::metrics::Metrics;
+use crate::nodes::Nodes;
+use crate::orders::{EndedGivers, LearntLoads};
+use crate::roster::DirectView;
+use crate::suspects::Suspects;
+
+/// What jobs work with.
+pub struct JobContext {
+    /// Where they are kept.
+    pub journal: Journal,
+    /// The other nodes.
+    pub nodes: Nodes,
+    /// Routes.
+    pub config: ConfigInForce,
+    /// Instances.
+    pub backends: BackendTable,
+    /// Whether their records are followed here.
+    pub view: DirectView,
+    /// Names.
+    pub codec: SharedCodec,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// How long a job can be read after it was handed in.
+    pub retention: Duration,
+    /// Whether the replicas still know this node as the owner of its jobs.
+    pub confirmation: Confirmation,
+    /// How long texts are.
+    pub lengths: TextLengths,
+    /// The newest steps of trainers.
+    pub steps: NewestSteps,
+    /// What givers of orders have learnt of loads.
+    pub learnt_loads: LearntLoads,
+    /// The giver of orders that told its end last.
+    pub ended_givers: EndedGivers,
+    /// Counts the jobs that run at this node.
+    pub activity: Activity,
+    /// Requests under which instances end.
+    pub suspects: Suspects,
+}
--- a/crates/front/src/job/handover.rs
+++ b/crates/front/src/job/handover.rs
@@ -9,8 +9,9 @@
 use ladderstage_wire::messages::{Request, ShardNotice};
 
 use super::locating::PEER_TIMEOUT;
+use super::lock::lock;
 use super::log_name;
-use super::registry::{JobRegistry, lock};
+use super::registry::JobRegistry;
 use super::shared::{Command, Job};
 use crate::nodes::{NodeRecord, NodeRole, strongest};
 
--- a/crates/front/src/job/home.rs
+++ b/crates/front/src/job/home.rs
@@ -17,8 +17,9 @@
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{AcceptJob, Done, JobSpec, Request};
 
+use super::lock::lock;
 use super::peers::refused;
-use super::registry::{AcceptError, JobRegistry, lock};
+use super::registry::{AcceptError, JobRegistry};
 use crate::nodes::{NodeRecord, NodeRole};
 
 /// Time for the home to accept a job, which takes some tens of milliseconds. A home that is frozen or cut off costs each step
--- a/crates/front/src/job/locating.rs
+++ b/crates/front/src/job/locating.rs
@@ -12,9 +12,10 @@
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{ReadJob, Request};
 
+use super::lock::lock;
 use super::log_name;
 use super::reading::{ReadError, unavailable};
-use super::registry::{JobRegistry, lock};
+use super::registry::JobRegistry;
 use super::shared::Job;
 
 /// Time for a peer to answer, beyond the time that it was asked to wait.
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -12,13 +12,13 @@
 use tokio::task::{AbortHandle, JoinSet};
 
 use super::appending::{AppendDone, RETRY_PAUSE, append_after, wait_for};
+use super::context::JobContext;
 use super::digest::{FoundLog, LogDigest};
 use super::done::DoneItem;
 use super::group_listing::GroupListing;
 use super::leftover::{Leftover, Listing};
 use super::log_name;
 use super::queue::EntryQueue;
-use super::registry::JobContext;
 use super::run::RunOutcome;
 use super::run_context::{BegunVersions, SendWindow};
 use super::shared::{Command, Job};
--- a/crates/front/src/job/pace.rs
+++ b/crates/front/src/job/pace.rs
@@ -1,7 +1,7 @@
 //! How fast a run is, and whether it should go on at another instance.
 
-use super::run::fits;
 use super::run_context::RunContext;
+use super::run_end::fits;
 use super::text::ItemText;
 use crate::backend::{Demand, Instance};
 use ladderstage_clock::Instant;
--- a/crates/front/src/job/peers.rs
+++ b/crates/front/src/job/peers.rs
@@ -16,8 +16,9 @@
 };
 
 use super::LOG_PREFIX;
+use super::lock::lock;
 use super::reading::{ReadError, body_local, end_local, results_answer};
-use super::registry::{JobRegistry, lock};
+use super::registry::JobRegistry;
 use super::shared::Job;
 use crate::orders::LoadLimit;
 
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -1,35 +1,26 @@
 //! The jobs of this node and the way to all others: accepts, reads, ends and adopts them.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use ladderstage_clock::Instant;
-use ladderstage_journal::{Journal, JournalError};
+use ladderstage_journal::JournalError;
 use ladderstage_wire::messages::{JobResults, JobSpec};
 
 use super::carrying::LeftoverEntry;
-use super::confirmation::Confirmation;
+use super::context::JobContext;
 use super::digest::LogDigest;
-use super::lengths::TextLengths;
 use super::locating::Owned;
+use super::lock::lock;
 use super::owner::{Owner, OwnerEnd};
 use super::questions::{body_of, body_request, done_of, end_request, read_request, results_of};
 use super::reading::{COMMIT_LIMIT, ReadError, body_local, end_local, read_local, unavailable};
 use super::seen::SeenResults;
 use super::shared::{Command, Job};
 use super::state::JobState;
-use super::trainer_steps::NewestSteps;
 use super::{LOG_PREFIX, log_name};
-use crate::activity::Activity;
-use crate::backend::BackendTable;
-use crate::config::ConfigInForce;
-use crate::dialect::SharedCodec;
-use crate::metrics::Metrics;
-use crate::nodes::Nodes;
 use crate::orders::{EndedGivers, LearntLoads};
-use crate::roster::DirectView;
-use crate::suspects::Suspects;
 
 /// An owner answers reads for this long after a majority of replicas last confirmed it: another owner may have listed more
 /// since, and readers may see an older state for a second at most.
@@ -38,40 +29,6 @@
 /// Between looks for jobs that need not be kept any more.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 
-/// What jobs work with.
-pub struct JobContext {
-    /// Where they are kept.
-    pub journal: Journal,
-    /// The other nodes.
-    pub nodes: Nodes,
-    /// Routes.
-    pub config: ConfigInForce,
-    /// Instances.
-    pub backends: BackendTable,
-    /// Whether their records are followed here.
-    pub view: DirectView,
-    /// Names.
-    pub codec: SharedCodec,
-    /// Counters.
-    pub metrics: Arc<Metrics>,
-    /// How long a job can be read after it was handed in.
-    pub retention: Duration,
-    /// Whether the replicas still know this node as the owner of its jobs.
-    pub confirmation: Confirmation,
-    /// How long texts are.
-    pub lengths: TextLengths,
-    /// The newest steps of trainers.
-    pub steps: NewestSteps,
-    /// What givers of orders have learnt of loads.
-    pub learnt_loads: LearntLoads,
-    /// The giver of orders that told its end last.
-    pub ended_givers: EndedGivers,
-    /// Counts the jobs that run at this node.
-    pub activity: Activity,
-    /// Requests under which instances end.
-    pub suspects: Suspects,
-}
-
 /// Why a job was not accepted.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum AcceptError {
@@ -435,10 +392,3 @@
         spec.items.len()
     )
 }
-
-/// Locks; a panic of another holder leaves nothing half changed.
-pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .unwrap_or_else(|poisoned| poisoned.into_inner())
-}
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -8,6 +8,7 @@
 use ladderstage_clock::Instant;
 
 use super::run_context::{RunContext, refusal_pause};
+use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE, fits};
 use super::scoring::{ScoreEnd, score};
 use super::stream::follow_stream;
 use super::text::ItemText;
@@ -20,24 +21,6 @@
 /// How long a text of one weight version waits for an instance that still has it.
 const VERSION_WAIT: Duration = Duration::from_millis(500);
 
-/// How long an instance whose weights proved too old is left out for that model.
-pub(super) const STALE_WEIGHTS_PAUSE: Duration = Duration::from_secs(1);
-
-/// How one run at one instance ended.
-pub(super) enum RunEnd {
-    Complete,
-    /// The instance answered that the item can never be done.
-    Impossible,
-    /// The instance failed.
-    Failed,
-    /// The instance took none of it.
-    NotTaken(String),
-    /// The item goes on at another instance.
-    Move(String),
-    /// The connection broke; the item goes on at another instance.
-    Broken(String),
-}
-
 /// What came of running an item.
 pub enum RunOutcome {
     /// Its text is whole; the score is empty where nothing scores it.
@@ -230,11 +213,12 @@
         RunEnd::Move(cause) | RunEnd::Broken(cause) => format!("moved cause=\"{cause}\""),
     };
     log::info!(
-        "event=item_run item={} job={} group={} instance={} tokens={} guess={} events={} versions={:?} elapsed_ms={} outcome={outcome}",
+        "event=item_run item={} job={} group={} instance={} started={} tokens={} guess={} events={} versions={:?} elapsed_ms={} outcome={outcome}",
         context.spec.items[index].id,
         context.spec.job,
         context.spec.items[index].group,
         instance.id(),
+        instance.started_unix_ms(),
         context.spec.items[index].tokens,
         context.spec.items[index].expected_tokens,
         partial.events(),
@@ -284,17 +268,6 @@
     choose(true).or_else(|| choose(false))
 }
 
-/// Whether an instance has weights that may go on with the text.
-pub(super) fn fits(context: &RunContext, partial: &ItemText, instance: &Instance) -> bool {
-    let version = instance.version(&context.spec.model);
-    if context.single_version
-        && let Some(begun) = partial.versions().first()
-    {
-        return version == *begun;
-    }
-    version >= context.spec.min_version
-}
-
 async fn run_once(
     context: &RunContext,
     index: usize,
--- a/crates/front/src/job/scoring.rs
+++ b/crates/front/src/job/scoring.rs
@@ -260,12 +260,13 @@
         let calls = &self.context.metrics.reward_calls;
         calls.with_label_values(&[label]).inc();
         log::info!(
-            "event=reward_call item={} job={} request={} route={} instance={} elapsed_ms={} outcome={outcome}",
+            "event=reward_call item={} job={} request={} route={} instance={} started={} elapsed_ms={} outcome={outcome}",
             self.context.spec.items[index].id,
             self.context.spec.job,
             self.reward.id,
             self.route.name,
             ended.instance.id(),
+            ended.instance.started_unix_ms(),
             ended.started.elapsed().as_millis()
         );
     }
--- a/crates/front/src/job/shared.rs
+++ b/crates/front/src/job/shared.rs
@@ -7,7 +7,7 @@
 use ladderstage_clock::Instant;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use super::registry::lock;
+use super::lock::lock;
 use super::state::JobState;
 
 /// An owner whose log is another's at some replica, but not at a majority after several heartbeats, takes it again: the other
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -9,8 +9,8 @@
 
 use super::events::{Event, EventParser};
 use super::pace::Pace;
-use super::run::{RunEnd, STALE_WEIGHTS_PAUSE};
 use super::run_context::RunContext;
+use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE};
 use super::text::ItemText;
 use crate::backend::{Instance, Reply, keep_alive};
 
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -459,10 +459,11 @@
             Err(error) => format!("failed cause=\"{error}\""),
         };
         log::info!(
-            "event=attempt request={} route={} instance={} in_flight={} elapsed_ms={} outcome={outcome}",
+            "event=attempt request={} route={} instance={} started={} in_flight={} elapsed_ms={} outcome={outcome}",
             request.id(),
             route.name,
             ended.instance.id(),
+            ended.instance.started_unix_ms(),
             ended.instance.in_flight(),
             ended.started.elapsed().as_millis(),
         );
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -1,10 +1,12 @@
 //! Counters and histograms of one process, as text.
 
 use ladderstage_journal::JournalMetrics;
+use prometheus::core::Collector;
 use prometheus::{
     Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
+use crate::backend::DiscoveryCounters;
 use crate::coordination::StoreCalls;
 
 /// Upper bounds of latency buckets, in seconds.
@@ -158,7 +160,17 @@
 
     /// Adds the counter of calls to the coordination store.
     pub fn add_store_calls(&self, calls: &StoreCalls) {
-        if let Err(error) = self.registry.register(Box::new(calls.counter().clone())) {
+        self.add(Box::new(calls.counter().clone()));
+    }
+
+    /// Adds the counters of discovery.
+    pub fn add_discovery(&self, counters: &DiscoveryCounters) {
+        self.add(Box::new(counters.restarts.clone()));
+        self.add(Box::new(counters.unreadable_records.clone()));
+    }
+
+    fn add(&self, collector: Box<dyn Collector>) {
+        if let Err(error) = self.registry.register(collector) {
             log::error!("event=metrics_not_added cause=\"{error}\"");
         }
     }
