Tell fronts of a suspect only once its try has failed, and of several in one message

Cause: found by reading the diff for size: each end of an instance made suspects of all that ran there, and each was told to every front and written to the store, and again when it was cleared; by estimate 35 ends with sixteen runs each on 250 fronts are 140,000 calls. Change: a live request is told of when its try is over without success (also when its caller leaves), an item from its second end on, a clearing only to those who were told; news of 10 ms share one message.

--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -152,6 +152,7 @@
             began,
         };
         self.suspects.look(&run).await;
+        self.suspects.tell_of_item(content);
     }
 
     /// Events that an item's text has at most; `None` if that is not known.
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -18,6 +18,7 @@
 use crate::metrics::Metrics;
 use crate::suspects::{
     BrokenRun, ContentDigest, HeldBack, RequestContent, RunPermit, RunSubject, Suspects,
+    UntoldSuspect,
 };
 use crate::tenant::Caller;
 use crate::usage::UsageMeter;
@@ -137,6 +138,7 @@
             began: self.began,
         };
         self.suspects.look(&run).await;
+        self.suspects.tell(self.content);
     }
 }
 
@@ -178,6 +180,8 @@
     failure: Option<(StatusCode, HeaderMap, Bytes)>,
     /// The request was counted for its tenant.
     is_counted: bool,
+    /// An instance may have ended under an attempt.
+    untold: Option<UntoldSuspect>,
 }
 
 impl LiveService {
@@ -430,6 +434,8 @@
             }
             Err(_) => {
                 ended.instance.note_failure(now);
+                let untold = || UntoldSuspect::new(&self.suspects, request.content(route));
+                progress.untold.get_or_insert_with(untold);
                 self.after_broken(route)
             }
         }
--- a/crates/front/src/suspects/ledger.rs
+++ b/crates/front/src/suspects/ledger.rs
@@ -57,6 +57,19 @@
     under_way: usize,
     /// When the end of each start was noticed here, for runs that broke by the same end.
     noticed: HashMap<Arc<str>, Instant>,
+    /// Other nodes know of it.
+    is_told: bool,
+}
+
+/// What was known of a content that an instance bore.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cleared {
+    /// It was not suspected.
+    Unsuspected,
+    /// It was suspected at this node only.
+    Untold,
+    /// Other nodes suspect it as well.
+    Told,
 }
 
 impl Suspect {
@@ -66,6 +79,7 @@
             last_end: now,
             under_way: 0,
             noticed: HashMap::new(),
+            is_told: false,
         }
     }
 
@@ -209,12 +223,26 @@
                 has_news = true;
             }
         }
+        suspect.is_told = true;
         has_news
     }
 
-    /// An instance bore the content; returns whether it was suspected.
-    pub fn clear(&mut self, content: ContentDigest) -> bool {
-        self.suspects.remove(&content).is_some()
+    /// An instance bore the content.
+    pub fn clear(&mut self, content: ContentDigest) -> Cleared {
+        match self.suspects.remove(&content) {
+            None => Cleared::Unsuspected,
+            Some(suspect) if suspect.is_told => Cleared::Told,
+            Some(_) => Cleared::Untold,
+        }
+    }
+
+    /// Other nodes are told of a content; returns whether it is suspected at all.
+    pub fn note_told(&mut self, content: ContentDigest) -> bool {
+        let suspect = self.suspects.get_mut(&content);
+        suspect.is_some_and(|suspect| {
+            suspect.is_told = true;
+            true
+        })
     }
 
     /// Starts of instances that ended under a content.
--- a/crates/front/src/suspects/mod.rs
+++ b/crates/front/src/suspects/mod.rs
@@ -15,13 +15,13 @@
 use std::time::Duration;
 
 use ladderstage_clock::Instant;
-use ladderstage_wire::messages::SuspectNews;
+use ladderstage_wire::messages::{SuspectNews, SuspectedContent};
 use tokio::sync::mpsc;
 
 pub use content::{ContentDigest, RequestContent};
 pub use ledger::{
-    Admission, FIRST_HOLD, ITEM_MOST_ENDS, LIVE_MOST_ENDS, LONGEST_HOLD, MOST_CONTENTS, SUSPICION,
-    SuspectLedger,
+    Admission, Cleared, FIRST_HOLD, ITEM_MOST_ENDS, LIVE_MOST_ENDS, LONGEST_HOLD, MOST_CONTENTS,
+    SUSPICION, SuspectLedger,
 };
 pub use probe::{InstanceFate, probe};
 pub use sharing::SuspectSharing;
@@ -91,6 +91,9 @@
 /// Contents of which something new is known and not yet shared, at most; more are dropped with a line.
 const MOST_UNSHARED: usize = 256;
 
+/// Ends from which on fronts are told of an item: one in some thousand items meets two ends that others caused.
+const ITEM_TOLD_FROM: usize = 2;
+
 /// A caller whose request is not let through, as runs of the same content are under way, may come back after this: by then most have
 /// ended one way or the other.
 const BUSY_RETRY: Duration = Duration::from_millis(500);
@@ -119,6 +122,29 @@
     }
 }
 
+/// A content that ended an instance in a try that is not over yet: fronts are told when this is dropped, unless an instance bears it before.
+#[derive(Debug)]
+pub struct UntoldSuspect {
+    suspects: Suspects,
+    content: ContentDigest,
+}
+
+impl UntoldSuspect {
+    /// To be told of by `suspects`.
+    pub fn new(suspects: &Suspects, content: ContentDigest) -> Self {
+        Self {
+            suspects: suspects.clone(),
+            content,
+        }
+    }
+}
+
+impl Drop for UntoldSuspect {
+    fn drop(&mut self) {
+        self.suspects.tell(self.content);
+    }
+}
+
 /// A run that may not begin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HeldBack {
@@ -195,7 +221,7 @@
         held.map(|retry_after| HeldBack { retry_after })
     }
 
-    /// Finds out what became of the instance under a run that broke, and suspects its content if the instance ended.
+    /// Finds out what became of the instance under a run that broke, and suspects its content at this node if the instance ended.
     pub async fn look(&self, run: &BrokenRun<'_>) -> InstanceFate {
         let run_ms = run.began.elapsed().as_millis();
         let fate = if run.instance.has_ended() {
@@ -205,8 +231,9 @@
         };
         let content = run.content;
         let start = run.instance.start_name();
-        let is_new = fate == InstanceFate::Ended
-            && self.update(|ledger| ledger.note_end(content, &start, run.began, Instant::now()));
+        if fate == InstanceFate::Ended {
+            self.update(|ledger| ledger.note_end(content, &start, run.began, Instant::now()));
+        }
         log::warn!(
             "event=run_broken {} instance={} content={content} run_ms={run_ms} instance_now={} ends={:?}",
             run.subject,
@@ -216,10 +243,23 @@
         );
         let counter = &self.metrics.broken_runs;
         counter.with_label_values(&[fate.label()]).inc();
-        if is_new {
+        fate
+    }
+
+    /// Tells all fronts what is known of a content, if it is suspected. Each end of an instance makes suspects of all that ran there: telling
+    /// hundreds of fronts of each of them, and again as they are cleared, would cost more than the end. So a live request is told of once its
+    /// try is over without success, an item once a second instance has ended under it.
+    pub fn tell(&self, content: ContentDigest) {
+        if self.update(|ledger| ledger.note_told(content)) {
             self.share(content);
         }
-        fate
+    }
+
+    /// As [`Suspects::tell`], for an item, which only its owner runs again and again.
+    pub fn tell_of_item(&self, content: ContentDigest) {
+        if self.lock().ends(content).len() >= ITEM_TOLD_FROM {
+            self.tell(content);
+        }
     }
 
     /// An instance bore a run to the end of its answer. `content` is asked for only while any content is suspected.
@@ -228,18 +268,25 @@
             return;
         }
         let content = content();
-        if self.update(|ledger| ledger.clear(content)) {
+        let cleared = self.update(|ledger| ledger.clear(content));
+        if cleared != Cleared::Unsuspected {
             log::info!("event=suspect_cleared content={content} by=own_run");
+        }
+        if cleared == Cleared::Told {
             self.share(content);
         }
     }
 
     /// Takes what another front tells.
     pub fn take_news(&self, news: &SuspectNews) {
-        let content = ContentDigest::from_bits(news.content);
-        if !news.ends.is_empty() {
-            self.take_ends(content, &news.ends);
-        } else if self.update(|ledger| ledger.clear(content)) {
+        news.contents.iter().for_each(|told| self.take(told));
+    }
+
+    fn take(&self, told: &SuspectedContent) {
+        let content = ContentDigest::from_bits(told.content);
+        if !told.ends.is_empty() {
+            self.take_ends(content, &told.ends);
+        } else if self.update(|ledger| ledger.clear(content)) != Cleared::Unsuspected {
             log::info!("event=suspect_cleared content={content} by=news");
         }
     }
--- a/crates/front/src/suspects/sharing.rs
+++ b/crates/front/src/suspects/sharing.rs
@@ -12,7 +12,7 @@
 use ladderstage_clock::Instant;
 use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
-use ladderstage_wire::messages::{Request, SuspectNews};
+use ladderstage_wire::messages::{Request, SuspectNews, SuspectedContent};
 use tokio::sync::mpsc;
 
 use super::Suspects;
@@ -30,6 +30,9 @@
 /// Longest wait for that: news matter within a caller's pause before it comes back.
 const FRONTS_LIMIT: Duration = Duration::from_millis(300);
 
+/// News within this time share one message: an instance ends under all that ran there at once.
+const GATHER: Duration = Duration::from_millis(10);
+
 /// Fronts that are told at once: a weak front connects to some hundred others in less than a second so.
 const TOLD_AT_ONCE: usize = 32;
 
@@ -88,20 +91,30 @@
                     let Some(content) = content else {
                         return;
                     };
-                    telling.push(self.tell(content));
-                    // The keeper is there as long as this loop.
-                    let _ = told.send(content);
+                    tokio::time::sleep(GATHER).await;
+                    let mut contents = BTreeSet::from([content]);
+                    while let Ok(content) = news.try_recv() {
+                        contents.insert(content);
+                    }
+                    for content in &contents {
+                        // The keeper is there as long as this loop.
+                        let _ = told.send(*content);
+                    }
+                    telling.push(self.tell(contents));
                 }
                 Some(()) = telling.next() => {}
             }
         }
     }
 
-    /// Tells all other fronts what is known of a content.
-    async fn tell(&self, content: ContentDigest) {
-        let kind = RequestKind::suspect_news(SuspectNews {
+    /// Tells all other fronts what is known of some contents.
+    async fn tell(&self, contents: BTreeSet<ContentDigest>) {
+        let known = contents.iter().map(|content| SuspectedContent {
             content: content.to_bits(),
-            ends: self.suspects.ends(content),
+            ends: self.suspects.ends(*content),
+        });
+        let kind = RequestKind::suspect_news(SuspectNews {
+            contents: known.collect(),
         });
         let (begun, mut told) = (Instant::now(), 0);
         self.learn_fronts().await;
@@ -115,9 +128,7 @@
             async move {
                 let told = self.nodes.call(&node, request, TELL_TIMEOUT).await;
                 told.inspect_err(|error| {
-                    log::info!(
-                        "event=suspect_not_told content={content} front={node} cause=\"{error}\""
-                    );
+                    log::info!("event=suspects_not_told front={node} cause=\"{error}\"");
                 })
                 .is_ok()
             }
@@ -135,7 +146,7 @@
             }
         }
         log::info!(
-            "event=suspect_told content={content} fronts={told} of={count} elapsed_ms={}",
+            "event=suspects_told contents={contents:?} fronts={told} of={count} elapsed_ms={}",
             begun.elapsed().as_millis()
         );
     }
--- a/crates/front/tests/suspects.rs
+++ b/crates/front/tests/suspects.rs
@@ -4,8 +4,8 @@
 
 use ladderstage_clock::Instant;
 use ladderstage_front::suspects::{
-    Admission, ContentDigest, FIRST_HOLD, LONGEST_HOLD, MOST_CONTENTS, RequestContent, SUSPICION,
-    SuspectLedger,
+    Admission, Cleared, ContentDigest, FIRST_HOLD, LONGEST_HOLD, MOST_CONTENTS, RequestContent,
+    SUSPICION, SuspectLedger,
 };
 use proptest::prelude::*;
 
@@ -126,9 +126,20 @@
 fn an_instance_that_bears_a_content_clears_it() {
     let (mut ledger, begin) = (ledger(), Instant::now());
     let now = end_instances(&mut ledger, MOST_ENDS, begin);
-    assert!(ledger.clear(content(1)));
+    assert_eq!(ledger.clear(content(1)), Cleared::Untold);
     assert_eq!(ledger.admit(content(1), MOST_ENDS, now), Admission::Free);
-    assert!(!ledger.clear(content(1)));
+    assert_eq!(ledger.clear(content(1)), Cleared::Unsuspected);
+}
+
+#[test]
+fn others_hear_of_a_clearing_only_if_they_heard_of_the_suspicion() {
+    let (mut ledger, begin) = (ledger(), Instant::now());
+    assert!(!ledger.note_told(content(1)));
+    end_instances(&mut ledger, 1, begin);
+    assert!(ledger.note_told(content(1)));
+    assert_eq!(ledger.clear(content(1)), Cleared::Told);
+    ledger.merge(content(2), ["i-1@1"], begin);
+    assert_eq!(ledger.clear(content(2)), Cleared::Told);
 }
 
 #[test]
