Ask one gate before each send to an instance; read what the new deployments' records tell

Cause: two deployments come whose operators drain zones, whose instances start cold and are paid by the second. Four parts of the work need the same few places: what keeps a request from an instance, and fields of configuration and records that were read and thrown away. Change: Instance::may_send, asked by the table's choice and by the exchange right before a request leaves; DrainedZones, which nobody fills yet; ColdSpec and ScalingSpec of a service; cold time, preemptible and leaving time of an instance. Conclusion: the parts can be built side by side.

--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -11,6 +11,7 @@
 use ladderstage_clock::Instant;
 
 use super::connection::Lease;
+use super::gate::HoldReason;
 use super::instance::{Instance, Load};
 use crate::dialect::HeaderNames;
 
@@ -37,6 +38,9 @@
     /// No byte was sent.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// No byte was sent, as the instance is to get nothing now; this says nothing against it.
+    #[error("held back: {0}")]
+    HeldBack(HoldReason),
     /// The instance says that it did not run the request.
     #[error("not run: {0}")]
     NotRun(StatusCode),
@@ -115,7 +119,7 @@
     attempt_id: &HeaderValue,
     answer_id: AnswerId,
 ) -> Result<Reply, ExchangeError> {
-    let (response, lease) = send_on_some_connection(instance, head, body).await?;
+    let (response, lease) = send_on_some_connection(instance, head, body, answer_id).await?;
     let (parts, body) = response.into_parts();
     let found = parts.headers.get(&names.attempt_id);
     let may_lack = answer_id == AnswerId::Optional && found.is_none();
@@ -161,10 +165,15 @@
     instance: &Arc<Instance>,
     head: &RequestHead,
     body: &Bytes,
+    answer_id: AnswerId,
 ) -> Result<(http::Response<Incoming>, Lease), ExchangeError> {
     for _ in 0..CONNECTIONS_TRIED {
         let acquired = instance.connections().acquire().await;
         let mut lease = acquired.map_err(|error| ExchangeError::NotSent(error.to_string()))?;
+        // Calls to the instance itself are no work: they may reach one that is to get none.
+        if answer_id == AnswerId::Required {
+            instance.may_send().map_err(ExchangeError::HeldBack)?;
+        }
         let request = build(head, body.clone());
         match lease.sender.try_send_request(request).await {
             Ok(response) => return Ok((response, lease)),
--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -12,6 +12,7 @@
 
 use super::choice::Candidate;
 use super::connection::Connections;
+use super::gate::{HoldReason, SendGates};
 
 /// How long a load that the instance told counts.
 const LOAD_TRUST: Duration = Duration::from_millis(500);
@@ -49,6 +50,15 @@
     /// When this start of it began, in milliseconds since the epoch by its own clock; 0: unknown. The id may come back with a later one.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub started_unix_ms: u64,
+    /// How much longer it bears few requests after its start, in milliseconds as of the record; 0: it bears all that it has slots for.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_ms: u64,
+    /// It may be taken away at short notice, with all such instances of its zone.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_preemptible: bool,
+    /// Milliseconds until it is taken away as of the record; `None`: not announced.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leaves_ms: Option<u64>,
     /// Weight versions by model.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub versions: BTreeMap<String, u64>,
@@ -58,6 +68,10 @@
     *number == 0
 }
 
+fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
 impl Discovered {
     /// Whether another word about the instance tells the same, weights left out.
     pub fn is_same_without_weights(&self, other: &Self) -> bool {
@@ -69,6 +83,9 @@
             is_ready,
             slots,
             started_unix_ms,
+            cold_ms,
+            is_preemptible,
+            leaves_ms,
             versions: _,
         } = self;
         *id == other.id
@@ -78,6 +95,10 @@
             && *is_ready == other.is_ready
             && *slots == other.slots
             && *started_unix_ms == other.started_unix_ms
+            // How much longer differs with each word.
+            && (*cold_ms == 0) == (other.cold_ms == 0)
+            && *is_preemptible == other.is_preemptible
+            && leaves_ms.is_none() == other.leaves_ms.is_none()
     }
 }
 
@@ -111,6 +132,7 @@
     address: SocketAddr,
     connections: Connections,
     in_flight: AtomicU32,
+    gates: SendGates,
     known: Mutex<Known>,
     /// A later start of it is known.
     has_ended: watch::Sender<bool>,
@@ -136,8 +158,8 @@
 }
 
 impl Instance {
-    /// A newly discovered instance.
-    pub fn new(discovered: Discovered) -> Self {
+    /// A newly discovered instance that gets requests as the gates allow.
+    pub fn new(discovered: Discovered, gates: SendGates) -> Self {
         Self {
             id: discovered.id.clone(),
             started_unix_ms: discovered.started_unix_ms,
@@ -145,6 +167,7 @@
             has_ended: watch::Sender::new(false),
             connections: Connections::new(discovered.address),
             in_flight: AtomicU32::new(0),
+            gates,
             known: Mutex::new(Known {
                 discovered,
                 others: None,
@@ -304,6 +327,18 @@
         self.lock().loading_until.insert(model.to_owned(), until);
     }
 
+    /// Whether a request may be sent to it now.
+    ///
+    /// # Errors
+    /// Why it is to get none.
+    pub fn may_send(&self) -> Result<(), HoldReason> {
+        let known = self.lock();
+        if self.gates.drained.contains(&known.discovered.zone) {
+            return Err(HoldReason::ZoneDrained);
+        }
+        Ok(())
+    }
+
     /// Whether the instance takes new work for `model` (empty: any) now.
     pub fn is_usable(&self, model: &str, now: Instant) -> bool {
         let known = self.lock();
--- a/crates/front/src/backend/mod.rs
+++ b/crates/front/src/backend/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod counters;
 mod exchange;
+mod gate;
 mod instance;
 mod table;
 
@@ -13,5 +14,6 @@
 pub use counters::DiscoveryCounters;
 pub(crate) use exchange::keep_alive;
 pub use exchange::{AnswerId, ExchangeError, Reply, RequestHead, end_to_end, send};
+pub use gate::{DrainedZones, HoldReason, SendGates};
 pub use instance::{Discovered, Instance, LOADING_PAUSE, Load, RunGuard};
 pub use table::BackendTable;
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -9,6 +9,7 @@
 
 use super::choice::{Candidate, Demand, choose, median};
 use super::counters::DiscoveryCounters;
+use super::gate::SendGates;
 use super::instance::{Discovered, Instance};
 
 /// The instances by id. Cheap to clone.
@@ -24,6 +25,7 @@
     /// Whether a request came before that.
     is_wanted: watch::Sender<bool>,
     counters: DiscoveryCounters,
+    gates: SendGates,
 }
 
 impl BackendTable {
@@ -37,9 +39,15 @@
             is_fed: watch::Sender::new(false),
             is_wanted: watch::Sender::new(false),
             counters: DiscoveryCounters::default(),
+            gates: SendGates::default(),
         }
     }
 
+    /// What keeps requests from instances that discovery calls ready.
+    pub fn gates(&self) -> &SendGates {
+        &self.gates
+    }
+
     /// What was counted of discovery.
     pub fn counters(&self) -> &DiscoveryCounters {
         &self.counters
@@ -99,7 +107,8 @@
                     discovered.is_ready
                 );
                 let id = discovered.id.clone();
-                if let Some(earlier) = instances.insert(id, Arc::new(Instance::new(discovered))) {
+                let instance = Arc::new(Instance::new(discovered, self.gates.clone()));
+                if let Some(earlier) = instances.insert(id, instance) {
                     earlier.note_ended();
                     self.counters.restarts.inc();
                 }
@@ -230,6 +239,7 @@
             .of_service(service)
             .into_iter()
             .filter(|instance| instance.is_usable(model, now) && fits(instance))
+            .filter(|instance| instance.may_send().is_ok())
             .collect();
         let candidates: Vec<Candidate> = usable
             .iter()
@@ -244,7 +254,7 @@
         let instances = self.of_service(service);
         let ready: Vec<_> = instances
             .into_iter()
-            .filter(|instance| instance.is_ready())
+            .filter(|instance| instance.is_ready() && instance.may_send().is_ok())
             .collect();
         let index = rand::random_range(0..ready.len().max(1));
         ready.get(index).cloned()
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -93,8 +93,32 @@
     }
 }
 
+/// What an instance bears while it is cold: it has just started, or says so.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdSpec {
+    /// How long an instance stays cold after its start.
+    pub time: Duration,
+    /// Requests a second that it bears meanwhile, from all callers together.
+    pub requests_per_second: f64,
+}
+
+/// How many instances a service may have, and what they cost.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ScalingSpec {
+    /// Fewest instances in a zone, of both kinds together.
+    pub least: u32,
+    /// Most instances in a zone, of both kinds together.
+    pub most: u32,
+    /// Time from an order to the first request that a new instance serves.
+    pub boot: Duration,
+    /// Price of an instance that may be taken away, against that of another; `None`: there are none.
+    pub preemptible_price: Option<f64>,
+    /// Price of a second of an instance, by zone.
+    pub zone_prices: BTreeMap<String, f64>,
+}
+
 /// How the instances of a service are used.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct ServiceSpec {
     /// Connections that an instance takes from all callers together.
     pub max_connections: u32,
@@ -102,6 +126,10 @@
     pub models: Vec<String>,
     /// Tokens that one event of their streams holds; 0: unknown.
     pub tokens_per_event: u64,
+    /// What its instances bear while they are cold; `None`: as much as at any time.
+    pub cold: Option<ColdSpec>,
+    /// Bounds of how many instances it has; `None`: their number is not ours to change.
+    pub scaling: Option<ScalingSpec>,
 }
 
 /// Bounds of what a client may send.
@@ -129,7 +157,7 @@
 }
 
 /// One whole version of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct ServingConfig {
     /// Rises with every change.
     pub version: u64,
--- a/crates/front/src/roster/record.rs
+++ b/crates/front/src/roster/record.rs
@@ -22,9 +22,11 @@
     pub fn of(table: &BackendTable, services: BTreeSet<String>, known_at: u64) -> Self {
         let mut instances = table.discovered();
         instances.retain(|instance| services.contains(&instance.service));
-        instances
-            .iter_mut()
-            .for_each(|instance| instance.versions.clear());
+        instances.iter_mut().for_each(|instance| {
+            instance.versions.clear();
+            // It counts down, and the roster would be written anew with each word about it.
+            instance.leaves_ms = None;
+        });
         Self {
             known_at,
             services,
--- a/crates/front/tests/instance_starts.rs
+++ b/crates/front/tests/instance_starts.rs
@@ -19,6 +19,9 @@
         is_ready: true,
         slots: 8,
         started_unix_ms,
+        cold_ms: 0,
+        is_preemptible: false,
+        leaves_ms: None,
         versions: BTreeMap::from([(MODEL.to_owned(), version)]),
     }
 }
--- a/crates/front/tests/roster.rs
+++ b/crates/front/tests/roster.rs
@@ -41,6 +41,9 @@
 fn instance(id: &str) -> Discovered {
     Discovered {
         started_unix_ms: 0,
+        cold_ms: 0,
+        is_preemptible: false,
+        leaves_ms: None,
         id: id.to_owned(),
         service: "scorer".to_owned(),
         address: "127.0.0.1:9".parse().unwrap(),
--- a/crates/front/tests/suspensions.rs
+++ b/crates/front/tests/suspensions.rs
@@ -67,6 +67,9 @@
         is_ready: true,
         slots: 8,
         started_unix_ms: 0,
+        cold_ms: 0,
+        is_preemptible: false,
+        leaves_ms: None,
         versions: [].into(),
     });
     let instance = table.get("i-1").unwrap();
