Follow zone drains: by the roster at no further call, else by their records

No front read the operator's request, so that requests went on to drained zones. The giver of orders follows the requests and names the drained zones in the roster, where their instances are not ready for older readers; fronts without such a roster follow the records. Until a front knows of drains it sends nothing. Weights are planned for the zones left. A live request that drains leave no instance is refused at once with its cause in the log.

--- a/crates/front/src/backend/counters.rs
+++ b/crates/front/src/backend/counters.rs
@@ -1,6 +1,6 @@
 //! What is counted of discovery.
 
-use prometheus::{IntCounter, IntCounterVec, Opts};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts};
 
 /// Counters of one table of instances. Cheap to clone.
 #[derive(Debug, Clone)]
@@ -9,6 +9,8 @@
     pub restarts: IntCounter,
     /// Records that name no instance, by reason.
     pub unreadable_records: IntCounterVec,
+    /// Zones that are drained.
+    pub drained_zones: IntGauge,
 }
 
 impl Default for DiscoveryCounters {
@@ -17,6 +19,10 @@
             "ladderstage_instance_restarts_total",
             "Later starts of instances under known ids",
         );
+        let drained_zones = IntGauge::new(
+            "ladderstage_drained_zones",
+            "Zones whose instances are to get nothing",
+        );
         let options = Opts::new(
             "ladderstage_unreadable_records_total",
             "Records of instances that name none by reason",
@@ -24,6 +30,7 @@
         Self {
             restarts: restarts.expect("valid name"),
             unreadable_records: IntCounterVec::new(options, &["reason"]).expect("valid name"),
+            drained_zones: drained_zones.expect("valid name"),
         }
     }
 }
--- a/crates/front/src/backend/gate.rs
+++ b/crates/front/src/backend/gate.rs
@@ -12,6 +12,8 @@
 pub enum HoldReason {
     /// Its zone is to be drained.
     ZoneDrained,
+    /// Zones may be drained here, and nothing is known of that yet.
+    DrainsUnknown,
     /// It has just started, or may have, and this node has no share of the requests that it bears.
     Cold,
 }
@@ -21,6 +23,7 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::ZoneDrained => "zone_drained",
+            Self::DrainsUnknown => "drains_unknown",
             Self::Cold => "cold",
         }
     }
@@ -36,19 +39,54 @@
 #[derive(Debug, Clone)]
 pub struct DrainedZones {
     zones: watch::Sender<Arc<BTreeSet<Arc<str>>>>,
+    /// Whether nothing was told yet where something will be.
+    is_awaited: watch::Sender<bool>,
 }
 
 impl Default for DrainedZones {
     fn default() -> Self {
         Self {
             zones: watch::Sender::new(Arc::default()),
+            is_awaited: watch::Sender::new(false),
         }
     }
 }
 
 impl DrainedZones {
+    /// Notes that drains are followed here: until the first word of them, any zone may be one that is drained.
+    pub fn await_first(&self) {
+        self.is_awaited.send_replace(true);
+    }
+
+    /// Returns once it is known which zones are drained.
+    pub async fn known(&self) {
+        let mut is_awaited = self.is_awaited.subscribe();
+        // The sender lives as long as this set.
+        let _ = is_awaited.wait_for(|is_awaited| !is_awaited).await;
+    }
+
+    /// Whether it is known which zones are drained.
+    pub fn is_known(&self) -> bool {
+        !*self.is_awaited.borrow()
+    }
+
+    /// Whether the instances of a zone may get requests.
+    ///
+    /// # Errors
+    /// Why they are to get none.
+    pub fn may_send_to(&self, zone: &str) -> Result<(), HoldReason> {
+        if !self.is_known() {
+            return Err(HoldReason::DrainsUnknown);
+        }
+        if self.contains(zone) {
+            return Err(HoldReason::ZoneDrained);
+        }
+        Ok(())
+    }
+
     /// Takes the zones that are to be drained now; returns whether they differ from those before.
     pub fn set(&self, zones: BTreeSet<Arc<str>>) -> bool {
+        self.is_awaited.send_if_modified(std::mem::take);
         self.zones.send_if_modified(|known| {
             let is_news = **known != zones;
             if is_news {
--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -332,11 +332,16 @@
     /// # Errors
     /// Why it is to get none.
     pub fn may_send(&self) -> Result<(), HoldReason> {
+        self.drain_gate()
+    }
+
+    /// Whether a request may be sent to it as far as its zone goes.
+    ///
+    /// # Errors
+    /// Why it is to get none.
+    pub fn drain_gate(&self) -> Result<(), HoldReason> {
         let known = self.lock();
-        if self.gates.drained.contains(&known.discovered.zone) {
-            return Err(HoldReason::ZoneDrained);
-        }
-        Ok(())
+        self.gates.drained.may_send_to(&known.discovered.zone)
     }
 
     /// Whether the instance takes new work for `model` (empty: any) now.
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -1,6 +1,6 @@
 //! All instances that discovery knows.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 
 use super::choice::{Candidate, Demand, choose, median};
 use super::counters::DiscoveryCounters;
-use super::gate::SendGates;
+use super::gate::{HoldReason, SendGates};
 use super::instance::{Discovered, Instance};
 
 /// The instances by id. Cheap to clone.
@@ -48,6 +48,49 @@
         &self.gates
     }
 
+    /// Takes the zones that are to be drained now.
+    pub fn set_drained(&self, zones: BTreeSet<Arc<str>>) {
+        let drained = &self.gates.drained;
+        let before = drained.current();
+        let is_news = !drained.is_known() || *before != zones;
+        drained.set(zones);
+        if !is_news {
+            return;
+        }
+        let now = drained.current();
+        for zone in now.difference(&before) {
+            let instances = self.count_in(zone);
+            log::info!("event=zone_drain_began zone={zone} instances={instances}");
+        }
+        for zone in before.difference(&now) {
+            let instances = self.count_in(zone);
+            log::info!("event=zone_drain_ended zone={zone} instances={instances}");
+        }
+        self.counters.drained_zones.set(now.len() as i64);
+        // Whoever waits for room may find some where a drain ended.
+        self.notify();
+    }
+
+    fn count_in(&self, zone: &str) -> usize {
+        let instances = self.lock();
+        let zones = instances
+            .values()
+            .map(|instance| instance.discovered().zone);
+        zones.filter(|other| other == zone).count()
+    }
+
+    /// Why drains leave no instance of a service that may get a request; `None`: one may, or there is no instance.
+    pub fn drained_out(&self, service: &str) -> Option<HoldReason> {
+        let instances = self.of_service(service);
+        let is_open =
+            |instance: &Arc<Instance>| instance.is_ready() && instance.drain_gate().is_ok();
+        if instances.iter().any(is_open) {
+            return None;
+        }
+        let reasons = instances.iter().map(|instance| instance.drain_gate().err());
+        reasons.flatten().next()
+    }
+
     /// What was counted of discovery.
     pub fn counters(&self) -> &DiscoveryCounters {
         &self.counters
@@ -135,15 +178,21 @@
         }
     }
 
-    /// Asks for instances if none was ever told of, and waits for the first one, `longest` at most.
+    /// Asks for instances if none was ever told of, and waits for the first one and for word of drained zones, `longest` at most.
     pub async fn first_fed(&self, longest: Duration) {
-        if *self.is_fed.borrow() {
+        let drained = &self.gates.drained;
+        if *self.is_fed.borrow() && drained.is_known() {
             return;
         }
         self.is_wanted.send_replace(true);
         let mut is_fed = self.is_fed.subscribe();
+        let first = async {
+            // The sender lives as long as this table.
+            let _ = is_fed.wait_for(|is_fed| *is_fed).await;
+            drained.known().await;
+        };
         // Whether it came in time shows when an instance is chosen.
-        let _ = tokio::time::timeout(longest, is_fed.wait_for(|is_fed| *is_fed)).await;
+        let _ = tokio::time::timeout(longest, first).await;
     }
 
     /// Returns once somebody asked for instances before the first one was told of.
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -57,6 +57,8 @@
     pub activities: Activities,
     /// As of when the instances are known from discovery itself.
     pub view: DirectView,
+    /// As of when the drained zones are known from the store itself; `None`: no zone is drained in this deployment.
+    pub drains: Option<DirectView>,
     /// How the roster of instances is kept; `None`: none is.
     pub roster: Option<RosterOptions>,
     /// Names.
@@ -199,6 +201,7 @@
             backends: inputs.backends.clone(),
             config: inputs.config.clone(),
             view: inputs.view.clone(),
+            drains: inputs.drains.clone(),
             nodes: nodes.clone(),
             options: inputs.roster,
         },
--- a/crates/front/src/ingress/answers.rs
+++ b/crates/front/src/ingress/answers.rs
@@ -11,8 +11,8 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use super::state::RequestGuard;
-use crate::backend::{Lease, end_to_end, keep_alive};
-use crate::live::{LiveAnswer, RETRY_AFTER, StreamRun};
+use crate::backend::{HoldReason, Lease, end_to_end, keep_alive};
+use crate::live::{DRAINED_RETRY_AFTER, LiveAnswer, RETRY_AFTER, StreamRun};
 
 /// Error of a body that is aborted.
 pub(super) type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -49,6 +49,8 @@
         }
         LiveAnswer::NotRun => not_run(),
         LiveAnswer::HeldBack(held) => not_run_before(held.retry_after),
+        LiveAnswer::NoneMayServe(HoldReason::ZoneDrained) => not_run_before(DRAINED_RETRY_AFTER),
+        LiveAnswer::NoneMayServe(_) => not_run(),
         LiveAnswer::Failed(status) => empty(status),
     }
 }
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -338,7 +338,7 @@
         } => {
             instance.note_loading(&context.spec.model, now + STALE_WEIGHTS_PAUSE);
         }
-        ExchangeError::HeldBack(_) => {}
+        ExchangeError::HeldBack(reason) => context.metrics.note_held_back(*reason),
         ExchangeError::Misdirected { .. }
         | ExchangeError::NotSent(_)
         | ExchangeError::Broken(_) => {
--- a/crates/front/src/job/scoring.rs
+++ b/crates/front/src/job/scoring.rs
@@ -238,6 +238,7 @@
             }
             Ok(Answer::Failed(StatusCode::INTERNAL_SERVER_ERROR)) => *failures += 1,
             Ok(Answer::Failed(_)) => ended.instance.note_failure(now),
+            Err(ExchangeError::HeldBack(reason)) => self.context.metrics.note_held_back(reason),
             Err(error) => {
                 let is_silent =
                     matches!(error, ExchangeError::NotSent(_) | ExchangeError::Broken(_));
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -10,8 +10,8 @@
 use ladderstage_clock::Instant;
 
 use crate::backend::{
-    AnswerId, BackendTable, Demand, ExchangeError, Instance, Reply, RequestHead, RunGuard,
-    end_to_end, send,
+    AnswerId, BackendTable, Demand, ExchangeError, HoldReason, Instance, Reply, RequestHead,
+    RunGuard, end_to_end, send,
 };
 use crate::config::{Route, RouteKind};
 use crate::dialect::SharedCodec;
@@ -29,6 +29,9 @@
 /// When a client should come back after a refusal.
 pub const RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// The same where all instances are in drained zones: an operator has to take that back, and fronts hear of it within seconds.
+pub const DRAINED_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 /// A second instance is asked after this share of the target latency, where requests may run twice.
 const HEDGE_SHARE: f64 = 0.6;
 
@@ -102,6 +105,8 @@
     NotRun,
     /// The same, as instances have ended under others of its content.
     HeldBack(HeldBack),
+    /// The same, as no instance may get a request now.
+    NoneMayServe(HoldReason),
     /// Nothing is promised.
     Failed(StatusCode),
 }
@@ -236,7 +241,8 @@
                 }
             }
             if under_way.is_empty() {
-                return give_up(progress, held);
+                let answer = give_up(progress, held);
+                return self.with_cause(route, service, request, answer);
             }
             let may_hedge = route.kind == RouteKind::Safe && may_start && !is_due;
             tokio::select! {
@@ -270,6 +276,29 @@
         })
     }
 
+    /// Names the cause of a refusal where drains leave no instance: the client need not come back soon, and an operator finds why.
+    fn with_cause(
+        &self,
+        route: &Route,
+        service: &str,
+        request: &LiveRequest,
+        answer: LiveAnswer,
+    ) -> LiveAnswer {
+        let LiveAnswer::NotRun = answer else {
+            return answer;
+        };
+        let Some(reason) = self.backends.drained_out(service) else {
+            return answer;
+        };
+        log::info!(
+            "event=request_held_back request={} route={} service={service} reason={reason}",
+            request.id(),
+            route.name
+        );
+        self.metrics.note_held_back(reason);
+        LiveAnswer::NoneMayServe(reason)
+    }
+
     fn admit(&self, route: &Route, request: &LiveRequest) -> Result<RunPermit, HeldBack> {
         let subject = RunSubject::Request {
             id: request.id(),
@@ -427,6 +456,9 @@
             }
             Err(error) if error.is_not_run() => {
                 progress.possible_runs -= 1;
+                if let ExchangeError::HeldBack(reason) = error {
+                    self.metrics.note_held_back(reason);
+                }
                 if matches!(error, ExchangeError::NotSent(_)) {
                     ended.instance.note_failure(now);
                 }
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -6,7 +6,7 @@
     Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
-use crate::backend::DiscoveryCounters;
+use crate::backend::{DiscoveryCounters, HoldReason};
 use crate::coordination::StoreCalls;
 
 /// Upper bounds of latency buckets, in seconds.
@@ -30,6 +30,8 @@
     pub broken_runs: IntCounterVec,
     /// Runs that did not begin, as instances had ended under others of the same content, by what was to run.
     pub held_back_runs: IntCounterVec,
+    /// Requests that were not sent, as the instances meant were to get none, by reason.
+    pub held_back_requests: IntCounterVec,
     /// Contents under which instances have ended.
     pub suspected_contents: IntGauge,
     /// Ends of instances that are known of them.
@@ -110,6 +112,11 @@
                 "Runs that did not begin as instances had ended under others of the same content",
                 &["subject"],
             ),
+            held_back_requests: vec(
+                "ladderstage_held_back_requests_total",
+                "Requests that were not sent as the instances meant were to get none by reason",
+                &["reason"],
+            ),
             suspected_contents: gauge(
                 "ladderstage_suspected_contents",
                 "Contents of requests under which instances have ended",
@@ -167,6 +174,13 @@
     pub fn add_discovery(&self, counters: &DiscoveryCounters) {
         self.add(Box::new(counters.restarts.clone()));
         self.add(Box::new(counters.unreadable_records.clone()));
+        self.add(Box::new(counters.drained_zones.clone()));
+    }
+
+    /// Counts a request that was not sent.
+    pub fn note_held_back(&self, reason: HoldReason) {
+        let held_back = &self.held_back_requests;
+        held_back.with_label_values(&[reason.label()]).inc();
     }
 
     fn add(&self, collector: Box<dyn Collector>) {
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -16,7 +16,7 @@
 use super::lease::{GiverLease, Held, LastGiver};
 use super::named::VersionsNamed;
 use super::plan::{FleetInstance, Planned, plan};
-use crate::backend::{BackendTable, Instance, LOADING_PAUSE};
+use crate::backend::{BackendTable, HoldReason, Instance, LOADING_PAUSE};
 use crate::config::ConfigInForce;
 use crate::coordination::Coordination;
 use crate::dialect::{SharedCodec, VersionOrder};
@@ -317,7 +317,9 @@
         given.pauses.retain(|_, until| *until > now);
         let mut demands = self.versions.demands();
         given.demand.fill(&mut demands);
-        let instances = self.fleet();
+        let mut instances = self.fleet();
+        // Weights that nothing may use now are not loaded, and each model keeps instances in the zones left.
+        instances.retain(|one| one.drain_gate() != Err(HoldReason::ZoneDrained));
         let mut fleet: Vec<FleetInstance> = instances
             .iter()
             .map(|instance| FleetInstance {
--- /dev/null
+++ b/crates/front/src/roster/drains.rs
@@ -0,0 +1,66 @@
+//! Learns which zones are to be drained: by the roster while it names them, else from the store itself.
+
+use super::reader::{DirectSource, DrainFollowing, KnownRoster, RosterReader};
+use super::record::RosterDrains;
+
+impl<S: DirectSource> RosterReader<S> {
+    /// Feeds the set of drained zones for as long as the future is polled.
+    pub(super) async fn feed_drains(&self, known: &KnownRoster) {
+        let Some(following) = &self.drains else {
+            return std::future::pending().await;
+        };
+        if self.options.is_some() {
+            self.begins_by_roster(known).await;
+        }
+        loop {
+            self.go_by_named_zones(following, known).await;
+            log::info!("event=drains_by_records");
+            tokio::select! {
+                () = self.source.follow_drains(&following.view) => return,
+                () = self.names_as_new(following, known) => {}
+            }
+            following.view.note_resting();
+            log::info!("event=drains_by_roster");
+        }
+    }
+
+    /// Goes by the roster until that names no zones, or this node may have to write it: what it says must not come from itself.
+    async fn go_by_named_zones(&self, following: &DrainFollowing, known: &KnownRoster) {
+        let mut changed = known.subscribe();
+        while !following.keeps_roster.is_active() {
+            let roster = changed.borrow_and_update().clone();
+            let Some(drains) = roster.and_then(|roster| roster.drains.clone()) else {
+                return;
+            };
+            self.backends.set_drained(drains.shared_zones());
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = following.keeps_roster.active() => return,
+            }
+        }
+    }
+
+    /// Returns once a roster that this node does not keep names zones that are as new as those known here.
+    async fn names_as_new(&self, following: &DrainFollowing, known: &KnownRoster) {
+        let mut changed = known.subscribe();
+        loop {
+            following.view.known().await;
+            following.keeps_roster.idle().await;
+            let roster = changed.borrow_and_update().clone();
+            let drains = roster.and_then(|roster| roster.drains.clone());
+            if drains.is_some_and(|drains| self.are_as_new(following, &drains)) {
+                return;
+            }
+            // The sender lives as long as this node follows the roster.
+            let _ = changed.changed().await;
+        }
+    }
+
+    /// What is known here never goes back.
+    fn are_as_new(&self, following: &DrainFollowing, drains: &RosterDrains) -> bool {
+        let Some(at) = following.view.known_at() else {
+            return false;
+        };
+        drains.known_at >= at || *self.backends.gates().drained.current() == drains.shared_zones()
+    }
+}
--- a/crates/front/src/roster/mod.rs
+++ b/crates/front/src/roster/mod.rs
@@ -11,6 +11,7 @@
 //! or loses the store, and the writer stops renewing the lease when its own following of discovery fails. [`RosterOptions`] shares
 //! the notice time among these steps.
 
+mod drains;
 mod options;
 mod reader;
 mod record;
@@ -18,8 +19,8 @@
 mod writer;
 
 pub use options::{FIRST_START_WAIT, RESTART_WAIT, RosterOptions};
-pub use reader::{DirectSource, RosterReader};
-pub use record::Roster;
+pub use reader::{DirectSource, DrainFollowing, RosterReader};
+pub use record::{Roster, RosterDrains};
 pub use view::DirectView;
 pub use writer::RosterWriter;
 
--- a/crates/front/src/roster/reader.rs
+++ b/crates/front/src/roster/reader.rs
@@ -20,6 +20,18 @@
     /// Follows them into the table of instances for as long as the future is polled, and notes in `view` as of when they are
     /// known.
     fn follow(&self, view: &DirectView) -> impl Future<Output = ()> + Send;
+
+    /// The same for the zones that are to be drained.
+    fn follow_drains(&self, view: &DirectView) -> impl Future<Output = ()> + Send;
+}
+
+/// Where the operator may have zones drained.
+#[derive(Debug, Clone)]
+pub struct DrainFollowing {
+    /// As of when the drained zones are known here from the store.
+    pub view: DirectView,
+    /// Counts while this node may keep the roster.
+    pub keeps_roster: Activity,
 }
 
 /// Feeds the table of instances.
@@ -36,6 +48,8 @@
     pub activity: Activity,
     /// `None`: the notice time is too short for a roster.
     pub options: Option<RosterOptions>,
+    /// `None`: no zone is drained in this deployment.
+    pub drains: Option<DrainFollowing>,
     /// How long a node that has just started waits for a roster before it follows discovery.
     pub first_wait: Duration,
     /// Discovery.
@@ -43,21 +57,25 @@
 }
 
 /// The roster as the store told last; `None`: there is none.
-type KnownRoster = watch::Sender<Option<Arc<Roster>>>;
+pub(super) type KnownRoster = watch::Sender<Option<Arc<Roster>>>;
 
 impl<S: DirectSource> RosterReader<S> {
     /// Feeds the table for as long as the future is polled.
     pub async fn run(&self) {
+        if self.drains.is_some() {
+            self.backends.gates().drained.await_first();
+        }
+        let known = KnownRoster::new(None);
         let Some(options) = self.options else {
-            return self.source.follow(&self.view).await;
+            tokio::join!(self.source.follow(&self.view), self.feed_drains(&known));
+            return;
         };
-        let known = KnownRoster::new(None);
         let mut follower = RosterFollower {
             gather: options.reader_gather,
             known: &known,
         };
         let following = follow_with(Arc::clone(&self.coordination), ROSTER_KEY, &mut follower);
-        tokio::join!(following, self.feed(&known));
+        tokio::join!(following, self.feed(&known), self.feed_drains(&known));
     }
 
     async fn feed(&self, known: &KnownRoster) {
@@ -76,7 +94,7 @@
 
     /// Waits for a roster at the start, until work begins or a request needs instances. A fleet whose nodes all list discovery as they
     /// start, and hear of each instance that starts beside them, pays for that many times.
-    async fn begins_by_roster(&self, known: &KnownRoster) -> bool {
+    pub(super) async fn begins_by_roster(&self, known: &KnownRoster) -> bool {
         if self.first_wait.is_zero() {
             return false;
         }
@@ -128,12 +146,19 @@
         let Some(at) = self.view.known_at() else {
             return false;
         };
-        let known_here = || Roster::of(&self.backends, roster.services.clone(), at);
+        let known_here = || {
+            let drains = roster.drains.clone();
+            Roster::of(&self.backends, roster.services.clone(), at, drains)
+        };
         self.covers_config(roster) && (roster.known_at >= at || roster.is_same(&known_here()))
     }
 
-    /// Whether the roster names the instances of all services that live requests may go to here.
+    /// Whether the roster names the instances of all services that live requests may go to here, and the drained zones where there may
+    /// be any.
     fn covers_config(&self, roster: &Roster) -> bool {
+        if self.drains.is_some() && roster.drains.is_none() {
+            return false;
+        }
         let config = self.config.current();
         config.is_none_or(|config| config.live_services().is_subset(&roster.services))
     }
--- a/crates/front/src/roster/record.rs
+++ b/crates/front/src/roster/record.rs
@@ -1,11 +1,28 @@
 //! What the roster's record holds.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use crate::backend::{BackendTable, Discovered};
 
+/// The zones that are to be drained as of a revision of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterDrains {
+    /// Revision of the store as of which the writer knew them.
+    pub known_at: u64,
+    /// The zones.
+    pub zones: BTreeSet<String>,
+}
+
+impl RosterDrains {
+    /// The zones as they are shared within a node.
+    pub fn shared_zones(&self) -> BTreeSet<Arc<str>> {
+        self.zones.iter().map(|zone| zone.as_str().into()).collect()
+    }
+}
+
 /// The instances that live requests may go to as of a revision of the store, without their weights.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Roster {
@@ -13,17 +30,28 @@
     pub known_at: u64,
     /// Services whose instances it names.
     pub services: BTreeSet<String>,
-    /// All instances of these services, sorted by id.
+    /// All instances of these services, sorted by id. Those of drained zones are not ready, for readers that pass over the zones.
     pub instances: Vec<Discovered>,
+    /// The zones that are to be drained; `None`: the writer does not know.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub drains: Option<RosterDrains>,
 }
 
 impl Roster {
     /// The instances of some services in a table that is known as of a revision.
-    pub fn of(table: &BackendTable, services: BTreeSet<String>, known_at: u64) -> Self {
+    pub fn of(
+        table: &BackendTable,
+        services: BTreeSet<String>,
+        known_at: u64,
+        drains: Option<RosterDrains>,
+    ) -> Self {
         let mut instances = table.discovered();
         instances.retain(|instance| services.contains(&instance.service));
         instances.iter_mut().for_each(|instance| {
             instance.versions.clear();
+            let zones = drains.as_ref().map(|drains| &drains.zones);
+            let is_drained = |zones: &BTreeSet<String>| zones.contains(&instance.zone);
+            instance.is_ready &= !zones.is_some_and(is_drained);
             // It counts down, and the roster would be written anew with each word about it.
             instance.leaves_ms = None;
         });
@@ -31,6 +59,7 @@
             known_at,
             services,
             instances,
+            drains,
         }
     }
 
@@ -50,9 +79,15 @@
         serde_json::from_slice(bytes)
     }
 
-    /// Whether another roster names the same services and instances.
+    /// Whether another roster names the same services, instances and drained zones.
     pub fn is_same(&self, other: &Self) -> bool {
-        self.services == other.services && self.instances == other.instances
+        self.services == other.services
+            && self.instances == other.instances
+            && self.drained_zones() == other.drained_zones()
+    }
+
+    fn drained_zones(&self) -> Option<&BTreeSet<String>> {
+        self.drains.as_ref().map(|drains| &drains.zones)
     }
 
     /// Makes a table hold exactly these instances of the roster's services. What it knows of weights and of other services stays:
--- a/crates/front/src/roster/writer.rs
+++ b/crates/front/src/roster/writer.rs
@@ -6,7 +6,7 @@
 use ladderstage_journal::Peers;
 use tokio::time::MissedTickBehavior;
 
-use super::{DirectView, ROSTER_KEY, Roster, RosterOptions};
+use super::{DirectView, ROSTER_KEY, Roster, RosterDrains, RosterOptions};
 use crate::backend::BackendTable;
 use crate::config::ConfigInForce;
 use crate::coordination::{Coordination, CoordinationError, LeaseId, SwapResult};
@@ -46,6 +46,8 @@
     pub config: ConfigInForce,
     /// As of when they are known here.
     pub view: DirectView,
+    /// As of when the drained zones are known here from the store; `None`: no zone is drained in this deployment.
+    pub drains: Option<DirectView>,
     /// The other nodes.
     pub nodes: Nodes,
     /// `None`: the notice time is too short for a roster.
@@ -69,6 +71,9 @@
         };
         loop {
             self.view.known().await;
+            if let Some(drains) = &self.drains {
+                drains.known().await;
+            }
             self.settle().await;
             if self.has_readers(&options)
                 && let Err(error) = self.keep(&options).await
@@ -110,12 +115,14 @@
         };
         let mut membership = self.backends.watch_membership();
         let mut config = self.config.watch();
+        let mut drained = self.backends.gates().drained.watch();
         let mut renewal = tokio::time::interval(options.lease / RENEWALS_PER_LEASE);
         renewal.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 _ = membership.changed() => self.write_news(&mut kept).await?,
                 _ = config.changed() => self.write_news(&mut kept).await?,
+                _ = drained.changed() => self.write_news(&mut kept).await?,
                 _ = renewal.tick() => {
                     if !self.has_readers(options) {
                         return Err(KeepError::FewReaders);
@@ -127,15 +134,28 @@
         }
     }
 
+    /// What is known here; `None`: not all that a roster tells is.
+    fn roster(&self) -> Option<Roster> {
+        let known_at = self.view.known_at()?;
+        let services = self.config.current()?.live_services();
+        let drains = match &self.drains {
+            None => None,
+            Some(view) => {
+                let zones = self.backends.gates().drained.current();
+                Some(RosterDrains {
+                    known_at: view.known_at()?,
+                    zones: zones.iter().map(|zone| zone.to_string()).collect(),
+                })
+            }
+        };
+        Some(Roster::of(&self.backends, services, known_at, drains))
+    }
+
     /// Writes the roster if it is not as written; a write that the store does not carry out is tried again later.
     async fn write_news(&self, kept: &mut Kept) -> Result<(), KeepError> {
-        let Some(known_at) = self.view.known_at() else {
-            return Ok(());
-        };
-        let Some(config) = self.config.current() else {
+        let Some(roster) = self.roster() else {
             return Ok(());
         };
-        let roster = Roster::of(&self.backends, config.live_services(), known_at);
         if kept
             .roster
             .as_ref()
@@ -148,8 +168,10 @@
         match self.swap(kept, value).await {
             Ok(SwapResult::Won { revision }) => {
                 log::info!(
-                    "event=roster_written revision={revision} known_at={known_at} instances={}",
-                    roster.instances.len()
+                    "event=roster_written revision={revision} known_at={} instances={} drained={:?}",
+                    roster.known_at,
+                    roster.instances.len(),
+                    roster.drains.as_ref().map(|drains| &drains.zones)
                 );
                 kept.revision = Some(revision);
                 kept.roster = Some(roster);
@@ -186,7 +208,7 @@
 
     /// Renews the lease, unless the record may be old.
     async fn renew(&self, kept: &Kept) -> Result<(), KeepError> {
-        if self.view.known_at().is_none() || kept.roster.is_none() {
+        if self.roster().is_none() || kept.roster.is_none() {
             return Ok(());
         }
         match self.coordination.renew(kept.lease).await {
--- a/crates/front/tests/roster.rs
+++ b/crates/front/tests/roster.rs
@@ -2,19 +2,20 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use ladderstage_front::activity::Activity;
-use ladderstage_front::backend::{BackendTable, Discovered};
+use ladderstage_front::backend::{BackendTable, Discovered, HoldReason};
 use ladderstage_front::config::{
     ConfigInForce, Route, RouteKind, ServiceSpec, ServingConfig, WeightedService,
 };
 use ladderstage_front::coordination::{Change, Coordination, Follower, Update, follow_with};
 use ladderstage_front::nodes::{NodeRecord, NodeRole, Nodes};
 use ladderstage_front::roster::{
-    DirectSource, DirectView, ROSTER_KEY, Roster, RosterOptions, RosterReader, RosterWriter,
+    DirectSource, DirectView, DrainFollowing, ROSTER_KEY, Roster, RosterOptions, RosterReader,
+    RosterWriter,
 };
 use proptest::prelude::*;
 use support::memory_store::{MemoryStore, NodeFaults, NodeStore};
@@ -24,6 +25,9 @@
 /// Where the instances' own records are in these tests.
 const INSTANCES: &str = "instances/";
 
+/// Where the requests to drain zones are in these tests.
+const DRAINS: &str = "drains/";
+
 /// Time within which a front must hear that an instance leaves.
 const LIMIT: Duration = Duration::from_millis(1_600);
 
@@ -134,6 +138,42 @@
     }
 }
 
+/// Follows the requests to drain zones.
+struct DrainRecordFollower<'a> {
+    records: &'a InstanceRecords,
+    view: &'a DirectView,
+    zones: BTreeSet<Arc<str>>,
+}
+
+impl Follower for DrainRecordFollower<'_> {
+    fn pause(&self) -> impl Future<Output = ()> + Send {
+        sleep(self.records.gather)
+    }
+
+    fn take(&mut self, update: Update, at: u64) {
+        let zone = |key: &str| Arc::from(key.strip_prefix(DRAINS).unwrap());
+        match update {
+            Update::Snapshot(records) => {
+                self.zones = records.iter().map(|record| zone(&record.key)).collect();
+            }
+            Update::Changes(changes) => changes.iter().for_each(|change| match change {
+                Change::Written(record) => {
+                    self.zones.insert(zone(&record.key));
+                }
+                Change::Removed { key } => {
+                    self.zones.remove(&zone(key));
+                }
+            }),
+        }
+        self.records.backends.set_drained(self.zones.clone());
+        self.view.note(at);
+    }
+
+    fn lost(&mut self) {
+        self.view.note_lost();
+    }
+}
+
 impl DirectSource for InstanceRecords {
     async fn follow(&self, view: &DirectView) {
         let mut follower = RecordFollower {
@@ -142,6 +182,15 @@
         };
         follow_with(Arc::clone(&self.coordination), INSTANCES, &mut follower).await;
     }
+
+    async fn follow_drains(&self, view: &DirectView) {
+        let mut follower = DrainRecordFollower {
+            records: self,
+            view,
+            zones: BTreeSet::new(),
+        };
+        follow_with(Arc::clone(&self.coordination), DRAINS, &mut follower).await;
+    }
 }
 
 /// A node that learns of instances, and may keep the roster.
@@ -150,6 +199,7 @@
     config: ConfigInForce,
     view: DirectView,
     activity: Activity,
+    drains: Option<DrainFollowing>,
     coordination: NodeStore,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -171,6 +221,26 @@
         name: &str,
         gather: Duration,
         first_wait: Duration,
+    ) -> Self {
+        Self::start_following(store, name, gather, first_wait, None)
+    }
+
+    /// A node of a deployment in which zones may be drained.
+    fn start_draining(store: &MemoryStore, name: &str, first_wait: Duration) -> Self {
+        let following = DrainFollowing {
+            view: DirectView::default(),
+            keeps_roster: Activity::default(),
+        };
+        let gather = options().reader_gather;
+        Self::start_following(store, name, gather, first_wait, Some(following))
+    }
+
+    fn start_following(
+        store: &MemoryStore,
+        name: &str,
+        gather: Duration,
+        first_wait: Duration,
+        drains: Option<DrainFollowing>,
     ) -> Self {
         let coordination = store.of(name);
         let backends = BackendTable::new("a");
@@ -185,6 +255,7 @@
             view: view.clone(),
             activity: activity.clone(),
             options: Some(options()),
+            drains: drains.clone(),
             first_wait,
             source: InstanceRecords {
                 coordination: Arc::new(coordination.clone()),
@@ -198,6 +269,7 @@
             config,
             view,
             activity,
+            drains,
             coordination,
             tasks: vec![reading],
         }
@@ -205,13 +277,20 @@
 
     /// A node with work, which keeps the roster.
     fn start_writer(store: &MemoryStore, name: &str) -> Self {
-        let mut node = Self::start(store, name, options().writer_gather);
+        Self::start(store, name, options().writer_gather).keep_roster(name)
+    }
+
+    /// Makes a node keep the roster.
+    fn keep_roster(mut self, name: &str) -> Self {
+        let node = &mut self;
         let work = node.activity.begin();
+        let keeps = node.drains.as_ref().map(|one| one.keeps_roster.begin());
         let writer = RosterWriter {
             coordination: Arc::new(node.coordination.clone()),
             backends: node.backends.clone(),
             config: node.config.clone(),
             view: node.view.clone(),
+            drains: node.drains.as_ref().map(|one| one.view.clone()),
             nodes: Nodes::new(NodeRecord {
                 node: name.to_owned(),
                 role: NodeRole::Front,
@@ -225,10 +304,26 @@
             options: Some(options()),
         };
         node.tasks.push(tokio::spawn(async move {
-            let _work = work;
+            let _work = (work, keeps);
             writer.run().await;
         }));
-        node
+        self
+    }
+
+    /// Whether an instance may get requests here.
+    fn may_send(&self, id: &str) -> bool {
+        let instance = self.backends.get(id);
+        instance.is_some_and(|one| one.is_ready() && one.may_send().is_ok())
+    }
+
+    /// Waits until requests may go to an instance here, or may not; returns how long that took.
+    async fn until_may_send(&self, id: &str, expected: bool) -> Duration {
+        let started = Instant::now();
+        while self.may_send(id) != expected {
+            assert!(started.elapsed() < Duration::from_secs(20), "never heard");
+            sleep(Duration::from_millis(5)).await;
+        }
+        started.elapsed()
     }
 
     fn is_ready(&self, id: &str) -> Option<bool> {
@@ -498,6 +593,7 @@
         known_at: 1,
         services: ["scorer".to_owned()].into(),
         instances: vec![instance("i-1")],
+        drains: None,
     };
     leave(&store, "i-1");
     store.write(ROSTER_KEY, old.write().unwrap());
@@ -562,6 +658,232 @@
     assert!(taken <= options().reader_gather + CALLS, "{taken:?}");
 }
 
+/// A store with instances in zones `a` and `b`, a node that keeps the roster, and one without work that goes by it, where zones may
+/// be drained.
+async fn draining_fleet() -> (MemoryStore, Node, Node) {
+    let store = MemoryStore::default();
+    write(&store, &instance("i-a"));
+    write(&store, &in_zone_b("i-b"));
+    let writer = Node::start_draining(&store, "writer", Duration::ZERO).keep_roster("writer");
+    let reader = Node::start_draining(&store, "reader", Duration::ZERO);
+    reader.rests().await;
+    (store, writer, reader)
+}
+
+fn in_zone_b(id: &str) -> Discovered {
+    Discovered {
+        zone: "b".to_owned(),
+        ..instance(id)
+    }
+}
+
+fn drain(store: &MemoryStore, zone: &str) {
+    store.write(&format!("{DRAINS}{zone}"), b"{}".to_vec());
+}
+
+fn end_drain(store: &MemoryStore, zone: &str) {
+    store.remove(&format!("{DRAINS}{zone}"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_front_by_the_roster_hears_of_drains_at_no_further_call() {
+    let (store, writer, reader) = draining_fleet().await;
+    sleep(Duration::from_secs(10)).await;
+    let calls = |kind| store.calls("reader", kind, DRAINS);
+    let before = (calls("list"), calls("watch"));
+    let in_time = options().writer_gather + options().reader_gather + CALLS;
+    for round in 0..10_u64 {
+        sleep(Duration::from_millis(83 * round)).await;
+        drain(&store, "a");
+        let taken = reader.until_may_send("i-a", false).await;
+        assert!(taken <= in_time, "{taken:?}");
+        assert!(reader.may_send("i-b") && writer.may_send("i-b"));
+        assert!(!writer.may_send("i-a"));
+        end_drain(&store, "a");
+        let taken = reader.until_may_send("i-a", true).await;
+        assert!(taken <= in_time, "{taken:?}");
+    }
+    assert_eq!((calls("list"), calls("watch")), before);
+}
+
+#[tokio::test(start_paused = true)]
+async fn two_zones_all_zones_and_unknown_ones_are_drained_and_given_back_by_themselves() {
+    let (store, _writer, reader) = draining_fleet().await;
+    drain(&store, "nowhere");
+    drain(&store, "a");
+    drain(&store, "a");
+    reader.until_may_send("i-a", false).await;
+    drain(&store, "b");
+    reader.until_may_send("i-b", false).await;
+    assert!(!reader.may_send("i-a"));
+    write(
+        &store,
+        &Discovered {
+            zone: "nowhere".to_owned(),
+            ..instance("i-new")
+        },
+    );
+    sleep(Duration::from_secs(3)).await;
+    assert!(reader.backends.get("i-new").is_some() && !reader.may_send("i-new"));
+    end_drain(&store, "a");
+    reader.until_may_send("i-a", true).await;
+    assert!(!reader.may_send("i-b"));
+    end_drain(&store, "b");
+    reader.until_may_send("i-b", true).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_front_with_work_does_not_take_a_drained_zone_for_open() {
+    let (store, _writer, reader) = draining_fleet().await;
+    drain(&store, "a");
+    reader.until_may_send("i-a", false).await;
+    let work = reader.activity.begin();
+    while reader.view.known_at().is_none() {
+        assert!(!reader.may_send("i-a"));
+        sleep(Duration::from_millis(1)).await;
+    }
+    assert_eq!(reader.is_ready("i-a"), Some(true), "by its own record");
+    assert!(!reader.may_send("i-a"));
+    end_drain(&store, "a");
+    reader.until_may_send("i-a", true).await;
+    drop(work);
+}
+
+/// Whatever becomes of the roster's writer before it writes the drain.
+#[tokio::test(start_paused = true)]
+async fn a_drain_that_the_writer_does_not_write_is_heard_within_the_longest_time() {
+    for fault in 0..3 {
+        let (store, writer, reader) = draining_fleet().await;
+        let _writer = match fault {
+            0 => {
+                drop(writer);
+                None
+            }
+            1 => {
+                let faults = NodeFaults {
+                    is_cut_off: true,
+                    ..NodeFaults::default()
+                };
+                store.set_faults("writer", faults);
+                Some(writer)
+            }
+            // It follows the instances, and its renewals would be carried out all the while.
+            _ => {
+                let refused_prefixes = [DRAINS.to_owned()].into();
+                let faults = NodeFaults {
+                    refused_prefixes,
+                    ..NodeFaults::default()
+                };
+                store.set_faults("writer", faults);
+                Some(writer)
+            }
+        };
+        drain(&store, "a");
+        let taken = reader.until_may_send("i-a", false).await;
+        assert!(taken <= options().longest() + CALLS, "{fault}: {taken:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_new_writer_says_nothing_of_drains_before_it_knows_them() {
+    let (store, writer, reader) = draining_fleet().await;
+    drain(&store, "a");
+    reader.until_may_send("i-a", false).await;
+    drop(writer);
+    let blind = NodeFaults {
+        refused_prefixes: [DRAINS.to_owned()].into(),
+        ..NodeFaults::default()
+    };
+    store.set_faults("next", blind);
+    let _next = Node::start_draining(&store, "next", Duration::ZERO).keep_roster("next");
+    for _ in 0..2_000 {
+        sleep(Duration::from_millis(5)).await;
+        assert!(!reader.may_send("i-a"));
+    }
+    assert!(store.read(ROSTER_KEY).is_none());
+    store.set_faults("next", NodeFaults::default());
+    sleep(Duration::from_secs(20)).await;
+    assert!(store.read(ROSTER_KEY).is_some());
+    assert!(!reader.may_send("i-a") && reader.may_send("i-b"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_front_that_starts_sends_nothing_before_it_knows_the_drains() {
+    for has_roster in [false, true] {
+        let (store, writer, _reader) = draining_fleet().await;
+        drain(&store, "a");
+        sleep(Duration::from_secs(3)).await;
+        if !has_roster {
+            drop(writer);
+            sleep(Duration::from_secs(3)).await;
+        }
+        let blind = NodeFaults {
+            refused_prefixes: [DRAINS.to_owned(), ROSTER_KEY.to_owned()].into(),
+            ..NodeFaults::default()
+        };
+        store.set_faults("new", blind);
+        let new = Node::start_draining(&store, "new", Duration::from_millis(500));
+        let _work = new.activity.begin();
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(new.is_ready("i-b"), Some(true));
+        let held = new.backends.get("i-b").unwrap().may_send();
+        assert_eq!(held, Err(HoldReason::DrainsUnknown));
+        store.set_faults("new", NodeFaults::default());
+        new.until_may_send("i-b", true).await;
+        assert!(!new.may_send("i-a"));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_front_whose_store_is_silent_goes_on_with_the_drains_that_it_knew() {
+    let (store, _writer, reader) = draining_fleet().await;
+    drain(&store, "a");
+    reader.until_may_send("i-a", false).await;
+    let cut_off = NodeFaults {
+        is_cut_off: true,
+        ..NodeFaults::default()
+    };
+    for node in ["writer", "reader"] {
+        store.set_faults(node, cut_off.clone());
+    }
+    let _work = reader.activity.begin();
+    for _ in 0..2_000 {
+        sleep(Duration::from_millis(5)).await;
+        assert!(reader.may_send("i-b") && !reader.may_send("i-a"));
+    }
+}
+
+/// A roster of an older build names no zones; what it says of instances may be of a drained zone.
+#[tokio::test(start_paused = true)]
+async fn a_roster_that_names_no_zones_is_not_gone_by_where_zones_are_drained() {
+    let store = MemoryStore::default();
+    write(&store, &instance("i-a"));
+    let _old_build = Node::start_writer(&store, "old");
+    sleep(Duration::from_secs(10)).await;
+    assert!(store.read(ROSTER_KEY).is_some());
+    drain(&store, "a");
+    let reader = Node::start_draining(&store, "reader", Duration::from_millis(500));
+    for _ in 0..2_000 {
+        sleep(Duration::from_millis(5)).await;
+        assert!(!reader.may_send("i-a"));
+    }
+    assert_eq!(reader.is_ready("i-a"), Some(true), "known from discovery");
+}
+
+/// A reader of an older build passes over the zones.
+#[tokio::test(start_paused = true)]
+async fn instances_of_drained_zones_are_not_ready_in_the_roster() {
+    let (store, _writer, _reader) = draining_fleet().await;
+    let old_build = Node::start(&store, "old", options().reader_gather);
+    sleep(Duration::from_secs(5)).await;
+    assert!(old_build.view.known_at().is_none(), "goes by the roster");
+    drain(&store, "a");
+    old_build.until_may_send("i-a", false).await;
+    assert!(old_build.may_send("i-b"));
+    end_drain(&store, "a");
+    old_build.until_may_send("i-a", true).await;
+}
+
 proptest! {
     #[test]
     fn the_longest_time_is_within_the_limit(limit_ms in 0_u64..20_000, lease_ms in 100_u64..5_000) {
