--- a/crates/front/src/roster/reader.rs
+++ b/crates/front/src/roster/reader.rs
@@ -153,12 +153,8 @@
         self.covers_config(roster) && (roster.known_at >= at || roster.is_same(&known_here()))
     }
 
-    /// Whether the roster names the instances of all services that live requests may go to here, and the drained zones where there may
-    /// be any.
+    /// Whether the roster names the instances of all services that live requests may go to here.
     fn covers_config(&self, roster: &Roster) -> bool {
-        if self.drains.is_some() && roster.drains.is_none() {
-            return false;
-        }
         let config = self.config.current();
         config.is_none_or(|config| config.live_services().is_subset(&roster.services))
     }
--- a/crates/front/tests/explain.rs
+++ b/crates/front/tests/explain.rs
@@ -119,3 +119,21 @@
     assert!(story.steps[0].details.contains("instance=s1"));
     assert!(story.steps[1].details.contains("instance=s2"));
 }
+
+/// All instances of a service were in drained zones at one front, while another one had not heard of that.
+const DRAINED: &str = r#"
+time=100.000 level=info node=front-a module=m event=zone_drain_began zone=b instances=15
+time=100.100 level=info node=front-b module=m event=zone_drain_began zone=c instances=4
+time=100.200 level=info node=front-a module=m event=request_held_back request=r1 route=x service=s reason=zone_drained
+time=100.300 level=info node=front-b module=m event=attempt request=r2 route=x instance=i outcome=answered status=200
+time=100.400 level=info node=front-a module=m event=zone_drain_ended zone=b instances=15
+"#;
+
+#[test]
+fn the_story_of_a_request_that_drains_left_no_instance_leads_to_the_drains() {
+    let lines: Vec<LogLine> = DRAINED.lines().filter_map(LogLine::parse).collect();
+    let held = Story::tell("r1", &lines);
+    let expected = ["zone_drain_began", "request_held_back", "zone_drain_ended"];
+    assert_eq!(events(&held), expected);
+    assert_eq!(events(&Story::tell("r2", &lines)), ["attempt"]);
+}
--- a/crates/front/tests/order_plan.rs
+++ b/crates/front/tests/order_plan.rs
@@ -76,6 +76,37 @@
     assert_eq!(counts["b"], 4);
 }
 
+/// The instances of a drained zone are left out, all of one model among them; later they return with the weights that they had.
+#[test]
+fn each_model_keeps_instances_while_a_zone_is_drained_and_gets_its_own_back() {
+    let demands = ["a", "b", "c", "d"].map(|model| demand(model, 5, 1_000));
+    let whole: Vec<FleetInstance> = (0..12)
+        .map(|n| {
+            let model = ["a", "b", "c", "d"][n / 3];
+            instance(&format!("i-{n:02}"), &[(model, 5)])
+        })
+        .collect();
+    let mut assignment = Assignment::default();
+    assignment.update(&demands, &whole);
+    let before = assignment.clone();
+    let left = &whole[4..];
+    for _ in 0..left.len() {
+        assignment.update(&demands, left);
+    }
+    let counted = counts(&assignment, left);
+    assert_eq!(counted.len(), 4, "{counted:?}");
+    assert!(assignment.model("i-00").is_none());
+    for _ in 0..whole.len() {
+        assignment.update(&demands, &whole);
+    }
+    let counted = counts(&assignment, &whole);
+    assert!(
+        counted.values().all(|count| (2..=4).contains(count)),
+        "{counted:?}"
+    );
+    assert_eq!(assignment.model("i-00"), before.model("i-00"));
+}
+
 #[test]
 fn a_new_giver_assigns_by_the_weights_that_it_finds() {
     let demands = [demand("a", 5, 0), demand("b", 5, 0)];
