Keep cold instances from more requests than they bear, by permits of one holder

Cause: an instance that has just started, or says that it is cold, got as many requests as any from each front. Change: each front judges whether an instance is warm, doubtful or cold; the holder of the orders lease deals permits, by which cold and doubtful instances get requests; a warm one gets so many a second of one front. In force only where a service says what cold instances bear and the settings by how much that may be exceeded.

--- /dev/null
+++ b/crates/front/src/backend/cold/share.rs
@@ -0,0 +1,114 @@
+//! What this node may send to one instance: permits that it was dealt, and a little without.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use ladderstage_clock::Instant;
+
+use super::limits::ColdLimit;
+use super::state::Warmth;
+
+/// A permit lapses this long after it was asked for: long enough for the answer and the next request that waits, short enough that the
+/// holder of the orders lease deals a steady rate.
+pub const PERMIT_LIFETIME: Duration = Duration::from_millis(300);
+
+/// The limits hold within any time of this length.
+pub const SEND_WINDOW: Duration = Duration::from_secs(1);
+
+/// Requests a second without a permit to an instance that may have turned cold: one shows whether it runs.
+const DOUBTFUL_SENDS: u32 = 1;
+
+/// An instance that was chosen is about to get a request; if it gets none, that is forgotten after this time.
+const RESERVATION_LIFETIME: Duration = Duration::from_millis(50);
+
+/// A request that may leave. If it did not, the ticket is given back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SendTicket {
+    sent_at: Instant,
+    permit_until: Option<Instant>,
+}
+
+/// What one node may send to one start of an instance.
+#[derive(Debug, Clone, Default)]
+pub struct SendShare {
+    /// Ends of unused permits, in order.
+    permits: VecDeque<Instant>,
+    /// When requests left within the last window, in order.
+    sent: VecDeque<Instant>,
+    /// Ends of reservations, in order.
+    reserved: VecDeque<Instant>,
+}
+
+impl SendShare {
+    /// Adds permits that are good until `until`.
+    pub fn add_permits(&mut self, count: u32, until: Instant) {
+        let place = self.permits.partition_point(|known| *known <= until);
+        for _ in 0..count {
+            self.permits.insert(place, until);
+        }
+    }
+
+    /// Whether one more request may be meant for the instance, those that it was chosen for and that have not left counted.
+    pub fn has_room(&mut self, warmth: Warmth, limit: &ColdLimit, now: Instant) -> bool {
+        self.forget(now);
+        self.room(warmth, limit) > self.reserved.len()
+    }
+
+    /// Notes that the instance was chosen for a request.
+    pub fn reserve(&mut self, now: Instant) {
+        self.reserved.push_back(now + RESERVATION_LIFETIME);
+    }
+
+    /// Takes the right to let one request leave now; `None`: there is none.
+    pub fn take(&mut self, warmth: Warmth, limit: &ColdLimit, now: Instant) -> Option<SendTicket> {
+        self.forget(now);
+        self.reserved.pop_front();
+        if self.room(warmth, limit) == 0 {
+            return None;
+        }
+        let permit_until = match warmth {
+            Warmth::Warm => None,
+            Warmth::Doubtful | Warmth::Cold => self.permits.pop_front(),
+        };
+        self.sent.push_back(now);
+        Some(SendTicket {
+            sent_at: now,
+            permit_until,
+        })
+    }
+
+    /// Takes back a ticket whose request did not leave.
+    pub fn give_back(&mut self, ticket: SendTicket) {
+        if let Some(place) = self.sent.iter().rposition(|at| *at == ticket.sent_at) {
+            self.sent.remove(place);
+        }
+        if let Some(until) = ticket.permit_until {
+            self.add_permits(1, until);
+        }
+    }
+
+    fn room(&self, warmth: Warmth, limit: &ColdLimit) -> usize {
+        let without_permits = |most: u32| (most as usize).saturating_sub(self.sent.len());
+        match warmth {
+            Warmth::Warm => without_permits(limit.unaware),
+            Warmth::Doubtful => self.permits.len().max(without_permits(DOUBTFUL_SENDS)),
+            Warmth::Cold => self.permits.len(),
+        }
+    }
+
+    fn forget(&mut self, now: Instant) {
+        while self.permits.front().is_some_and(|until| *until <= now) {
+            self.permits.pop_front();
+        }
+        while self.reserved.front().is_some_and(|until| *until <= now) {
+            self.reserved.pop_front();
+        }
+        while self
+            .sent
+            .front()
+            .is_some_and(|at| now.saturating_duration_since(*at) > SEND_WINDOW)
+        {
+            self.sent.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/backend/cold/state.rs
@@ -0,0 +1,86 @@
+//! Whether an instance is cold, by all that was heard of it.
+
+use std::time::Duration;
+
+use ladderstage_clock::Instant;
+
+/// How an instance is to be treated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Warmth {
+    /// It bears all that it has slots for.
+    Warm,
+    /// It may have been started again, or have turned cold, without a word of it.
+    Doubtful,
+    /// It said that it is cold.
+    Cold,
+}
+
+/// What keeps an instance from counting as warm although no word says that it is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Doubt {
+    #[default]
+    None,
+    /// Until an answer shows that it runs, and a start's cold time longer.
+    Unanswered,
+    Until(Instant),
+}
+
+/// What is known of one start of an instance.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ColdState {
+    told_until: Option<Instant>,
+    doubt: Doubt,
+}
+
+impl ColdState {
+    /// Takes a word of discovery received at `now`: how much longer the instance is cold. Zero does not end doubt, as the word may be older
+    /// than its cause.
+    pub fn told(&mut self, remaining: Duration, now: Instant) {
+        if remaining.is_zero() {
+            self.told_until = None;
+            return;
+        }
+        self.told_until = now.checked_add(remaining);
+        self.doubt = Doubt::None;
+    }
+
+    /// A connection to it failed or broke.
+    pub fn disconnected(&mut self) {
+        self.doubt = Doubt::Unanswered;
+    }
+
+    /// It may have turned cold at `now`, for `time` at most.
+    pub fn suspected(&mut self, now: Instant, time: Duration) {
+        let until = now + time;
+        self.doubt = match self.doubt {
+            Doubt::Unanswered => Doubt::Unanswered,
+            Doubt::Until(known) => Doubt::Until(known.max(until)),
+            Doubt::None => Doubt::Until(until),
+        };
+    }
+
+    /// It answered at `now`: it runs, and stays cold after its start for `time` at most.
+    pub fn answered(&mut self, now: Instant, time: Duration) {
+        if self.doubt == Doubt::Unanswered {
+            self.doubt = Doubt::Until(now + time);
+        }
+    }
+
+    /// How it is to be treated now.
+    pub fn warmth(&self, now: Instant) -> Warmth {
+        if !self.remaining(now).is_zero() {
+            return Warmth::Cold;
+        }
+        match self.doubt {
+            Doubt::Unanswered => Warmth::Doubtful,
+            Doubt::Until(until) if now < until => Warmth::Doubtful,
+            Doubt::Until(_) | Doubt::None => Warmth::Warm,
+        }
+    }
+
+    /// How much longer it is cold by its own word.
+    pub fn remaining(&self, now: Instant) -> Duration {
+        self.told_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+}
--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -128,8 +128,10 @@
             "answer to another request".to_owned(),
         ));
     }
+    let now = Instant::now();
+    instance.note_answer(now);
     if let Some(load) = read_load(&parts.headers, names) {
-        instance.note_load(load, Instant::now());
+        instance.note_load(load, now);
     }
     let reply = Reply {
         status: parts.status,
@@ -171,9 +173,12 @@
         let acquired = instance.connections().acquire().await;
         let mut lease = acquired.map_err(|error| ExchangeError::NotSent(error.to_string()))?;
         // Calls to the instance itself are no work: they may reach one that is to get none.
-        if answer_id == AnswerId::Required {
-            instance.may_send().map_err(ExchangeError::HeldBack)?;
-        }
+        let ticket = match answer_id {
+            AnswerId::Required => instance
+                .take_send(Instant::now())
+                .map_err(ExchangeError::HeldBack)?,
+            AnswerId::Optional => None,
+        };
         let request = build(head, body.clone());
         match lease.sender.try_send_request(request).await {
             Ok(response) => return Ok((response, lease)),
@@ -181,6 +186,7 @@
                 if failed.take_message().is_none() {
                     return Err(ExchangeError::Broken(failed.error().to_string()));
                 }
+                instance.give_back_send(ticket);
             }
         }
     }
--- a/crates/front/src/backend/gate.rs
+++ b/crates/front/src/backend/gate.rs
@@ -7,6 +7,8 @@
 
 use tokio::sync::watch;
 
+use super::cold::{ColdLimits, PermitWants};
+
 /// Why an instance gets no request now, although it is there and ready.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum HoldReason {
@@ -14,6 +16,8 @@
     ZoneDrained,
     /// It has just started, or may have, and this node has no share of the requests that it bears.
     Cold,
+    /// This node has just sent it as many requests as it may while others may do the same: it may turn cold unseen.
+    SendRate,
 }
 
 impl HoldReason {
@@ -22,6 +26,7 @@
         match self {
             Self::ZoneDrained => "zone_drained",
             Self::Cold => "cold",
+            Self::SendRate => "send_rate",
         }
     }
 }
@@ -79,4 +84,8 @@
 pub struct SendGates {
     /// Zones that are to be drained.
     pub drained: DrainedZones,
+    /// How many requests instances may get while they are cold.
+    pub cold: ColdLimits,
+    /// Cold instances for which work waits here.
+    pub wants: PermitWants,
 }
--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use super::choice::Candidate;
+use super::cold::{ColdLimit, ColdState, SendShare, SendTicket, Warmth};
 use super::connection::Connections;
 use super::gate::{HoldReason, SendGates};
 
@@ -122,6 +123,8 @@
     failures: u32,
     paused_until: Option<Instant>,
     loading_until: BTreeMap<String, Instant>,
+    cold: ColdState,
+    share: SendShare,
 }
 
 /// One instance: what is known of it, and the connections to it.
@@ -145,6 +148,14 @@
     }
 }
 
+/// Why an instance whose limit is reached gets nothing.
+fn hold_reason(warmth: Warmth) -> HoldReason {
+    match warmth {
+        Warmth::Warm => HoldReason::SendRate,
+        Warmth::Doubtful | Warmth::Cold => HoldReason::Cold,
+    }
+}
+
 /// Counts a request at the instance until it is dropped.
 #[derive(Debug)]
 pub struct RunGuard {
@@ -160,6 +171,8 @@
 impl Instance {
     /// A newly discovered instance that gets requests as the gates allow.
     pub fn new(discovered: Discovered, gates: SendGates) -> Self {
+        let mut cold = ColdState::default();
+        cold.told(Duration::from_millis(discovered.cold_ms), Instant::now());
         Self {
             id: discovered.id.clone(),
             started_unix_ms: discovered.started_unix_ms,
@@ -175,6 +188,8 @@
                 failures: 0,
                 paused_until: None,
                 loading_until: BTreeMap::new(),
+                cold,
+                share: SendShare::default(),
             }),
         }
     }
@@ -227,9 +242,14 @@
         &self.connections
     }
 
-    /// What discovery told last.
+    /// What discovery told last; how much longer it is cold is as of now.
     pub fn discovered(&self) -> Discovered {
-        self.lock().discovered.clone()
+        let known = self.lock();
+        let cold = known.cold.remaining(Instant::now());
+        Discovered {
+            cold_ms: cold.as_millis() as u64,
+            ..known.discovered.clone()
+        }
     }
 
     /// Whether it belongs to a service.
@@ -237,6 +257,11 @@
         self.lock().discovered.service == service
     }
 
+    /// Whether it runs in a zone.
+    pub fn is_in(&self, zone: &str) -> bool {
+        self.lock().discovered.zone == zone
+    }
+
     /// Whether it takes new work, as discovery told last.
     pub fn is_ready(&self) -> bool {
         self.lock().discovered.is_ready
@@ -254,6 +279,8 @@
             let newer = discovered.versions.entry(model.clone()).or_insert(0);
             *newer = (*newer).max(*version);
         }
+        let cold = Duration::from_millis(discovered.cold_ms);
+        known.cold.told(cold, Instant::now());
         known.discovered = discovered;
     }
 
@@ -320,6 +347,29 @@
         known.failures += 1;
         let pause = (FIRST_PAUSE * factor).min(LONGEST_PAUSE);
         known.paused_until = Some(now + pause);
+        // It may have ended, and come back before discovery tells.
+        known.cold.disconnected();
+    }
+
+    /// Notes that it answers: it runs, also if it failed before.
+    pub fn note_answer(&self, now: Instant) {
+        let mut known = self.lock();
+        let limit = self.gates.cold.get(&known.discovered.service);
+        let time = limit.map_or(Duration::ZERO, |limit| limit.time);
+        known.cold.answered(now, time);
+    }
+
+    /// Notes that it may have turned cold just now without a word of it.
+    pub fn suspect_cold(&self, now: Instant) {
+        let mut known = self.lock();
+        if let Some(limit) = self.gates.cold.get(&known.discovered.service) {
+            known.cold.suspected(now, limit.time);
+        }
+    }
+
+    /// Takes permits to send requests to it while it is cold, good until `until`.
+    pub fn add_permits(&self, count: u32, until: Instant) {
+        self.lock().share.add_permits(count, until);
     }
 
     /// Notes that a model cannot be used there for a moment.
@@ -327,16 +377,58 @@
         self.lock().loading_until.insert(model.to_owned(), until);
     }
 
-    /// Whether a request may be sent to it now.
+    /// Whether a request may be meant for it now.
     ///
     /// # Errors
     /// Why it is to get none.
-    pub fn may_send(&self) -> Result<(), HoldReason> {
-        let known = self.lock();
+    pub fn may_send(&self, now: Instant) -> Result<(), HoldReason> {
+        let mut known = self.lock();
+        let Some(limit) = self.send_limit(&known)? else {
+            return Ok(());
+        };
+        let warmth = known.cold.warmth(now);
+        if known.share.has_room(warmth, &limit, now) {
+            Ok(())
+        } else {
+            Err(hold_reason(warmth))
+        }
+    }
+
+    /// Notes that it was chosen for a request, which leaves soon or not at all.
+    pub fn reserve_send(&self, now: Instant) {
+        let mut known = self.lock();
+        if let Ok(Some(_)) = self.send_limit(&known) {
+            known.share.reserve(now);
+        }
+    }
+
+    /// Takes the right to let one request leave now; a permit is used up by it. Without a limit there is no ticket to keep.
+    ///
+    /// # Errors
+    /// Why it is to get none.
+    pub fn take_send(&self, now: Instant) -> Result<Option<SendTicket>, HoldReason> {
+        let mut known = self.lock();
+        let Some(limit) = self.send_limit(&known)? else {
+            return Ok(None);
+        };
+        let warmth = known.cold.warmth(now);
+        let ticket = known.share.take(warmth, &limit, now);
+        ticket.map(Some).ok_or(hold_reason(warmth))
+    }
+
+    /// Takes back the right of a request that did not leave.
+    pub fn give_back_send(&self, ticket: Option<SendTicket>) {
+        if let Some(ticket) = ticket {
+            self.lock().share.give_back(ticket);
+        }
+    }
+
+    /// What bounds the requests to it.
+    fn send_limit(&self, known: &Known) -> Result<Option<ColdLimit>, HoldReason> {
         if self.gates.drained.contains(&known.discovered.zone) {
             return Err(HoldReason::ZoneDrained);
         }
-        Ok(())
+        Ok(self.gates.cold.get(&known.discovered.service))
     }
 
     /// Whether the instance takes new work for `model` (empty: any) now.
--- a/crates/front/src/backend/mod.rs
+++ b/crates/front/src/backend/mod.rs
@@ -1,6 +1,7 @@
 //! Instances of services: what is known of each, which one a request goes to, and connections to them.
 
 mod choice;
+mod cold;
 mod connection;
 mod counters;
 mod exchange;
@@ -10,6 +11,10 @@
 
 pub(crate) use choice::median;
 pub use choice::{Candidate, Demand, choose};
+pub use cold::{
+    ColdAllowance, ColdLimit, ColdLimits, ColdState, PERMIT_LIFETIME, PermitWants, SEND_WINDOW,
+    SendShare, SendTicket, Warmth,
+};
 pub use connection::{ConnectError, Connections, Lease};
 pub use counters::DiscoveryCounters;
 pub(crate) use exchange::keep_alive;
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -9,7 +9,7 @@
 
 use super::choice::{Candidate, Demand, choose, median};
 use super::counters::DiscoveryCounters;
-use super::gate::SendGates;
+use super::gate::{HoldReason, SendGates};
 use super::instance::{Discovered, Instance};
 
 /// The instances by id. Cheap to clone.
@@ -132,9 +132,23 @@
                 versions: BTreeMap::new(),
                 ..instance.discovered()
             });
+            // Its record tells whether it is cold, later.
+            if let Some(started_again) = self.get(instance.id()) {
+                started_again.suspect_cold(Instant::now());
+            }
         }
     }
 
+    /// Notes that instances in a zone may have turned cold just now without a word of it.
+    pub fn suspect_cold(&self, zone: &str) {
+        let now = Instant::now();
+        let instances = self.lock();
+        instances
+            .values()
+            .filter(|instance| instance.is_in(zone))
+            .for_each(|instance| instance.suspect_cold(now));
+    }
+
     /// Asks for instances if none was ever told of, and waits for the first one, `longest` at most.
     pub async fn first_fed(&self, longest: Duration) {
         if *self.is_fed.borrow() {
@@ -235,29 +249,43 @@
         fits: impl Fn(&Instance) -> bool,
     ) -> Option<Arc<Instance>> {
         let now = Instant::now();
-        let usable: Vec<Arc<Instance>> = self
-            .of_service(service)
-            .into_iter()
-            .filter(|instance| instance.is_usable(model, now) && fits(instance))
-            .filter(|instance| instance.may_send().is_ok())
-            .collect();
+        let mut cold = Vec::new();
+        let mut usable = self.of_service(service);
+        usable.retain(|instance| instance.is_usable(model, now) && fits(instance));
+        usable.retain(|instance| match instance.may_send(now) {
+            Ok(()) => true,
+            Err(reason) => {
+                if reason == HoldReason::Cold {
+                    cold.push(Arc::clone(instance));
+                }
+                false
+            }
+        });
         let candidates: Vec<Candidate> = usable
             .iter()
             .map(|instance| instance.candidate(&self.zone, now))
             .collect();
-        let index = choose(&candidates, demand, rand::random())?;
+        let Some(index) = choose(&candidates, demand, rand::random()) else {
+            // Work waits that these could take.
+            let idle = cold.iter().filter(|instance| instance.has_free_slot());
+            idle.for_each(|instance| self.gates.wants.note(instance.id(), service));
+            return None;
+        };
+        usable[index].reserve_send(now);
         Some(Arc::clone(&usable[index]))
     }
 
     /// A ready instance of a service, also one that gets a pause after a failure.
     pub fn choose_again(&self, service: &str) -> Option<Arc<Instance>> {
+        let now = Instant::now();
         let instances = self.of_service(service);
         let ready: Vec<_> = instances
             .into_iter()
-            .filter(|instance| instance.is_ready() && instance.may_send().is_ok())
+            .filter(|instance| instance.is_ready() && instance.may_send(now).is_ok())
             .collect();
         let index = rand::random_range(0..ready.len().max(1));
-        ready.get(index).cloned()
+        let chosen = ready.get(index).cloned();
+        chosen.inspect(|instance| instance.reserve_send(now))
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Arc<Instance>>> {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpListener;
 
 use crate::activity::Activity;
-use crate::backend::BackendTable;
+use crate::backend::{BackendTable, ColdAllowance};
 use crate::config::ConfigInForce;
 use crate::coordination::Coordination;
 use crate::dialect::SharedCodec;
@@ -18,7 +18,9 @@
 use crate::live::LiveService;
 use crate::metrics::Metrics;
 use crate::nodes::{NodeRecord, NodeRole, Nodes};
-use crate::orders::{EndedGivers, LearntLoads, OrderGiver, OrderOptions, VersionsNamed};
+use crate::orders::{
+    EndedGivers, LearntLoads, OrderGiver, OrderOptions, PermitAsker, PermitDealer, VersionsNamed,
+};
 use crate::program::{JobHooks, JournalParts, PeerHandler, PeerParts, ProgramOptions};
 use crate::roster::{DirectView, RosterOptions, RosterWriter};
 use crate::suspects::{SuspectSharing, Suspects};
@@ -63,6 +65,8 @@
     pub codec: SharedCodec,
     /// Reports of use; `None`: nobody wants them.
     pub usage: Option<UsageInputs>,
+    /// By how much callers may exceed what cold instances bear; `None`: these get any number of requests.
+    pub cold: Option<ColdAllowance>,
 }
 
 /// What reports of use need.
@@ -152,6 +156,7 @@
         activity: inputs.activities.with_instances.clone(),
         suspects: suspects.clone(),
     });
+    let permits = PermitDealer::new(inputs.backends.gates().cold.clone());
     let hooks = JobHooks {
         jobs: Some(jobs.clone()),
     };
@@ -162,6 +167,7 @@
         jobs: Some(jobs.clone()),
         usage: Some(meter.clone()),
         suspects: Some(suspects.clone()),
+        permits: Some(permits.clone()),
     });
     let state = Arc::new(IngressState::default());
     let live = LiveService {
@@ -210,7 +216,19 @@
             sink: usage.sink,
             metrics: Arc::clone(&metrics),
         }),
+        permits: permits.clone(),
     };
+    let permits_task = tokio::spawn({
+        let asker = PermitAsker {
+            allowance: inputs.cold,
+            backends: inputs.backends.clone(),
+            config: inputs.config.clone(),
+            nodes: nodes.clone(),
+            dealer: permits,
+            metrics: Arc::clone(&metrics),
+        };
+        async move { asker.run().await }
+    });
     let sharing_task = inputs.usage.as_ref().map(|_| {
         let nodes = nodes.clone();
         tokio::spawn(async move { share(&meter, &nodes).await })
@@ -246,6 +264,7 @@
     stop.await;
     drain(&options, &nodes, &jobs, &state).await;
     orders_task.abort();
+    permits_task.abort();
     sweep_task.abort();
     nodes_task.abort();
     suspects_task.abort();
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -42,6 +42,8 @@
     pub jobs: IntCounterVec,
     /// Orders to instances by outcome.
     pub orders: IntCounterVec,
+    /// Permits for requests to cold instances that this node was dealt.
+    pub send_permits: IntCounter,
     /// Reports of use by outcome.
     pub usage_reports: IntCounterVec,
     /// Times that the machine was suspended.
@@ -134,6 +136,10 @@
                 "Orders to instances by outcome",
                 &["outcome"],
             ),
+            send_permits: counter(
+                "ladderstage_send_permits_total",
+                "Permits for requests to cold instances that this node was dealt",
+            ),
             usage_reports: vec(
                 "ladderstage_usage_reports_total",
                 "Reports of use by outcome",
--- a/crates/front/src/orders/candidates.rs
+++ b/crates/front/src/orders/candidates.rs
@@ -13,6 +13,14 @@
 /// Whether `own` is among the first of the present nodes: those with the most processor time, given in thousandths of a core, and of
 /// these by rendezvous hash. A weak machine notices late that loads are done. Nodes that are gone make room for the next.
 pub fn is_candidate<'a>(own: &str, present: impl IntoIterator<Item = (&'a str, u32)>) -> bool {
+    by_rank(present)
+        .iter()
+        .take(CANDIDATES)
+        .any(|name| *name == own)
+}
+
+/// The present nodes by how likely they hold the lease.
+pub(super) fn by_rank<'a>(present: impl IntoIterator<Item = (&'a str, u32)>) -> Vec<&'a str> {
     let present: Vec<(&str, u32)> = present.into_iter().collect();
     let cpu_millis = |name: &str| {
         let found = present.iter().find(|(known, _)| *known == name);
@@ -20,5 +28,5 @@
     };
     let mut ranked = rendezvous(RANKING, present.iter().map(|(name, _)| *name));
     ranked.sort_by_cached_key(|name| Reverse(cpu_millis(name)));
-    ranked.iter().take(CANDIDATES).any(|name| *name == own)
+    ranked
 }
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -15,6 +15,7 @@
 use super::learnt::learnt_limit;
 use super::lease::{GiverLease, Held, LastGiver};
 use super::named::VersionsNamed;
+use super::permits::PermitDealer;
 use super::plan::{FleetInstance, Planned, plan};
 use crate::backend::{BackendTable, Instance, LOADING_PAUSE};
 use crate::config::ConfigInForce;
@@ -86,6 +87,8 @@
     pub roster: RosterWriter,
     /// Reports use under the same lease; `None`: nobody wants reports.
     pub usage: Option<UsageReporter>,
+    /// Deals permits for cold instances under the same lease.
+    pub permits: PermitDealer,
 }
 
 /// An order to give, and the instance that it goes to.
@@ -196,6 +199,7 @@
     async fn hold(&self, lease: &GiverLease, held: Held, respected: &mut Vec<(String, Instant)>) {
         let _with_instances = self.activities.with_instances.begin();
         let _with_versions = self.activities.with_versions.begin();
+        let _dealing = self.permits.begin(held.watch_proof());
         let mut given = self.begin_given().await;
         given.respect(std::mem::take(respected), self.options.quiet);
         let is_released = tokio::select! {
--- a/crates/front/src/orders/lease.rs
+++ b/crates/front/src/orders/lease.rs
@@ -77,6 +77,11 @@
         *self.proven_until.borrow()
     }
 
+    /// Follows until when the lease certainly lasts.
+    pub fn watch_proof(&self) -> watch::Receiver<Instant> {
+        self.proven_until.subscribe()
+    }
+
     /// Whether this holder may have given orders.
     pub fn is_named(&self) -> bool {
         self.is_named.load(Ordering::Relaxed)
--- a/crates/front/src/orders/mod.rs
+++ b/crates/front/src/orders/mod.rs
@@ -13,6 +13,7 @@
 mod looking;
 mod named;
 mod news;
+mod permits;
 mod plan;
 
 pub use candidates::is_candidate;
@@ -24,4 +25,5 @@
 pub use load_limit::{FinishedLoad, LoadLimit, LoadTiming};
 pub use named::VersionsNamed;
 pub use news::LearntLoads;
+pub use permits::{PermitAsker, PermitDealer, PermitLedger, QUIET_TIME};
 pub use plan::{Assignment, FleetInstance, ModelDemand, Planned, Trade, most_trades, plan};
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -20,6 +20,7 @@
 use crate::coordination::{Coordination, StoreCalls};
 use crate::job::{JobRegistry, LOG_PREFIX};
 use crate::nodes::Nodes;
+use crate::orders::PermitDealer;
 use crate::set_records::CoordinatedSetRecords;
 use crate::suspects::Suspects;
 use crate::usage::UsageMeter;
@@ -165,6 +166,7 @@
     pub jobs: Option<JobRegistry>,
     pub usage: Option<UsageMeter>,
     pub suspects: Option<Suspects>,
+    pub permits: Option<PermitDealer>,
 }
 
 /// Answers other nodes once the parts are there.
@@ -210,6 +212,15 @@
                     }
                     None => refuse(Reason::MALFORMED, "no requests at this node"),
                 },
+                RequestKind::ask_send_permits(asked) => {
+                    let dealt = parts.permits.as_ref().and_then(|one| one.deal(&asked));
+                    match dealt {
+                        Some(dealt) => Response {
+                            kind: ResponseKind::send_permits(dealt),
+                        },
+                        None => refuse(Reason::NOT_OWNER, "no permits are dealt here"),
+                    }
+                }
                 RequestKind::None => refuse(Reason::MALFORMED, "no known request"),
                 kind => parts.journal.handle(kind).await,
             }
--- a/crates/front/src/roster/record.rs
+++ b/crates/front/src/roster/record.rs
@@ -52,7 +52,18 @@
 
     /// Whether another roster names the same services and instances.
     pub fn is_same(&self, other: &Self) -> bool {
-        self.services == other.services && self.instances == other.instances
+        // How much longer one is cold is another number with each look.
+        let is_same = |one: &Discovered, other: &Discovered| {
+            let as_cold = Discovered {
+                cold_ms: other.cold_ms,
+                ..one.clone()
+            };
+            as_cold == *other && (one.cold_ms == 0) == (other.cold_ms == 0)
+        };
+        let mut pairs = self.instances.iter().zip(&other.instances);
+        self.services == other.services
+            && self.instances.len() == other.instances.len()
+            && pairs.all(|(one, other)| is_same(one, other))
     }
 
     /// Makes a table hold exactly these instances of the roster's services. What it knows of weights and of other services stays:
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -121,6 +121,7 @@
         jobs: None,
         usage: None,
         suspects: None,
+        permits: None,
     });
     log::info!(
         "event=started role=store node={} address={} replica_id={}",
