Say why instances were passed over; let a live request wait for a permit where all instances are cold

Cause: a request that no instance could take for coldness had no line that says so, and was refused a few milliseconds before permits came. Change: no_instance with the reasons, instance_cold, instance_doubtful, a counter by reason and zone; a live request waits up to 150 ms for permits if nothing else can serve it. Conclusion: the tests of live requests and of cold samplers pass.

--- a/crates/front/src/backend/cold/state.rs
+++ b/crates/front/src/backend/cold/state.rs
@@ -44,9 +44,9 @@
         self.doubt = Doubt::None;
     }
 
-    /// A connection to it failed or broke.
-    pub fn disconnected(&mut self) {
-        self.doubt = Doubt::Unanswered;
+    /// A connection to it failed or broke; returns whether that is news.
+    pub fn disconnected(&mut self) -> bool {
+        std::mem::replace(&mut self.doubt, Doubt::Unanswered) != Doubt::Unanswered
     }
 
     /// It may have turned cold at `now`, for `time` at most.
--- a/crates/front/src/backend/counters.rs
+++ b/crates/front/src/backend/counters.rs
@@ -9,6 +9,8 @@
     pub restarts: IntCounter,
     /// Records that name no instance, by reason.
     pub unreadable_records: IntCounterVec,
+    /// Choices that passed over a usable instance, by reason and zone.
+    pub passed_over: IntCounterVec,
 }
 
 impl Default for DiscoveryCounters {
@@ -21,9 +23,14 @@
             "ladderstage_unreadable_records_total",
             "Records of instances that name none by reason",
         );
+        let passed_over = Opts::new(
+            "ladderstage_instances_passed_over_total",
+            "Choices that passed over a usable instance by reason and zone of the instance",
+        );
         Self {
             restarts: restarts.expect("valid name"),
             unreadable_records: IntCounterVec::new(options, &["reason"]).expect("valid name"),
+            passed_over: IntCounterVec::new(passed_over, &["reason", "zone"]).expect("valid name"),
         }
     }
 }
--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -279,8 +279,15 @@
             let newer = discovered.versions.entry(model.clone()).or_insert(0);
             *newer = (*newer).max(*version);
         }
-        let cold = Duration::from_millis(discovered.cold_ms);
-        known.cold.told(cold, Instant::now());
+        let (cold, now) = (Duration::from_millis(discovered.cold_ms), Instant::now());
+        if !cold.is_zero() && known.cold.remaining(now).is_zero() {
+            log::info!(
+                "event=instance_cold instance={} remaining_ms={}",
+                self.id,
+                cold.as_millis()
+            );
+        }
+        known.cold.told(cold, now);
         known.discovered = discovered;
     }
 
@@ -348,7 +355,10 @@
         let pause = (FIRST_PAUSE * factor).min(LONGEST_PAUSE);
         known.paused_until = Some(now + pause);
         // It may have ended, and come back before discovery tells.
-        known.cold.disconnected();
+        let is_news = known.cold.disconnected();
+        if is_news && self.gates.cold.get(&known.discovered.service).is_some() {
+            log::info!("event=instance_doubtful instance={}", self.id);
+        }
     }
 
     /// Notes that it answers: it runs, also if it failed before.
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -98,13 +98,14 @@
             }
             _ => {
                 log::info!(
-                    "event=instance_added instance={} service={} address={} started={} before={} ready={}",
+                    "event=instance_added instance={} service={} address={} started={} before={} ready={} cold_ms={}",
                     discovered.id,
                     discovered.service,
                     discovered.address,
                     discovered.started_unix_ms,
                     known.map_or(0, |known| known.started_unix_ms()),
-                    discovered.is_ready
+                    discovered.is_ready,
+                    discovered.cold_ms
                 );
                 let id = discovered.id.clone();
                 let instance = Arc::new(Instance::new(discovered, self.gates.clone()));
@@ -255,6 +256,11 @@
         usable.retain(|instance| match instance.may_send(now) {
             Ok(()) => true,
             Err(reason) => {
+                let passed_over = &self.counters.passed_over;
+                let zone = instance.discovered().zone;
+                passed_over
+                    .with_label_values(&[reason.label(), &zone])
+                    .inc();
                 if reason == HoldReason::Cold {
                     cold.push(Arc::clone(instance));
                 }
@@ -275,6 +281,25 @@
         Some(Arc::clone(&usable[index]))
     }
 
+    /// Whether work that waits here for instances of a service may soon get permits for cold ones.
+    pub fn awaits_permits(&self, service: &str) -> bool {
+        let held_back = self.held_back(service);
+        held_back.contains_key(&HoldReason::Cold)
+    }
+
+    /// How many ready instances of a service are held back now, by reason.
+    pub fn held_back(&self, service: &str) -> BTreeMap<HoldReason, usize> {
+        let now = Instant::now();
+        let mut counts = BTreeMap::new();
+        let ready = self.of_service(service).into_iter();
+        for instance in ready.filter(|instance| instance.is_ready()) {
+            if let Err(reason) = instance.may_send(now) {
+                *counts.entry(reason).or_insert(0) += 1;
+            }
+        }
+        counts
+    }
+
     /// A ready instance of a service, also one that gets a pause after a failure.
     pub fn choose_again(&self, service: &str) -> Option<Arc<Instance>> {
         let now = Instant::now();
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -35,6 +35,9 @@
 /// How long a request waits for the first instances at a node that has just started: a listing takes some tens of milliseconds.
 const FIRST_INSTANCES_WAIT: Duration = Duration::from_millis(300);
 
+/// Longest wait for permits while all instances that could serve a request are cold: a question to the node that deals them.
+const PERMIT_WAIT: Duration = Duration::from_millis(150);
+
 /// Time that the client's own path takes, kept back from what instances are told.
 const RETURN_MARGIN: Duration = Duration::from_millis(10);
 
@@ -212,6 +215,8 @@
         let service = route.pick_service(rand::random());
         let mut under_way = FuturesUnordered::new();
         let mut hedge_at = Instant::now();
+        let mut table_changed = self.backends.watch();
+        let permit_wait_until = Instant::now() + PERMIT_WAIT;
         loop {
             // The timer that ends this work stood still if the machine was suspended.
             if Instant::now() >= limit {
@@ -236,6 +241,13 @@
                 }
             }
             if under_way.is_empty() {
+                let waits = held.is_none() && Instant::now() < permit_wait_until;
+                if waits && may_start && self.backends.awaits_permits(service) {
+                    let next = table_changed.changed();
+                    let _ = tokio::time::timeout_at(permit_wait_until.into(), next).await;
+                    continue;
+                }
+                self.log_unserved(request, service, progress);
                 return give_up(progress, held);
             }
             let may_hedge = route.kind == RouteKind::Safe && may_start && !is_due;
@@ -270,6 +282,21 @@
         })
     }
 
+    /// Says what held instances back from a request that none was tried for.
+    fn log_unserved(&self, request: &LiveRequest, service: &str, progress: &Progress) {
+        let held_back = self.backends.held_back(service);
+        if progress.tried.is_empty() && !held_back.is_empty() {
+            let reasons = held_back
+                .iter()
+                .map(|(reason, count)| format!("{reason}:{count}"));
+            log::info!(
+                "event=no_instance request={} service={service} held_back={}",
+                request.id(),
+                reasons.collect::<Vec<_>>().join(",")
+            );
+        }
+    }
+
     fn admit(&self, route: &Route, request: &LiveRequest) -> Result<RunPermit, HeldBack> {
         let subject = RunSubject::Request {
             id: request.id(),
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -173,6 +173,7 @@
     pub fn add_discovery(&self, counters: &DiscoveryCounters) {
         self.add(Box::new(counters.restarts.clone()));
         self.add(Box::new(counters.unreadable_records.clone()));
+        self.add(Box::new(counters.passed_over.clone()));
     }
 
     fn add(&self, collector: Box<dyn Collector>) {
