--- a/crates/front/tests/cold_instances.rs
+++ b/crates/front/tests/cold_instances.rs
@@ -1,5 +1,6 @@
 //! Which instances count as cold, what one node sends them, and that the sum of all nodes stays within the bound.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use ladderstage_clock::Instant;
@@ -9,6 +10,7 @@
 };
 use ladderstage_front::config::{ColdSpec, ServiceSpec, ServingConfig};
 use ladderstage_front::orders::{PermitLedger, QUIET_TIME};
+use ladderstage_front::roster::Roster;
 use proptest::prelude::*;
 
 const COLD_TIME: Duration = Duration::from_secs(3);
@@ -203,6 +205,26 @@
     }
 }
 
+#[test]
+fn a_roster_is_written_anew_only_when_an_instance_turns_cold_or_warm() {
+    let table = limited_table();
+    let services = || BTreeSet::from(["service".to_owned()]);
+    let roster = |cold_ms| {
+        table.upsert(word("i-1", cold_ms));
+        Roster::of(&table, services(), 1)
+    };
+    let (cold, less, warm) = (roster(3_000), roster(1_800), roster(0));
+    assert!(cold.is_same(&less) && !less.is_same(&warm));
+    let reader = limited_table();
+    cold.apply(&reader);
+    let instance = reader.get("i-1").unwrap();
+    assert_eq!(
+        instance.take_send(Instant::now()),
+        Err(HoldReason::Cold),
+        "who goes by the roster knows it"
+    );
+}
+
 /// One step of a schedule, at a node where that matters.
 #[derive(Debug, Clone)]
 enum Step {
