--- a/crates/front/src/backend/counters.rs
+++ b/crates/front/src/backend/counters.rs
@@ -11,6 +11,8 @@
     pub unreadable_records: IntCounterVec,
     /// Zones that are drained.
     pub drained_zones: IntGauge,
+    /// Choices that passed over a usable instance, by reason and zone.
+    pub passed_over: IntCounterVec,
 }
 
 impl Default for DiscoveryCounters {
@@ -27,10 +29,15 @@
             "ladderstage_unreadable_records_total",
             "Records of instances that name none by reason",
         );
+        let passed_over = Opts::new(
+            "ladderstage_instances_passed_over_total",
+            "Choices that passed over a usable instance by reason and zone of the instance",
+        );
         Self {
             restarts: restarts.expect("valid name"),
             unreadable_records: IntCounterVec::new(options, &["reason"]).expect("valid name"),
             drained_zones: drained_zones.expect("valid name"),
+            passed_over: IntCounterVec::new(passed_over, &["reason", "zone"]).expect("valid name"),
         }
     }
 }
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -141,13 +141,14 @@
             }
             _ => {
                 log::info!(
-                    "event=instance_added instance={} service={} address={} started={} before={} ready={}",
+                    "event=instance_added instance={} service={} address={} started={} before={} ready={} cold_ms={}",
                     discovered.id,
                     discovered.service,
                     discovered.address,
                     discovered.started_unix_ms,
                     known.map_or(0, |known| known.started_unix_ms()),
-                    discovered.is_ready
+                    discovered.is_ready,
+                    discovered.cold_ms
                 );
                 let id = discovered.id.clone();
                 let instance = Arc::new(Instance::new(discovered, self.gates.clone()));
@@ -175,9 +176,23 @@
                 versions: BTreeMap::new(),
                 ..instance.discovered()
             });
+            // Its record tells whether it is cold, later.
+            if let Some(started_again) = self.get(instance.id()) {
+                started_again.suspect_cold(Instant::now());
+            }
         }
     }
 
+    /// Notes that instances in a zone may have turned cold just now without a word of it.
+    pub fn suspect_cold(&self, zone: &str) {
+        let now = Instant::now();
+        let instances = self.lock();
+        instances
+            .values()
+            .filter(|instance| instance.is_in(zone))
+            .for_each(|instance| instance.suspect_cold(now));
+    }
+
     /// Asks for instances if none was ever told of, and waits for the first one and for word of drained zones, `longest` at most.
     pub async fn first_fed(&self, longest: Duration) {
         let drained = &self.gates.drained;
@@ -284,29 +299,67 @@
         fits: impl Fn(&Instance) -> bool,
     ) -> Option<Arc<Instance>> {
         let now = Instant::now();
-        let usable: Vec<Arc<Instance>> = self
-            .of_service(service)
-            .into_iter()
-            .filter(|instance| instance.is_usable(model, now) && fits(instance))
-            .filter(|instance| instance.may_send().is_ok())
-            .collect();
+        let mut cold = Vec::new();
+        let mut usable = self.of_service(service);
+        usable.retain(|instance| instance.is_usable(model, now) && fits(instance));
+        usable.retain(|instance| match instance.may_send(now) {
+            Ok(()) => true,
+            Err(reason) => {
+                let passed_over = &self.counters.passed_over;
+                let zone = instance.discovered().zone;
+                passed_over
+                    .with_label_values(&[reason.label(), &zone])
+                    .inc();
+                if reason == HoldReason::Cold {
+                    cold.push(Arc::clone(instance));
+                }
+                false
+            }
+        });
         let candidates: Vec<Candidate> = usable
             .iter()
             .map(|instance| instance.candidate(&self.zone, now))
             .collect();
-        let index = choose(&candidates, demand, rand::random())?;
+        let Some(index) = choose(&candidates, demand, rand::random()) else {
+            // Work waits that these could take.
+            let idle = cold.iter().filter(|instance| instance.has_free_slot());
+            idle.for_each(|instance| self.gates.wants.note(instance.id(), service));
+            return None;
+        };
+        usable[index].reserve_send(now);
         Some(Arc::clone(&usable[index]))
     }
 
+    /// Whether work that waits here for instances of a service may soon get permits for cold ones.
+    pub fn awaits_permits(&self, service: &str) -> bool {
+        let held_back = self.held_back(service);
+        held_back.contains_key(&HoldReason::Cold)
+    }
+
+    /// How many ready instances of a service are held back now, by reason.
+    pub fn held_back(&self, service: &str) -> BTreeMap<HoldReason, usize> {
+        let now = Instant::now();
+        let mut counts = BTreeMap::new();
+        let ready = self.of_service(service).into_iter();
+        for instance in ready.filter(|instance| instance.is_ready()) {
+            if let Err(reason) = instance.may_send(now) {
+                *counts.entry(reason).or_insert(0) += 1;
+            }
+        }
+        counts
+    }
+
     /// A ready instance of a service, also one that gets a pause after a failure.
     pub fn choose_again(&self, service: &str) -> Option<Arc<Instance>> {
+        let now = Instant::now();
         let instances = self.of_service(service);
         let ready: Vec<_> = instances
             .into_iter()
-            .filter(|instance| instance.is_ready() && instance.may_send().is_ok())
+            .filter(|instance| instance.is_ready() && instance.may_send(now).is_ok())
             .collect();
         let index = rand::random_range(0..ready.len().max(1));
-        ready.get(index).cloned()
+        let chosen = ready.get(index).cloned();
+        chosen.inspect(|instance| instance.reserve_send(now))
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Arc<Instance>>> {
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -44,6 +44,8 @@
     pub jobs: IntCounterVec,
     /// Orders to instances by outcome.
     pub orders: IntCounterVec,
+    /// Permits for requests to cold instances that this node was dealt.
+    pub send_permits: IntCounter,
     /// Reports of use by outcome.
     pub usage_reports: IntCounterVec,
     /// Times that the machine was suspended.
@@ -141,6 +143,10 @@
                 "Orders to instances by outcome",
                 &["outcome"],
             ),
+            send_permits: counter(
+                "ladderstage_send_permits_total",
+                "Permits for requests to cold instances that this node was dealt",
+            ),
             usage_reports: vec(
                 "ladderstage_usage_reports_total",
                 "Reports of use by outcome",
@@ -175,6 +181,7 @@
         self.add(Box::new(counters.restarts.clone()));
         self.add(Box::new(counters.unreadable_records.clone()));
         self.add(Box::new(counters.drained_zones.clone()));
+        self.add(Box::new(counters.passed_over.clone()));
     }
 
     /// Counts a request that was not sent.
--- a/crates/front/src/roster/record.rs
+++ b/crates/front/src/roster/record.rs
@@ -81,8 +81,18 @@
 
     /// Whether another roster names the same services, instances and drained zones.
     pub fn is_same(&self, other: &Self) -> bool {
+        // How much longer one is cold is another number with each look.
+        let is_same = |one: &Discovered, other: &Discovered| {
+            let as_cold = Discovered {
+                cold_ms: other.cold_ms,
+                ..one.clone()
+            };
+            as_cold == *other && (one.cold_ms == 0) == (other.cold_ms == 0)
+        };
+        let mut pairs = self.instances.iter().zip(&other.instances);
         self.services == other.services
-            && self.instances == other.instances
+            && self.instances.len() == other.instances.len()
+            && pairs.all(|(one, other)| is_same(one, other))
             && self.drained_zones() == other.drained_zones()
     }
 
--- a/crates/front/tests/roster.rs
+++ b/crates/front/tests/roster.rs
@@ -313,7 +313,9 @@
     /// Whether an instance may get requests here.
     fn may_send(&self, id: &str) -> bool {
         let instance = self.backends.get(id);
-        instance.is_some_and(|one| one.is_ready() && one.may_send().is_ok())
+        instance.is_some_and(|one| {
+            one.is_ready() && one.may_send(ladderstage_clock::Instant::now()).is_ok()
+        })
     }
 
     /// Waits until requests may go to an instance here, or may not; returns how long that took.
@@ -826,7 +828,11 @@
         let _work = new.activity.begin();
         sleep(Duration::from_secs(1)).await;
         assert_eq!(new.is_ready("i-b"), Some(true));
-        let held = new.backends.get("i-b").unwrap().may_send();
+        let held = new
+            .backends
+            .get("i-b")
+            .unwrap()
+            .may_send(ladderstage_clock::Instant::now());
         assert_eq!(held, Err(HoldReason::DrainsUnknown));
         store.set_faults("new", NodeFaults::default());
         new.until_may_send("i-b", true).await;
