--- a/crates/front/src/explain/line.rs
+++ b/crates/front/src/explain/line.rs
@@ -54,7 +54,7 @@
     /// Whether it tells of something that went wrong.
     pub fn is_wrong(&self) -> bool {
         let outcome = self.fields.get("outcome").map_or("", String::as_str);
-        let has_failed = ["failed", "moved", "impossible"].contains(&outcome);
+        let has_failed = ["failed", "moved", "impossible", "none_to_be_had"].contains(&outcome);
         self.level != "info" || has_failed
     }
 }
--- a/crates/front/src/explain/story.rs
+++ b/crates/front/src/explain/story.rs
@@ -21,6 +21,12 @@
 /// Events that tell of all requests of one content.
 const CONTENT_EVENTS: [&str; 3] = ["run_broken", "suspect_heard", "suspect_cleared"];
 
+/// Events that tell of instances that were lost and ordered anew.
+const CAPACITY_EVENTS: [&str; 2] = ["capacity_lost", "capacity_ordered"];
+
+/// Instances that were lost so long before a request may still be missing.
+const CAPACITY_SECONDS: f64 = 15.0;
+
 /// One step of a story.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Step {
@@ -48,8 +54,8 @@
 }
 
 impl Story {
-    /// Picks the lines about `id`, of an item those about its job that concern each item, and of a request under whose content instances ended
-    /// those about that.
+    /// Picks the lines about `id`, of an item those about its job that concern each item, of a request under whose content instances ended
+    /// those about that, and where something went wrong those about instances that were lost and ordered.
     pub fn tell(id: &str, lines: &[LogLine]) -> Self {
         let jobs: BTreeSet<&str> = lines
             .iter()
@@ -75,6 +81,8 @@
             .iter()
             .filter(|line| line.is_about(id) || concerns_item(line) || concerns_content(line))
             .collect();
+        let capacity = capacity_before(&picked, lines);
+        picked.extend(capacity);
         picked.sort_by(|left, right| left.time.total_cmp(&right.time));
         let begin = picked.first().map_or(0.0, |line| line.time);
         let first_wrong = picked.iter().position(|line| line.is_wrong());
@@ -93,6 +101,24 @@
     }
 }
 
+/// What was lost and ordered before and while something went wrong: a story without a wrong step needs no cause.
+fn capacity_before<'a>(picked: &[&LogLine], lines: &'a [LogLine]) -> Vec<&'a LogLine> {
+    let times = || picked.iter().map(|line| line.time);
+    let has_wrong = picked.iter().any(|line| line.is_wrong());
+    let (Some(begin), Some(end), true) = (
+        times().min_by(f64::total_cmp),
+        times().max_by(f64::total_cmp),
+        has_wrong,
+    ) else {
+        return Vec::new();
+    };
+    lines
+        .iter()
+        .filter(|line| CAPACITY_EVENTS.contains(&line.event.as_str()))
+        .filter(|line| (begin - CAPACITY_SECONDS..=end).contains(&line.time))
+        .collect()
+}
+
 impl std::fmt::Display for Story {
     /// A line a step; the first that went wrong is marked with `!`.
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
--- a/crates/front/tests/explain.rs
+++ b/crates/front/tests/explain.rs
@@ -119,3 +119,31 @@
     assert!(story.steps[0].details.contains("instance=s1"));
     assert!(story.steps[1].details.contains("instance=s2"));
 }
+
+#[test]
+fn a_story_that_went_wrong_tells_which_instances_were_lost_and_that_none_were_to_be_had() {
+    const CAPACITY: &str = r#"
+time=82.000 level=info node=front-c module=m event=capacity_lost service=s zone=z kind=kept lost=9 before=0 reason=leaving
+time=99.000 level=info node=front-c module=m event=capacity_lost service=s zone=z kind=kept lost=2 before=0 reason=zone_drained
+time=100.200 level=info node=front-c module=m event=capacity_ordered service=s zone=y kind=preemptible desired=2 extra=2 fence=7 outcome=none_to_be_had cause="none to be had"
+"#;
+    let lines: Vec<LogLine> = [LOG, CAPACITY]
+        .into_iter()
+        .flat_map(str::lines)
+        .filter_map(LogLine::parse)
+        .collect();
+    let told = Story::tell("i1", &lines);
+    let expected = [
+        "capacity_lost",
+        "job_accepted",
+        "append_in_doubt",
+        "capacity_ordered",
+        "item_run",
+        "job_log_taken",
+    ];
+    assert_eq!(events(&told), expected);
+    assert!(told.to_string().contains("reason=zone_drained"));
+    // A request that was answered needs no cause.
+    let calm = Story::tell("r1", &lines);
+    assert_eq!(events(&calm), ["attempt", "request_answered"]);
+}
