--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -10,6 +10,7 @@
 
 use crate::activity::Activity;
 use crate::backend::{BackendTable, ColdAllowance};
+use crate::capacity::{CapacityDuty, CapacitySink};
 use crate::config::ConfigInForce;
 use crate::coordination::Coordination;
 use crate::dialect::SharedCodec;
@@ -69,6 +70,8 @@
     pub usage: Option<UsageInputs>,
     /// By how much callers may exceed what cold instances bear; `None`: these get any number of requests.
     pub cold: Option<ColdAllowance>,
+    /// Orders of capacity; `None`: the number of instances is not ours to change.
+    pub capacity: Option<CapacityInputs>,
 }
 
 /// What reports of use need.
@@ -80,6 +83,15 @@
     pub sink: Arc<dyn ReportSink>,
 }
 
+/// What orders of capacity need.
+#[derive(Clone)]
+pub struct CapacityInputs {
+    /// Where they go.
+    pub sink: Arc<dyn CapacitySink>,
+    /// Least time between those of two holders.
+    pub quiet: Duration,
+}
+
 /// Length of windows where nobody wants reports.
 const UNREPORTED_WINDOW: Duration = Duration::from_secs(60);
 
@@ -220,6 +232,16 @@
             metrics: Arc::clone(&metrics),
         }),
         permits: permits.clone(),
+        capacity: inputs.capacity.clone().map(|capacity| CapacityDuty {
+            coordination: Arc::clone(&coordination),
+            node: options.node.clone(),
+            backends: inputs.backends.clone(),
+            view: inputs.view.clone(),
+            config: inputs.config.clone(),
+            sink: capacity.sink,
+            quiet: capacity.quiet,
+            metrics: Arc::clone(&metrics),
+        }),
     };
     let permits_task = tokio::spawn({
         let asker = PermitAsker {
--- a/crates/front/tests/cold_instances.rs
+++ b/crates/front/tests/cold_instances.rs
@@ -211,7 +211,7 @@
     let services = || BTreeSet::from(["service".to_owned()]);
     let roster = |cold_ms| {
         table.upsert(word("i-1", cold_ms));
-        Roster::of(&table, services(), 1)
+        Roster::of(&table, services(), 1, None)
     };
     let (cold, less, warm) = (roster(3_000), roster(1_800), roster(0));
     assert!(cold.is_same(&less) && !less.is_same(&warm));
