--- a/crates/front/src/backend/choice.rs
+++ b/crates/front/src/backend/choice.rs
@@ -1,8 +1,22 @@
 //! Which instance a request goes to: one cost function over what is known of each.
+//!
+//! The cost is the expected time of one more request against that of an idle typical instance. An instance in another region costs the
+//! way there and back besides, in the same unit: it is chosen once the wait at near ones is longer than that.
+
+use ladderstage::region::Distance;
 
 /// Added to the cost of an instance in another zone, in shares of its capacity.
 const OTHER_ZONE: f64 = 0.02;
 
+/// Round trip to an instance in another region, in milliseconds, until one is measured: that of regions some 1,500 km apart.
+const ASSUMED_ROUND_TRIP_MS: f64 = 20.0;
+
+/// Time of a request at an idle instance, in milliseconds, until one is measured.
+const ASSUMED_WORK_MS: f64 = 100.0;
+
+/// Events of a usual text, whose paces are known an event.
+const USUAL_EVENTS: f64 = 16.0;
+
 /// Cost of an idle instance against that of its occupancy: what part of a request's time does not depend on others.
 const IDLE_SHARE: f64 = 0.5;
 
@@ -15,6 +29,9 @@
 /// Least share of the fleet's pace that counts, so that one quick answer does not draw everything.
 const LEAST_RELATIVE_PACE: f64 = 0.6;
 
+/// Least share of a measured pace that is the instance's own: the way may have been measured while it was slow.
+const LEAST_OWN_SHARE: f64 = 0.25;
+
 /// What is known of an instance that may be given work.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Candidate {
@@ -22,12 +39,33 @@
     pub load: u32,
     /// Requests that it runs side by side.
     pub slots: u32,
-    /// Whether it is in the chooser's zone.
-    pub is_same_zone: bool,
-    /// Recent milliseconds per unit of work; `None` while unknown.
+    /// How far it is from the chooser.
+    pub distance: Distance,
+    /// Shortest time in which it took a connection, in milliseconds; `None` before the first one.
+    pub round_trip_ms: Option<f64>,
+    /// Recent milliseconds per unit of work: of a whole answer with the way there, or of an event; `None` while unknown.
     pub pace_ms: Option<f64>,
 }
 
+impl Candidate {
+    /// The way there and back, in milliseconds, where it is long enough to matter.
+    fn round_trip_ms(&self) -> f64 {
+        match self.distance {
+            Distance::Elsewhere => self.round_trip_ms.unwrap_or(ASSUMED_ROUND_TRIP_MS),
+            Distance::SameMachine | Distance::SameZone | Distance::SameRegion => 0.0,
+        }
+    }
+
+    /// Recent milliseconds of its own per unit of work, without the way there.
+    fn work_ms(&self, demand: Demand) -> Option<f64> {
+        let pace = self.pace_ms?;
+        if demand.has_whole_answers() {
+            return Some((pace - self.round_trip_ms()).max(pace * LEAST_OWN_SHARE));
+        }
+        Some(pace)
+    }
+}
+
 /// What the choice is made for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Demand {
@@ -44,6 +82,16 @@
     Scoring,
 }
 
+impl Demand {
+    /// Whether paces are those of whole answers, and not of events.
+    fn has_whole_answers(self) -> bool {
+        match self {
+            Self::Live | Self::Scoring => true,
+            Self::Batch | Self::LongBatch | Self::CutBatch => false,
+        }
+    }
+}
+
 /// One of so many slots is left to live requests by reward calls, which come in bursts as texts end: 24 calls of 30 ms at once
 /// would else make each client wait for all of them.
 const LIVE_SLOT_SHARE: u32 = 6;
@@ -53,7 +101,7 @@
 
 /// Index of the instance to use; `None` if none fits. `random` decides among equal ones.
 pub fn choose(candidates: &[Candidate], demand: Demand, random: u64) -> Option<usize> {
-    let typical = typical_pace(candidates);
+    let typical = typical_pace(candidates, demand);
     let fitting = candidates
         .iter()
         .enumerate()
@@ -83,15 +131,10 @@
 /// Expected time of one more request against an idle typical instance.
 fn cost(candidate: &Candidate, typical: Option<f64>, demand: Demand) -> f64 {
     let occupancy = f64::from(candidate.load + 1) / f64::from(candidate.slots.max(1));
-    let relative_pace = match (candidate.pace_ms, typical) {
+    let relative_pace = match (candidate.work_ms(demand), typical) {
         (Some(pace), Some(typical)) if typical > 0.0 => (pace / typical).max(LEAST_RELATIVE_PACE),
         _ => 1.0,
     };
-    let surcharge = if candidate.is_same_zone {
-        0.0
-    } else {
-        OTHER_ZONE
-    };
     let idle_share = match demand {
         Demand::LongBatch | Demand::CutBatch => LONG_IDLE_SHARE,
         Demand::Live | Demand::Batch | Demand::Scoring => IDLE_SHARE,
@@ -101,15 +144,35 @@
     } else {
         0.0
     };
-    (idle_share + occupancy) * relative_pace + surcharge + queueing
+    let idle = idle_share + 1.0 / f64::from(candidate.slots.max(1));
+    let way = way_cost(candidate, typical, demand) * idle;
+    (idle_share + occupancy) * relative_pace + zone_surcharge(candidate) + way + queueing
+}
+
+fn zone_surcharge(candidate: &Candidate) -> f64 {
+    match candidate.distance {
+        Distance::SameMachine | Distance::SameZone => 0.0,
+        Distance::SameRegion | Distance::Elsewhere => OTHER_ZONE,
+    }
+}
+
+/// The way to an instance and back against the time of a request at an idle typical one.
+fn way_cost(candidate: &Candidate, typical: Option<f64>, demand: Demand) -> f64 {
+    let units = if demand.has_whole_answers() {
+        1.0
+    } else {
+        USUAL_EVENTS
+    };
+    let work_ms = typical.map_or(ASSUMED_WORK_MS, |pace| pace * units);
+    candidate.round_trip_ms() / work_ms.max(f64::MIN_POSITIVE)
 }
 
 /// Median of the known paces.
-fn typical_pace(candidates: &[Candidate]) -> Option<f64> {
+fn typical_pace(candidates: &[Candidate], demand: Demand) -> Option<f64> {
     median(
         candidates
             .iter()
-            .filter_map(|candidate| candidate.pace_ms)
+            .filter_map(|candidate| candidate.work_ms(demand))
             .collect(),
     )
 }
--- a/crates/front/src/backend/connection.rs
+++ b/crates/front/src/backend/connection.rs
@@ -40,6 +40,19 @@
 struct Shared {
     resting: Mutex<Vec<Resting>>,
     open: AtomicU32,
+    /// Shortest time in which a connection was made, in microseconds; 0: none was made yet.
+    round_trip_us: AtomicU32,
+}
+
+impl Shared {
+    fn note_round_trip(&self, taken: Duration) {
+        let taken = u32::try_from(taken.as_micros()).unwrap_or(u32::MAX).max(1);
+        let shorter = |known| (known == 0 || taken < known).then_some(taken);
+        // An error says that the known one is shorter.
+        let _ = self
+            .round_trip_us
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, shorter);
+    }
 }
 
 /// Connections to one address.
@@ -88,6 +101,12 @@
         lock(&self.shared).clear();
     }
 
+    /// Shortest time in which a connection was made, in milliseconds, which is the way there and back; `None` before the first one.
+    pub fn round_trip_ms(&self) -> Option<f64> {
+        let micros = self.shared.round_trip_us.load(Ordering::Relaxed);
+        (micros > 0).then(|| f64::from(micros) / 1e3)
+    }
+
     fn lease(&self, sender: Sender, is_reused: bool) -> Lease {
         Lease {
             sender,
@@ -108,9 +127,11 @@
 
     async fn connect(&self) -> Result<Sender, ConnectError> {
         let failed = |error: &dyn std::fmt::Display| ConnectError::Failed(error.to_string());
+        let begun = Instant::now();
         let stream = TcpStream::connect(self.address)
             .await
             .map_err(|e| failed(&e))?;
+        self.shared.note_round_trip(begun.elapsed());
         socket::set_up(&stream);
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use ladderstage::region::AllowedRegions;
 use ladderstage_clock::Instant;
 
 use super::connection::Lease;
@@ -30,6 +31,8 @@
     pub uri: Uri,
     /// Headers, complete.
     pub headers: HeaderMap,
+    /// Regions whose instances may get it.
+    pub allowed: AllowedRegions,
 }
 
 /// Why no answer of the instance can be passed on.
@@ -172,7 +175,8 @@
         let mut lease = acquired.map_err(|error| ExchangeError::NotSent(error.to_string()))?;
         // Calls to the instance itself are no work: they may reach one that is to get none.
         if answer_id == AnswerId::Required {
-            instance.may_send().map_err(ExchangeError::HeldBack)?;
+            let held = instance.may_send_within(&head.allowed);
+            held.map_err(ExchangeError::HeldBack)?;
         }
         let request = build(head, body.clone());
         match lease.sender.try_send_request(request).await {
--- a/crates/front/src/backend/gate.rs
+++ b/crates/front/src/backend/gate.rs
@@ -5,6 +5,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use ladderstage::region::{AllowedRegions, Distance, RegionMap};
 use tokio::sync::watch;
 
 /// Why an instance gets no request now, although it is there and ready.
@@ -14,6 +15,8 @@
     ZoneDrained,
     /// It has just started, or may have, and this node has no share of the requests that it bears.
     Cold,
+    /// It is not in a region in which the request may be served.
+    OtherRegion,
 }
 
 impl HoldReason {
@@ -22,6 +25,7 @@
         match self {
             Self::ZoneDrained => "zone_drained",
             Self::Cold => "cold",
+            Self::OtherRegion => "other_region",
         }
     }
 }
@@ -79,4 +83,36 @@
 pub struct SendGates {
     /// Zones that are to be drained.
     pub drained: DrainedZones,
+    /// Where this node and the instances are.
+    pub surroundings: Surroundings,
+}
+
+/// Where a node is, and what it knows of where others are. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Surroundings {
+    /// Zone of the node.
+    pub zone: Arc<str>,
+    /// Regions of all zones.
+    pub regions: RegionMap,
+}
+
+impl Default for Surroundings {
+    fn default() -> Self {
+        Self {
+            zone: "".into(),
+            regions: RegionMap::default(),
+        }
+    }
+}
+
+impl Surroundings {
+    /// How far a zone is.
+    pub fn distance_to(&self, zone: &str) -> Distance {
+        self.regions.between_zones(&self.zone, zone)
+    }
+
+    /// Whether a zone lies in an allowed region.
+    pub fn is_within(&self, zone: &str, allowed: &AllowedRegions) -> bool {
+        allowed.is_all() || allowed.permits(self.regions.region_of(zone))
+    }
 }
--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use ladderstage::region::{AllowedRegions, Distance};
 use ladderstage_clock::Instant;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -339,6 +340,30 @@
         Ok(())
     }
 
+    /// Whether a request that may be served in these regions may be sent to it now.
+    ///
+    /// # Errors
+    /// Why it is to get none.
+    pub fn may_send_within(&self, allowed: &AllowedRegions) -> Result<(), HoldReason> {
+        if !self.is_within(allowed) {
+            return Err(HoldReason::OtherRegion);
+        }
+        self.may_send()
+    }
+
+    /// Whether it lies in an allowed region.
+    pub fn is_within(&self, allowed: &AllowedRegions) -> bool {
+        let surroundings = &self.gates.surroundings;
+        allowed.is_all() || surroundings.is_within(&self.lock().discovered.zone, allowed)
+    }
+
+    /// How far it is from this node.
+    pub fn distance(&self) -> Distance {
+        self.gates
+            .surroundings
+            .distance_to(&self.lock().discovered.zone)
+    }
+
     /// Whether the instance takes new work for `model` (empty: any) now.
     pub fn is_usable(&self, model: &str, now: Instant) -> bool {
         let known = self.lock();
@@ -361,7 +386,12 @@
         Candidate {
             load: self.in_flight() + others,
             slots: known.discovered.slots,
-            is_same_zone: known.discovered.zone == zone,
+            distance: self
+                .gates
+                .surroundings
+                .regions
+                .between_zones(zone, &known.discovered.zone),
+            round_trip_ms: self.connections.round_trip_ms(),
             pace_ms: known.recent_pace_ms(now),
         }
     }
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -4,12 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use ladderstage::region::{AllowedRegions, RegionMap};
 use ladderstage_clock::Instant;
 use tokio::sync::watch;
 
 use super::choice::{Candidate, Demand, choose, median};
 use super::counters::DiscoveryCounters;
-use super::gate::SendGates;
+use super::gate::{SendGates, Surroundings};
 use super::instance::{Discovered, Instance};
 
 /// The instances by id. Cheap to clone.
@@ -39,10 +40,22 @@
             is_fed: watch::Sender::new(false),
             is_wanted: watch::Sender::new(false),
             counters: DiscoveryCounters::default(),
-            gates: SendGates::default(),
+            gates: SendGates {
+                surroundings: Surroundings {
+                    zone: zone.into(),
+                    ..Surroundings::default()
+                },
+                ..SendGates::default()
+            },
         }
     }
 
+    /// The same for a deployment with these regions; to be told before the first instance.
+    pub fn with_regions(mut self, regions: RegionMap) -> Self {
+        self.gates.surroundings.regions = regions;
+        self
+    }
+
     /// What keeps requests from instances that discovery calls ready.
     pub fn gates(&self) -> &SendGates {
         &self.gates
@@ -79,6 +92,7 @@
                 return;
             }
         }
+        let regions = &self.gates.surroundings.regions;
         let is_same =
             known.is_some_and(|known| known.discovered().is_same_without_weights(&discovered));
         match known {
@@ -98,10 +112,12 @@
             }
             _ => {
                 log::info!(
-                    "event=instance_added instance={} service={} address={} started={} before={} ready={}",
+                    "event=instance_added instance={} service={} address={} zone={} region={} started={} before={} ready={}",
                     discovered.id,
                     discovered.service,
                     discovered.address,
+                    discovered.zone,
+                    regions.region_of(&discovered.zone).unwrap_or("-"),
                     discovered.started_unix_ms,
                     known.map_or(0, |known| known.started_unix_ms()),
                     discovered.is_ready
@@ -249,12 +265,32 @@
         Some(Arc::clone(&usable[index]))
     }
 
-    /// A ready instance of a service, also one that gets a pause after a failure.
-    pub fn choose_again(&self, service: &str) -> Option<Arc<Instance>> {
+    /// As [`BackendTable::choose`], among those in allowed regions.
+    pub fn choose_within(
+        &self,
+        service: &str,
+        model: &str,
+        demand: Demand,
+        allowed: &AllowedRegions,
+        fits: impl Fn(&Instance) -> bool,
+    ) -> Option<Arc<Instance>> {
+        self.choose(service, model, demand, |instance| {
+            instance.is_within(allowed) && fits(instance)
+        })
+    }
+
+    /// Whether a service has an instance in an allowed region, ready or not.
+    pub fn has_any_within(&self, service: &str, allowed: &AllowedRegions) -> bool {
+        let instances = self.of_service(service);
+        instances.iter().any(|instance| instance.is_within(allowed))
+    }
+
+    /// A ready instance of a service in an allowed region, also one that gets a pause after a failure.
+    pub fn choose_again(&self, service: &str, allowed: &AllowedRegions) -> Option<Arc<Instance>> {
         let instances = self.of_service(service);
         let ready: Vec<_> = instances
             .into_iter()
-            .filter(|instance| instance.is_ready() && instance.may_send().is_ok())
+            .filter(|instance| instance.is_ready() && instance.may_send_within(allowed).is_ok())
             .collect();
         let index = rand::random_range(0..ready.len().max(1));
         ready.get(index).cloned()
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::HeaderValue;
+use ladderstage::region::AllowedRegions;
 use tokio::sync::watch;
 
 use crate::tenant::{KeyDigest, KeyRefusal, Tenant, holder};
@@ -62,6 +63,8 @@
     pub resumable: bool,
     /// Requests need no key.
     pub is_public: bool,
+    /// Where its requests may be served and kept.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Lowest rank that instances know.
@@ -78,6 +81,14 @@
         HeaderValue::from(u16::from(rank.min(LOWEST_RANK)))
     }
 
+    /// Where a tenant's requests may be served and kept: the bounds of both hold.
+    pub fn allowed_regions_for(&self, tenant: Option<&Tenant>) -> AllowedRegions {
+        match tenant {
+            Some(tenant) => self.allowed_regions.and(&tenant.allowed_regions),
+            None => self.allowed_regions.clone(),
+        }
+    }
+
     /// Service for a request, by the weights; `random` is any number.
     pub fn pick_service(&self, random: u64) -> &str {
         let total: u64 = self.split.iter().map(|part| u64::from(part.weight)).sum();
@@ -193,6 +204,12 @@
             .find(|tenant| tenant.name.as_ref() == name)
     }
 
+    /// Where a tenant's requests for a host and path may be served and kept; `None`: no route takes them.
+    pub fn allowed_regions(&self, host: &str, path: &str, tenant: &str) -> Option<AllowedRegions> {
+        let route = self.route(host, path)?;
+        Some(route.allowed_regions_for(self.tenant(tenant).map(AsRef::as_ref)))
+    }
+
     /// Remembers which keys of the version before this one takes away.
     fn retire_keys_of(&mut self, previous: &Self) {
         self.retired_keys = previous.retired_keys.clone();
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -126,7 +126,9 @@
         replica_id: 0,
         is_leaving: false,
         cpu_millis: options.cpu_millis,
-    });
+        region: options.own_region(),
+    })
+    .with_regions(options.regions.clone());
     let reports = inputs.usage.as_ref();
     let window = reports.map_or(UNREPORTED_WINDOW, |usage| usage.options.window);
     let meter = UsageMeter::new(nodes.own().process, WindowClock::new(window));
@@ -137,6 +139,7 @@
     let (suspects, unshared) = Suspects::new(Arc::clone(&metrics));
     let jobs = JobRegistry::new(JobContext {
         journal: parts.journal.clone(),
+        replica_sets: parts.replica_sets.clone(),
         nodes: nodes.clone(),
         config: inputs.config.clone(),
         backends: inputs.backends.clone(),
@@ -165,6 +168,7 @@
     });
     let state = Arc::new(IngressState::default());
     let live = LiveService {
+        config: inputs.config.clone(),
         backends: inputs.backends.clone(),
         codec: Arc::clone(&inputs.codec),
         metrics: Arc::clone(&metrics),
--- /dev/null
+++ b/crates/front/src/job/bounds.rs
@@ -0,0 +1,144 @@
+//! Whether a job may be accepted where its route and tenant name regions.
+//!
+//! Any node may come to hold a job: as its owner, as one that asks the owner for it or takes it over, as a replica of its log. The set of replicas
+//! spans all regions, as it has to bear the loss of disks. So a job with such bounds is accepted only if every node lies inside them,
+//! and refused otherwise, before its body has gone anywhere.
+
+use std::fmt;
+
+use ladderstage::region::AllowedRegions;
+use ladderstage_wire::messages::{JobSpec, ReplicaMember, ReplicaSet};
+
+use super::registry::JobRegistry;
+use super::shared::Job;
+use crate::nodes::Nodes;
+
+/// Why a job may not be kept or served within the regions of its route and tenant.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum OutOfBounds {
+    /// Its route and its tenant have no region in common, or name none.
+    #[error("no region is allowed")]
+    Nowhere,
+    /// A node lies outside.
+    #[error("node {node} in {region} is outside {allowed}")]
+    Node {
+        /// The node.
+        node: String,
+        /// Its region, as far as it is known.
+        region: Region,
+        /// The regions inside.
+        allowed: AllowedRegions,
+    },
+    /// Where a replica lies is not known.
+    #[error("replica {node} is not known, allowed {allowed}")]
+    UnknownReplica {
+        /// The replica's node.
+        node: String,
+        /// The regions inside.
+        allowed: AllowedRegions,
+    },
+    /// The set of replicas is not known.
+    #[error("the replicas are not known, allowed {allowed}")]
+    UnknownReplicas {
+        /// The regions inside.
+        allowed: AllowedRegions,
+    },
+    /// The service has instances, and none of them inside.
+    #[error("no instance of {service} is in {allowed}")]
+    NoInstance {
+        /// The service.
+        service: String,
+        /// The regions inside.
+        allowed: AllowedRegions,
+    },
+}
+
+/// A region, or that none is known.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Region(pub Option<String>);
+
+impl fmt::Display for Region {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.0.as_deref().unwrap_or("no known region"))
+    }
+}
+
+/// Whether a job that may be kept in `allowed` only would stay there.
+///
+/// # Errors
+/// Where it could get out.
+pub fn check_keepers(
+    allowed: &AllowedRegions,
+    nodes: &Nodes,
+    replicas: Option<&ReplicaSet>,
+) -> Result<(), OutOfBounds> {
+    if allowed.is_all() {
+        return Ok(());
+    }
+    if allowed.is_nowhere() {
+        return Err(OutOfBounds::Nowhere);
+    }
+    let allowed = || allowed.clone();
+    let Some(replicas) = replicas else {
+        return Err(OutOfBounds::UnknownReplicas { allowed: allowed() });
+    };
+    let is_unknown = |member: &&ReplicaMember| !nodes.knows(&member.node);
+    if let Some(member) = replicas
+        .current
+        .iter()
+        .chain(&replicas.next)
+        .find(is_unknown)
+    {
+        return Err(OutOfBounds::UnknownReplica {
+            node: member.node.clone(),
+            allowed: allowed(),
+        });
+    }
+    if let Some(outside) = nodes.any_outside(&allowed()) {
+        return Err(OutOfBounds::Node {
+            region: Region(nodes.region_of(&outside).map(str::to_owned)),
+            node: outside.node,
+            allowed: allowed(),
+        });
+    }
+    Ok(())
+}
+
+impl JobRegistry {
+    /// Where a job of this node may be kept by the configuration in force; `None`: no route takes it any more, or it is not read yet.
+    pub(super) fn allowed_regions(&self, job: &Job) -> Option<AllowedRegions> {
+        let config = self.context.config.current()?;
+        let state = job.state();
+        let spec = state.spec()?;
+        config.allowed_regions(&spec.host, &spec.path, &spec.tenant)
+    }
+
+    /// Whether a job stays where its route and tenant allow it to be kept and served, by the configuration in force.
+    ///
+    /// # Errors
+    /// Where it would get out, or find no instance.
+    pub(super) fn check_bounds(&self, spec: &JobSpec) -> Result<(), OutOfBounds> {
+        let context = &self.context;
+        let Some(config) = context.config.current() else {
+            return Ok(());
+        };
+        let Some(allowed) = config.allowed_regions(&spec.host, &spec.path, &spec.tenant) else {
+            return Ok(());
+        };
+        let replicas = context.replica_sets.current();
+        check_keepers(&allowed, &context.nodes, replicas.as_deref())?;
+        let route = config.route(&spec.host, &spec.path);
+        let services = route.iter().flat_map(|route| &route.split);
+        for part in services.filter(|_| !allowed.is_all()) {
+            let service = &part.service;
+            let is_known = !context.backends.of_service(service).is_empty();
+            if is_known && !context.backends.has_any_within(service, &allowed) {
+                return Err(OutOfBounds::NoInstance {
+                    service: service.clone(),
+                    allowed,
+                });
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/front/src/job/context.rs
+++ b/crates/front/src/job/context.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ladderstage_journal::Journal;
+use ladderstage_journal::replica_set::ReplicaSets;
 
 use super::confirmation::Confirmation;
 use super::lengths::TextLengths;
@@ -22,6 +23,8 @@
 pub struct JobContext {
     /// Where they are kept.
     pub journal: Journal,
+    /// Which nodes keep them.
+    pub replica_sets: ReplicaSets,
     /// The other nodes.
     pub nodes: Nodes,
     /// Routes.
--- a/crates/front/src/job/handover.rs
+++ b/crates/front/src/job/handover.rs
@@ -8,6 +8,7 @@
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::{Request, ShardNotice};
 
+use super::home::nearby;
 use super::locating::PEER_TIMEOUT;
 use super::lock::lock;
 use super::log_name;
@@ -53,7 +54,8 @@
         let mut changed = job.watch();
         let released = async { while !job.is_released() && changed.changed().await.is_ok() {} };
         let in_time = tokio::time::timeout(RELEASE_LIMIT, released).await.is_ok();
-        let Some(successor) = self.successor(index) else {
+        let Some(successor) = self.successor(job, index) else {
+            log::warn!("event=job_not_handed_over job={} reason=no_front", job.id);
             return;
         };
         let kind = RequestKind::shard_notice(ShardNotice {
@@ -82,14 +84,18 @@
         }
     }
 
-    /// A front for the job at `index`: one of the strongest, of the half that started last, as restarts in turn come to the others
+    /// A front for the job at `index`: one of the strongest, of this region if there is one, of the half that started last, as restarts in turn come to the others
     /// first.
-    fn successor(&self, index: usize) -> Option<NodeRecord> {
+    fn successor(&self, job: &Job, index: usize) -> Option<NodeRecord> {
         let nodes = &self.context.nodes;
         let own = nodes.own().node;
         let mut others = nodes.with_role(NodeRole::Front);
         others.retain(|front| front.node != own);
-        let mut others = strongest(others);
+        // Since it was accepted, it may have been bound to other regions.
+        if let Some(allowed) = self.allowed_regions(job) {
+            others.retain(|front| allowed.permits(nodes.region_of(front)));
+        }
+        let mut others = nearby(strongest(others), |front| nodes.distance_to(front));
         others.sort_by_key(|front| std::cmp::Reverse(nodes.seen_since(&front.node)));
         let half = others.len().div_ceil(2).max(1);
         others.into_iter().nth(index % half)
--- a/crates/front/src/job/home.rs
+++ b/crates/front/src/job/home.rs
@@ -4,10 +4,11 @@
 //! weak machine all of its processor time: events and results are late then. Where some machines are stronger than others, the
 //! weaker ones hand steps to them, those of a trainer in turn, so that its two open steps are at two machines. As the same few
 //! fronts own all steps, connections to instances are used again. The home lies in the zone of the front that was met, so that
-//! what the trainer reads crosses no zones.
+//! what the trainer reads crosses no zones; in a deployment with several regions, at least in its region.
 
 use std::time::Duration;
 
+use ladderstage::region::Distance;
 use ladderstage::routing::rendezvous;
 use ladderstage_clock::Instant;
 use ladderstage_journal::Peers;
@@ -43,7 +44,9 @@
     /// # Errors
     /// See [`AcceptError`].
     pub async fn accept(&self, spec: JobSpec) -> Result<(), AcceptError> {
-        let Some(home) = self.home_of(&spec) else {
+        // Its body goes to no other front before it is known that it may: one that was accepted before is found without it.
+        let may_leave = self.check_bounds(&spec).is_ok();
+        let Some(home) = self.home_of(&spec).filter(|_| may_leave) else {
             return self.accept_here(spec).await;
         };
         let id = spec.job.clone();
@@ -74,9 +77,18 @@
         if spec.desired_groups == 0 {
             return None;
         }
-        let own = self.context.nodes.own();
-        let fronts = self.context.nodes.with_role(NodeRole::Front);
-        home(&own, &fronts, &spec.model, spec.train_step)
+        let nodes = &self.context.nodes;
+        let own = nodes.own();
+        let fronts = nodes.with_role(NodeRole::Front);
+        let (model, step) = (&spec.model, spec.train_step);
+        let in_zone = home(&own, &fronts, model, step);
+        if in_zone.is_some() || !nodes.regions().has_several() {
+            return in_zone;
+        }
+        let near = fronts
+            .into_iter()
+            .filter(|front| nodes.distance_to(front) < Distance::Elsewhere);
+        strongest_home(&own, &near.collect::<Vec<_>>(), model, step)
     }
 
     async fn accept_at(&self, home: &str, spec: JobSpec) -> HomeAnswer {
@@ -117,9 +129,19 @@
 
 /// The front that is to own a step that was handed in at `own`, if it is another one: none if no front of the zone is stronger.
 pub fn home(own: &NodeRecord, fronts: &[NodeRecord], model: &str, step: u64) -> Option<String> {
-    let near = fronts
-        .iter()
-        .filter(|front| front.zone == own.zone && !front.is_leaving);
+    let in_zone = fronts.iter().filter(|front| front.zone == own.zone);
+    let in_zone: Vec<NodeRecord> = in_zone.cloned().collect();
+    strongest_home(own, &in_zone, model, step)
+}
+
+/// The one of the strongest of some fronts that is to own a step, if they are stronger than the one where it was handed in.
+fn strongest_home(
+    own: &NodeRecord,
+    fronts: &[NodeRecord],
+    model: &str,
+    step: u64,
+) -> Option<String> {
+    let near = fronts.iter().filter(|front| !front.is_leaving);
     let most = near.clone().map(|front| front.cpu_millis).max()?;
     if most <= own.cpu_millis {
         return None;
@@ -132,3 +154,14 @@
     let turn = (step % ranked.len() as u64) as usize;
     Some(ranked[turn].to_owned())
 }
+
+/// The fronts of this region, or all if there is none: a job that moves stays near its trainer if it can.
+pub(super) fn nearby(
+    fronts: Vec<NodeRecord>,
+    distance: impl Fn(&NodeRecord) -> Distance,
+) -> Vec<NodeRecord> {
+    let (near, far): (Vec<_>, Vec<_>) = fronts
+        .into_iter()
+        .partition(|front| distance(front) < Distance::Elsewhere);
+    if near.is_empty() { far } else { near }
+}
--- a/crates/front/src/job/leftover.rs
+++ b/crates/front/src/job/leftover.rs
@@ -396,10 +396,11 @@
             instance.version(&context.spec.model) >= context.spec.min_version
         };
         let backends = &context.backends;
-        let chosen = backends.choose(
+        let chosen = backends.choose_within(
             &context.service,
             &context.spec.model,
             Demand::LongBatch,
+            &context.allowed_regions(),
             fits,
         );
         if let Some(instance) = chosen {
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -1,6 +1,7 @@
 //! Batch jobs: accepted once a majority of store disks holds them, run item by item, read at any front.
 
 mod appending;
+mod bounds;
 mod carrying;
 mod confirmation;
 mod context;
--- a/crates/front/src/job/pace.rs
+++ b/crates/front/src/job/pace.rs
@@ -93,11 +93,13 @@
             return None;
         }
         let demand = rest_demand(partial.events());
-        let other = context
-            .backends
-            .choose(&context.service, model, demand, |other| {
-                other.id() != instance.id() && fits(context, partial, other)
-            })?;
+        let other = context.backends.choose_within(
+            &context.service,
+            model,
+            demand,
+            &context.allowed_regions(),
+            |other| other.id() != instance.id() && fits(context, partial, other),
+        )?;
         let theirs = other
             .candidate("", Instant::now())
             .pace_ms
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -92,6 +92,12 @@
             Err(ReadError::NotFound) => {}
             Err(ReadError::Unavailable(cause)) => return Err(AcceptError::NotKept(cause)),
         }
+        if let Err(cause) = self.check_bounds(&spec) {
+            log::warn!("event=job_out_of_bounds job={id} cause=\"{cause}\"");
+            let refused = &self.context.metrics.refused_by_region;
+            refused.with_label_values(&["job"]).inc();
+            return Err(AcceptError::NotKept(cause.to_string()));
+        }
         let about = describe(&spec);
         let opened = tokio::time::timeout(COMMIT_LIMIT, self.open(&id, Some(spec))).await;
         let job = match opened {
--- a/crates/front/src/job/relay.rs
+++ b/crates/front/src/job/relay.rs
@@ -16,6 +16,7 @@
 use super::reading::{ReadError, unavailable};
 use super::registry::JobRegistry;
 use super::shared::Job;
+use crate::nodes::NodeRole;
 
 /// A front counts as cut off when no majority of replicas has answered it for this long. A node without jobs among many asks
 /// only each third heartbeat, 0.9 s.
@@ -74,13 +75,14 @@
         Err(last)
     }
 
-    /// Some other fronts, those of this zone first.
+    /// Some other fronts, the nearest first.
     fn relays(&self) -> Vec<String> {
-        let own = self.context.nodes.own();
-        let mut fronts = self.context.nodes.successors();
-        fronts.retain(|front| front.node != own.node);
+        let nodes = &self.context.nodes;
+        let own = nodes.own();
+        let mut fronts = nodes.with_role(NodeRole::Front);
+        fronts.retain(|front| front.node != own.node && !front.is_leaving);
         fronts.shuffle(&mut rand::rng());
-        fronts.sort_by_key(|front| front.zone != own.zone);
+        fronts.sort_by_key(|front| nodes.distance_to(front));
         let names = fronts.into_iter().map(|front| front.node);
         names.take(RELAYS).collect()
     }
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -197,6 +197,7 @@
         () = instance.ended() => RunEnd::Broken("the instance was started again".to_owned()),
     };
     log_run(context, index, instance, partial, started, &end);
+    context.metrics.note_sent("item", instance.distance());
     match end {
         RunEnd::Broken(_) => context.look(index, instance, content(), started).await,
         RunEnd::Complete | RunEnd::Impossible | RunEnd::Failed => {
@@ -223,11 +224,12 @@
         RunEnd::Move(cause) | RunEnd::Broken(cause) => format!("moved cause=\"{cause}\""),
     };
     log::info!(
-        "event=item_run item={} job={} group={} instance={} started={} tokens={} guess={} events={} versions={:?} elapsed_ms={} outcome={outcome}",
+        "event=item_run item={} job={} group={} instance={} distance={} started={} tokens={} guess={} events={} versions={:?} elapsed_ms={} outcome={outcome}",
         context.spec.items[index].id,
         context.spec.job,
         context.spec.items[index].group,
         instance.id(),
+        instance.distance(),
         instance.started_unix_ms(),
         context.spec.items[index].tokens,
         context.spec.items[index].expected_tokens,
@@ -265,10 +267,11 @@
 ) -> Option<Arc<Instance>> {
     let backends = &context.backends;
     let choose = |exclude_last: bool| {
-        backends.choose(
+        backends.choose_within(
             &context.service,
             &context.spec.model,
             Demand::CutBatch,
+            &context.allowed_regions(),
             |instance| {
                 let is_excluded = exclude_last && instance.id() == last.id();
                 !is_excluded && fits(context, partial, instance)
@@ -385,5 +388,6 @@
         method: Method::POST,
         uri: item.path.parse::<Uri>().ok()?,
         headers,
+        allowed: context.allowed_regions(),
     })
 }
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::{HeaderValue, Method};
+use ladderstage::region::AllowedRegions;
 use ladderstage_clock::Instant;
 use ladderstage_wire::messages::{JobProgress, JobSpec};
 use tokio::sync::{mpsc, watch};
@@ -48,6 +49,8 @@
     pub service: String,
     /// How urgent its items are at instances.
     pub rank: HeaderValue,
+    /// Where its items may run by the configuration under which these runs began.
+    pub allowed_at_begin: AllowedRegions,
     /// Failed attempts after which an item is given up.
     pub max_attempts: u32,
     /// Every text must come from one weight version.
@@ -77,6 +80,16 @@
         self.content(&self.spec.host, &item.path, &item.body)
     }
 
+    /// Where its items may run by the configuration in force, which may have changed since the runs began; where that has no route for
+    /// them any more, by the earlier one.
+    pub(super) fn allowed_regions(&self) -> AllowedRegions {
+        let spec = &self.spec;
+        let config = self.config.current();
+        config
+            .and_then(|config| config.allowed_regions(&spec.host, &spec.path, &spec.tenant))
+            .unwrap_or_else(|| self.allowed_at_begin.clone())
+    }
+
     /// What its repeats share with a request that is sent for this job.
     pub(super) fn content(&self, host: &str, path: &str, body: &[u8]) -> ContentDigest {
         ContentDigest::of(&RequestContent {
--- a/crates/front/src/job/scoring.rs
+++ b/crates/front/src/job/scoring.rs
@@ -7,6 +7,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
+use ladderstage::region::AllowedRegions;
 use ladderstage_clock::Instant;
 use ladderstage_wire::messages::RewardCall;
 
@@ -133,7 +134,21 @@
     fn next_instance(&self, service: &str, tried: &[Arc<Instance>]) -> Option<Arc<Instance>> {
         let is_new = |instance: &Instance| tried.iter().all(|one| one.id() != instance.id());
         let backends = &self.context.backends;
-        backends.choose(service, "", Demand::Scoring, is_new)
+        let allowed = self.allowed_regions();
+        backends.choose_within(service, "", Demand::Scoring, &allowed, is_new)
+    }
+
+    /// Where the call may be served by the configuration in force, else by the one under which it is tried.
+    fn allowed_regions(&self) -> AllowedRegions {
+        let tenant = &self.context.spec.tenant;
+        let config = self.context.config.current();
+        let by_config = config
+            .as_ref()
+            .and_then(|config| config.allowed_regions(&self.reward.host, self.uri.path(), tenant));
+        by_config.unwrap_or_else(|| {
+            let tenant = config.as_ref().and_then(|config| config.tenant(tenant));
+            self.route.allowed_regions_for(tenant.map(AsRef::as_ref))
+        })
     }
 
     /// Whether the call may be sent: instances may have ended under it.
@@ -199,6 +214,7 @@
             method: Method::POST,
             uri: self.uri.clone(),
             headers,
+            allowed: self.allowed_regions(),
         })
     }
 
@@ -259,13 +275,16 @@
         };
         let calls = &self.context.metrics.reward_calls;
         calls.with_label_values(&[label]).inc();
+        let metrics = &self.context.metrics;
+        metrics.note_sent("reward_call", ended.instance.distance());
         log::info!(
-            "event=reward_call item={} job={} request={} route={} instance={} started={} elapsed_ms={} outcome={outcome}",
+            "event=reward_call item={} job={} request={} route={} instance={} distance={} started={} elapsed_ms={} outcome={outcome}",
             self.context.spec.items[index].id,
             self.context.spec.job,
             self.reward.id,
             self.route.name,
             ended.instance.id(),
+            ended.instance.distance(),
             ended.instance.started_unix_ms(),
             ended.started.elapsed().as_millis()
         );
--- a/crates/front/src/job/starting.rs
+++ b/crates/front/src/job/starting.rs
@@ -66,7 +66,8 @@
             };
             let fits = |instance: &Instance| instance.version(&spec.model) >= spec.min_version;
             let backends = &self.context.backends;
-            let chosen = backends.choose(&run.service, &spec.model, demand, fits);
+            let allowed = run.allowed_regions();
+            let chosen = backends.choose_within(&run.service, &spec.model, demand, &allowed, fits);
             let Some(instance) = chosen else {
                 self.has_waiting_items = true;
                 return;
@@ -167,6 +168,7 @@
             spec: Arc::clone(spec),
             service: service.to_owned(),
             rank: route.rank(tenant.map(AsRef::as_ref)),
+            allowed_at_begin: route.allowed_regions_for(tenant.map(AsRef::as_ref)),
             max_attempts: route.max_attempts,
             single_version: route.single_version,
             progress: self.progress.0.clone(),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod nodes;
 pub mod orders;
 pub mod program;
+pub mod region_findings;
 pub mod roster;
 pub mod set_records;
 mod socket;
@@ -30,3 +31,5 @@
 mod suspension;
 pub mod tenant;
 pub mod usage;
+
+pub use ladderstage::region;
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -7,13 +7,14 @@
 use futures_util::future::BoxFuture;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
+use ladderstage::region::AllowedRegions;
 use ladderstage_clock::Instant;
 
 use crate::backend::{
     AnswerId, BackendTable, Demand, ExchangeError, Instance, Reply, RequestHead, RunGuard,
     end_to_end, send,
 };
-use crate::config::{Route, RouteKind};
+use crate::config::{ConfigInForce, Route, RouteKind};
 use crate::dialect::SharedCodec;
 use crate::metrics::Metrics;
 use crate::suspects::{
@@ -144,6 +145,8 @@
 
 /// Serves live requests.
 pub struct LiveService {
+    /// Routes, whose bounds may change while a request is under way.
+    pub config: ConfigInForce,
     /// Instances.
     pub backends: BackendTable,
     /// Names.
@@ -222,7 +225,7 @@
             let mut held = None;
             if may_start
                 && is_due
-                && let Some(instance) = self.next_instance(route, service, progress)
+                && let Some(instance) = self.next_instance(route, request, service, progress)
             {
                 hedge_at = Instant::now() + route.target_latency.mul_f64(HEDGE_SHARE);
                 match self.admit(route, request) {
@@ -236,6 +239,7 @@
                 }
             }
             if under_way.is_empty() {
+                self.tell_if_outside(route, request, service);
                 return give_up(progress, held);
             }
             let may_hedge = route.kind == RouteKind::Safe && may_start && !is_due;
@@ -256,20 +260,48 @@
     fn next_instance(
         &self,
         route: &Route,
+        request: &LiveRequest,
         service: &str,
         progress: &Progress,
     ) -> Option<Arc<Instance>> {
+        let allowed = self.allowed_regions(route, request);
         let was_tried = |instance: &Instance| progress.tried.iter().any(|id| id == instance.id());
         let untried = |instance: &Instance| !was_tried(instance);
-        let chosen = self.backends.choose(service, "", Demand::Live, untried);
+        let chosen = self
+            .backends
+            .choose_within(service, "", Demand::Live, &allowed, untried);
         let may_repeat = route.kind == RouteKind::Safe && progress.possible_runs > 0;
         chosen.or_else(|| {
             let tries = progress.tried.len() as u32;
             let is_left = may_repeat && tries < route.max_attempts * 2;
-            is_left.then(|| self.backends.choose_again(service))?
+            is_left.then(|| self.backends.choose_again(service, &allowed))?
         })
     }
 
+    /// Where the request may be served by the configuration in force; where that has no route for it any more, by the one that it came under.
+    fn allowed_regions(&self, route: &Route, request: &LiveRequest) -> AllowedRegions {
+        let tenant = request.caller.tenant();
+        let name = tenant.map_or("", |tenant| &tenant.name);
+        let config = self.config.current();
+        config
+            .and_then(|config| config.allowed_regions(&route.host, request.uri.path(), name))
+            .unwrap_or_else(|| route.allowed_regions_for(tenant.map(AsRef::as_ref)))
+    }
+
+    /// Tells the log if a request finds no instance as none is in a region where it may be served.
+    fn tell_if_outside(&self, route: &Route, request: &LiveRequest, service: &str) {
+        let allowed = self.allowed_regions(route, request);
+        if !allowed.is_all() && !self.backends.has_any_within(service, &allowed) {
+            log::warn!(
+                "event=request_not_run request={} route={} reason=no_instance_in_allowed_regions allowed={allowed}",
+                request.id(),
+                route.name
+            );
+            let refused = &self.metrics.refused_by_region;
+            refused.with_label_values(&["live"]).inc();
+        }
+    }
+
     fn admit(&self, route: &Route, request: &LiveRequest) -> Result<RunPermit, HeldBack> {
         let subject = RunSubject::Request {
             id: request.id(),
@@ -373,6 +405,7 @@
             method: request.method.clone(),
             uri: request.uri.clone(),
             headers,
+            allowed: self.allowed_regions(route, request),
         }
     }
 
@@ -465,15 +498,17 @@
             Err(error) => format!("failed cause=\"{error}\""),
         };
         log::info!(
-            "event=attempt request={} route={} instance={} started={} in_flight={} elapsed_ms={} outcome={outcome}",
+            "event=attempt request={} route={} instance={} distance={} started={} in_flight={} elapsed_ms={} outcome={outcome}",
             request.id(),
             route.name,
             ended.instance.id(),
+            ended.instance.distance(),
             ended.instance.started_unix_ms(),
             ended.instance.in_flight(),
             ended.started.elapsed().as_millis(),
         );
         self.metrics.attempts.inc();
+        self.metrics.note_sent("live", ended.instance.distance());
     }
 }
 
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of one process, as text.
 
+use ladderstage::region::Distance;
 use ladderstage_journal::JournalMetrics;
 use prometheus::core::Collector;
 use prometheus::{
@@ -26,6 +27,10 @@
     pub refused_keys: IntCounterVec,
     /// Attempts at instances for live requests.
     pub attempts: IntCounter,
+    /// Requests to instances by kind of work and by how far the instance is.
+    pub sent: IntCounterVec,
+    /// What was refused as it may not be served or kept where it could be, by kind of work.
+    pub refused_by_region: IntCounterVec,
     /// Requests whose connection to an instance broke while it may have run them, by what became of the instance.
     pub broken_runs: IntCounterVec,
     /// Runs that did not begin, as instances had ended under others of the same content, by what was to run.
@@ -100,6 +105,16 @@
                 &["reason"],
             ),
             attempts: counter("ladderstage_attempts_total", "Attempts at instances"),
+            sent: vec(
+                "ladderstage_sent_total",
+                "Requests to instances by kind of work and distance",
+                &["work", "distance"],
+            ),
+            refused_by_region: vec(
+                "ladderstage_refused_by_region_total",
+                "Work refused as it may not be served or kept where it could be",
+                &["work"],
+            ),
             broken_runs: vec(
                 "ladderstage_broken_runs_total",
                 "Requests whose connection to an instance broke by what became of the instance",
@@ -151,6 +166,12 @@
         }
     }
 
+    /// Counts a request to an instance so far away.
+    pub fn note_sent(&self, work: &str, distance: Distance) {
+        let labels = [work, distance.label()];
+        self.sent.with_label_values(&labels).inc();
+    }
+
     /// Adds the counters of the journal.
     pub fn add_journal(&self, journal: &JournalMetrics) {
         if let Err(error) = journal.register(&self.registry) {
--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -12,6 +12,7 @@
 
 use futures_util::future::BoxFuture;
 use ladderstage::ids::ProcessId;
+use ladderstage::region::{AllowedRegions, Distance, Place, RegionMap};
 use ladderstage_clock::Instant;
 use ladderstage_journal::Peers;
 use ladderstage_transport::{CallError, Client};
@@ -61,6 +62,9 @@
     /// Processor time of its machine, in thousandths of a core; 0: unknown.
     #[serde(default)]
     pub cpu_millis: u32,
+    /// Region it runs in; empty: none, or its process is of an older build.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub region: String,
 }
 
 #[derive(Debug, Default)]
@@ -81,6 +85,7 @@
 #[derive(Debug, Clone)]
 pub struct Nodes {
     own: Arc<Mutex<NodeRecord>>,
+    regions: RegionMap,
     known: Arc<Mutex<Known>>,
     client: Client,
     contact: watch::Sender<Option<Instant>>,
@@ -94,6 +99,7 @@
     pub fn new(own: NodeRecord) -> Self {
         Self {
             own: Arc::new(Mutex::new(own)),
+            regions: RegionMap::default(),
             known: Arc::default(),
             client: Client::new(),
             contact: watch::Sender::new(None),
@@ -102,6 +108,53 @@
         }
     }
 
+    /// The same in a deployment with these regions.
+    pub fn with_regions(mut self, regions: RegionMap) -> Self {
+        self.regions = regions;
+        self
+    }
+
+    /// Regions of all zones.
+    pub fn regions(&self) -> &RegionMap {
+        &self.regions
+    }
+
+    /// Region of a node: as the settings here tell of its zone, else as it tells itself.
+    pub fn region_of<'a>(&'a self, record: &'a NodeRecord) -> Option<&'a str> {
+        let own_word = || Some(record.region.as_str()).filter(|region| !region.is_empty());
+        self.regions.region_of(&record.zone).or_else(own_word)
+    }
+
+    /// How far a node is from this one.
+    pub fn distance_to(&self, record: &NodeRecord) -> Distance {
+        let own = self.own();
+        Distance::between(&self.place(&own), &self.place(record))
+    }
+
+    fn place<'a>(&'a self, record: &'a NodeRecord) -> Place<'a> {
+        let region = self.regions.has_several().then(|| self.region_of(record));
+        Place {
+            node: &record.node,
+            zone: &record.zone,
+            region: region.flatten().unwrap_or_default(),
+        }
+    }
+
+    /// A node ever heard of that lies outside the allowed regions, this one included; `None`: there is none.
+    pub fn any_outside(&self, allowed: &AllowedRegions) -> Option<NodeRecord> {
+        let own = self.own();
+        let known = lock(&self.known);
+        let mut nodes = known.records.values().chain([&own]);
+        nodes
+            .find(|record| !allowed.permits(self.region_of(record)))
+            .cloned()
+    }
+
+    /// Whether a node's record was ever heard of.
+    pub fn knows(&self, node: &str) -> bool {
+        node == self.own().node || lock(&self.known).records.contains_key(node)
+    }
+
     /// Keeps this node's record and learns of all others, for as long as the future is polled: closely while `activity` says that
     /// there is work with them.
     pub async fn run(&self, coordination: Arc<dyn Coordination>, activity: &Activity) {
@@ -225,6 +278,25 @@
         lock(&self.known).read_at = read_at;
     }
 
+    fn member(&self, record: &NodeRecord) -> Member {
+        Member {
+            node: record.node.clone(),
+            process: record.process,
+            incarnation: 0,
+            state: if record.is_leaving {
+                MemberState::LEAVING
+            } else {
+                MemberState::ALIVE
+            },
+            peer_address: record.peer_address.to_string(),
+            http_address: String::new(),
+            zone: record.zone.clone(),
+            region: self.place(record).region.to_owned(),
+            replica_id: record.replica_id,
+            started_unix_ms: 0,
+        }
+    }
+
     fn address(&self, node: &str) -> Option<SocketAddr> {
         lock(&self.known)
             .records
@@ -275,9 +347,11 @@
         }
         if has_line && self.records.get(&node) != Some(&record) {
             log::info!(
-                "event=node_seen node={node} process={} address={} replica_id={} leaving={}",
+                "event=node_seen node={node} process={} address={} zone={} region={} replica_id={} leaving={}",
                 record.process,
                 record.peer_address,
+                record.zone,
+                record.region,
                 record.replica_id,
                 record.is_leaving
             );
@@ -310,22 +384,22 @@
         let others = known.records.values();
         let mut members: Vec<Member> = others
             .filter(|record| record.node != own.node && known.is_alive(&record.node))
-            .map(member)
+            .map(|record| self.member(record))
             .collect();
-        members.push(member(&own));
+        members.push(self.member(&own));
         members
     }
 
     fn successors(&self) -> Vec<Member> {
         let fronts = self.with_role(NodeRole::Front);
         let fronts = fronts.iter().filter(|record| !record.is_leaving);
-        fronts.map(member).collect()
+        fronts.map(|record| self.member(record)).collect()
     }
 
     fn takers(&self) -> Vec<Member> {
         strongest(self.with_role(NodeRole::Front))
             .iter()
-            .map(member)
+            .map(|record| self.member(record))
             .collect()
     }
 
@@ -367,25 +441,6 @@
     records
 }
 
-fn member(record: &NodeRecord) -> Member {
-    Member {
-        node: record.node.clone(),
-        process: record.process,
-        incarnation: 0,
-        state: if record.is_leaving {
-            MemberState::LEAVING
-        } else {
-            MemberState::ALIVE
-        },
-        peer_address: record.peer_address.to_string(),
-        http_address: String::new(),
-        zone: record.zone.clone(),
-        region: String::new(),
-        replica_id: record.replica_id,
-        started_unix_ms: 0,
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex
         .lock()
--- a/crates/front/src/orders/calls.rs
+++ b/crates/front/src/orders/calls.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode};
+use ladderstage::region::AllowedRegions;
 
 use crate::backend::{AnswerId, Instance, RequestHead, send};
 use crate::dialect::{InstanceCall, InstanceReport, SharedCodec};
@@ -54,6 +55,7 @@
             method: call.method,
             uri: call.path.parse().map_err(|_| "path".to_owned())?,
             headers,
+            allowed: AllowedRegions::default(),
         };
         let exchange = async {
             let sent = send(
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use ladderstage::region::RegionMap;
 use ladderstage_clock::Instant;
 use ladderstage_journal::replica_set::{ReplicaSetTask, ReplicaSets};
 use ladderstage_journal::{InitialReplicas, Journal, JournalHooks, JournalOptions};
@@ -46,6 +47,8 @@
     pub node: String,
     /// Zone it runs in.
     pub zone: String,
+    /// Regions of all zones; empty where the deployment has none.
+    pub regions: RegionMap,
     /// Where other nodes reach it.
     pub peer_address: SocketAddr,
     /// Folder for the journal's replica, if it has a disk.
@@ -69,6 +72,12 @@
 }
 
 impl ProgramOptions {
+    /// Region that the node runs in; empty: none.
+    pub(crate) fn own_region(&self) -> String {
+        let region = self.regions.region_of(&self.zone);
+        region.unwrap_or_default().to_owned()
+    }
+
     /// Options of the journal at this node.
     pub fn journal(&self) -> JournalOptions {
         JournalOptions {
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -99,7 +99,9 @@
         replica_id: storage.replica_id(),
         is_leaving: false,
         cpu_millis: options.cpu_millis,
-    });
+        region: options.own_region(),
+    })
+    .with_regions(options.regions.clone());
     let parts = JournalParts::start(
         &options,
         &nodes,
--- a/crates/front/src/tenant.rs
+++ b/crates/front/src/tenant.rs
@@ -7,6 +7,7 @@
 
 use http::header::AUTHORIZATION;
 use http::{HeaderMap, HeaderName, HeaderValue};
+use ladderstage::region::AllowedRegions;
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
@@ -39,6 +40,8 @@
     pub keys: Vec<KeyDigest>,
     /// Rank of its requests, 0 highest, in place of their routes'; `None`: the routes decide.
     pub priority: Option<u8>,
+    /// Where its requests may be served and kept, within the bounds of their routes.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Why a request is not taken for one of a tenant.
--- a/crates/front/tests/homes.rs
+++ b/crates/front/tests/homes.rs
@@ -16,6 +16,7 @@
         replica_id: 0,
         is_leaving: false,
         cpu_millis,
+        region: String::new(),
     }
 }
 
--- a/crates/front/tests/nodes.rs
+++ b/crates/front/tests/nodes.rs
@@ -28,6 +28,7 @@
         replica_id: 0,
         is_leaving: false,
         cpu_millis: 0,
+        region: String::new(),
     }
 }
 
--- a/crates/front/tests/pace.rs
+++ b/crates/front/tests/pace.rs
@@ -1,12 +1,14 @@
 //! When a run is moved to a faster instance.
 
+use std::time::Duration;
+
 use ladderstage_clock::Instant;
 use ladderstage_front::backend::{Candidate, Demand, choose};
-use std::time::Duration;
 
 use ladderstage_front::job::{
     Pace, expected_rest, first_event_limit, pays_to_move, refusal_pause, rest_demand,
 };
+use ladderstage_front::region::Distance;
 
 #[test]
 fn a_slow_run_moves_where_that_saves_more_than_the_move_costs() {
@@ -30,7 +32,8 @@
     let instance = |load, pace_ms| Candidate {
         load,
         slots: 8,
-        is_same_zone: true,
+        distance: Distance::SameZone,
+        round_trip_ms: None,
         pace_ms: Some(pace_ms),
     };
     let idle_and_fast = [instance(0, 66.0), instance(5, 48.0), instance(1, 66.0)];
@@ -77,7 +80,8 @@
     let instance = |load, pace_ms| Candidate {
         load,
         slots: 8,
-        is_same_zone: true,
+        distance: Distance::SameZone,
+        round_trip_ms: None,
         pace_ms: Some(pace_ms),
     };
     let full = [instance(8, 66.0), instance(8, 48.0)];
--- a/crates/front/tests/roster.rs
+++ b/crates/front/tests/roster.rs
@@ -13,6 +13,7 @@
 };
 use ladderstage_front::coordination::{Change, Coordination, Follower, Update, follow_with};
 use ladderstage_front::nodes::{NodeRecord, NodeRole, Nodes};
+use ladderstage_front::region::AllowedRegions;
 use ladderstage_front::roster::{
     DirectSource, DirectView, ROSTER_KEY, Roster, RosterOptions, RosterReader, RosterWriter,
 };
@@ -79,6 +80,7 @@
         single_version: false,
         resumable: false,
         is_public: false,
+        allowed_regions: AllowedRegions::default(),
     };
     ServingConfig {
         version,
@@ -221,6 +223,7 @@
                 replica_id: 0,
                 is_leaving: false,
                 cpu_millis: 0,
+                region: String::new(),
             }),
             options: Some(options()),
         };
--- a/crates/front/tests/scoring_choice.rs
+++ b/crates/front/tests/scoring_choice.rs
@@ -1,13 +1,15 @@
 //! Reward calls leave places of their service to live requests.
 
 use ladderstage_front::backend::{Candidate, Demand, choose};
+use ladderstage_front::region::Distance;
 use proptest::prelude::*;
 
 fn candidate(load: u32, slots: u32) -> Candidate {
     Candidate {
         load,
         slots,
-        is_same_zone: true,
+        distance: Distance::SameZone,
+        round_trip_ms: None,
         pace_ms: None,
     }
 }
--- a/crates/journal/src/replica_set/copy.rs
+++ b/crates/journal/src/replica_set/copy.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ladderstage::journal::Quorum;
+use ladderstage::region::Distance;
 use ladderstage_storage::{Storage, StorageError};
 use ladderstage_transport::CallError;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
@@ -14,6 +15,7 @@
 };
 
 use super::replacement::fence;
+use super::zones::place;
 use crate::Peers;
 
 /// How long one page may take.
@@ -158,18 +160,16 @@
         Ok(copied)
     }
 
-    /// Those in this node's zone first: the first copy is whole, and later ones bring only what it lacks.
+    /// The nearest first: the first copy is whole, and later ones bring only what it lacks.
     fn near_first(&self, members: &[ReplicaMember]) -> Vec<ReplicaMember> {
         let alive = self.peers.alive();
-        let zone_of = |node: &str| {
-            alive
-                .iter()
-                .find(|one| one.node == node)
-                .map(|one| &one.zone)
+        let find = |node: &str| alive.iter().find(|one| one.node == node);
+        let distance = |node: &str| {
+            let (own, other) = (find(&self.node)?, find(node)?);
+            Some(Distance::between(&place(own), &place(other)))
         };
-        let own_zone = zone_of(&self.node);
         let mut members = members.to_vec();
-        members.sort_by_key(|member| own_zone.is_none() || zone_of(&member.node) != own_zone);
+        members.sort_by_key(|member| distance(&member.node).unwrap_or(Distance::SameRegion));
         members
     }
 
--- a/crates/journal/src/replica_set/zones.rs
+++ b/crates/journal/src/replica_set/zones.rs
@@ -1,10 +1,11 @@
-//! Spreading replicas over zones, so that losing a zone costs as few of them as can be.
+//! Spreading replicas over regions and zones, so that losing one costs as few of them as can be.
 
 use std::collections::BTreeMap;
 
+use ladderstage::region::Place;
 use ladderstage_wire::messages::{Member, ReplicaMember};
 
-/// The `count` of `candidates` that lie in as many zones as can be; of one zone, those with the first names. `None` if there
+/// The `count` of `candidates` that lie in as many regions as can be, and there in as many zones; of one zone, those with the first names. `None` if there
 /// are too few.
 pub fn spread(
     mut candidates: Vec<ReplicaMember>,
@@ -13,26 +14,34 @@
 ) -> Option<Vec<ReplicaMember>> {
     candidates.sort_by(|left, right| left.node.cmp(&right.node));
     let mut chosen = Vec::new();
+    let mut in_region = BTreeMap::<&str, usize>::new();
     let mut in_zone = BTreeMap::<&str, usize>::new();
     while chosen.len() < count {
-        let zones = candidates.iter().map(|member| zone_of(member, alive));
-        let (index, zone) = zones
-            .enumerate()
-            .min_by_key(|(_, zone)| in_zone.get(zone).copied().unwrap_or(0))?;
+        let places = candidates.iter().map(|member| place_of(member, alive));
+        let (index, (region, zone)) = places.enumerate().min_by_key(|(_, (region, zone))| {
+            let count = |known: &BTreeMap<&str, usize>, name| known.get(name).copied().unwrap_or(0);
+            (count(&in_region, region), count(&in_zone, zone))
+        })?;
+        *in_region.entry(region).or_insert(0) += 1;
         *in_zone.entry(zone).or_insert(0) += 1;
         chosen.push(candidates.remove(index));
     }
     Some(chosen)
 }
 
-/// Disks of `alive` nodes, those in the zones with the fewest of the `present` replicas first.
+/// Disks of `alive` nodes, those in the regions with the fewest of the `present` replicas first, and there those in the zones with the
+/// fewest.
 pub fn by_need(alive: &[Member], present: &[&Member]) -> Vec<ReplicaMember> {
-    let replicas_in = |zone: &str| present.iter().filter(|member| member.zone == zone).count();
+    let in_zone = |zone: &str| present.iter().filter(|member| member.zone == zone).count();
+    let in_region = |region: &str| {
+        let there = present.iter().filter(|member| member.region == region);
+        there.count()
+    };
     let mut disks: Vec<&Member> = alive
         .iter()
         .filter(|member| member.replica_id != 0)
         .collect();
-    disks.sort_by_key(|member| replicas_in(&member.zone));
+    disks.sort_by_key(|member| (in_region(&member.region), in_zone(&member.zone)));
     let disks = disks.into_iter();
     disks
         .map(|member| ReplicaMember {
@@ -42,7 +51,19 @@
         .collect()
 }
 
-fn zone_of<'a>(member: &ReplicaMember, alive: &'a [Member]) -> &'a str {
+/// Where a member runs.
+pub(super) fn place(member: &Member) -> Place<'_> {
+    Place {
+        node: &member.node,
+        zone: &member.zone,
+        region: &member.region,
+    }
+}
+
+/// Region and zone of a replica.
+fn place_of<'a>(member: &ReplicaMember, alive: &'a [Member]) -> (&'a str, &'a str) {
     let known = alive.iter().find(|known| known.node == member.node);
-    known.map_or("", |known| known.zone.as_str())
+    known.map_or(("", ""), |known| {
+        (known.region.as_str(), known.zone.as_str())
+    })
 }
--- a/crates/journal/tests/zones.rs
+++ b/crates/journal/tests/zones.rs
@@ -69,3 +69,50 @@
         .collect();
     assert_eq!(zones, ["c", "c", "c", "b", "b", "b", "a", "a", "a"]);
 }
+
+/// `sizes` disks a zone; the region is what precedes the dash of the zone.
+fn fleet_in_regions(sizes: &[(&str, u64)]) -> Vec<Member> {
+    let mut fleet = fleet(sizes);
+    for member in &mut fleet {
+        let region = member.zone.split('-').next().unwrap();
+        member.region = region.to_owned();
+    }
+    fleet
+}
+
+fn by_region(chosen: &[ReplicaMember], fleet: &[Member]) -> BTreeMap<String, usize> {
+    let mut count = BTreeMap::new();
+    for (zone, replicas) in by_zone(chosen, fleet) {
+        let region = zone.split('-').next().unwrap().to_owned();
+        *count.entry(region).or_insert(0) += replicas;
+    }
+    count
+}
+
+/// Zone by zone, a region with many zones would get a majority, and its loss would be that of the set.
+#[test]
+fn no_region_gets_a_majority_while_there_are_three() {
+    let fleet = fleet_in_regions(&[("a-1", 1), ("a-2", 1), ("a-3", 1), ("b-1", 3), ("c-1", 3)]);
+    let chosen = spread(disks(&fleet), &fleet, 5).unwrap();
+    let count = by_region(&chosen, &fleet);
+    assert_eq!(count.len(), 3, "{count:?}");
+    assert!(count.values().all(|count| *count <= 2), "{count:?}");
+}
+
+#[test]
+fn spares_in_the_regions_with_the_fewest_replicas_come_first() {
+    let fleet = fleet_in_regions(&[("a-1", 2), ("a-2", 1), ("b-1", 2)]);
+    let present: Vec<&Member> = [0, 1, 3].map(|index| &fleet[index]).to_vec();
+    let ordered = by_need(&fleet, &present);
+    let nodes: Vec<&str> = ordered.iter().map(|disk| disk.node.as_str()).collect();
+    assert_eq!(
+        nodes,
+        [
+            "store-b-1-1",
+            "store-b-1-2",
+            "store-a-2-1",
+            "store-a-1-1",
+            "store-a-1-2"
+        ]
+    );
+}
--- a/crates/ladderstage/src/lib.rs
+++ b/crates/ladderstage/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ids;
 pub mod journal;
 pub mod membership;
+pub mod region;
 pub mod retry;
 pub mod routing;
 pub mod shard;
