Test homes and bounds by region on what nodes know

Owners in the region where the zone has no strong front, and each cause for which a job with bounds is refused, without processes. A record without a region reads as before, and one of a deployment without regions is written byte for byte as before.

--- a/crates/front/src/job/home.rs
+++ b/crates/front/src/job/home.rs
@@ -81,14 +81,10 @@
         let own = nodes.own();
         let fronts = nodes.with_role(NodeRole::Front);
         let (model, step) = (&spec.model, spec.train_step);
-        let in_zone = home(&own, &fronts, model, step);
-        if in_zone.is_some() || !nodes.regions().has_several() {
-            return in_zone;
+        if !nodes.regions().has_several() {
+            return home(&own, &fronts, model, step);
         }
-        let near = fronts
-            .into_iter()
-            .filter(|front| nodes.distance_to(front) < Distance::Elsewhere);
-        strongest_home(&own, &near.collect::<Vec<_>>(), model, step)
+        home_in_region(&own, &fronts, model, step, |front| nodes.distance_to(front))
     }
 
     async fn accept_at(&self, home: &str, spec: JobSpec) -> HomeAnswer {
@@ -134,6 +130,23 @@
     strongest_home(own, &in_zone, model, step)
 }
 
+/// As [`home`], in the region where no front of the zone is stronger.
+pub fn home_in_region(
+    own: &NodeRecord,
+    fronts: &[NodeRecord],
+    model: &str,
+    step: u64,
+    distance: impl Fn(&NodeRecord) -> Distance,
+) -> Option<String> {
+    home(own, fronts, model, step).or_else(|| {
+        let near = fronts
+            .iter()
+            .filter(|front| distance(front) < Distance::Elsewhere);
+        let near: Vec<NodeRecord> = near.cloned().collect();
+        strongest_home(own, &near, model, step)
+    })
+}
+
 /// The one of the strongest of some fronts that is to own a step, if they are stronger than the one where it was handed in.
 fn strongest_home(
     own: &NodeRecord,
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -35,12 +35,13 @@
 mod text;
 mod trainer_steps;
 
+pub use bounds::{OutOfBounds, check_keepers};
 pub use confirmation::Confirmation;
 pub use context::JobContext;
 pub use digest::{FoundLog, LogDigest};
 pub use events::{Event, EventParser};
 pub use group_listing::GroupListing;
-pub use home::home;
+pub use home::{home, home_in_region};
 pub use lengths::TextLengths;
 pub use pace::{Pace, expected_rest, pays_to_move, rest_demand};
 pub use queue::EntryQueue;
--- a/crates/front/tests/homes.rs
+++ b/crates/front/tests/homes.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use ladderstage_front::job::home;
+use ladderstage_front::job::{home, home_in_region};
 use ladderstage_front::nodes::{NodeRecord, NodeRole};
+use ladderstage_front::region::Distance;
 use proptest::prelude::*;
 
 fn front(node: &str, zone: &str, cpu_millis: u32) -> NodeRecord {
@@ -37,6 +38,31 @@
     assert_eq!(home(&weak, &[strong, far, weak.clone()], "m", 0), None);
 }
 
+/// A trainer and the owner of its steps are in one region as long as that has a strong front.
+#[test]
+fn without_a_strong_front_in_the_zone_a_step_goes_to_one_of_the_region() {
+    let weak = front("weak", "east-1", 120);
+    let near = front("near", "east-2", 500);
+    let far = front("far", "west-1", 900);
+    let region = |front: &NodeRecord| front.zone.split('-').next().unwrap().to_owned();
+    let distance = |other: &NodeRecord| {
+        if region(other) == region(&weak) {
+            Distance::SameRegion
+        } else {
+            Distance::Elsewhere
+        }
+    };
+    let home_of = |fronts: &[NodeRecord]| home_in_region(&weak, fronts, "m", 0, distance);
+    let all = [weak.clone(), near.clone(), far.clone()];
+    assert_eq!(home_of(&all).as_deref(), Some("near"));
+    assert_eq!(home_of(&[weak.clone(), far]), None);
+    let in_zone = front("in-zone", "east-1", 500);
+    assert_eq!(
+        home_of(&[weak.clone(), near, in_zone]).as_deref(),
+        Some("in-zone")
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
--- /dev/null
+++ b/crates/front/tests/region_nodes.rs
@@ -0,0 +1,155 @@
+//! Where nodes lie, and whether a job that names regions would stay in them.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladderstage_front::activity::Activity;
+use ladderstage_front::coordination::Coordination;
+use ladderstage_front::job::{OutOfBounds, check_keepers};
+use ladderstage_front::nodes::{NodeRecord, NodeRole, Nodes};
+use ladderstage_front::region::{AllowedRegions, Distance, RegionMap};
+use ladderstage_wire::messages::{ReplicaMember, ReplicaSet};
+use serde_json::json;
+use support::memory_store::MemoryStore;
+use tokio::time::sleep;
+
+/// Longer than a node that starts needs to hear of the others.
+const STARTED: Duration = Duration::from_secs(9);
+
+fn regions() -> RegionMap {
+    let zones = [("e1", "east"), ("e2", "east"), ("w1", "west")];
+    RegionMap::new(
+        zones
+            .map(|(zone, region)| (zone.into(), region.into()))
+            .into(),
+    )
+}
+
+fn allowed(names: &[&str]) -> AllowedRegions {
+    AllowedRegions::only(names.iter().map(|name| (*name).into()))
+}
+
+fn record(node: &str, role: NodeRole, zone: &str) -> NodeRecord {
+    NodeRecord {
+        node: node.to_owned(),
+        role,
+        process: 1,
+        peer_address: "127.0.0.1:1".parse().unwrap(),
+        zone: zone.to_owned(),
+        replica_id: u64::from(role == NodeRole::Store),
+        is_leaving: false,
+        cpu_millis: 0,
+        region: String::new(),
+    }
+}
+
+/// A front in `e1` that has heard of these nodes.
+async fn front_that_knows(others: &[NodeRecord]) -> Nodes {
+    let store = MemoryStore::default();
+    for other in others {
+        let value = serde_json::to_vec(other).unwrap();
+        store.write(&format!("ladderstage/node/{}", other.node), value);
+    }
+    let own = record("own", NodeRole::Front, "e1");
+    let nodes = Nodes::new(own).with_regions(regions());
+    let running = nodes.clone();
+    let coordination: Arc<dyn Coordination> = Arc::new(store.of("own"));
+    let activity = Activity::default();
+    let run = async move { running.run(coordination, &activity).await };
+    let task = tokio::spawn(run);
+    sleep(STARTED).await;
+    task.abort();
+    nodes
+}
+
+fn set(current: &[&str], next: &[&str]) -> ReplicaSet {
+    let members = |names: &[&str]| {
+        let members = names.iter().map(|node| ReplicaMember {
+            node: (*node).to_owned(),
+            replica_id: 1,
+        });
+        members.collect()
+    };
+    ReplicaSet {
+        current: members(current),
+        next: members(next),
+        ..ReplicaSet::default()
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_with_bounds_is_kept_only_where_every_node_lies_inside() {
+    let store = record("store", NodeRole::Store, "e2");
+    let nodes = front_that_knows(std::slice::from_ref(&store)).await;
+    let replicas = set(&["store"], &[]);
+    let check = |nodes: &Nodes, names: &[&str], replicas: Option<&ReplicaSet>| {
+        check_keepers(&allowed(names), nodes, replicas)
+    };
+    assert_eq!(check(&nodes, &["east"], Some(&replicas)), Ok(()));
+    assert_eq!(
+        check(&nodes, &[], Some(&replicas)),
+        Err(OutOfBounds::Nowhere)
+    );
+    let outside = check(&nodes, &["west"], Some(&replicas));
+    assert!(
+        matches!(outside, Err(OutOfBounds::Node { .. })),
+        "{outside:?}"
+    );
+    let unknown = check(&nodes, &["east"], None);
+    assert!(matches!(unknown, Err(OutOfBounds::UnknownReplicas { .. })));
+    for replicas in [set(&["store", "lost"], &[]), set(&["store"], &["joins"])] {
+        let unknown = check(&nodes, &["east"], Some(&replicas));
+        assert!(matches!(unknown, Err(OutOfBounds::UnknownReplica { .. })));
+    }
+    let everywhere = AllowedRegions::default();
+    assert_eq!(check_keepers(&everywhere, &nodes, None), Ok(()));
+    for (role, zone) in [
+        (NodeRole::Front, "w1"),
+        (NodeRole::Store, "w1"),
+        (NodeRole::Front, "unknown"),
+    ] {
+        let outside = record("outside", role, zone);
+        let nodes = front_that_knows(&[store.clone(), outside]).await;
+        let refused = check(&nodes, &["east"], Some(&replicas));
+        assert!(
+            matches!(&refused, Err(OutOfBounds::Node { node, .. }) if node == "outside"),
+            "{refused:?}"
+        );
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn nodes_are_as_far_as_the_settings_tell_of_their_zones() {
+    let nodes = front_that_knows(&[]).await;
+    let distance = |zone, region: &str| {
+        let other = NodeRecord {
+            region: region.to_owned(),
+            ..record("other", NodeRole::Front, zone)
+        };
+        nodes.distance_to(&other)
+    };
+    assert_eq!(distance("e1", ""), Distance::SameZone);
+    assert_eq!(distance("e2", ""), Distance::SameRegion);
+    assert_eq!(distance("w1", ""), Distance::Elsewhere);
+    assert_eq!(distance("new", ""), Distance::Elsewhere);
+    assert_eq!(
+        distance("new", "east"),
+        Distance::SameRegion,
+        "its own word"
+    );
+    assert_eq!(nodes.distance_to(&nodes.own()), Distance::SameMachine);
+}
+
+/// Nodes of builds before and after run side by side.
+#[test]
+fn a_record_without_a_region_is_read_and_one_without_regions_is_written_as_before() {
+    let earlier = json!({
+        "node": "n", "role": "front", "process": 7, "peer_address": "127.0.0.1:1", "zone": "e1",
+        "replica_id": 0, "is_leaving": false, "cpu_millis": 120,
+    });
+    let record: NodeRecord = serde_json::from_value(earlier.clone()).unwrap();
+    assert_eq!(record.region, "");
+    assert_eq!(serde_json::to_value(&record).unwrap(), earlier);
+}
