Test that no choice names an instance outside the allowed regions

Without the filter of choose_within, or that of choose_again, the test fails; the guard before the send alone would refuse such requests, but only after a try.

--- a/crates/front/tests/region_choice.rs
+++ b/crates/front/tests/region_choice.rs
@@ -1,7 +1,9 @@
 //! Work stays in its region, and moves to another when that serves it better.
 
-use ladderstage_front::backend::{Candidate, Demand, choose};
-use ladderstage_front::region::Distance;
+use std::collections::BTreeMap;
+
+use ladderstage_front::backend::{BackendTable, Candidate, Demand, Discovered, choose};
+use ladderstage_front::region::{AllowedRegions, Distance, RegionMap};
 use proptest::prelude::*;
 
 /// The way to another region and back.
@@ -65,6 +67,55 @@
     }
 }
 
+/// Instances `near` and `far`, one in each region, known to a chooser in the region `east`.
+fn table_of_two_regions() -> BackendTable {
+    let zones = [("e1", "east"), ("w1", "west")];
+    let zones = zones.map(|(zone, region)| (zone.into(), region.into()));
+    let table = BackendTable::new("e1").with_regions(RegionMap::new(zones.into()));
+    for (id, zone) in [("near", "e1"), ("far", "w1"), ("lost", "unknown")] {
+        table.upsert(Discovered {
+            id: id.to_owned(),
+            service: "service".to_owned(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: zone.to_owned(),
+            is_ready: true,
+            slots: SLOTS,
+            started_unix_ms: 0,
+            cold_ms: 0,
+            is_preemptible: false,
+            leaves_ms: None,
+            versions: BTreeMap::new(),
+        });
+    }
+    table
+}
+
+#[test]
+fn an_instance_outside_the_allowed_regions_is_never_chosen() {
+    let table = table_of_two_regions();
+    let only = |region: &str| AllowedRegions::only([region.into()]);
+    let chosen = |allowed: &AllowedRegions| {
+        let first = table.choose_within("service", "", Demand::Live, allowed, |_| true);
+        let again = table.choose_again("service", allowed);
+        [first, again].map(|one| one.map(|instance| instance.id().to_owned()))
+    };
+    for _ in 0..32 {
+        assert_eq!(
+            chosen(&only("east")),
+            ["near", "near"].map(|id| Some(id.to_owned()))
+        );
+        assert_eq!(
+            chosen(&only("west")),
+            ["far", "far"].map(|id| Some(id.to_owned()))
+        );
+        assert_eq!(chosen(&only("north")), [None, None]);
+        let anywhere = AllowedRegions::default();
+        assert_eq!(chosen(&anywhere)[0].as_deref(), Some("near"));
+    }
+    assert!(table.has_any_within("service", &only("west")));
+    assert!(!table.has_any_within("service", &only("north")));
+}
+
 /// A live request takes as long as the way there and back: it goes elsewhere once it would wait here for as long.
 #[test]
 fn short_requests_stay_here_for_longer_than_long_ones() {
