Look up no route for regions where the configuration names none

The bound of a request is looked up at each choice and before each send. In deployments without bounds that scanned all routes several times a request; now it is one load of a flag that goes with the configuration in force.

--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::HeaderValue;
@@ -210,6 +211,13 @@
         Some(route.allowed_regions_for(self.tenant(tenant).map(AsRef::as_ref)))
     }
 
+    /// Whether any route or tenant names regions.
+    fn binds_regions(&self) -> bool {
+        let routes = self.routes.iter().map(|route| &route.allowed_regions);
+        let tenants = self.tenants.iter().map(|tenant| &tenant.allowed_regions);
+        routes.chain(tenants).any(|allowed| !allowed.is_all())
+    }
+
     /// Remembers which keys of the version before this one takes away.
     fn retire_keys_of(&mut self, previous: &Self) {
         self.retired_keys = previous.retired_keys.clone();
@@ -258,12 +266,15 @@
 #[derive(Debug, Clone)]
 pub struct ConfigInForce {
     current: watch::Sender<Option<Arc<ServingConfig>>>,
+    /// Whether any route or tenant names regions. Without any, which is looked at for each request, no route is looked up for it.
+    binds_regions: Arc<AtomicBool>,
 }
 
 impl Default for ConfigInForce {
     fn default() -> Self {
         Self {
             current: watch::Sender::new(None),
+            binds_regions: Arc::default(),
         }
     }
 }
@@ -288,6 +299,8 @@
                 config.tenants.len(),
                 config.retired_keys.len()
             );
+            let binds_regions = config.binds_regions();
+            self.binds_regions.store(binds_regions, Ordering::Release);
             *current = Some(Arc::new(std::mem::take(&mut config)));
             true
         })
@@ -298,6 +311,14 @@
         self.current.borrow().clone()
     }
 
+    /// Where a tenant's requests for a host and path may be served and kept now; `None`: no route takes them.
+    pub fn allowed_regions(&self, host: &str, path: &str, tenant: &str) -> Option<AllowedRegions> {
+        if !self.binds_regions.load(Ordering::Acquire) {
+            return Some(AllowedRegions::default());
+        }
+        self.current()?.allowed_regions(host, path, tenant)
+    }
+
     /// Changes whenever another version is in force.
     pub fn watch(&self) -> watch::Receiver<Option<Arc<ServingConfig>>> {
         self.current.subscribe()
--- a/crates/front/src/job/bounds.rs
+++ b/crates/front/src/job/bounds.rs
@@ -107,9 +107,9 @@
 impl JobRegistry {
     /// Where a job of this node may be kept by the configuration in force; `None`: no route takes it any more, or it is not read yet.
     pub(super) fn allowed_regions(&self, job: &Job) -> Option<AllowedRegions> {
-        let config = self.context.config.current()?;
         let state = job.state();
         let spec = state.spec()?;
+        let config = &self.context.config;
         config.allowed_regions(&spec.host, &spec.path, &spec.tenant)
     }
 
@@ -119,17 +119,17 @@
     /// Where it would get out, or find no instance.
     pub(super) fn check_bounds(&self, spec: &JobSpec) -> Result<(), OutOfBounds> {
         let context = &self.context;
-        let Some(config) = context.config.current() else {
-            return Ok(());
-        };
-        let Some(allowed) = config.allowed_regions(&spec.host, &spec.path, &spec.tenant) else {
+        let bound = context
+            .config
+            .allowed_regions(&spec.host, &spec.path, &spec.tenant);
+        let Some(allowed) = bound.filter(|allowed| !allowed.is_all()) else {
             return Ok(());
         };
         let replicas = context.replica_sets.current();
         check_keepers(&allowed, &context.nodes, replicas.as_deref())?;
+        let config = context.config.current().unwrap_or_default();
         let route = config.route(&spec.host, &spec.path);
-        let services = route.iter().flat_map(|route| &route.split);
-        for part in services.filter(|_| !allowed.is_all()) {
+        for part in route.iter().flat_map(|route| &route.split) {
             let service = &part.service;
             let is_known = !context.backends.of_service(service).is_empty();
             if is_known && !context.backends.has_any_within(service, &allowed) {
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -84,9 +84,8 @@
     /// them any more, by the earlier one.
     pub(super) fn allowed_regions(&self) -> AllowedRegions {
         let spec = &self.spec;
-        let config = self.config.current();
-        config
-            .and_then(|config| config.allowed_regions(&spec.host, &spec.path, &spec.tenant))
+        self.config
+            .allowed_regions(&spec.host, &spec.path, &spec.tenant)
             .unwrap_or_else(|| self.allowed_at_begin.clone())
     }
 
--- a/crates/front/src/job/scoring.rs
+++ b/crates/front/src/job/scoring.rs
@@ -141,14 +141,15 @@
     /// Where the call may be served by the configuration in force, else by the one under which it is tried.
     fn allowed_regions(&self) -> AllowedRegions {
         let tenant = &self.context.spec.tenant;
-        let config = self.context.config.current();
-        let by_config = config
-            .as_ref()
-            .and_then(|config| config.allowed_regions(&self.reward.host, self.uri.path(), tenant));
-        by_config.unwrap_or_else(|| {
-            let tenant = config.as_ref().and_then(|config| config.tenant(tenant));
-            self.route.allowed_regions_for(tenant.map(AsRef::as_ref))
-        })
+        let config = &self.context.config;
+        let path = self.uri.path();
+        config
+            .allowed_regions(&self.reward.host, path, tenant)
+            .unwrap_or_else(|| {
+                let config = config.current();
+                let tenant = config.as_ref().and_then(|config| config.tenant(tenant));
+                self.route.allowed_regions_for(tenant.map(AsRef::as_ref))
+            })
     }
 
     /// Whether the call may be sent: instances may have ended under it.
--- a/crates/front/src/job/starting.rs
+++ b/crates/front/src/job/starting.rs
@@ -45,6 +45,7 @@
             self.has_waiting_items = true;
             return;
         };
+        let allowed = run.allowed_regions();
         let startable = self.startable(&spec);
         let long_from = long_from(&spec);
         for index in startable {
@@ -66,7 +67,6 @@
             };
             let fits = |instance: &Instance| instance.version(&spec.model) >= spec.min_version;
             let backends = &self.context.backends;
-            let allowed = run.allowed_regions();
             let chosen = backends.choose_within(&run.service, &spec.model, demand, &allowed, fits);
             let Some(instance) = chosen else {
                 self.has_waiting_items = true;
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -282,9 +282,8 @@
     fn allowed_regions(&self, route: &Route, request: &LiveRequest) -> AllowedRegions {
         let tenant = request.caller.tenant();
         let name = tenant.map_or("", |tenant| &tenant.name);
-        let config = self.config.current();
-        config
-            .and_then(|config| config.allowed_regions(&route.host, request.uri.path(), name))
+        self.config
+            .allowed_regions(&route.host, request.uri.path(), name)
             .unwrap_or_else(|| route.allowed_regions_for(tenant.map(AsRef::as_ref)))
     }
 
