--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use ladderstage::region::AllowedRegions;
 use ladderstage_clock::Instant;
 
 use super::connection::Lease;
@@ -30,6 +31,8 @@
     pub uri: Uri,
     /// Headers, complete.
     pub headers: HeaderMap,
+    /// Regions whose instances may get it.
+    pub allowed: AllowedRegions,
 }
 
 /// Why no answer of the instance can be passed on.
@@ -175,7 +178,7 @@
         // Calls to the instance itself are no work: they may reach one that is to get none.
         let ticket = match answer_id {
             AnswerId::Required => instance
-                .take_send(Instant::now())
+                .take_send_within(&head.allowed, Instant::now())
                 .map_err(ExchangeError::HeldBack)?,
             AnswerId::Optional => None,
         };
--- a/crates/front/src/backend/gate.rs
+++ b/crates/front/src/backend/gate.rs
@@ -5,6 +5,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use ladderstage::region::{AllowedRegions, Distance, RegionMap};
 use tokio::sync::watch;
 
 use super::cold::{ColdLimits, PermitWants};
@@ -20,6 +21,8 @@
     Cold,
     /// This node has just sent it as many requests as it may while others may do the same: it may turn cold unseen.
     SendRate,
+    /// It is not in a region in which the request may be served.
+    OtherRegion,
 }
 
 impl HoldReason {
@@ -30,6 +33,7 @@
             Self::DrainsUnknown => "drains_unknown",
             Self::Cold => "cold",
             Self::SendRate => "send_rate",
+            Self::OtherRegion => "other_region",
         }
     }
 }
@@ -126,4 +130,36 @@
     pub cold: ColdLimits,
     /// Cold instances for which work waits here.
     pub wants: PermitWants,
+    /// Where this node and the instances are.
+    pub surroundings: Surroundings,
+}
+
+/// Where a node is, and what it knows of where others are. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Surroundings {
+    /// Zone of the node.
+    pub zone: Arc<str>,
+    /// Regions of all zones.
+    pub regions: RegionMap,
+}
+
+impl Default for Surroundings {
+    fn default() -> Self {
+        Self {
+            zone: "".into(),
+            regions: RegionMap::default(),
+        }
+    }
+}
+
+impl Surroundings {
+    /// How far a zone is.
+    pub fn distance_to(&self, zone: &str) -> Distance {
+        self.regions.between_zones(&self.zone, zone)
+    }
+
+    /// Whether a zone lies in an allowed region.
+    pub fn is_within(&self, zone: &str, allowed: &AllowedRegions) -> bool {
+        allowed.is_all() || allowed.permits(self.regions.region_of(zone))
+    }
 }
