--- a/crates/front/tests/explain.rs
+++ b/crates/front/tests/explain.rs
@@ -119,3 +119,16 @@
     assert!(story.steps[0].details.contains("instance=s1"));
     assert!(story.steps[1].details.contains("instance=s2"));
 }
+
+#[test]
+fn a_refused_request_s_story_says_what_held_instances_back() {
+    let log = r#"
+time=100.100 level=info node=front-a module=m event=no_instance request=r2 service=s held_back=cold:3,zone_drained:15
+time=100.101 level=warn node=front-a module=m event=request_answered request=r2 route=x config=7 status=503 elapsed_ms=151
+"#;
+    let lines: Vec<LogLine> = log.lines().filter_map(LogLine::parse).collect();
+    let story = Story::tell("r2", &lines);
+    assert_eq!(events(&story), ["no_instance", "request_answered"]);
+    let text = story.to_string();
+    assert!(text.contains("held_back=cold:3,zone_drained:15"), "{text}");
+}
