--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -257,6 +257,11 @@
         self.lock().discovered.service == service
     }
 
+    /// Zone it runs in.
+    pub fn zone(&self) -> String {
+        self.lock().discovered.zone.clone()
+    }
+
     /// Whether it runs in a zone.
     pub fn is_in(&self, zone: &str) -> bool {
         self.lock().discovered.zone == zone
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -250,23 +250,9 @@
         fits: impl Fn(&Instance) -> bool,
     ) -> Option<Arc<Instance>> {
         let now = Instant::now();
-        let mut cold = Vec::new();
         let mut usable = self.of_service(service);
         usable.retain(|instance| instance.is_usable(model, now) && fits(instance));
-        usable.retain(|instance| match instance.may_send(now) {
-            Ok(()) => true,
-            Err(reason) => {
-                let passed_over = &self.counters.passed_over;
-                let zone = instance.discovered().zone;
-                passed_over
-                    .with_label_values(&[reason.label(), &zone])
-                    .inc();
-                if reason == HoldReason::Cold {
-                    cold.push(Arc::clone(instance));
-                }
-                false
-            }
-        });
+        let cold = self.pass_over_held(&mut usable, now);
         let candidates: Vec<Candidate> = usable
             .iter()
             .map(|instance| instance.candidate(&self.zone, now))
@@ -281,6 +267,23 @@
         Some(Arc::clone(&usable[index]))
     }
 
+    /// Takes out instances that are to get nothing now; returns those of them that a permit would open.
+    fn pass_over_held(&self, usable: &mut Vec<Arc<Instance>>, now: Instant) -> Vec<Arc<Instance>> {
+        let mut cold = Vec::new();
+        usable.retain(|instance| {
+            let Err(reason) = instance.may_send(now) else {
+                return true;
+            };
+            let labels = [reason.label(), &instance.zone()];
+            self.counters.passed_over.with_label_values(&labels).inc();
+            if reason == HoldReason::Cold {
+                cold.push(Arc::clone(instance));
+            }
+            false
+        });
+        cold
+    }
+
     /// Whether work that waits here for instances of a service may soon get permits for cold ones.
     pub fn awaits_permits(&self, service: &str) -> bool {
         let held_back = self.held_back(service);
