--- a/crates/front/src/capacity/losses.rs
+++ b/crates/front/src/capacity/losses.rs
@@ -7,8 +7,8 @@
 use super::counts::Present;
 
 /// An instance that is missing without having said that it leaves counts as lost from then on: one that crashed is started again under
-/// its id within this time, as a rule.
-pub const CRASH_TIME: Duration = Duration::from_secs(6);
+/// its id within this time, as a rule, and is missing only once its record has lapsed.
+pub const CRASH_TIME: Duration = Duration::from_secs(4);
 
 /// Why instances count as lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -19,6 +19,8 @@
     ZoneDrained,
     /// They have been missing for longer than a crash lasts.
     Missing,
+    /// They were ordered, and were taken away.
+    TakenAway,
 }
 
 impl LossReason {
@@ -28,6 +30,7 @@
             Self::Leaving => "leaving",
             Self::ZoneDrained => "zone_drained",
             Self::Missing => "missing",
+            Self::TakenAway => "taken_away",
         }
     }
 }
--- a/crates/front/src/capacity/planner.rs
+++ b/crates/front/src/capacity/planner.rs
@@ -82,6 +82,8 @@
     /// Most instances beyond the found ones that orders of late may have brought, and until when.
     ordered: BTreeMap<Subject, (u32, Instant)>,
     refused_until: BTreeMap<Subject, Instant>,
+    /// Preemptible instances that served at the last look.
+    served: BTreeMap<Subject, u32>,
     spare: BTreeMap<Arc<str>, Spare>,
 }
 
@@ -97,6 +99,7 @@
             losses: BTreeMap::new(),
             surplus: BTreeMap::new(),
             refused_until: BTreeMap::new(),
+            served: BTreeMap::new(),
             spare: BTreeMap::new(),
         }
     }
@@ -110,6 +113,7 @@
     /// return, long before instances that are missing count as lost.
     pub fn note_unknown(&mut self) {
         self.surplus.clear();
+        self.served.clear();
         self.losses.values_mut().for_each(Losses::note_unknown);
     }
 
@@ -211,8 +215,9 @@
     ) {
         for subject in service.subjects(wanted) {
             let present = service.present(&subject);
-            if present.is_taken_back {
-                self.note_refused(&subject, now);
+            if subject.kind == InstanceKind::Preemptible {
+                let desired = wanted.get(&subject).desired();
+                news.extend(self.look_for_taken_away(&subject, present, desired, now));
             }
             let found = wanted.get(&subject).found;
             let is_drained = service.drained.contains(&subject.zone);
@@ -229,6 +234,31 @@
         }
     }
 
+    /// Ordered instances that are there no more, although they are wanted, were taken away, also without a word; what was ordered and has not come
+    /// yet goes with them.
+    fn look_for_taken_away(
+        &mut self,
+        subject: &Subject,
+        present: Present,
+        desired: u32,
+        now: Instant,
+    ) -> Option<LossNews> {
+        let serving = present.serving;
+        let before = self.served.insert(subject.clone(), serving).unwrap_or(0);
+        let are_fewer = serving < before && serving < desired;
+        if !are_fewer && !present.is_taken_back {
+            return None;
+        }
+        let is_news = !self.is_refused(subject, now) && serving < desired;
+        self.note_refused(subject, now);
+        is_news.then(|| LossNews {
+            subject: subject.clone(),
+            lost: desired - serving,
+            before: 0,
+            reason: LossReason::TakenAway,
+        })
+    }
+
     /// Places as many instances as were lost.
     fn replace(&mut self, service: &Service, next: &mut WantedCapacity, now: Instant) {
         let subjects = service.subjects(next);
