--- a/crates/front/src/capacity/duty.rs
+++ b/crates/front/src/capacity/duty.rs
@@ -75,21 +75,24 @@
         let quiet_until = if is_own { begun } else { begun + self.quiet };
         loop {
             tokio::time::sleep(LOOK_PAUSE).await;
-            match lease.may_order(held).await {
-                Ok(true) if Instant::now() >= quiet_until => {}
-                Ok(_) => continue,
-                Err(error) => {
-                    log::warn!("event=capacity_holder_not_named cause=\"{error}\"");
-                    continue;
-                }
-            }
-            if let Some(config) = self.config.current() {
-                self.look(&config, &mut holding).await;
+            let Some(config) = self.config.current() else {
+                continue;
+            };
+            // What is lost is known, and fixed, by the time that orders may be sent.
+            self.look(&config, &mut holding).await;
+            if Instant::now() >= quiet_until && self.may_send(lease, held).await {
                 self.send_due(&config, &mut holding, held).await;
             }
         }
     }
 
+    async fn may_send(&self, lease: &GiverLease, held: &Held) -> bool {
+        lease.may_order(held).await.unwrap_or_else(|error| {
+            log::warn!("event=capacity_holder_not_named cause=\"{error}\"");
+            false
+        })
+    }
+
     /// Returns once a service has bounds.
     async fn scaled(&self) {
         let mut config = self.config.watch();
