Tell in each node's record which formats its build reads, and test formats between builds

While machines are replaced, builds that know different formats share messages, logs, disks and records; nothing told a node what the others read, and no test held the formats of earlier builds.

NodeRecord has a level of formats, which rises with each build that reads more; a record without it is of a build before. The lowest level among the present nodes of a role is Nodes::shared_level, for features that wait until all take part; it follows an upgrade both ways and adds no call to the store. A line (nodes_behind) and a gauge (ladderstage_nodes_behind) show how far an upgrade is.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -17,7 +17,7 @@
 use crate::job::{Confirmation, JobContext, JobRegistry, NewestSteps, TextLengths};
 use crate::live::LiveService;
 use crate::metrics::Metrics;
-use crate::nodes::{NodeRecord, NodeRole, Nodes};
+use crate::nodes::{FormatLevel, NodeRecord, NodeRole, Nodes};
 use crate::orders::{EndedGivers, LearntLoads, OrderGiver, OrderOptions, VersionsNamed};
 use crate::program::{JobHooks, JournalParts, PeerHandler, PeerParts, ProgramOptions};
 use crate::roster::{DirectView, RosterOptions, RosterWriter};
@@ -126,6 +126,7 @@
         replica_id: 0,
         is_leaving: false,
         cpu_millis: options.cpu_millis,
+        formats: FormatLevel::OWN,
     });
     let reports = inputs.usage.as_ref();
     let window = reports.map_or(UNREPORTED_WINDOW, |usage| usage.options.window);
@@ -133,6 +134,7 @@
     let parts = JournalParts::start(&options, &nodes, None, Arc::clone(&coordination));
     metrics.add_journal(parts.journal.metrics());
     metrics.add_store_calls(&options.store_calls);
+    metrics.add_nodes(&nodes);
     metrics.add_discovery(inputs.backends.counters());
     let (suspects, unshared) = Suspects::new(Arc::clone(&metrics));
     let jobs = JobRegistry::new(JobContext {
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -8,6 +8,7 @@
 
 use crate::backend::DiscoveryCounters;
 use crate::coordination::StoreCalls;
+use crate::nodes::Nodes;
 
 /// Upper bounds of latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -163,6 +164,11 @@
         self.add(Box::new(calls.counter().clone()));
     }
 
+    /// Adds the gauge of what the other nodes read.
+    pub fn add_nodes(&self, nodes: &Nodes) {
+        self.add(Box::new(nodes.nodes_behind().clone()));
+    }
+
     /// Adds the counters of discovery.
     pub fn add_discovery(&self, counters: &DiscoveryCounters) {
         self.add(Box::new(counters.restarts.clone()));
--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -3,8 +3,11 @@
 //! Nodes that work with others follow the records closely (`following`); the many without such work read them now and then.
 
 mod following;
+mod formats;
 mod registration;
 
+pub use formats::{FormatLevel, shared_level};
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -16,6 +19,7 @@
 use ladderstage_journal::Peers;
 use ladderstage_transport::{CallError, Client};
 use ladderstage_wire::messages::{Member, MemberState, Request, Response};
+use prometheus::IntGauge;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
@@ -61,6 +65,9 @@
     /// Processor time of its machine, in thousandths of a core; 0: unknown.
     #[serde(default)]
     pub cpu_millis: u32,
+    /// Which formats its build reads.
+    #[serde(default)]
+    pub formats: FormatLevel,
 }
 
 #[derive(Debug, Default)]
@@ -75,6 +82,8 @@
     at: u64,
     /// When the last reading that was not stale was taken.
     read_at: Option<Instant>,
+    /// Nodes that read fewer formats than this one, as told last.
+    behind: BTreeSet<String>,
 }
 
 /// All nodes as last heard of, and calls to them. Cheap to clone.
@@ -87,11 +96,20 @@
     own_changed: watch::Sender<u64>,
     /// Calls that did not reach their node: what is known of the nodes may be old.
     unreached: watch::Sender<u64>,
+    /// How many nodes read fewer formats than this one.
+    nodes_behind: IntGauge,
 }
 
 impl Nodes {
     /// Knows only this node so far.
+    ///
+    /// # Panics
+    /// Never: the gauge's name is valid.
     pub fn new(own: NodeRecord) -> Self {
+        let nodes_behind = IntGauge::new(
+            "ladderstage_nodes_behind",
+            "Nodes whose builds read fewer formats than this one",
+        );
         Self {
             own: Arc::new(Mutex::new(own)),
             known: Arc::default(),
@@ -99,9 +117,15 @@
             contact: watch::Sender::new(None),
             own_changed: watch::Sender::new(0),
             unreached: watch::Sender::new(0),
+            nodes_behind: nodes_behind.expect("valid name"),
         }
     }
 
+    /// How many present nodes read fewer formats than this one.
+    pub fn nodes_behind(&self) -> &IntGauge {
+        &self.nodes_behind
+    }
+
     /// Keeps this node's record and learns of all others, for as long as the future is polled: closely while `activity` says that
     /// there is work with them.
     pub async fn run(&self, coordination: Arc<dyn Coordination>, activity: &Activity) {
@@ -183,6 +207,14 @@
         found
     }
 
+    /// The formats that all present nodes with a role read, by the records known here; [`FormatLevel::UNNAMED`] until the others were read.
+    pub fn shared_level(&self, role: NodeRole) -> FormatLevel {
+        if lock(&self.known).at == 0 {
+            return FormatLevel::UNNAMED;
+        }
+        shared_level(&self.with_role(role), role)
+    }
+
     /// Whether any other front is known.
     fn knows_others(&self) -> bool {
         let own = self.own().node;
@@ -198,6 +230,7 @@
 
     /// Takes what the store tells as of its revision `at`; what is older than what is known here changes nothing.
     fn take(&self, update: Update, at: u64) {
+        let own_formats = lock(&self.own).formats;
         let mut known = lock(&self.known);
         if at < known.at {
             log::debug!("event=nodes_older at={at} known={}", known.at);
@@ -216,6 +249,9 @@
                 }
             }),
         }
+        let behind = known.note_behind(own_formats);
+        self.nodes_behind
+            .set(i64::try_from(behind).unwrap_or(i64::MAX));
     }
 
     /// As [`Nodes::take`], of a stale read.
@@ -294,6 +330,26 @@
         }
     }
 
+    /// Notes which present nodes read fewer formats than a level, with a line when that changes; how many there are.
+    fn note_behind(&mut self, level: FormatLevel) -> usize {
+        let present = self.present.iter();
+        let is_behind = |node: &&String| {
+            let record = self.records.get(*node);
+            record.is_some_and(|record| record.formats < level)
+        };
+        let behind: BTreeSet<String> = present.filter(is_behind).cloned().collect();
+        if behind != self.behind {
+            let first = behind.first().map_or("-", String::as_str);
+            log::info!(
+                "event=nodes_behind own_level={} count={} first={first}",
+                level.0,
+                behind.len()
+            );
+            self.behind = behind;
+        }
+        self.behind.len()
+    }
+
     fn is_alive(&self, node: &str) -> bool {
         self.present.contains(node)
             || self
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -17,7 +17,7 @@
 use crate::ingress::serve_metrics;
 use crate::job::LOG_PREFIX;
 use crate::metrics::Metrics;
-use crate::nodes::{NodeRecord, NodeRole, Nodes};
+use crate::nodes::{FormatLevel, NodeRecord, NodeRole, Nodes};
 use crate::program::{JobHooks, JournalParts, PeerHandler, PeerParts, ProgramOptions};
 use crate::suspension::watch_suspensions;
 
@@ -99,6 +99,7 @@
         replica_id: storage.replica_id(),
         is_leaving: false,
         cpu_millis: options.cpu_millis,
+        formats: FormatLevel::OWN,
     });
     let parts = JournalParts::start(
         &options,
@@ -110,6 +111,7 @@
     if let Some(address) = options.metrics_address {
         metrics.add_journal(parts.journal.metrics());
         metrics.add_store_calls(&options.store_calls);
+        metrics.add_nodes(&nodes);
         let listener = TcpListener::bind(address).await;
         let listener = listener.map_err(|error| StoreError::Listen { address, error })?;
         tokio::spawn(serve_metrics(listener, Arc::clone(&metrics)));
--- a/crates/front/src/suspects/mod.rs
+++ b/crates/front/src/suspects/mod.rs
@@ -24,6 +24,7 @@
     SUSPICION, SuspectLedger,
 };
 pub use probe::{InstanceFate, probe};
+pub use record::SuspectRecord;
 pub use sharing::SuspectSharing;
 
 use crate::backend::Instance;
--- /dev/null
+++ b/crates/front/tests/formats.rs
@@ -0,0 +1,267 @@
+//! Records of the coordination store between builds: what earlier builds wrote is read as it was meant, what this build writes can be read
+//! by them, and each node knows what the others read.
+//!
+//! `formats/<commit>.txt` holds what the build of that commit wrote.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ladderstage_front::activity::Activity;
+use ladderstage_front::coordination::{Coordination, Record};
+use ladderstage_front::nodes::{FormatLevel, NodeRecord, NodeRole, Nodes, shared_level};
+use ladderstage_front::orders::{
+    GiverLease, LastGiver, LearntLoads, LearntWriter, LoadLimit, learnt_limit,
+};
+use ladderstage_front::roster::Roster;
+use ladderstage_front::suspects::SuspectRecord;
+use ladderstage_front::usage::FixedReports;
+use proptest::prelude::*;
+use serde::Deserialize;
+use support::memory_store::MemoryStore;
+use tokio::time::sleep;
+
+/// What earlier builds wrote.
+const EARLIER: [&str; 2] = [
+    include_str!("formats/b6915e3.txt"),
+    include_str!("formats/c0c1299.txt"),
+];
+
+/// Longer than a node that works with others takes to hear of a change.
+const HEARD: Duration = Duration::from_secs(2);
+
+const GIVER_KEY: &str = "ladderstage/orders/giver";
+const LAST_KEY: &str = "ladderstage/orders/last";
+const LEARNT_KEY: &str = "ladderstage/orders/learnt";
+
+/// A node's record as builds without levels read it.
+#[derive(Debug, PartialEq, Deserialize)]
+struct EarlierNode {
+    node: String,
+    role: String,
+    process: u64,
+    peer_address: String,
+    zone: String,
+    replica_id: u64,
+    is_leaving: bool,
+    cpu_millis: u32,
+}
+
+/// A roster as builds read it that know neither starts nor coldness of instances.
+#[derive(Debug, PartialEq, Deserialize)]
+struct EarlierRoster {
+    known_at: u64,
+    services: Vec<String>,
+    instances: Vec<EarlierInstance>,
+}
+
+#[derive(Debug, PartialEq, Deserialize)]
+struct EarlierInstance {
+    id: String,
+    service: String,
+    address: String,
+    zone: String,
+    is_ready: bool,
+    slots: u32,
+}
+
+/// Records by name.
+fn records(text: &str) -> BTreeMap<&str, &str> {
+    let lines = text.lines().map(|line| line.split_once(' ').unwrap());
+    lines.collect()
+}
+
+/// A record that an earlier build wrote, with a level.
+fn record(node: &str, role: NodeRole, formats: FormatLevel) -> NodeRecord {
+    let written = records(EARLIER[0])["front"];
+    let mut record: NodeRecord = serde_json::from_str(written).unwrap();
+    record.node = node.to_owned();
+    record.role = role;
+    record.formats = formats;
+    record
+}
+
+#[test]
+fn records_of_nodes_are_read_by_later_and_earlier_builds() {
+    for written in EARLIER.map(records) {
+        let front: NodeRecord = serde_json::from_str(written["front"]).unwrap();
+        assert_eq!(
+            (front.node.as_str(), front.role),
+            ("front-1", NodeRole::Front)
+        );
+        assert_eq!(
+            (front.process, front.cpu_millis, front.is_leaving),
+            (99, 250, true)
+        );
+        assert_eq!(front.formats, FormatLevel::UNNAMED);
+        let store: NodeRecord = serde_json::from_str(written["store"]).unwrap();
+        assert_eq!((store.role, store.replica_id), (NodeRole::Store, 21));
+        let mut own = front;
+        own.formats = FormatLevel::OWN;
+        let own = serde_json::to_string(&own).unwrap();
+        let read: EarlierNode = serde_json::from_str(&own).unwrap();
+        let meant: EarlierNode = serde_json::from_str(written["front"]).unwrap();
+        assert_eq!(read, meant);
+    }
+}
+
+#[test]
+fn rosters_are_read_by_later_and_earlier_builds() {
+    for written in EARLIER.map(records) {
+        let mut roster = Roster::read(written["roster"].as_bytes()).unwrap();
+        assert_eq!(roster.known_at, 41);
+        let [one, other] = &mut roster.instances[..] else {
+            panic!("two instances");
+        };
+        assert!(one.is_ready && !other.is_ready);
+        assert_eq!((one.id.as_str(), one.slots, one.cold_ms), ("e-1", 6, 0));
+        assert!([0, 1_700_000_000_000].contains(&one.started_unix_ms));
+        one.cold_ms = 4_000;
+        one.is_preemptible = true;
+        let read: EarlierRoster = serde_json::from_slice(&roster.write().unwrap()).unwrap();
+        let meant: EarlierRoster = serde_json::from_str(written["roster"]).unwrap();
+        assert_eq!(read, meant);
+    }
+}
+
+#[test]
+fn reports_of_use_are_read_by_later_and_earlier_builds() {
+    for written in EARLIER.map(records) {
+        let reports: FixedReports = serde_json::from_str(written["reports"]).unwrap();
+        assert_eq!(
+            reports.get(30),
+            Some(&BTreeMap::from([("t".to_owned(), 12)]))
+        );
+        assert_eq!(reports.newest(), Some(31));
+        assert_eq!(serde_json::to_string(&reports).unwrap(), written["reports"]);
+    }
+}
+
+#[test]
+fn suspected_contents_are_read_by_later_and_earlier_builds() {
+    // The build before this one kept none.
+    let written = records(EARLIER[1])["suspect"];
+    let record = Record {
+        key: "ladderstage/suspect/000000000000feed".to_owned(),
+        value: written.as_bytes().to_vec(),
+        revision: 1,
+    };
+    let (_, read) = SuspectRecord::read(&record).unwrap();
+    assert_eq!(
+        (read.ends.as_slice(), read.lease),
+        (&["e-1@5".to_owned()][..], 3)
+    );
+    assert_eq!(serde_json::to_string(&read).unwrap(), written);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_was_learnt_of_loads_is_read_by_later_and_earlier_builds() {
+    for written in EARLIER.map(records) {
+        let store = MemoryStore::default();
+        store.write(LEARNT_KEY, written["learnt"].as_bytes().to_vec());
+        let coordination: Arc<dyn Coordination> = Arc::new(store.of("front-2"));
+        let limit = learnt_limit(&LearntLoads::default(), coordination.as_ref()).await;
+        let limit: LoadLimit = limit.unwrap();
+        assert_eq!((limit.get(), limit.is_near()), (11, true));
+        store.remove(LEARNT_KEY);
+        let mut writer = LearntWriter::default();
+        writer.save(&limit, &coordination);
+        sleep(HEARD).await;
+        assert_eq!(
+            store.read(LEARNT_KEY).unwrap(),
+            written["learnt"].as_bytes()
+        );
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_right_to_give_orders_passes_between_builds() {
+    for written in EARLIER.map(records) {
+        let store = MemoryStore::default();
+        store.write(GIVER_KEY, written["giver"].as_bytes().to_vec());
+        store.write(LAST_KEY, written["last"].as_bytes().to_vec());
+        let lease = |node: &str| GiverLease {
+            coordination: Arc::new(store.of(node)),
+            node: node.to_owned(),
+            quiet: Duration::ZERO,
+        };
+        let other = lease("front-2");
+        assert!(
+            other.take().await.unwrap().is_none(),
+            "held by an earlier build"
+        );
+        store.remove(GIVER_KEY);
+        let held = other.take().await.unwrap().unwrap();
+        let last = LastGiver {
+            node: "front-1".to_owned(),
+            fence: 2,
+        };
+        assert_eq!(held.last, Some(last));
+        store.remove(GIVER_KEY);
+        let again = lease("front-1");
+        let held = again.take().await.unwrap().unwrap();
+        assert!(again.may_order(&held).await.unwrap());
+        assert_eq!(store.read(GIVER_KEY).unwrap(), written["giver"].as_bytes());
+        let named = format!("front-1 {}", held.fence);
+        assert_eq!(store.read(LAST_KEY).unwrap(), named.as_bytes());
+    }
+}
+
+/// An upgrade of the other node, and back.
+#[tokio::test(start_paused = true)]
+async fn the_shared_level_follows_the_other_nodes_builds_both_ways() {
+    let store = MemoryStore::default();
+    let coordination: Arc<dyn Coordination> = Arc::new(store.of("own"));
+    let nodes = Nodes::new(record("own", NodeRole::Front, FormatLevel::OWN));
+    let level = || nodes.shared_level(NodeRole::Front);
+    let known = || (level(), nodes.nodes_behind().get());
+    assert_eq!(level(), FormatLevel::UNNAMED, "the others are not known");
+    let activity = Activity::default();
+    let _work = activity.begin();
+    let put = async |text: &str| {
+        store.write("ladderstage/node/other", text.as_bytes().to_vec());
+        sleep(HEARD).await;
+    };
+    let upgraded = record("other", NodeRole::Front, FormatLevel::OWN);
+    let upgraded = serde_json::to_string(&upgraded).unwrap();
+    let unnamed = records(EARLIER[0])["front"].replace("front-1", "other");
+    let newer = unnamed.replace(r#"{"#, r#"{"formats":4000000000,"unheard_of":[],"#);
+    let scene = async {
+        put(&unnamed).await;
+        assert_eq!(known(), (FormatLevel::UNNAMED, 1));
+        put(&upgraded).await;
+        assert_eq!(known(), (FormatLevel::OWN, 0));
+        put(&newer).await;
+        assert_eq!(known(), (FormatLevel::OWN, 0), "as this node reads");
+        put(&unnamed).await;
+        assert_eq!(known(), (FormatLevel::UNNAMED, 1), "undone");
+        let stores = nodes.shared_level(NodeRole::Store);
+        assert_eq!(stores, FormatLevel::OWN, "no store is behind");
+    };
+    tokio::select! {
+        () = nodes.run(coordination, &activity) => {}
+        () = scene => {}
+    }
+}
+
+proptest! {
+    /// Whoever reads least decides, and only among those with the role.
+    #[test]
+    fn the_lowest_level_of_a_role_is_shared(
+        fronts in prop::collection::vec(0..4u32, 0..6),
+        stores in prop::collection::vec(0..4u32, 0..6),
+    ) {
+        let of = |role, levels: &[u32]| -> Vec<NodeRecord> {
+            levels.iter().map(|level| record("n", role, FormatLevel(*level))).collect()
+        };
+        let mut all = of(NodeRole::Front, &fronts);
+        all.extend(of(NodeRole::Store, &stores));
+        let lowest = |levels: &[u32]| {
+            levels.iter().min().map_or(FormatLevel::OWN, |level| FormatLevel(*level))
+        };
+        prop_assert_eq!(shared_level(&all, NodeRole::Front), lowest(&fronts));
+        prop_assert_eq!(shared_level(&all, NodeRole::Store), lowest(&stores));
+    }
+}
--- a/crates/front/tests/homes.rs
+++ b/crates/front/tests/homes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use ladderstage_front::job::home;
-use ladderstage_front::nodes::{NodeRecord, NodeRole};
+use ladderstage_front::nodes::{FormatLevel, NodeRecord, NodeRole};
 use proptest::prelude::*;
 
 fn front(node: &str, zone: &str, cpu_millis: u32) -> NodeRecord {
@@ -16,6 +16,7 @@
         replica_id: 0,
         is_leaving: false,
         cpu_millis,
+        formats: FormatLevel::OWN,
     }
 }
 
--- a/crates/front/tests/nodes.rs
+++ b/crates/front/tests/nodes.rs
@@ -7,7 +7,7 @@
 
 use ladderstage_front::activity::Activity;
 use ladderstage_front::coordination::Coordination;
-use ladderstage_front::nodes::{NodeRecord, NodeRole, Nodes, strongest};
+use ladderstage_front::nodes::{FormatLevel, NodeRecord, NodeRole, Nodes, strongest};
 use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::{FetchReplicaSet, Request};
@@ -28,6 +28,7 @@
         replica_id: 0,
         is_leaving: false,
         cpu_millis: 0,
+        formats: FormatLevel::OWN,
     }
 }
 
--- a/crates/front/tests/roster.rs
+++ b/crates/front/tests/roster.rs
@@ -12,7 +12,7 @@
     ConfigInForce, Route, RouteKind, ServiceSpec, ServingConfig, WeightedService,
 };
 use ladderstage_front::coordination::{Change, Coordination, Follower, Update, follow_with};
-use ladderstage_front::nodes::{NodeRecord, NodeRole, Nodes};
+use ladderstage_front::nodes::{FormatLevel, NodeRecord, NodeRole, Nodes};
 use ladderstage_front::roster::{
     DirectSource, DirectView, ROSTER_KEY, Roster, RosterOptions, RosterReader, RosterWriter,
 };
@@ -221,6 +221,7 @@
                 replica_id: 0,
                 is_leaving: false,
                 cpu_millis: 0,
+                formats: FormatLevel::OWN,
             }),
             options: Some(options()),
         };
