--- a/crates/bench/src/processes.rs
+++ b/crates/bench/src/processes.rs
@@ -75,6 +75,16 @@
         name: &str,
         arguments: impl IntoIterator<Item = A>,
         folder: &Path,
+    ) -> Result<Self, ProcessError> {
+        Self::start_file(&program_path(program)?, name, arguments, folder)
+    }
+
+    /// As [`Process::start`], any program file.
+    pub fn start_file<A: AsRef<OsStr>>(
+        program: &Path,
+        name: &str,
+        arguments: impl IntoIterator<Item = A>,
+        folder: &Path,
     ) -> Result<Self, ProcessError> {
         let io_error = |source| ProcessError::Io {
             name: name.to_owned(),
@@ -87,7 +97,7 @@
             .append(true)
             .open(&log_path)
             .map_err(io_error)?;
-        let child = Command::new(program_path(program)?)
+        let child = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(log.try_clone().map_err(io_error)?)
