--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -18,7 +18,7 @@
 use crate::job::{Confirmation, JobContext, JobRegistry, NewestSteps, TextLengths};
 use crate::live::LiveService;
 use crate::metrics::Metrics;
-use crate::nodes::{NodeRecord, NodeRole, Nodes};
+use crate::nodes::{FormatLevel, NodeRecord, NodeRole, Nodes};
 use crate::orders::{
     EndedGivers, LearntLoads, OrderGiver, OrderOptions, PermitAsker, PermitDealer, VersionsNamed,
 };
@@ -145,6 +145,7 @@
         is_leaving: false,
         cpu_millis: options.cpu_millis,
         region: options.own_region(),
+        formats: FormatLevel::OWN,
     })
     .with_regions(options.regions.clone());
     let reports = inputs.usage.as_ref();
@@ -153,6 +154,7 @@
     let parts = JournalParts::start(&options, &nodes, None, Arc::clone(&coordination));
     metrics.add_journal(parts.journal.metrics());
     metrics.add_store_calls(&options.store_calls);
+    metrics.add_nodes(&nodes);
     metrics.add_discovery(inputs.backends.counters());
     let (suspects, unshared) = Suspects::new(Arc::clone(&metrics));
     let jobs = JobRegistry::new(JobContext {
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -17,7 +17,7 @@
 use crate::ingress::serve_metrics;
 use crate::job::LOG_PREFIX;
 use crate::metrics::Metrics;
-use crate::nodes::{NodeRecord, NodeRole, Nodes};
+use crate::nodes::{FormatLevel, NodeRecord, NodeRole, Nodes};
 use crate::program::{JobHooks, JournalParts, PeerHandler, PeerParts, ProgramOptions};
 use crate::suspension::watch_suspensions;
 
@@ -100,6 +100,7 @@
         is_leaving: false,
         cpu_millis: options.cpu_millis,
         region: options.own_region(),
+        formats: FormatLevel::OWN,
     })
     .with_regions(options.regions.clone());
     let parts = JournalParts::start(
@@ -112,6 +113,7 @@
     if let Some(address) = options.metrics_address {
         metrics.add_journal(parts.journal.metrics());
         metrics.add_store_calls(&options.store_calls);
+        metrics.add_nodes(&nodes);
         let listener = TcpListener::bind(address).await;
         let listener = listener.map_err(|error| StoreError::Listen { address, error })?;
         tokio::spawn(serve_metrics(listener, Arc::clone(&metrics)));
--- a/crates/front/tests/homes.rs
+++ b/crates/front/tests/homes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use ladderstage_front::job::{home, home_in_region};
-use ladderstage_front::nodes::{NodeRecord, NodeRole};
+use ladderstage_front::nodes::{FormatLevel, NodeRecord, NodeRole};
 use ladderstage_front::region::Distance;
 use proptest::prelude::*;
 
@@ -18,6 +18,7 @@
         is_leaving: false,
         cpu_millis,
         region: String::new(),
+        formats: FormatLevel::OWN,
     }
 }
 
--- a/crates/front/tests/roster.rs
+++ b/crates/front/tests/roster.rs
@@ -12,7 +12,7 @@
     ConfigInForce, Route, RouteKind, ServiceSpec, ServingConfig, WeightedService,
 };
 use ladderstage_front::coordination::{Change, Coordination, Follower, Update, follow_with};
-use ladderstage_front::nodes::{NodeRecord, NodeRole, Nodes};
+use ladderstage_front::nodes::{FormatLevel, NodeRecord, NodeRole, Nodes};
 use ladderstage_front::region::AllowedRegions;
 use ladderstage_front::roster::{
     DirectSource, DirectView, DrainFollowing, ROSTER_KEY, Roster, RosterOptions, RosterReader,
@@ -303,6 +303,7 @@
                 is_leaving: false,
                 cpu_millis: 0,
                 region: String::new(),
+                formats: FormatLevel::OWN,
             }),
             options: Some(options()),
         };
