--- a/crates/front/tests/region_nodes.rs
+++ b/crates/front/tests/region_nodes.rs
@@ -8,7 +8,7 @@
 use ladderstage_front::activity::Activity;
 use ladderstage_front::coordination::Coordination;
 use ladderstage_front::job::{OutOfBounds, check_keepers};
-use ladderstage_front::nodes::{NodeRecord, NodeRole, Nodes};
+use ladderstage_front::nodes::{FormatLevel, NodeRecord, NodeRole, Nodes};
 use ladderstage_front::region::{AllowedRegions, Distance, RegionMap};
 use ladderstage_wire::messages::{ReplicaMember, ReplicaSet};
 use serde_json::json;
@@ -42,6 +42,7 @@
         is_leaving: false,
         cpu_millis: 0,
         region: String::new(),
+        formats: FormatLevel::OWN,
     }
 }
 
