--- a/crates/front/tests/roster.rs
+++ b/crates/front/tests/roster.rs
@@ -14,8 +14,8 @@
 use ladderstage_front::coordination::{Change, Coordination, Follower, Update, follow_with};
 use ladderstage_front::nodes::{NodeRecord, NodeRole, Nodes};
 use ladderstage_front::roster::{
-    DirectSource, DirectView, DrainFollowing, ROSTER_KEY, Roster, RosterOptions, RosterReader,
-    RosterWriter,
+    DirectSource, DirectView, DrainFollowing, ROSTER_KEY, Roster, RosterDrains, RosterOptions,
+    RosterReader, RosterWriter,
 };
 use proptest::prelude::*;
 use support::memory_store::{MemoryStore, NodeFaults, NodeStore};
@@ -853,6 +853,30 @@
     }
 }
 
+/// A writer that was held up for a while holds an older set than a front that listed the drains itself.
+#[tokio::test(start_paused = true)]
+async fn a_front_does_not_go_back_to_an_older_set_of_drained_zones() {
+    let store = MemoryStore::default();
+    write(&store, &instance("i-a"));
+    let old = Roster {
+        known_at: 1,
+        services: ["scorer".to_owned()].into(),
+        instances: vec![instance("i-a")],
+        drains: Some(RosterDrains {
+            known_at: 1,
+            zones: BTreeSet::new(),
+        }),
+    };
+    drain(&store, "a");
+    let reader = Node::start_draining(&store, "reader", Duration::ZERO);
+    sleep(Duration::from_secs(1)).await;
+    store.write(ROSTER_KEY, old.write().unwrap());
+    for _ in 0..4_000 {
+        sleep(Duration::from_millis(5)).await;
+        assert!(!reader.may_send("i-a"));
+    }
+}
+
 /// A roster of an older build names no zones; the instances that it calls ready may be in a drained one.
 #[tokio::test(start_paused = true)]
 async fn drains_are_known_from_the_records_beside_a_roster_that_names_none() {
