Ask for a part of an instance's permits instead of two

Cause: where instances bear many requests while they are cold, two permits at a time and question are too few for a front with much work. Change: a fifth of what may be dealt in a second, two of eleven as before.

--- a/crates/front/src/orders/permits/asking.rs
+++ b/crates/front/src/orders/permits/asking.rs
@@ -23,8 +23,8 @@
 /// Between two questions. What is dealt for an instance in a second is used up in fewer questions.
 const ASK_PAUSE: Duration = Duration::from_millis(100);
 
-/// Permits asked for at a time: more would lapse at a node with little work while others lack them.
-const PERMITS_ASKED: u32 = 2;
+/// A node asks for one of so many parts of an instance's permits at a time: more would lapse at one with little work while others lack them.
+const ASKED_SHARE: u32 = 5;
 
 /// Nodes that are asked in turn, by their rank as holders of the lease: more than try to hold it, as ranks change while one holds it.
 const NODES_ASKED: usize = 6;
@@ -115,14 +115,7 @@
         wanted: BTreeMap<String, String>,
         last_dealer: &mut Option<String>,
     ) -> (SendPermits, Instant) {
-        let wanted = wanted.into_iter().map(|(instance, service)| SendPermit {
-            instance,
-            service,
-            count: PERMITS_ASKED,
-        });
-        let question = AskSendPermits {
-            wanted: wanted.collect(),
-        };
+        let question = self.question(wanted);
         let asked_at = Instant::now();
         if let Some(dealt) = self.dealer.deal(&question) {
             *last_dealer = Some(self.nodes.own().node);
@@ -140,6 +133,21 @@
         (SendPermits::default(), asked_at)
     }
 
+    fn question(&self, wanted: BTreeMap<String, String>) -> AskSendPermits {
+        let limits = &self.backends.gates().cold;
+        let wanted = wanted.into_iter().filter_map(|(instance, service)| {
+            let limit = limits.get(&service)?;
+            Some(SendPermit {
+                count: (limit.dealt / ASKED_SHARE).max(1),
+                instance,
+                service,
+            })
+        });
+        AskSendPermits {
+            wanted: wanted.collect(),
+        }
+    }
+
     /// Nodes that may hold the lease, the one that dealt last first.
     fn likely_dealers(&self, last: Option<String>) -> Vec<String> {
         let own = self.nodes.own().node;
