--- a/crates/front/src/backend/cold/limits.rs
+++ b/crates/front/src/backend/cold/limits.rs
@@ -73,6 +73,11 @@
         self.by_service.send_replace(Arc::new(limited.collect()));
     }
 
+    /// Whether no service has a limit.
+    pub fn is_empty(&self) -> bool {
+        self.by_service.borrow().is_empty()
+    }
+
     /// The limit of a service; `None`: its instances may get any number of requests at any time.
     pub fn get(&self, service: &str) -> Option<ColdLimit> {
         self.by_service.borrow().get(service).copied()
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -182,10 +182,12 @@
         !own.is_leaving && is_candidate(&own.node, ranked)
     }
 
-    /// Whether any service holds models, or use is to be reported; the lease is taken before the first version is named.
+    /// Whether any service holds models or has instances that need permits while they are cold, or use is to be reported; the lease is
+    /// taken before the first version is named.
     fn has_duties(&self) -> bool {
         let config = self.config.current();
         self.usage.is_some()
+            || !self.backends.gates().cold.is_empty()
             || config.is_some_and(|config| {
                 config
                     .services
