Prove what one front sends to an instance without permits

Cause: the share of a front without permits was tested at one moment only. Change: a property over pauses, choices and requests that did not leave. Figures: a share that doesn't note what it let go fails it.

--- a/crates/front/tests/cold_instances.rs
+++ b/crates/front/tests/cold_instances.rs
@@ -334,4 +334,34 @@
         }
         prop_assert!(most_in_a_second(&sent) <= limit.dealt as usize);
     }
+
+    /// Without permits one node sends no more than its own share in any second, and to a doubtful instance one request; what did not
+    /// leave is not counted.
+    #[test]
+    fn one_node_sends_its_own_share_without_permits(
+        is_doubtful in any::<bool>(),
+        steps in prop::collection::vec((0..400u64, any::<bool>(), any::<bool>()), 1..200),
+    ) {
+        let limit = limit();
+        let (warmth, most) = if is_doubtful {
+            (Warmth::Doubtful, 1)
+        } else {
+            (Warmth::Warm, limit.unaware as usize)
+        };
+        let mut share = SendShare::default();
+        let mut now = Instant::now();
+        let mut sent = Vec::new();
+        for (pause, is_chosen_first, has_left) in steps {
+            now += ms(pause);
+            if is_chosen_first && share.has_room(warmth, &limit, now) {
+                share.reserve(now);
+            }
+            match share.take(warmth, &limit, now) {
+                Some(_) if has_left => sent.push(now),
+                Some(ticket) => share.give_back(ticket),
+                None => {}
+            }
+        }
+        prop_assert!(most_in_a_second(&sent) <= most);
+    }
 }
