Know when a drain ended at the place where it is looked at

Cause: instances of a zone that is given back were marked by a task that follows the drained zones; work that waits for room may have been woken before it. Change: the set of drained zones notes ends before it changes; each instance looks there. The task and its line are gone. Conclusion: nothing goes there between the end of a drain and the doubt.

--- a/crates/front/src/backend/gate.rs
+++ b/crates/front/src/backend/gate.rs
@@ -1,10 +1,11 @@
 //! What keeps requests from instances that discovery calls ready. It is asked when an instance is chosen, and again right before the
 //! first byte of a request leaves, as time may pass in between.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::sync::Arc;
 
+use ladderstage_clock::Instant;
 use tokio::sync::watch;
 
 use super::cold::{ColdLimits, PermitWants};
@@ -41,12 +42,15 @@
 #[derive(Debug, Clone)]
 pub struct DrainedZones {
     zones: watch::Sender<Arc<BTreeSet<Arc<str>>>>,
+    /// When the last drain of each zone ended that was drained before.
+    ended: watch::Sender<Arc<BTreeMap<Arc<str>, Instant>>>,
 }
 
 impl Default for DrainedZones {
     fn default() -> Self {
         Self {
             zones: watch::Sender::new(Arc::default()),
+            ended: watch::Sender::new(Arc::default()),
         }
     }
 }
@@ -54,6 +58,8 @@
 impl DrainedZones {
     /// Takes the zones that are to be drained now; returns whether they differ from those before.
     pub fn set(&self, zones: BTreeSet<Arc<str>>) -> bool {
+        // Noted first: whoever sees that a zone is back sees since when.
+        self.note_ends(&zones);
         self.zones.send_if_modified(|known| {
             let is_news = **known != zones;
             if is_news {
@@ -63,6 +69,24 @@
         })
     }
 
+    fn note_ends(&self, zones: &BTreeSet<Arc<str>>) {
+        let before = self.current();
+        if before.is_subset(zones) {
+            return;
+        }
+        let now = Instant::now();
+        self.ended.send_modify(|ended| {
+            let ends = before.difference(zones);
+            Arc::make_mut(ended).extend(ends.map(|zone| (Arc::clone(zone), now)));
+        });
+    }
+
+    /// When the last drain of a zone ended; `None`: it was never drained, or still is.
+    pub fn ended_at(&self, zone: &str) -> Option<Instant> {
+        let ended = self.ended.borrow().get(zone).copied();
+        ended.filter(|_| !self.contains(zone))
+    }
+
     /// Whether a zone is to be drained.
     pub fn contains(&self, zone: &str) -> bool {
         self.zones.borrow().contains(zone)
--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -262,11 +262,6 @@
         self.lock().discovered.zone.clone()
     }
 
-    /// Whether it runs in a zone.
-    pub fn is_in(&self, zone: &str) -> bool {
-        self.lock().discovered.zone == zone
-    }
-
     /// Whether it takes new work, as discovery told last.
     pub fn is_ready(&self) -> bool {
         self.lock().discovered.is_ready
@@ -401,7 +396,7 @@
         let Some(limit) = self.send_limit(&known)? else {
             return Ok(());
         };
-        let warmth = known.cold.warmth(now);
+        let warmth = self.warmth(&known, &limit, now);
         if known.share.has_room(warmth, &limit, now) {
             Ok(())
         } else {
@@ -426,7 +421,7 @@
         let Some(limit) = self.send_limit(&known)? else {
             return Ok(None);
         };
-        let warmth = known.cold.warmth(now);
+        let warmth = self.warmth(&known, &limit, now);
         let ticket = known.share.take(warmth, &limit, now);
         ticket.map(Some).ok_or(hold_reason(warmth))
     }
@@ -438,6 +433,17 @@
         }
     }
 
+    /// How it is to be treated. While its zone was drained it may have turned cold, and its record may say so late.
+    fn warmth(&self, known: &Known, limit: &ColdLimit, now: Instant) -> Warmth {
+        let drain_ended = self.gates.drained.ended_at(&known.discovered.zone);
+        let is_just_back =
+            drain_ended.is_some_and(|at| now.saturating_duration_since(at) < limit.time);
+        match known.cold.warmth(now) {
+            Warmth::Warm if is_just_back => Warmth::Doubtful,
+            warmth => warmth,
+        }
+    }
+
     /// What bounds the requests to it.
     fn send_limit(&self, known: &Known) -> Result<Option<ColdLimit>, HoldReason> {
         if self.gates.drained.contains(&known.discovered.zone) {
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -140,16 +140,6 @@
         }
     }
 
-    /// Notes that instances in a zone may have turned cold just now without a word of it.
-    pub fn suspect_cold(&self, zone: &str) {
-        let now = Instant::now();
-        let instances = self.lock();
-        instances
-            .values()
-            .filter(|instance| instance.is_in(zone))
-            .for_each(|instance| instance.suspect_cold(now));
-    }
-
     /// Asks for instances if none was ever told of, and waits for the first one, `longest` at most.
     pub async fn first_fed(&self, longest: Duration) {
         if *self.is_fed.borrow() {
--- a/crates/front/src/orders/permits/asking.rs
+++ b/crates/front/src/orders/permits/asking.rs
@@ -11,7 +11,7 @@
 use ladderstage_wire::messages::{AskSendPermits, Request, SendPermit, SendPermits};
 
 use super::dealer::PermitDealer;
-use crate::backend::{BackendTable, ColdAllowance, DrainedZones, PERMIT_LIFETIME};
+use crate::backend::{BackendTable, ColdAllowance, PERMIT_LIFETIME};
 use crate::config::ConfigInForce;
 use crate::metrics::Metrics;
 use crate::nodes::{NodeRole, Nodes};
@@ -51,12 +51,7 @@
         let Some(allowance) = self.allowance else {
             return std::future::pending().await;
         };
-        let drained = &self.backends.gates().drained;
-        tokio::join!(
-            self.follow_config(allowance),
-            self.follow_drains(drained),
-            self.ask_while_work_waits()
-        );
+        tokio::join!(self.follow_config(allowance), self.ask_while_work_waits());
     }
 
     async fn follow_config(&self, allowance: ColdAllowance) {
@@ -71,20 +66,6 @@
         }
     }
 
-    /// Instances of a zone that is given back may have turned cold meanwhile.
-    async fn follow_drains(&self, drained: &DrainedZones) {
-        let mut changed = drained.watch();
-        let mut before = Arc::clone(&changed.borrow_and_update());
-        while changed.changed().await.is_ok() {
-            let zones = Arc::clone(&changed.borrow_and_update());
-            for zone in before.difference(&zones) {
-                log::info!("event=zone_may_be_cold zone={zone}");
-                self.backends.suspect_cold(zone);
-            }
-            before = zones;
-        }
-    }
-
     async fn ask_while_work_waits(&self) {
         let wants = &self.backends.gates().wants;
         let mut last_dealer = None;
--- a/crates/front/tests/cold_instances.rs
+++ b/crates/front/tests/cold_instances.rs
@@ -123,11 +123,18 @@
     let instance = table.get("i-1").unwrap();
     let now = Instant::now();
     assert!(instance.take_send(now).is_ok());
-    table.suspect_cold("b");
-    assert!(instance.take_send(now).is_ok());
-    table.suspect_cold("a");
+    let drained = &table.gates().drained;
+    drained.set(BTreeSet::from(["a".into(), "b".into()]));
+    assert_eq!(instance.take_send(now), Err(HoldReason::ZoneDrained));
+    drained.set(BTreeSet::from(["a".into()]));
+    assert_eq!(instance.take_send(now), Err(HoldReason::ZoneDrained));
+    drained.set(BTreeSet::new());
     assert_eq!(instance.take_send(now), Err(HoldReason::Cold));
-    assert!(instance.take_send(now + COLD_TIME + ms(50)).is_ok());
+    instance.add_permits(1, now + PERMIT_LIFETIME);
+    assert!(instance.take_send(now).is_ok(), "by a permit");
+    let later = Instant::now() + COLD_TIME;
+    assert!(instance.take_send(later).is_ok());
+    assert!(instance.take_send(later).is_ok(), "it is warm again");
 }
 
 #[test]
