--- a/crates/front/tests/cold_instances.rs
+++ b/crates/front/tests/cold_instances.rs
@@ -123,11 +123,18 @@
     let instance = table.get("i-1").unwrap();
     let now = Instant::now();
     assert!(instance.take_send(now).is_ok());
-    table.suspect_cold("b");
-    assert!(instance.take_send(now).is_ok());
-    table.suspect_cold("a");
+    let drained = &table.gates().drained;
+    drained.set(BTreeSet::from(["a".into(), "b".into()]));
+    assert_eq!(instance.take_send(now), Err(HoldReason::ZoneDrained));
+    drained.set(BTreeSet::from(["a".into()]));
+    assert_eq!(instance.take_send(now), Err(HoldReason::ZoneDrained));
+    drained.set(BTreeSet::new());
     assert_eq!(instance.take_send(now), Err(HoldReason::Cold));
-    assert!(instance.take_send(now + COLD_TIME + ms(50)).is_ok());
+    instance.add_permits(1, now + PERMIT_LIFETIME);
+    assert!(instance.take_send(now).is_ok(), "by a permit");
+    let later = Instant::now() + COLD_TIME;
+    assert!(instance.take_send(later).is_ok());
+    assert!(instance.take_send(later).is_ok(), "it is warm again");
 }
 
 #[test]
@@ -334,4 +341,34 @@
         }
         prop_assert!(most_in_a_second(&sent) <= limit.dealt as usize);
     }
+
+    /// Without permits one node sends no more than its own share in any second, and to a doubtful instance one request; what did not
+    /// leave is not counted.
+    #[test]
+    fn one_node_sends_its_own_share_without_permits(
+        is_doubtful in any::<bool>(),
+        steps in prop::collection::vec((0..400u64, any::<bool>(), any::<bool>()), 1..200),
+    ) {
+        let limit = limit();
+        let (warmth, most) = if is_doubtful {
+            (Warmth::Doubtful, 1)
+        } else {
+            (Warmth::Warm, limit.unaware as usize)
+        };
+        let mut share = SendShare::default();
+        let mut now = Instant::now();
+        let mut sent = Vec::new();
+        for (pause, is_chosen_first, has_left) in steps {
+            now += ms(pause);
+            if is_chosen_first && share.has_room(warmth, &limit, now) {
+                share.reserve(now);
+            }
+            match share.take(warmth, &limit, now) {
+                Some(_) if has_left => sent.push(now),
+                Some(ticket) => share.give_back(ticket),
+                None => {}
+            }
+        }
+        prop_assert!(most_in_a_second(&sent) <= most);
+    }
 }
