Order a replacement that crashed again where it was; move on only from a zone with none left

Change: a zone counts as taken away only once none of its preemptible instances is left, or one says when it leaves; what is lacking otherwise is ordered again there, with the same count, not before it can have come.

--- a/crates/front/src/capacity/duty.rs
+++ b/crates/front/src/capacity/duty.rs
@@ -212,10 +212,10 @@
         holding.planner.accept(wanted, now);
     }
 
-    /// Orders instances that were taken away again in their own zone.
+    /// Orders preemptible instances that are lacking again in their own zone.
     fn order_again(&self, drained: &BTreeSet<Arc<str>>, holding: &mut Holding) {
         let now = Instant::now();
-        for subject in holding.planner.taken_back(drained, now) {
+        for subject in holding.planner.to_order_again(drained, now) {
             let desired = holding.planner.wanted().get(&subject).desired();
             holding.outbox.repeat(&subject, desired, now);
         }
--- a/crates/front/src/capacity/planner.rs
+++ b/crates/front/src/capacity/planner.rs
@@ -162,16 +162,18 @@
         }
     }
 
-    /// Subjects that lost preemptible instances, which can only be had again by an order in their own zone.
-    pub fn taken_back(&self, drained: &BTreeSet<Arc<str>>, now: Instant) -> Vec<Subject> {
-        let is_lost = |(subject, losses): &(&Subject, &Losses)| {
-            losses.lost() > 0
-                && subject.kind == InstanceKind::Preemptible
+    /// Subjects that lack preemptible instances, which can only be had again by an order in their own zone.
+    pub fn to_order_again(&self, drained: &BTreeSet<Arc<str>>, now: Instant) -> Vec<Subject> {
+        let is_short = |subject: &Subject, serving: u32| {
+            serving < self.wanted.get(subject).desired()
                 && !drained.contains(&subject.zone)
                 && !self.is_refused(subject, now)
         };
-        let lost = self.losses.iter().filter(is_lost);
-        lost.map(|(subject, _)| subject.clone()).collect()
+        let short = self.served.iter();
+        short
+            .filter(|(subject, serving)| is_short(subject, **serving))
+            .map(|(subject, _)| subject.clone())
+            .collect()
     }
 
     fn is_refused(&self, subject: &Subject, now: Instant) -> bool {
@@ -234,8 +236,8 @@
         }
     }
 
-    /// Ordered instances that are there no more, although they are wanted, were taken away, also without a word; what was ordered and has not come
-    /// yet goes with them.
+    /// All that a zone had were taken away if none is left, also without a word; what was ordered and has not come yet goes with them. Where
+    /// some are left the others crashed.
     fn look_for_taken_away(
         &mut self,
         subject: &Subject,
@@ -245,8 +247,8 @@
     ) -> Option<LossNews> {
         let serving = present.serving;
         let before = self.served.insert(subject.clone(), serving).unwrap_or(0);
-        let are_fewer = serving < before && serving < desired;
-        if !are_fewer && !present.is_taken_back {
+        let is_none_left = serving == 0 && before > 0 && desired > 0;
+        if !is_none_left && !present.is_taken_back {
             return None;
         }
         let is_news = !self.is_refused(subject, now) && serving < desired;
