Serve what is left of a tenant that is gone nowhere where regions are bound

Its bound went with it, so that items of its jobs could have run in any region. Where no route or tenant names regions, nothing changes.

--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -205,10 +205,15 @@
             .find(|tenant| tenant.name.as_ref() == name)
     }
 
-    /// Where a tenant's requests for a host and path may be served and kept; `None`: no route takes them.
+    /// Where a tenant's requests for a host and path may be served and kept; `None`: no route takes them. A tenant that is there no
+    /// more may have had bounds: what is left of its work is served nowhere.
     pub fn allowed_regions(&self, host: &str, path: &str, tenant: &str) -> Option<AllowedRegions> {
         let route = self.route(host, path)?;
-        Some(route.allowed_regions_for(self.tenant(tenant).map(AsRef::as_ref)))
+        let known = self.tenant(tenant);
+        if known.is_none() && !tenant.is_empty() {
+            return Some(AllowedRegions::only([]));
+        }
+        Some(route.allowed_regions_for(known.map(AsRef::as_ref)))
     }
 
     /// Whether any route or tenant names regions.
--- a/crates/front/src/job/bounds.rs
+++ b/crates/front/src/job/bounds.rs
@@ -1,8 +1,8 @@
 //! Whether a job may be accepted where its route and tenant name regions.
 //!
-//! Any node may come to hold a job: as its owner, as one that asks the owner for it or takes it over, as a replica of its log. The set of replicas
-//! spans all regions, as it has to bear the loss of disks. So a job with such bounds is accepted only if every node lies inside them,
-//! and refused otherwise, before its body has gone anywhere.
+//! Any node may come to hold a job: as its owner, as one that asks the owner for it or takes it over, as a replica of its log. The set
+//! of replicas spans all regions, as it has to bear the loss of disks. So a job with such bounds is accepted only if every node lies
+//! inside them, and refused otherwise, before its body has gone anywhere.
 
 use std::fmt;
 
--- a/crates/journal/src/replica_set/zones.rs
+++ b/crates/journal/src/replica_set/zones.rs
@@ -5,8 +5,8 @@
 use ladderstage::region::Place;
 use ladderstage_wire::messages::{Member, ReplicaMember};
 
-/// The `count` of `candidates` that lie in as many regions as can be, and there in as many zones; of one zone, those with the first names. `None` if there
-/// are too few.
+/// The `count` of `candidates` that lie in as many regions as can be, and there in as many zones; of one zone, those with the first
+/// names. `None` if there are too few.
 pub fn spread(
     mut candidates: Vec<ReplicaMember>,
     alive: &[Member],
