--- a/crates/front/src/explain/steps.rs
+++ b/crates/front/src/explain/steps.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use ladderstage::region::Distance;
 use serde::Serialize;
 
 use super::line::LogLine;
@@ -42,6 +43,8 @@
     pub refused_starts: usize,
     /// Runs that went on elsewhere.
     pub moves: usize,
+    /// Runs at instances in other regions than the owner.
+    pub far_runs: usize,
 }
 
 /// The item that a step waited for.
@@ -160,6 +163,10 @@
         if is_outcome(line, "moved") {
             self.row.moves += 1;
         }
+        let distance = line.fields.get("distance");
+        if distance.is_some_and(|distance| distance == Distance::Elsewhere.label()) {
+            self.row.far_runs += 1;
+        }
         let started = at - number(line, "elapsed_ms") as f64 / 1e3;
         let item = self.item(line);
         item.group = line.fields.get("group").cloned().unwrap_or_default();
@@ -266,7 +273,7 @@
 /// The rows as a table.
 pub fn table(rows: &[StepRow]) -> String {
     let mut text = String::from(
-        "accepted  step  min  items  back  wanted   first    half  wanted   ended  owners  refused  moved  last item\n",
+        "accepted  step  min  items  back  wanted   first    half  wanted   ended  owners  refused  moved    far  last item\n",
     );
     let time = |at: Option<f64>| at.map_or_else(|| "-".to_owned(), |at| format!("{at:.2}"));
     for row in rows {
@@ -278,7 +285,7 @@
             )
         });
         text += &format!(
-            "{:8.2}  {:4}  {:3}  {:5}  {:4}  {:6}  {:>6}  {:>6}  {:>6}  {:>6}  {:6}  {:7}  {:5}  {last}\n",
+            "{:8.2}  {:4}  {:3}  {:5}  {:4}  {:6}  {:>6}  {:>6}  {:>6}  {:>6}  {:6}  {:7}  {:5}  {:5}  {last}\n",
             row.accepted_at,
             row.step,
             row.min_version,
@@ -291,7 +298,8 @@
             time(row.ended),
             row.owners,
             row.refused_starts,
-            row.moves
+            row.moves,
+            row.far_runs
         );
     }
     text
--- a/crates/front/tests/explain.rs
+++ b/crates/front/tests/explain.rs
@@ -91,6 +91,19 @@
     assert!(table(&rows).contains("i1 events=3"));
 }
 
+#[test]
+fn a_step_s_row_tells_which_runs_were_in_other_regions() {
+    let log = r#"
+time=100.000 level=info node=a module=m event=job_accepted job=j1 model=m step=3 oldest_version=2 desired_groups=1 items=2
+time=101.000 level=info node=a module=m event=item_run item=i1 job=j1 group=g1 instance=s1 distance=elsewhere events=3 elapsed_ms=900 outcome=complete
+time=101.000 level=info node=a module=m event=item_run item=i2 job=j1 group=g1 instance=s2 distance=region events=3 elapsed_ms=900 outcome=complete
+"#;
+    let lines: Vec<LogLine> = log.lines().filter_map(LogLine::parse).collect();
+    assert_eq!(steps(&lines)[0].far_runs, 1);
+    let story = Story::tell("i1", &lines).to_string();
+    assert!(story.contains("distance=elsewhere"), "{story}");
+}
+
 #[test]
 fn a_job_of_a_tenant_is_found_by_the_id_that_its_client_knows() {
     let line = "time=12.0 level=info node=front-1 module=job event=job_accepted job=huka270/7c41e0 items=4";
