Refuse jobs with bounds while a node of a build without bounds is there

An older front that takes such a job over would run its items anywhere. Its record tells no region, which counts as outside; a node that has been gone for a minute counts no more, so that a removed machine holds nothing up.

--- a/crates/front/src/job/bounds.rs
+++ b/crates/front/src/job/bounds.rs
@@ -96,7 +96,7 @@
     }
     if let Some(outside) = nodes.any_outside(&allowed()) {
         return Err(OutOfBounds::Node {
-            region: Region(nodes.region_of(&outside).map(str::to_owned)),
+            region: Region(Some(outside.region).filter(|region| !region.is_empty())),
             node: outside.node,
             allowed: allowed(),
         });
--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -29,6 +29,9 @@
 /// A record that went while the store had trouble may come back: its node counts for this long.
 const GONE_GRACE: Duration = Duration::from_millis(400);
 
+/// A node whose record went may come back for this long; after that its machine is taken as removed.
+const RETURN_TIME: Duration = Duration::from_secs(60);
+
 /// So many news of one answer get a line each; of more, as at the start of a fleet, their number is told.
 const MOST_NEWS_LINES: usize = 16;
 
@@ -140,13 +143,20 @@
         }
     }
 
-    /// A node ever heard of that lies outside the allowed regions, this one included; `None`: there is none.
+    /// A node that lies outside the allowed regions, this one included; `None`: there is none. One that tells no region of itself is of
+    /// a build that knows no bounds, and counts as outside.
     pub fn any_outside(&self, allowed: &AllowedRegions) -> Option<NodeRecord> {
         let own = self.own();
         let known = lock(&self.known);
-        let mut nodes = known.records.values().chain([&own]);
+        let others = known.records.values();
+        let mut nodes = others
+            .filter(|record| known.may_come_back(&record.node))
+            .chain([&own]);
         nodes
-            .find(|record| !allowed.permits(self.region_of(record)))
+            .find(|record| {
+                let is_bound = !record.region.is_empty() && allowed.permits(self.region_of(record));
+                !allowed.is_all() && !is_bound
+            })
             .cloned()
     }
 
@@ -368,6 +378,12 @@
         }
     }
 
+    /// Whether a node is there, or may only be cut off.
+    fn may_come_back(&self, node: &str) -> bool {
+        let is_long_gone = |at: &Instant| at.elapsed() >= RETURN_TIME;
+        self.present.contains(node) || !self.gone_at.get(node).is_some_and(is_long_gone)
+    }
+
     fn is_alive(&self, node: &str) -> bool {
         self.present.contains(node)
             || self
--- a/crates/front/tests/region_nodes.rs
+++ b/crates/front/tests/region_nodes.rs
@@ -41,7 +41,7 @@
         replica_id: u64::from(role == NodeRole::Store),
         is_leaving: false,
         cpu_millis: 0,
-        region: String::new(),
+        region: regions().region_of(zone).unwrap_or_default().to_owned(),
     }
 }
 
@@ -142,6 +142,22 @@
     assert_eq!(nodes.distance_to(&nodes.own()), Distance::SameMachine);
 }
 
+/// Nodes of builds before and after run side by side: the former ignore bounds.
+#[tokio::test(start_paused = true)]
+async fn a_job_with_bounds_waits_for_the_last_node_of_a_build_that_knows_none() {
+    let earlier = NodeRecord {
+        region: String::new(),
+        ..record("earlier", NodeRole::Front, "e1")
+    };
+    let nodes = front_that_knows(&[earlier]).await;
+    let refused = check_keepers(&allowed(&["east"]), &nodes, Some(&set(&["own"], &[])));
+    assert!(
+        matches!(&refused, Err(OutOfBounds::Node { node, .. }) if node == "earlier"),
+        "{refused:?}"
+    );
+    assert_eq!(nodes.any_outside(&AllowedRegions::default()), None);
+}
+
 /// Nodes of builds before and after run side by side.
 #[test]
 fn a_record_without_a_region_is_read_and_one_without_regions_is_written_as_before() {
