Check the region of a request apart from the other gates

The look at the region and the one whether an instance may get anything stand side by side, so that either can change without the other.

--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -173,10 +173,11 @@
     for _ in 0..CONNECTIONS_TRIED {
         let acquired = instance.connections().acquire().await;
         let mut lease = acquired.map_err(|error| ExchangeError::NotSent(error.to_string()))?;
+        let region = instance.check_region(&head.allowed);
+        region.map_err(ExchangeError::HeldBack)?;
         // Calls to the instance itself are no work: they may reach one that is to get none.
         if answer_id == AnswerId::Required {
-            let held = instance.may_send_within(&head.allowed);
-            held.map_err(ExchangeError::HeldBack)?;
+            instance.may_send().map_err(ExchangeError::HeldBack)?;
         }
         let request = build(head, body.clone());
         match lease.sender.try_send_request(request).await {
--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -340,15 +340,16 @@
         Ok(())
     }
 
-    /// Whether a request that may be served in these regions may be sent to it now.
+    /// Whether a request that may be served in these regions may be sent to it.
     ///
     /// # Errors
-    /// Why it is to get none.
-    pub fn may_send_within(&self, allowed: &AllowedRegions) -> Result<(), HoldReason> {
-        if !self.is_within(allowed) {
-            return Err(HoldReason::OtherRegion);
+    /// It lies in another one.
+    pub fn check_region(&self, allowed: &AllowedRegions) -> Result<(), HoldReason> {
+        if self.is_within(allowed) {
+            Ok(())
+        } else {
+            Err(HoldReason::OtherRegion)
         }
-        self.may_send()
     }
 
     /// Whether it lies in an allowed region.
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -290,7 +290,8 @@
         let instances = self.of_service(service);
         let ready: Vec<_> = instances
             .into_iter()
-            .filter(|instance| instance.is_ready() && instance.may_send_within(allowed).is_ok())
+            .filter(|instance| instance.is_within(allowed))
+            .filter(|instance| instance.is_ready() && instance.may_send().is_ok())
             .collect();
         let index = rand::random_range(0..ready.len().max(1));
         ready.get(index).cloned()
