--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -175,10 +175,12 @@
     for _ in 0..CONNECTIONS_TRIED {
         let acquired = instance.connections().acquire().await;
         let mut lease = acquired.map_err(|error| ExchangeError::NotSent(error.to_string()))?;
+        let region = instance.check_region(&head.allowed);
+        region.map_err(ExchangeError::HeldBack)?;
         // Calls to the instance itself are no work: they may reach one that is to get none.
         let ticket = match answer_id {
             AnswerId::Required => instance
-                .take_send_within(&head.allowed, Instant::now())
+                .take_send(Instant::now())
                 .map_err(ExchangeError::HeldBack)?,
             AnswerId::Optional => None,
         };
--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -436,21 +436,6 @@
         ticket.map(Some).ok_or(hold_reason(warmth))
     }
 
-    /// As [`Instance::take_send`], for a request that may be served in these regions only.
-    ///
-    /// # Errors
-    /// Why it is to get none.
-    pub fn take_send_within(
-        &self,
-        allowed: &AllowedRegions,
-        now: Instant,
-    ) -> Result<Option<SendTicket>, HoldReason> {
-        if !self.is_within(allowed) {
-            return Err(HoldReason::OtherRegion);
-        }
-        self.take_send(now)
-    }
-
     /// Takes back the right of a request that did not leave.
     pub fn give_back_send(&self, ticket: Option<SendTicket>) {
         if let Some(ticket) = ticket {
@@ -475,6 +460,18 @@
         Ok(self.gates.cold.get(&known.discovered.service))
     }
 
+    /// Whether a request that may be served in these regions may be sent to it.
+    ///
+    /// # Errors
+    /// It lies in another one.
+    pub fn check_region(&self, allowed: &AllowedRegions) -> Result<(), HoldReason> {
+        if self.is_within(allowed) {
+            Ok(())
+        } else {
+            Err(HoldReason::OtherRegion)
+        }
+    }
+
     /// Whether it lies in an allowed region.
     pub fn is_within(&self, allowed: &AllowedRegions) -> bool {
         let surroundings = &self.gates.surroundings;
