--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -6,8 +6,6 @@
 mod formats;
 mod registration;
 
-pub use formats::{FormatLevel, shared_level};
-
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -23,6 +21,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
+pub use formats::{FormatLevel, shared_level};
+
 use crate::activity::Activity;
 use crate::coordination::{Change, Coordination, CoordinationError, Record, Update};
 
