Mend what reviews of the parts found

Cause: reviews by those who didn't write the parts, by reading; none of the cases was seen to happen. Cold instances: an old word of coldness ended a doubt that began after it; the share without permits left no margin for a late write; permits were dealt while the lease was given back; a look that pays for no move reserved a send; a request that was held back closed its connection, and a live one never came back to that instance; nodes asked for permits at full pace while nobody deals. Capacity: a refused repeat of an unanswered order was not repeated; a new holder sent counts that may be below what others had added, and expected no late orders of the one before; a server error other than busy counted as certainly not carried out; drains that are not known yet counted as none. Regions: a bound that went with its tenant was not looked up any more; a job that no route takes counted as free of bounds. Drains: a reader took an older roster, and a new giver's watch under way had no limit. Change: as said; the one test that pinned that a word ends doubt says the opposite now, the one of the share without permits also tells that a late write counts: both are stricter.

--- a/crates/front/src/backend/cold/mod.rs
+++ b/crates/front/src/backend/cold/mod.rs
@@ -5,5 +5,5 @@
 mod state;
 
 pub use limits::{ColdAllowance, ColdLimit, ColdLimits, PermitWants};
-pub use share::{PERMIT_LIFETIME, SEND_WINDOW, SendShare, SendTicket};
+pub use share::{PERMIT_LIFETIME, SEND_WINDOW, SendShare, SendTicket, WRITE_MARGIN};
 pub use state::{ColdState, Warmth};
--- a/crates/front/src/backend/cold/share.rs
+++ b/crates/front/src/backend/cold/share.rs
@@ -15,6 +15,9 @@
 /// The limits hold within any time of this length.
 pub const SEND_WINDOW: Duration = Duration::from_secs(1);
 
+/// A busy node writes a request to the socket up to this long after it let it go.
+pub const WRITE_MARGIN: Duration = Duration::from_millis(200);
+
 /// Requests a second without a permit to an instance that may have turned cold: one shows whether it runs.
 const DOUBTFUL_SENDS: u32 = 1;
 
@@ -33,7 +36,7 @@
 pub struct SendShare {
     /// Ends of unused permits, in order.
     permits: VecDeque<Instant>,
-    /// When requests left within the last window, in order.
+    /// When requests left that may still be written within the last window, in order.
     sent: VecDeque<Instant>,
     /// Ends of reservations, in order.
     reserved: VecDeque<Instant>,
@@ -106,7 +109,7 @@
         while self
             .sent
             .front()
-            .is_some_and(|at| now.saturating_duration_since(*at) > SEND_WINDOW)
+            .is_some_and(|at| now.saturating_duration_since(*at) > SEND_WINDOW + WRITE_MARGIN)
         {
             self.sent.pop_front();
         }
--- a/crates/front/src/backend/cold/state.rs
+++ b/crates/front/src/backend/cold/state.rs
@@ -33,15 +33,14 @@
 }
 
 impl ColdState {
-    /// Takes a word of discovery received at `now`: how much longer the instance is cold. Zero does not end doubt, as the word may be older
-    /// than its cause.
+    /// Takes a word of discovery received at `now`: how much longer the instance is cold. It does not end doubt, as it may be older than
+    /// its cause.
     pub fn told(&mut self, remaining: Duration, now: Instant) {
         if remaining.is_zero() {
             self.told_until = None;
             return;
         }
         self.told_until = now.checked_add(remaining);
-        self.doubt = Doubt::None;
     }
 
     /// A connection to it failed or broke; returns whether that is news.
--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -11,6 +11,7 @@
 use ladderstage::region::AllowedRegions;
 use ladderstage_clock::Instant;
 
+use super::cold::SendTicket;
 use super::connection::Lease;
 use super::gate::HoldReason;
 use super::instance::{Instance, Load};
@@ -166,6 +167,19 @@
     Ok(reply)
 }
 
+/// Asks all gates right before the first byte. Calls to the instance itself are no work: they may reach one that is to get none.
+fn take_ticket(
+    instance: &Instance,
+    head: &RequestHead,
+    answer_id: AnswerId,
+) -> Result<Option<SendTicket>, HoldReason> {
+    instance.check_region(&head.allowed)?;
+    match answer_id {
+        AnswerId::Required => instance.take_send(Instant::now()),
+        AnswerId::Optional => Ok(None),
+    }
+}
+
 async fn send_on_some_connection(
     instance: &Arc<Instance>,
     head: &RequestHead,
@@ -175,14 +189,13 @@
     for _ in 0..CONNECTIONS_TRIED {
         let acquired = instance.connections().acquire().await;
         let mut lease = acquired.map_err(|error| ExchangeError::NotSent(error.to_string()))?;
-        let region = instance.check_region(&head.allowed);
-        region.map_err(ExchangeError::HeldBack)?;
-        // Calls to the instance itself are no work: they may reach one that is to get none.
-        let ticket = match answer_id {
-            AnswerId::Required => instance
-                .take_send(Instant::now())
-                .map_err(ExchangeError::HeldBack)?,
-            AnswerId::Optional => None,
+        let ticket = match take_ticket(instance, head, answer_id) {
+            Ok(ticket) => ticket,
+            Err(reason) => {
+                // Unused: the next request may have it.
+                lease.give_back(None);
+                return Err(ExchangeError::HeldBack(reason));
+            }
         };
         let request = build(head, body.clone());
         match lease.sender.try_send_request(request).await {
--- a/crates/front/src/backend/mod.rs
+++ b/crates/front/src/backend/mod.rs
@@ -13,7 +13,7 @@
 pub use choice::{Candidate, Demand, choose};
 pub use cold::{
     ColdAllowance, ColdLimit, ColdLimits, ColdState, PERMIT_LIFETIME, PermitWants, SEND_WINDOW,
-    SendShare, SendTicket, Warmth,
+    SendShare, SendTicket, WRITE_MARGIN, Warmth,
 };
 pub use connection::{ConnectError, Connections, Lease};
 pub use counters::DiscoveryCounters;
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -305,6 +305,41 @@
         fits: impl Fn(&Instance) -> bool,
     ) -> Option<Arc<Instance>> {
         let now = Instant::now();
+        let (chosen, cold) = self.look(service, model, demand, now, fits);
+        match &chosen {
+            Some(instance) => instance.reserve_send(now),
+            None => {
+                // Work waits that these could take.
+                let idle = cold.iter().filter(|instance| instance.has_free_slot());
+                idle.for_each(|instance| self.gates.wants.note(instance.id(), service));
+            }
+        }
+        chosen
+    }
+
+    /// The instance that [`BackendTable::choose_within`] would choose, for work that goes on where it is unless another place pays.
+    pub fn best_within(
+        &self,
+        service: &str,
+        model: &str,
+        demand: Demand,
+        allowed: &AllowedRegions,
+        fits: impl Fn(&Instance) -> bool,
+    ) -> Option<Arc<Instance>> {
+        let fits = |instance: &Instance| instance.is_within(allowed) && fits(instance);
+        let (best, _) = self.look(service, model, demand, Instant::now(), fits);
+        best
+    }
+
+    /// The instance for one more request, and the cold ones that a permit would open.
+    fn look(
+        &self,
+        service: &str,
+        model: &str,
+        demand: Demand,
+        now: Instant,
+        fits: impl Fn(&Instance) -> bool,
+    ) -> (Option<Arc<Instance>>, Vec<Arc<Instance>>) {
         let mut usable = self.of_service(service);
         usable.retain(|instance| instance.is_usable(model, now) && fits(instance));
         let cold = self.pass_over_held(&mut usable, now);
@@ -312,14 +347,8 @@
             .iter()
             .map(|instance| instance.candidate(&self.zone, now))
             .collect();
-        let Some(index) = choose(&candidates, demand, rand::random()) else {
-            // Work waits that these could take.
-            let idle = cold.iter().filter(|instance| instance.has_free_slot());
-            idle.for_each(|instance| self.gates.wants.note(instance.id(), service));
-            return None;
-        };
-        usable[index].reserve_send(now);
-        Some(Arc::clone(&usable[index]))
+        let index = choose(&candidates, demand, rand::random());
+        (index.map(|index| Arc::clone(&usable[index])), cold)
     }
 
     /// Takes out instances that are to get nothing now; returns those of them that a permit would open.
--- a/crates/front/src/capacity/duty.rs
+++ b/crates/front/src/capacity/duty.rs
@@ -11,6 +11,7 @@
 use ladderstage_clock::Instant;
 
 use super::counts::Subject;
+use super::counts::count;
 use super::outbox::Outbox;
 use super::planner::{CapacityPlanner, FleetNow, LossNews, REFUSAL_TIME};
 use super::sink::{CapacityOrder, CapacityOrderError, CapacitySink};
@@ -60,6 +61,8 @@
     revision: u64,
     planner: CapacityPlanner,
     outbox: Outbox,
+    /// What earlier holders ordered was looked through.
+    has_resumed: bool,
     /// The store is left alone until then.
     store_at: Instant,
 }
@@ -109,15 +112,11 @@
     async fn begin(&self) -> Holding {
         let (revision, wanted) = self.read_wanted().await;
         let now = Instant::now();
-        let mut outbox = Outbox::default();
-        // Whether an earlier holder got through with its last orders is not known.
-        for (subject, count) in wanted.subjects().filter(|(_, count)| count.is_ordered) {
-            outbox.want(&subject, count.desired(), now);
-        }
         Holding {
             revision,
             planner: CapacityPlanner::new(wanted, now),
-            outbox,
+            outbox: Outbox::default(),
+            has_resumed: false,
             store_at: now,
         }
     }
@@ -142,13 +141,30 @@
         }
     }
 
+    /// Sends what earlier holders ordered once more, as it is not known whether they got through; but no count that is below what is there:
+    /// others may have added instances meanwhile.
+    fn resume(&self, holding: &mut Holding, now: Instant) {
+        let there = count(&self.backends.discovered());
+        let wanted = holding.planner.wanted();
+        let ordered = wanted.subjects().filter(|(_, count)| count.is_ordered);
+        for (subject, count) in ordered {
+            let serving = there.get(&subject).map_or(0, |present| present.serving);
+            if serving <= count.desired() {
+                holding.outbox.resume(&subject, count.desired(), now);
+            }
+        }
+    }
+
     /// Plans anew, if it is known what is there, and fixes what is wanted.
     async fn look(&self, config: &ServingConfig, holding: &mut Holding) {
         let now = Instant::now();
-        if self.view.known_at().is_none() {
+        if self.view.known_at().is_none() || !self.backends.gates().drained.is_known() {
             holding.planner.note_unknown();
             return;
         }
+        if !std::mem::replace(&mut holding.has_resumed, true) {
+            self.resume(holding, now);
+        }
         let drained = self.backends.gates().drained.current();
         let plan = holding.planner.plan(
             FleetNow {
--- a/crates/front/src/capacity/outbox.rs
+++ b/crates/front/src/capacity/outbox.rs
@@ -56,6 +56,14 @@
         self.entries.insert(subject.clone(), entry);
     }
 
+    /// Takes a count that an earlier holder wanted: orders of that one may still be carried out late, and are overtaken.
+    pub fn resume(&mut self, subject: &Subject, desired: u32, now: Instant) {
+        self.want(subject, desired, now);
+        if let Some(entry) = self.entries.get_mut(subject) {
+            entry.late_until = Some(now + LATE_TIME);
+        }
+    }
+
     /// Sends the count of a subject once more, not sooner than `pause` after the last time.
     pub fn repeat(&mut self, subject: &Subject, desired: u32, now: Instant) {
         self.want(subject, desired, now);
@@ -99,11 +107,16 @@
                 entry.next_at = if entry.is_taken { now + pause } else { now };
             }
             Err(CapacityOrderError::NoneToBeHad) => {
+                entry.is_taken = false;
                 entry.pause = FIRST_PAUSE;
                 entry.next_at = now + pause;
             }
-            Err(CapacityOrderError::Refused(_)) => entry.wait(now),
+            Err(CapacityOrderError::Refused(_)) => {
+                entry.is_taken = false;
+                entry.wait(now);
+            }
             Err(CapacityOrderError::Unknown(_)) => {
+                entry.is_taken = false;
                 entry.late_until = Some(now + LATE_TIME);
                 entry.wait(now);
             }
--- a/crates/front/src/capacity/planner.rs
+++ b/crates/front/src/capacity/planner.rs
@@ -186,9 +186,7 @@
         let is_new = !self.wanted.has_service(&service.name);
         for subject in service.subjects(next) {
             let wanted = next.get(&subject);
-            let ordered = self.ordered.get(&subject);
-            let ordered = ordered.filter(|(_, until)| now < *until);
-            let most_ordered = ordered.map_or(0, |(most, _)| *most).max(wanted.extra);
+            let most_ordered = self.most_ordered(&subject, wanted.extra, now);
             let own = service.present(&subject).serving;
             let own = own.saturating_sub(most_ordered);
             if own <= wanted.found {
@@ -208,6 +206,13 @@
         }
     }
 
+    /// Most instances beyond the found ones that orders of ours may have brought.
+    fn most_ordered(&self, subject: &Subject, extra: u32, now: Instant) -> u32 {
+        let ordered = self.ordered.get(subject);
+        let ordered = ordered.filter(|(_, until)| now < *until);
+        ordered.map_or(0, |(most, _)| *most).max(extra)
+    }
+
     fn look_at_losses(
         &mut self,
         service: &Service,
@@ -371,6 +376,11 @@
         }
         // An order names all of its kind: where some of those are missing it could name fewer than are there.
         let is_whole = present.serving >= count.found;
+        // Nor may it take away those that somebody else has just added.
+        let has_others = arrived > self.most_ordered(subject, count.extra, now);
+        if has_others {
+            return count.extra;
+        }
         if is_whole || subject.kind == InstanceKind::Preemptible {
             u32::MAX
         } else {
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -304,8 +304,10 @@
                 config.tenants.len(),
                 config.retired_keys.len()
             );
+            // Once bound always looked up: work of a tenant whose bound went with it is still here.
             let binds_regions = config.binds_regions();
-            self.binds_regions.store(binds_regions, Ordering::Release);
+            self.binds_regions
+                .fetch_or(binds_regions, Ordering::Release);
             *current = Some(Arc::new(std::mem::take(&mut config)));
             true
         })
--- a/crates/front/src/job/bounds.rs
+++ b/crates/front/src/job/bounds.rs
@@ -16,6 +16,9 @@
 /// Why a job may not be kept or served within the regions of its route and tenant.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum OutOfBounds {
+    /// Where it may be kept is not known, as no route takes it.
+    #[error("no route takes it")]
+    NoRoute,
     /// Its route and its tenant have no region in common, or name none.
     #[error("no region is allowed")]
     Nowhere,
@@ -122,9 +125,10 @@
         let bound = context
             .config
             .allowed_regions(&spec.host, &spec.path, &spec.tenant);
-        let Some(allowed) = bound.filter(|allowed| !allowed.is_all()) else {
+        let allowed = bound.ok_or(OutOfBounds::NoRoute)?;
+        if allowed.is_all() {
             return Ok(());
-        };
+        }
         let replicas = context.replica_sets.current();
         check_keepers(&allowed, &context.nodes, replicas.as_deref())?;
         let config = context.config.current().unwrap_or_default();
--- a/crates/front/src/job/pace.rs
+++ b/crates/front/src/job/pace.rs
@@ -93,7 +93,7 @@
             return None;
         }
         let demand = rest_demand(partial.events());
-        let other = context.backends.choose_within(
+        let other = context.backends.best_within(
             &context.service,
             model,
             demand,
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -522,6 +522,8 @@
                 progress.possible_runs -= 1;
                 if let ExchangeError::HeldBack(reason) = error {
                     self.metrics.note_held_back(reason);
+                    // It was not tried, and may take the request once it may be sent.
+                    progress.tried.retain(|id| id != ended.instance.id());
                 }
                 if matches!(error, ExchangeError::NotSent(_)) {
                     ended.instance.note_failure(now);
--- a/crates/front/src/orders/giver.rs
+++ b/crates/front/src/orders/giver.rs
@@ -205,7 +205,11 @@
     async fn hold(&self, lease: &GiverLease, held: Held, respected: &mut Vec<(String, Instant)>) {
         let _with_instances = self.activities.with_instances.begin();
         let _with_versions = self.activities.with_versions.begin();
-        let _dealing = self.permits.begin(held.watch_proof());
+        if self.roster.drains.is_some() {
+            // The roster is written from here on. A watch of drains that lost its answer would stay silent for its whole time.
+            self.coordination.doubt_watches();
+        }
+        let dealing = self.permits.begin(held.watch_proof());
         let mut given = self.begin_given().await;
         given.respect(std::mem::take(respected), self.options.quiet);
         let is_released = tokio::select! {
@@ -221,6 +225,8 @@
             () = self.report_usage(lease, &held) => false,
             () = self.order_capacity(lease, &held) => false,
         };
+        // A lease that is given back may be another's before that is known here.
+        drop(dealing);
         *respected = std::mem::take(&mut given.respected);
         respected.retain(|(_, ordered_at)| ordered_at.elapsed() < self.options.quiet);
         if held.is_named() {
--- a/crates/front/src/orders/permits/asking.rs
+++ b/crates/front/src/orders/permits/asking.rs
@@ -26,6 +26,9 @@
 /// A node asks for one of so many parts of an instance's permits at a time: more would lapse at one with little work while others lack them.
 const ASKED_SHARE: u32 = 5;
 
+/// The same while nobody deals, as between two holders of the lease.
+const NO_DEALER_PAUSE: Duration = Duration::from_millis(400);
+
 /// Nodes that are asked in turn, by their rank as holders of the lease: more than try to hold it, as ranks change while one holds it.
 const NODES_ASKED: usize = 6;
 
@@ -75,6 +78,9 @@
             wanted.append(&mut wants.take_noted());
             let asked = wanted.len();
             let (dealt, until) = self.ask(wanted, &mut last_dealer).await;
+            if last_dealer.is_none() {
+                tokio::time::sleep(ladderstage_journal::jitter::jittered(NO_DEALER_PAUSE)).await;
+            }
             let count: u32 = dealt.dealt.iter().map(|one| one.count).sum();
             log::info!("event=send_permits instances={asked} dealt={count} dealer={last_dealer:?}");
             self.metrics.send_permits.inc_by(count.into());
--- a/crates/front/src/orders/permits/ledger.rs
+++ b/crates/front/src/orders/permits/ledger.rs
@@ -5,10 +5,7 @@
 
 use ladderstage_clock::Instant;
 
-use crate::backend::{PERMIT_LIFETIME, SEND_WINDOW};
-
-/// A busy node writes a request to the socket up to this long after it let it go.
-const WRITE_MARGIN: Duration = Duration::from_millis(200);
+use crate::backend::{PERMIT_LIFETIME, SEND_WINDOW, WRITE_MARGIN};
 
 /// Permits that are dealt within this time may be used within one window: each is used within its lifetime.
 const DEAL_WINDOW: Duration = SEND_WINDOW
--- a/crates/front/src/roster/drains.rs
+++ b/crates/front/src/roster/drains.rs
@@ -24,15 +24,26 @@
         }
     }
 
-    /// Goes by the roster until that names no zones, or this node may have to write it: what it says must not come from itself.
+    /// Goes by the roster until that names no zones, or older ones than it did, or this node may have to write it: what it says must not
+    /// come from itself.
     async fn go_by_named_zones(&self, following: &DrainFollowing, known: &KnownRoster) {
         let mut changed = known.subscribe();
+        let mut taken_at = 0;
         while !following.keeps_roster.is_active() {
             let roster = changed.borrow_and_update().clone();
             let Some(drains) = roster.and_then(|roster| roster.drains.clone()) else {
                 return;
             };
-            self.backends.set_drained(drains.shared_zones());
+            let zones = drains.shared_zones();
+            if drains.known_at < taken_at && *self.backends.gates().drained.current() != zones {
+                log::warn!(
+                    "event=drains_older known_at={} taken={taken_at}",
+                    drains.known_at
+                );
+                return;
+            }
+            taken_at = taken_at.max(drains.known_at);
+            self.backends.set_drained(zones);
             tokio::select! {
                 _ = changed.changed() => {}
                 () = following.keeps_roster.active() => return,
--- a/crates/front/tests/cold_instances.rs
+++ b/crates/front/tests/cold_instances.rs
@@ -6,7 +6,7 @@
 use ladderstage_clock::Instant;
 use ladderstage_front::backend::{
     BackendTable, ColdAllowance, ColdLimit, ColdState, Demand, Discovered, HoldReason,
-    PERMIT_LIFETIME, SEND_WINDOW, SendShare, Warmth,
+    PERMIT_LIFETIME, SEND_WINDOW, SendShare, WRITE_MARGIN, Warmth,
 };
 use ladderstage_front::config::{ColdSpec, ServiceSpec, ServingConfig};
 use ladderstage_front::orders::{PermitLedger, QUIET_TIME};
@@ -111,9 +111,12 @@
     assert_eq!(state.warmth(now + ms(5_499)), Warmth::Cold);
     assert_eq!(
         state.warmth(now + ms(5_500)),
-        Warmth::Warm,
-        "its own word goes before doubt"
+        Warmth::Doubtful,
+        "the word may be of the start before the failure"
     );
+    state.answered(now + ms(6_000), COLD_TIME);
+    assert_eq!(state.warmth(now + ms(8_999)), Warmth::Doubtful);
+    assert_eq!(state.warmth(now + ms(9_000)), Warmth::Warm);
 }
 
 #[test]
@@ -198,8 +201,9 @@
         assert!(instance.take_send(now).is_ok());
     }
     assert_eq!(instance.take_send(now), Err(HoldReason::SendRate));
-    let later = now + SEND_WINDOW + ms(1);
-    assert!(instance.take_send(later).is_ok());
+    let late_write = now + SEND_WINDOW + WRITE_MARGIN;
+    assert_eq!(instance.take_send(late_write), Err(HoldReason::SendRate));
+    assert!(instance.take_send(late_write + ms(1)).is_ok());
 }
 
 #[test]
