Backends: say round trip for the way there and back, locality for surroundings; one step a line

Comments say what a value is instead of naming its readers; a constant is no longer justified by a load's figures.

Behaviour is unchanged.

--- a/crates/front/src/backend/choice.rs
+++ b/crates/front/src/backend/choice.rs
@@ -1,7 +1,7 @@
 //! Which instance a request goes to: one cost function over what is known of each.
 //!
-//! The cost is the expected time of one more request against that of an idle typical instance. An instance in another region costs the
-//! way there and back besides, in the same unit: it is chosen once the wait at near ones is longer than that.
+//! The cost is the expected time of one more request against that of an idle typical instance. For an
+//! instance in another region the round trip is added in the same unit, so that it is chosen once the wait at nearer ones is longer.
 
 use ladderstage::region::Distance;
 
@@ -14,7 +14,7 @@
 /// Time of a request at an idle instance, in milliseconds, until one is measured.
 const ASSUMED_WORK_MS: f64 = 100.0;
 
-/// Events of a usual text, whose paces are known an event.
+/// Events of a typical text. Paces of streams are known per event.
 const USUAL_EVENTS: f64 = 16.0;
 
 /// Cost of an idle instance against that of its occupancy: what part of a request's time does not depend on others.
@@ -29,7 +29,7 @@
 /// Least share of the fleet's pace that counts, so that one quick answer does not draw everything.
 const LEAST_RELATIVE_PACE: f64 = 0.6;
 
-/// Least share of a measured pace that is the instance's own: the way may have been measured while it was slow.
+/// Least share of a measured pace that is the instance's own work: the round trip may have been overestimated.
 const LEAST_OWN_SHARE: f64 = 0.25;
 
 /// What is known of an instance that may be given work.
@@ -43,24 +43,24 @@
     pub distance: Distance,
     /// Shortest time in which it took a connection, in milliseconds; `None` before the first one.
     pub round_trip_ms: Option<f64>,
-    /// Recent milliseconds per unit of work: of a whole answer with the way there, or of an event; `None` while unknown.
+    /// Recent milliseconds per unit of work: per whole answer, round trip included, or per event; `None` while unknown.
     pub pace_ms: Option<f64>,
 }
 
 impl Candidate {
-    /// The way there and back, in milliseconds, where it is long enough to matter.
-    fn round_trip_ms(&self) -> f64 {
+    /// The round trip in milliseconds; zero within the region, where it does not matter.
+    fn counted_round_trip_ms(&self) -> f64 {
         match self.distance {
             Distance::Elsewhere => self.round_trip_ms.unwrap_or(ASSUMED_ROUND_TRIP_MS),
             Distance::SameMachine | Distance::SameZone | Distance::SameRegion => 0.0,
         }
     }
 
-    /// Recent milliseconds of its own per unit of work, without the way there.
+    /// Recent milliseconds per unit of work, without the round trip.
     fn work_ms(&self, demand: Demand) -> Option<f64> {
         let pace = self.pace_ms?;
         if demand.has_whole_answers() {
-            return Some((pace - self.round_trip_ms()).max(pace * LEAST_OWN_SHARE));
+            return Some((pace - self.counted_round_trip_ms()).max(pace * LEAST_OWN_SHARE));
         }
         Some(pace)
     }
@@ -92,8 +92,8 @@
     }
 }
 
-/// One of so many slots is left to live requests by reward calls, which come in bursts as texts end: 24 calls of 30 ms at once
-/// would else make each client wait for all of them.
+/// Reward calls leave one of so many slots to live requests: they come in bursts as texts end, and each client would otherwise wait for a
+/// whole burst.
 const LIVE_SLOT_SHARE: u32 = 6;
 
 /// One cut text may wait at an instance for so many slots there.
@@ -145,10 +145,11 @@
         0.0
     };
     let idle = idle_share + 1.0 / f64::from(candidate.slots.max(1));
-    let way = way_cost(candidate, typical, demand) * idle;
-    (idle_share + occupancy) * relative_pace + zone_surcharge(candidate) + way + queueing
+    let round_trip = round_trip_cost(candidate, typical, demand) * idle;
+    (idle_share + occupancy) * relative_pace + zone_surcharge(candidate) + round_trip + queueing
 }
 
+/// Added to the cost of an instance that is not in the chooser's zone.
 fn zone_surcharge(candidate: &Candidate) -> f64 {
     match candidate.distance {
         Distance::SameMachine | Distance::SameZone => 0.0,
@@ -156,15 +157,15 @@
     }
 }
 
-/// The way to an instance and back against the time of a request at an idle typical one.
-fn way_cost(candidate: &Candidate, typical: Option<f64>, demand: Demand) -> f64 {
+/// The round trip to an instance as a share of the time of a request at an idle typical one.
+fn round_trip_cost(candidate: &Candidate, typical: Option<f64>, demand: Demand) -> f64 {
     let units = if demand.has_whole_answers() {
         1.0
     } else {
         USUAL_EVENTS
     };
     let work_ms = typical.map_or(ASSUMED_WORK_MS, |pace| pace * units);
-    candidate.round_trip_ms() / work_ms.max(f64::MIN_POSITIVE)
+    candidate.counted_round_trip_ms() / work_ms.max(f64::MIN_POSITIVE)
 }
 
 /// Median of the known paces.
--- a/crates/front/src/backend/cold/limits.rs
+++ b/crates/front/src/backend/cold/limits.rs
@@ -8,10 +8,10 @@
 
 use crate::config::{ColdSpec, ServingConfig};
 
-/// The bound is shared: one of so many parts is dealt out as permits, the rest is for what fronts send that do not know yet.
+/// One of so many parts of the bound is dealt as permits; the rest covers fronts that do not know yet that the instance is cold.
 const PERMIT_SHARE: u32 = 2;
 
-/// A front that does not know that an instance is cold sends one of so many parts of the bound. Jobs start dozens of items at once, and few
+/// Without permits a front sends one of so many parts of the bound to an instance that it takes for warm. Jobs start dozens of items at once, and few
 /// fronts own jobs whose model an instance holds.
 const UNAWARE_SHARE: u32 = 4;
 
@@ -84,7 +84,7 @@
     }
 }
 
-/// Instances that could take work which waits here, had this node permits for them. Cheap to clone.
+/// Cold instances that this node needs permits for, as work waits that they could take. Cheap to clone.
 #[derive(Debug, Clone, Default)]
 pub struct PermitWants {
     services: Arc<Mutex<BTreeMap<String, String>>>,
--- a/crates/front/src/backend/cold/mod.rs
+++ b/crates/front/src/backend/cold/mod.rs
@@ -1,4 +1,4 @@
-//! Instances that bear few requests for some time, as after their start: which ones they are, and what this node may send them.
+//! Cold instances, which bear few requests for some time after their start: which ones are cold, and what this node may send them.
 
 mod limits;
 mod share;
--- a/crates/front/src/backend/cold/share.rs
+++ b/crates/front/src/backend/cold/share.rs
@@ -1,4 +1,4 @@
-//! What this node may send to one instance: permits that it was dealt, and a little without.
+//! What this node may send to one instance: the permits that it was dealt, and a few requests without.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -15,13 +15,13 @@
 /// The limits hold within any time of this length.
 pub const SEND_WINDOW: Duration = Duration::from_secs(1);
 
-/// Requests a second without a permit to an instance that may have turned cold: one shows whether it runs.
+/// Requests a second without a permit to a doubtful instance: one is enough to find out whether it runs.
 const DOUBTFUL_SENDS: u32 = 1;
 
-/// An instance that was chosen is about to get a request; if it gets none, that is forgotten after this time.
+/// How long an instance that was chosen counts as about to get the request.
 const RESERVATION_LIFETIME: Duration = Duration::from_millis(50);
 
-/// A request that may leave. If it did not, the ticket is given back.
+/// The right to send one request; given back if the request was not sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SendTicket {
     sent_at: Instant,
@@ -33,7 +33,7 @@
 pub struct SendShare {
     /// Ends of unused permits, in order.
     permits: VecDeque<Instant>,
-    /// When requests left within the last window, in order.
+    /// When requests were sent within the last window, in order.
     sent: VecDeque<Instant>,
     /// Ends of reservations, in order.
     reserved: VecDeque<Instant>,
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Whether one more request may be meant for the instance, those that it was chosen for and that have not left counted.
+    /// Whether the instance may be chosen for one more request; requests that it was chosen for and that were not sent yet count.
     pub fn has_room(&mut self, warmth: Warmth, limit: &ColdLimit, now: Instant) -> bool {
         self.forget(now);
         self.room(warmth, limit) > self.reserved.len()
@@ -59,7 +59,7 @@
         self.reserved.push_back(now + RESERVATION_LIFETIME);
     }
 
-    /// Takes the right to let one request leave now; `None`: there is none.
+    /// Takes the right to send one request now; `None`: there is none.
     pub fn take(&mut self, warmth: Warmth, limit: &ColdLimit, now: Instant) -> Option<SendTicket> {
         self.forget(now);
         self.reserved.pop_front();
@@ -77,7 +77,7 @@
         })
     }
 
-    /// Takes back a ticket whose request did not leave.
+    /// Takes back the ticket of a request that was not sent.
     pub fn give_back(&mut self, ticket: SendTicket) {
         if let Some(place) = self.sent.iter().rposition(|at| *at == ticket.sent_at) {
             self.sent.remove(place);
@@ -87,6 +87,7 @@
         }
     }
 
+    /// How many requests may be sent now.
     fn room(&self, warmth: Warmth, limit: &ColdLimit) -> usize {
         let without_permits = |most: u32| (most as usize).saturating_sub(self.sent.len());
         match warmth {
@@ -96,6 +97,7 @@
         }
     }
 
+    /// Drops what is over by `now`.
     fn forget(&mut self, now: Instant) {
         while self.permits.front().is_some_and(|until| *until <= now) {
             self.permits.pop_front();
--- a/crates/front/src/backend/cold/state.rs
+++ b/crates/front/src/backend/cold/state.rs
@@ -1,4 +1,4 @@
-//! Whether an instance is cold, by all that was heard of it.
+//! Whether an instance is cold, by its records and by how connections to it fare.
 
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 pub enum Warmth {
     /// It bears all that it has slots for.
     Warm,
-    /// It may have been started again, or have turned cold, without a word of it.
+    /// It may have been restarted, or have turned cold, and no record says so yet.
     Doubtful,
     /// It said that it is cold.
     Cold,
@@ -20,21 +20,23 @@
 enum Doubt {
     #[default]
     None,
-    /// Until an answer shows that it runs, and a start's cold time longer.
+    /// A connection failed or broke: lasts until an answer, and for the cold time after it.
     Unanswered,
+    /// Lasts until then.
     Until(Instant),
 }
 
 /// What is known of one start of an instance.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ColdState {
+    /// Until when it is cold, as its record said.
     told_until: Option<Instant>,
     doubt: Doubt,
 }
 
 impl ColdState {
-    /// Takes a word of discovery received at `now`: how much longer the instance is cold. Zero does not end doubt, as the word may be older
-    /// than its cause.
+    /// Takes from a record of discovery received at `now` how much longer the instance is cold. Zero does not end doubt, as the record may be
+    /// older than the cause of the doubt.
     pub fn told(&mut self, remaining: Duration, now: Instant) {
         if remaining.is_zero() {
             self.told_until = None;
@@ -44,12 +46,12 @@
         self.doubt = Doubt::None;
     }
 
-    /// A connection to it failed or broke; returns whether that is news.
+    /// Notes that a connection to it failed or broke; returns whether doubt of this kind is new.
     pub fn disconnected(&mut self) -> bool {
         std::mem::replace(&mut self.doubt, Doubt::Unanswered) != Doubt::Unanswered
     }
 
-    /// It may have turned cold at `now`, for `time` at most.
+    /// Notes that it may have turned cold at `now`, for `time` at most.
     pub fn suspected(&mut self, now: Instant, time: Duration) {
         let until = now + time;
         self.doubt = match self.doubt {
@@ -59,7 +61,7 @@
         };
     }
 
-    /// It answered at `now`: it runs, and stays cold after its start for `time` at most.
+    /// Notes that it answered at `now`: it runs, and is cold for `time` longer at most.
     pub fn answered(&mut self, now: Instant, time: Duration) {
         if self.doubt == Doubt::Unanswered {
             self.doubt = Doubt::Until(now + time);
@@ -78,7 +80,7 @@
         }
     }
 
-    /// How much longer it is cold by its own word.
+    /// How much longer it is cold, as it said itself.
     pub fn remaining(&self, now: Instant) -> Duration {
         self.told_until
             .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
--- a/crates/front/src/backend/connection.rs
+++ b/crates/front/src/backend/connection.rs
@@ -48,7 +48,7 @@
     fn note_round_trip(&self, taken: Duration) {
         let taken = u32::try_from(taken.as_micros()).unwrap_or(u32::MAX).max(1);
         let shorter = |known| (known == 0 || taken < known).then_some(taken);
-        // An error says that the known one is shorter.
+        // It fails if the known one is as short.
         let _ = self
             .round_trip_us
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, shorter);
@@ -101,7 +101,7 @@
         lock(&self.shared).clear();
     }
 
-    /// Shortest time in which a connection was made, in milliseconds, which is the way there and back; `None` before the first one.
+    /// Round trip in milliseconds: the shortest time in which a connection was made. `None` before the first one.
     pub fn round_trip_ms(&self) -> Option<f64> {
         let micros = self.shared.round_trip_us.load(Ordering::Relaxed);
         (micros > 0).then(|| f64::from(micros) / 1e3)
--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -41,7 +41,7 @@
     /// No byte was sent.
     #[error("not sent: {0}")]
     NotSent(String),
-    /// No byte was sent, as the instance is to get nothing now; this says nothing against it.
+    /// No byte was sent, as the instance may get nothing now; this does not count as its failure.
     #[error("held back: {0}")]
     HeldBack(HoldReason),
     /// The instance says that it did not run the request.
@@ -177,7 +177,7 @@
         let mut lease = acquired.map_err(|error| ExchangeError::NotSent(error.to_string()))?;
         let region = instance.check_region(&head.allowed);
         region.map_err(ExchangeError::HeldBack)?;
-        // Calls to the instance itself are no work: they may reach one that is to get none.
+        // Calls to the instance itself, as for reports and orders, are not work: none of the limits holds for them.
         let ticket = match answer_id {
             AnswerId::Required => instance
                 .take_send(Instant::now())
--- a/crates/front/src/backend/gate.rs
+++ b/crates/front/src/backend/gate.rs
@@ -1,5 +1,5 @@
-//! What keeps requests from instances that discovery calls ready. It is asked when an instance is chosen, and again right before the
-//! first byte of a request leaves, as time may pass in between.
+//! What keeps requests from instances that discovery calls ready. Checked when an instance is chosen, and again right before the first
+//! byte of a request is sent, as time may pass in between.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -18,9 +18,9 @@
     ZoneDrained,
     /// Zones may be drained here, and nothing is known of that yet.
     DrainsUnknown,
-    /// It has just started, or may have, and this node has no share of the requests that it bears.
+    /// It is cold or may be, and this node has no permit to send it a request.
     Cold,
-    /// This node has just sent it as many requests as it may while others may do the same: it may turn cold unseen.
+    /// This node has sent it as many requests within a second as it may without permits; it may have turned cold unnoticed.
     SendRate,
     /// It is not in a region in which the request may be served.
     OtherRegion,
@@ -49,9 +49,9 @@
 #[derive(Debug, Clone)]
 pub struct DrainedZones {
     zones: watch::Sender<Arc<BTreeSet<Arc<str>>>>,
-    /// Whether nothing was told yet where something will be.
+    /// Whether drains are followed and the first word of them has not come.
     is_awaited: watch::Sender<bool>,
-    /// When the last drain of each zone ended that was drained before.
+    /// When the last drain of each zone ended, for zones that were drained since the start.
     ended: watch::Sender<Arc<BTreeMap<Arc<str>, Instant>>>,
 }
 
@@ -155,19 +155,19 @@
     /// Cold instances for which work waits here.
     pub wants: PermitWants,
     /// Where this node and the instances are.
-    pub surroundings: Surroundings,
+    pub locality: Locality,
 }
 
-/// Where a node is, and what it knows of where others are. Cheap to clone.
+/// Zone of a node, and the regions by which it tells how far others are. Cheap to clone.
 #[derive(Debug, Clone)]
-pub struct Surroundings {
+pub struct Locality {
     /// Zone of the node.
     pub zone: Arc<str>,
     /// Regions of all zones.
     pub regions: RegionMap,
 }
 
-impl Default for Surroundings {
+impl Default for Locality {
     fn default() -> Self {
         Self {
             zone: "".into(),
@@ -176,7 +176,7 @@
     }
 }
 
-impl Surroundings {
+impl Locality {
     /// How far a zone is.
     pub fn distance_to(&self, zone: &str) -> Distance {
         self.regions.between_zones(&self.zone, zone)
--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -149,7 +149,7 @@
     }
 }
 
-/// Why an instance whose limit is reached gets nothing.
+/// Why an instance whose limit is reached gets no request.
 fn hold_reason(warmth: Warmth) -> HoldReason {
     match warmth {
         Warmth::Warm => HoldReason::SendRate,
@@ -388,7 +388,7 @@
         self.lock().loading_until.insert(model.to_owned(), until);
     }
 
-    /// Whether a request may be meant for it now.
+    /// Whether it may be chosen for a request now.
     ///
     /// # Errors
     /// Why it is to get none.
@@ -405,7 +405,7 @@
         }
     }
 
-    /// Whether a request may be sent to it as far as its zone goes.
+    /// Whether drains let a request be sent to its zone.
     ///
     /// # Errors
     /// Why it is to get none.
@@ -414,7 +414,7 @@
         self.gates.drained.may_send_to(&known.discovered.zone)
     }
 
-    /// Notes that it was chosen for a request, which leaves soon or not at all.
+    /// Notes that it was chosen for a request, which is sent soon or not at all.
     pub fn reserve_send(&self, now: Instant) {
         let mut known = self.lock();
         if let Ok(Some(_)) = self.send_limit(&known) {
@@ -422,7 +422,7 @@
         }
     }
 
-    /// Takes the right to let one request leave now; a permit is used up by it. Without a limit there is no ticket to keep.
+    /// Takes the right to send one request now, which uses up a permit if one is needed; `None` where no limit is in force.
     ///
     /// # Errors
     /// Why it is to get none.
@@ -436,14 +436,14 @@
         ticket.map(Some).ok_or(hold_reason(warmth))
     }
 
-    /// Takes back the right of a request that did not leave.
+    /// Takes back the right to send a request that was not sent.
     pub fn give_back_send(&self, ticket: Option<SendTicket>) {
         if let Some(ticket) = ticket {
             self.lock().share.give_back(ticket);
         }
     }
 
-    /// How it is to be treated. While its zone was drained it may have turned cold, and its record may say so late.
+    /// How it is to be treated. It may have turned cold while its zone was drained, and its record may say so only later.
     fn warmth(&self, known: &Known, limit: &ColdLimit, now: Instant) -> Warmth {
         let drain_ended = self.gates.drained.ended_at(&known.discovered.zone);
         let is_just_back =
@@ -454,7 +454,7 @@
         }
     }
 
-    /// What bounds the requests to it.
+    /// The limit of the requests to it; `None`: there is none.
     fn send_limit(&self, known: &Known) -> Result<Option<ColdLimit>, HoldReason> {
         self.gates.drained.may_send_to(&known.discovered.zone)?;
         Ok(self.gates.cold.get(&known.discovered.service))
@@ -474,14 +474,14 @@
 
     /// Whether it lies in an allowed region.
     pub fn is_within(&self, allowed: &AllowedRegions) -> bool {
-        let surroundings = &self.gates.surroundings;
-        allowed.is_all() || surroundings.is_within(&self.lock().discovered.zone, allowed)
+        let locality = &self.gates.locality;
+        allowed.is_all() || locality.is_within(&self.lock().discovered.zone, allowed)
     }
 
     /// How far it is from this node.
     pub fn distance(&self) -> Distance {
         self.gates
-            .surroundings
+            .locality
             .distance_to(&self.lock().discovered.zone)
     }
 
@@ -509,7 +509,7 @@
             slots: known.discovered.slots,
             distance: self
                 .gates
-                .surroundings
+                .locality
                 .regions
                 .between_zones(zone, &known.discovered.zone),
             round_trip_ms: self.connections.round_trip_ms(),
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -10,7 +10,7 @@
 
 use super::choice::{Candidate, Demand, choose, median};
 use super::counters::DiscoveryCounters;
-use super::gate::{HoldReason, SendGates, Surroundings};
+use super::gate::{HoldReason, Locality, SendGates};
 use super::instance::{Discovered, Instance};
 
 /// The instances by id. Cheap to clone.
@@ -41,18 +41,18 @@
             is_wanted: watch::Sender::new(false),
             counters: DiscoveryCounters::default(),
             gates: SendGates {
-                surroundings: Surroundings {
+                locality: Locality {
                     zone: zone.into(),
-                    ..Surroundings::default()
+                    ..Locality::default()
                 },
                 ..SendGates::default()
             },
         }
     }
 
-    /// The same for a deployment with these regions; to be told before the first instance.
+    /// The same for a deployment with these regions; to be set before instances are added, as each keeps a copy.
     pub fn with_regions(mut self, regions: RegionMap) -> Self {
-        self.gates.surroundings.regions = regions;
+        self.gates.locality.regions = regions;
         self
     }
 
@@ -71,17 +71,21 @@
             return;
         }
         let now = drained.current();
-        for zone in now.difference(&before) {
+        self.log_drains(&before, &now);
+        self.counters.drained_zones.set(now.len() as i64);
+        // Work that waits may find room in a zone whose drain ended.
+        self.notify();
+    }
+
+    fn log_drains(&self, before: &BTreeSet<Arc<str>>, now: &BTreeSet<Arc<str>>) {
+        for zone in now.difference(before) {
             let instances = self.count_in(zone);
             log::info!("event=zone_drain_began zone={zone} instances={instances}");
         }
-        for zone in before.difference(&now) {
+        for zone in before.difference(now) {
             let instances = self.count_in(zone);
             log::info!("event=zone_drain_ended zone={zone} instances={instances}");
         }
-        self.counters.drained_zones.set(now.len() as i64);
-        // Whoever waits for room may find some where a drain ended.
-        self.notify();
     }
 
     fn count_in(&self, zone: &str) -> usize {
@@ -135,7 +139,7 @@
                 return;
             }
         }
-        let regions = &self.gates.surroundings.regions;
+        let regions = &self.gates.locality.regions;
         let is_same =
             known.is_some_and(|known| known.discovered().is_same_without_weights(&discovered));
         match known {
@@ -192,7 +196,7 @@
                 versions: BTreeMap::new(),
                 ..instance.discovered()
             });
-            // Its record tells whether it is cold, later.
+            // Whether it is cold its record tells later.
             if let Some(started_again) = self.get(instance.id()) {
                 started_again.suspect_cold(Instant::now());
             }
@@ -313,7 +317,7 @@
             .map(|instance| instance.candidate(&self.zone, now))
             .collect();
         let Some(index) = choose(&candidates, demand, rand::random()) else {
-            // Work waits that these could take.
+            // The work waits; with permits these could take it.
             let idle = cold.iter().filter(|instance| instance.has_free_slot());
             idle.for_each(|instance| self.gates.wants.note(instance.id(), service));
             return None;
@@ -322,7 +326,7 @@
         Some(Arc::clone(&usable[index]))
     }
 
-    /// Takes out instances that are to get nothing now; returns those of them that a permit would open.
+    /// Removes instances that may get nothing now; returns those of them for which only a permit is missing.
     fn pass_over_held(&self, usable: &mut Vec<Arc<Instance>>, now: Instant) -> Vec<Arc<Instance>> {
         let mut cold = Vec::new();
         usable.retain(|instance| {
