--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 use ladderstage::region::AllowedRegions;
 use ladderstage_clock::Instant;
+use tokio::sync::watch;
 
 use crate::backend::{
     AnswerId, BackendTable, Demand, ExchangeError, HoldReason, Instance, Reply, RequestHead,
@@ -30,7 +31,7 @@
 /// When a client should come back after a refusal.
 pub const RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// The same where all instances are in drained zones: an operator has to take that back, and fronts hear of it within seconds.
+/// The same where all instances are in drained zones: an operator has to end a drain, and fronts learn of that within seconds.
 pub const DRAINED_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// A second instance is asked after this share of the target latency, where requests may run twice.
@@ -39,7 +40,7 @@
 /// How long a request waits for the first instances at a node that has just started: a listing takes some tens of milliseconds.
 const FIRST_INSTANCES_WAIT: Duration = Duration::from_millis(300);
 
-/// Longest wait for permits while all instances that could serve a request are cold: a question to the node that deals them.
+/// Longest wait for permits while all instances that could serve a request are cold: time for one call to the node that deals them.
 const PERMIT_WAIT: Duration = Duration::from_millis(150);
 
 /// Time that the client's own path takes, kept back from what instances are told.
@@ -109,7 +110,7 @@
     NotRun,
     /// The same, as instances have ended under others of its content.
     HeldBack(HeldBack),
-    /// The same, as no instance may get a request now.
+    /// The same, as drains leave no instance that may get a request.
     NoneMayServe(HoldReason),
     /// Nothing is promised.
     Failed(StatusCode),
@@ -249,14 +250,16 @@
                 }
             }
             if under_way.is_empty() {
-                let waits = held.is_none() && Instant::now() < permit_wait_until;
-                if waits && may_start && self.backends.awaits_permits(service) {
-                    let next = table_changed.changed();
-                    let _ = tokio::time::timeout_at(permit_wait_until.into(), next).await;
+                if held.is_none()
+                    && may_start
+                    && self
+                        .wait_for_permits(service, permit_wait_until, &mut table_changed)
+                        .await
+                {
                     continue;
                 }
                 let answer = give_up(progress, held);
-                return self.with_cause(route, service, request, progress, answer);
+                return self.name_cause(route, service, request, progress, answer);
             }
             let may_hedge = route.kind == RouteKind::Safe && may_start && !is_due;
             tokio::select! {
@@ -272,6 +275,20 @@
         }
     }
 
+    /// Waits, until `until` at most, for a change of the instances of a service that lack permits; returns whether there was reason to wait.
+    async fn wait_for_permits(
+        &self,
+        service: &str,
+        until: Instant,
+        table_changed: &mut watch::Receiver<u64>,
+    ) -> bool {
+        if Instant::now() >= until || !self.backends.awaits_permits(service) {
+            return false;
+        }
+        let _ = tokio::time::timeout_at(until.into(), table_changed.changed()).await;
+        true
+    }
+
     /// An instance that was not tried, else, where requests may run twice, one whose answer was broken.
     fn next_instance(
         &self,
@@ -294,8 +311,8 @@
         })
     }
 
-    /// Names the cause of a refusal where drains leave no instance: the client need not come back soon, and an operator finds why.
-    fn with_cause(
+    /// Logs why a request was not run, and answers so where drains are the cause: then the client need not come back soon.
+    fn name_cause(
         &self,
         route: &Route,
         service: &str,
@@ -306,24 +323,46 @@
         let LiveAnswer::NotRun = answer else {
             return answer;
         };
-        if self.tell_if_outside(route, request, service) {
+        let allowed = self.allowed_regions(route, request);
+        if !allowed.is_all() && !self.backends.has_any_within(service, &allowed) {
+            self.note_none_within(route, request, &allowed);
             return answer;
         }
-        let Some(reason) = self.backends.drained_out(service) else {
-            self.log_unserved(request, service, progress);
-            return answer;
-        };
+        if let Some(reason) = self.backends.drained_out(service) {
+            self.note_drained_out(route, request, service, reason);
+            return LiveAnswer::NoneMayServe(reason);
+        }
+        self.log_held_back(request, service, progress);
+        answer
+    }
+
+    fn note_none_within(&self, route: &Route, request: &LiveRequest, allowed: &AllowedRegions) {
+        log::warn!(
+            "event=request_not_run request={} route={} reason=no_instance_in_allowed_regions allowed={allowed}",
+            request.id(),
+            route.name
+        );
+        let refused = &self.metrics.refused_by_region;
+        refused.with_label_values(&["live"]).inc();
+    }
+
+    fn note_drained_out(
+        &self,
+        route: &Route,
+        request: &LiveRequest,
+        service: &str,
+        reason: HoldReason,
+    ) {
         log::info!(
             "event=request_held_back request={} route={} service={service} reason={reason}",
             request.id(),
             route.name
         );
         self.metrics.note_held_back(reason);
-        LiveAnswer::NoneMayServe(reason)
     }
 
-    /// Says what held instances back from a request that none was tried for.
-    fn log_unserved(&self, request: &LiveRequest, service: &str, progress: &Progress) {
+    /// Logs what held ready instances back from a request for which none was tried.
+    fn log_held_back(&self, request: &LiveRequest, service: &str, progress: &Progress) {
         let held_back = self.backends.held_back(service);
         if progress.tried.is_empty() && !held_back.is_empty() {
             let reasons = held_back
@@ -337,7 +376,7 @@
         }
     }
 
-    /// Where the request may be served by the configuration in force; where that has no route for it any more, by the one that it came under.
+    /// Where the request may be served by the configuration in force; if that has no route for it, by the one in force when it arrived.
     fn allowed_regions(&self, route: &Route, request: &LiveRequest) -> AllowedRegions {
         let tenant = request.caller.tenant();
         let name = tenant.map_or("", |tenant| &tenant.name);
@@ -346,22 +385,6 @@
             .unwrap_or_else(|| route.allowed_regions_for(tenant.map(AsRef::as_ref)))
     }
 
-    /// Whether a request finds no instance as none is in a region where it may be served; the log is told.
-    fn tell_if_outside(&self, route: &Route, request: &LiveRequest, service: &str) -> bool {
-        let allowed = self.allowed_regions(route, request);
-        let is_outside = !allowed.is_all() && !self.backends.has_any_within(service, &allowed);
-        if is_outside {
-            log::warn!(
-                "event=request_not_run request={} route={} reason=no_instance_in_allowed_regions allowed={allowed}",
-                request.id(),
-                route.name
-            );
-            let refused = &self.metrics.refused_by_region;
-            refused.with_label_values(&["live"]).inc();
-        }
-        is_outside
-    }
-
     fn admit(&self, route: &Route, request: &LiveRequest) -> Result<RunPermit, HeldBack> {
         let subject = RunSubject::Request {
             id: request.id(),
