--- a/crates/front/src/explain/story.rs
+++ b/crates/front/src/explain/story.rs
@@ -27,7 +27,7 @@
 /// Events that tell of instances that were lost and ordered anew.
 const CAPACITY_EVENTS: [&str; 2] = ["capacity_lost", "capacity_ordered"];
 
-/// Instances that were lost so long before a request may still be missing.
+/// How long before a request instances may have been lost that were still missing.
 const CAPACITY_SECONDS: f64 = 15.0;
 
 /// One step of a story.
@@ -57,46 +57,16 @@
 }
 
 impl Story {
-    /// Picks the lines about `id`, of an item those about its job that concern each item, of a request under whose content instances ended
-    /// those about that, of a request that drains left no instance those about drains at that node, and where something went wrong those
-    /// about instances that were lost and ordered.
+    /// Picks the lines about `id`, and with them:
+    ///
+    /// - for an item, those about its job that concern each item;
+    /// - for a request under whose content instances ended, those about that content;
+    /// - for a request that drains left no instance, those about drains at the same node;
+    /// - if something went wrong, those about instances that were lost and ordered.
     pub fn tell(id: &str, lines: &[LogLine]) -> Self {
-        let jobs: BTreeSet<&str> = lines
-            .iter()
-            .filter(|line| line.fields.get("item").is_some_and(|item| item == id))
-            .filter_map(|line| line.fields.get("job").map(String::as_str))
-            .collect();
-        let concerns_item = |line: &LogLine| {
-            let job = line.fields.get("job").or_else(|| line.fields.get("log"));
-            let job = job.map(|job| job.strip_prefix(crate::job::LOG_PREFIX).unwrap_or(job));
-            JOB_EVENTS.contains(&line.event.as_str()) && job.is_some_and(|job| jobs.contains(job))
-        };
-        let contents: BTreeSet<&str> = lines
-            .iter()
-            .filter(|line| line.is_about(id))
-            .filter_map(|line| line.fields.get("content").map(String::as_str))
-            .collect();
-        let concerns_content = |line: &LogLine| {
-            let content = line.fields.get("content");
-            CONTENT_EVENTS.contains(&line.event.as_str())
-                && content.is_some_and(|content| contents.contains(content.as_str()))
-        };
-        let holding_nodes: BTreeSet<&str> = lines
-            .iter()
-            .filter(|line| line.is_about(id) && line.event == "request_held_back")
-            .map(|line| line.node.as_str())
-            .collect();
-        let concerns_drains = |line: &LogLine| {
-            DRAIN_EVENTS.contains(&line.event.as_str())
-                && holding_nodes.contains(line.node.as_str())
-        };
-        let is_meant = |line: &LogLine| {
-            line.is_about(id)
-                || concerns_item(line)
-                || concerns_content(line)
-                || concerns_drains(line)
-        };
-        let mut picked: Vec<&LogLine> = lines.iter().filter(|line| is_meant(line)).collect();
+        let related = Related::of(id, lines);
+        let mut picked: Vec<&LogLine> =
+            lines.iter().filter(|line| related.includes(line)).collect();
         let capacity = capacity_before(&picked, lines);
         picked.extend(capacity);
         picked.sort_by(|left, right| left.time.total_cmp(&right.time));
@@ -117,7 +87,65 @@
     }
 }
 
-/// What was lost and ordered before and while something went wrong: a story without a wrong step needs no cause.
+/// What the lines about an id name: lines about the same belong to its story.
+struct Related<'a> {
+    id: &'a str,
+    /// Jobs of the id, if it is an item's.
+    jobs: BTreeSet<&'a str>,
+    /// Contents of its requests.
+    contents: BTreeSet<&'a str>,
+    /// Nodes at which drains left it no instance.
+    holding_nodes: BTreeSet<&'a str>,
+}
+
+impl<'a> Related<'a> {
+    fn of(id: &'a str, lines: &'a [LogLine]) -> Self {
+        let is_item = |line: &&LogLine| line.fields.get("item").is_some_and(|item| item == id);
+        let of_item = lines.iter().filter(is_item);
+        let about = || lines.iter().filter(|line| line.is_about(id));
+        let is_held = |line: &&LogLine| line.event == "request_held_back";
+        Self {
+            id,
+            jobs: of_item.filter_map(|line| field(line, "job")).collect(),
+            contents: about().filter_map(|line| field(line, "content")).collect(),
+            holding_nodes: about()
+                .filter(is_held)
+                .map(|line| line.node.as_str())
+                .collect(),
+        }
+    }
+
+    /// Whether a line belongs to the story.
+    fn includes(&self, line: &LogLine) -> bool {
+        line.is_about(self.id)
+            || self.concerns_item(line)
+            || self.concerns_content(line)
+            || self.concerns_drains(line)
+    }
+
+    fn concerns_item(&self, line: &LogLine) -> bool {
+        let job = field(line, "job").or_else(|| field(line, "log"));
+        let job = job.map(|job| job.strip_prefix(crate::job::LOG_PREFIX).unwrap_or(job));
+        JOB_EVENTS.contains(&line.event.as_str()) && job.is_some_and(|job| self.jobs.contains(job))
+    }
+
+    fn concerns_content(&self, line: &LogLine) -> bool {
+        let content = field(line, "content");
+        CONTENT_EVENTS.contains(&line.event.as_str())
+            && content.is_some_and(|content| self.contents.contains(content))
+    }
+
+    fn concerns_drains(&self, line: &LogLine) -> bool {
+        DRAIN_EVENTS.contains(&line.event.as_str())
+            && self.holding_nodes.contains(line.node.as_str())
+    }
+}
+
+fn field<'a>(line: &'a LogLine, name: &str) -> Option<&'a str> {
+    line.fields.get(name).map(String::as_str)
+}
+
+/// Lines about instances that were lost and ordered shortly before and during a story in which something went wrong.
 fn capacity_before<'a>(picked: &[&LogLine], lines: &'a [LogLine]) -> Vec<&'a LogLine> {
     let times = || picked.iter().map(|line| line.time);
     let has_wrong = picked.iter().any(|line| line.is_wrong());
