--- a/crates/front/src/job/bounds.rs
+++ b/crates/front/src/job/bounds.rs
@@ -1,8 +1,8 @@
 //! Whether a job may be accepted where its route and tenant name regions.
 //!
 //! Any node may come to hold a job: as its owner, as one that asks the owner for it or takes it over, as a replica of its log. The set
-//! of replicas spans all regions, as it has to bear the loss of disks. So a job with such bounds is accepted only if every node lies
-//! inside them, and refused otherwise, before its body has gone anywhere.
+//! of replicas spans all regions. So a job with such bounds is accepted only if every node lies inside them, and refused otherwise,
+//! before its body is sent to another node.
 
 use std::fmt;
 
@@ -63,10 +63,10 @@
     }
 }
 
-/// Whether a job that may be kept in `allowed` only would stay there.
+/// Whether every node that could come to hold a job lies in an allowed region.
 ///
 /// # Errors
-/// Where it could get out.
+/// The node that does not, or whose region is not known.
 pub fn check_keepers(
     allowed: &AllowedRegions,
     nodes: &Nodes,
@@ -116,7 +116,7 @@
     /// Whether a job stays where its route and tenant allow it to be kept and served, by the configuration in force.
     ///
     /// # Errors
-    /// Where it would get out, or find no instance.
+    /// Where it would leave them, or that no instance lies in them.
     pub(super) fn check_bounds(&self, spec: &JobSpec) -> Result<(), OutOfBounds> {
         let context = &self.context;
         let bound = context
@@ -127,6 +127,12 @@
         };
         let replicas = context.replica_sets.current();
         check_keepers(&allowed, &context.nodes, replicas.as_deref())?;
+        self.check_instances(spec, allowed)
+    }
+
+    /// Whether each service of a job's route that has instances has one in an allowed region.
+    fn check_instances(&self, spec: &JobSpec, allowed: AllowedRegions) -> Result<(), OutOfBounds> {
+        let context = &self.context;
         let config = context.config.current().unwrap_or_default();
         let route = config.route(&spec.host, &spec.path);
         for part in route.iter().flat_map(|route| &route.split) {
--- a/crates/front/src/job/handover.rs
+++ b/crates/front/src/job/handover.rs
@@ -84,8 +84,8 @@
         }
     }
 
-    /// A front for the job at `index`: one of the strongest, of this region if there is one, and of the half that started last, as
-    /// restarts in turn come to the others first.
+    /// A front that may keep the job at `index`: one of the strongest, of this region if it has any, and of the half that started last,
+    /// as restarts in turn come to the others first.
     fn successor(&self, job: &Job, index: usize) -> Option<NodeRecord> {
         let nodes = &self.context.nodes;
         let own = nodes.own().node;
--- a/crates/front/src/job/home.rs
+++ b/crates/front/src/job/home.rs
@@ -44,7 +44,7 @@
     /// # Errors
     /// See [`AcceptError`].
     pub async fn accept(&self, spec: JobSpec) -> Result<(), AcceptError> {
-        // Its body goes to no other front before it is known that it may: one that was accepted before is found without it.
+        // The body is sent to another front only where the bounds allow it. Here, a job that was accepted before is found without it.
         let may_leave = self.check_bounds(&spec).is_ok();
         let Some(home) = self.home_of(&spec).filter(|_| may_leave) else {
             return self.accept_here(spec).await;
@@ -130,7 +130,7 @@
     strongest_home(own, &in_zone, model, step)
 }
 
-/// As [`home`], in the region where no front of the zone is stronger.
+/// As [`home`]; if no front of the zone is stronger, a front of the region.
 pub fn home_in_region(
     own: &NodeRecord,
     fronts: &[NodeRecord],
@@ -147,7 +147,7 @@
     })
 }
 
-/// The one of the strongest of some fronts that is to own a step, if they are stronger than the one where it was handed in.
+/// The front among the strongest of `fronts` that is to own a step, if these are stronger than the front where it was handed in.
 fn strongest_home(
     own: &NodeRecord,
     fronts: &[NodeRecord],
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -80,8 +80,7 @@
         self.content(&self.spec.host, &item.path, &item.body)
     }
 
-    /// Where its items may run by the configuration in force, which may have changed since the runs began; where that has no route for
-    /// them any more, by the earlier one.
+    /// Where its items may run by the configuration in force; if that has no route for them, by the one in force when the runs began.
     pub(super) fn allowed_regions(&self) -> AllowedRegions {
         let spec = &self.spec;
         self.config
