--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -205,8 +205,8 @@
             .find(|tenant| tenant.name.as_ref() == name)
     }
 
-    /// Where a tenant's requests for a host and path may be served and kept; `None`: no route takes them. A tenant that is there no
-    /// more may have had bounds: what is left of its work is served nowhere.
+    /// Where a tenant's requests for a host and path may be served and kept; `None`: no route takes them. A tenant that was removed may
+    /// have had bounds, so that the rest of its work is served nowhere.
     pub fn allowed_regions(&self, host: &str, path: &str, tenant: &str) -> Option<AllowedRegions> {
         let route = self.route(host, path)?;
         let known = self.tenant(tenant);
@@ -271,7 +271,7 @@
 #[derive(Debug, Clone)]
 pub struct ConfigInForce {
     current: watch::Sender<Option<Arc<ServingConfig>>>,
-    /// Whether any route or tenant names regions. Without any, which is looked at for each request, no route is looked up for it.
+    /// Whether any route or tenant names regions. Checked for each request, so that without any no route is looked up.
     binds_regions: Arc<AtomicBool>,
 }
 
--- a/crates/front/src/nodes/formats.rs
+++ b/crates/front/src/nodes/formats.rs
@@ -1,7 +1,7 @@
 //! Which formats the builds in the fleet read.
 //!
-//! While machines are replaced, builds that know different formats run side by side. Each tells in its node's record what it reads, so that a
-//! feature that needs all to take part can wait until they do. This is a hint, as old as the view of the nodes: what an older build would
+//! While machines are replaced, builds that know different formats run side by side. Each node's record names what its build reads, so
+//! that a feature that needs all nodes can wait until they have it. This is a hint, as old as the view of the nodes: what an older build would
 //! read wrongly must be written so that its reading is safe, whatever the level.
 
 use serde::{Deserialize, Serialize};
--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -33,7 +33,7 @@
 /// A record that went while the store had trouble may come back: its node counts for this long.
 const GONE_GRACE: Duration = Duration::from_millis(400);
 
-/// A node whose record went may come back for this long; after that its machine is taken as removed.
+/// A node whose record is gone may come back for this long; after that it counts as removed.
 const RETURN_TIME: Duration = Duration::from_secs(60);
 
 /// So many news of one answer get a line each; of more, as at the start of a fleet, their number is told.
@@ -89,7 +89,7 @@
     at: u64,
     /// When the last reading that was not stale was taken.
     read_at: Option<Instant>,
-    /// Nodes that read fewer formats than this one, as told last.
+    /// Nodes that read fewer formats than this one, as logged last.
     behind: BTreeSet<String>,
 }
 
@@ -141,10 +141,10 @@
         &self.regions
     }
 
-    /// Region of a node: as the settings here tell of its zone, else as it tells itself.
+    /// Region of a node: as the settings here name it for its zone, else as in its record.
     pub fn region_of<'a>(&'a self, record: &'a NodeRecord) -> Option<&'a str> {
-        let own_word = || Some(record.region.as_str()).filter(|region| !region.is_empty());
-        self.regions.region_of(&record.zone).or_else(own_word)
+        let as_recorded = || Some(record.region.as_str()).filter(|region| !region.is_empty());
+        self.regions.region_of(&record.zone).or_else(as_recorded)
     }
 
     /// How far a node is from this one.
@@ -162,7 +162,7 @@
         }
     }
 
-    /// A node that lies outside the allowed regions, this one included; `None`: there is none. One that tells no region of itself is of
+    /// A node outside the allowed regions, which may be this one; `None`: there is none. A node whose record names no region may be of
     /// a build that knows no bounds, and counts as outside.
     pub fn any_outside(&self, allowed: &AllowedRegions) -> Option<NodeRecord> {
         let own = self.own();
@@ -414,7 +414,7 @@
         }
     }
 
-    /// Notes which present nodes read fewer formats than a level, with a line when that changes; how many there are.
+    /// Notes which present nodes read fewer formats than a level, and logs a change; returns how many there are.
     fn note_behind(&mut self, level: FormatLevel) -> usize {
         let present = self.present.iter();
         let is_behind = |node: &&String| {
@@ -434,7 +434,7 @@
         self.behind.len()
     }
 
-    /// Whether a node is there, or may only be cut off.
+    /// Whether a node is present, or has not been gone for so long that it counts as removed.
     fn may_come_back(&self, node: &str) -> bool {
         let is_long_gone = |at: &Instant| at.elapsed() >= RETURN_TIME;
         self.present.contains(node) || !self.gone_at.get(node).is_some_and(is_long_gone)
--- a/crates/front/src/roster/drains.rs
+++ b/crates/front/src/roster/drains.rs
@@ -24,7 +24,7 @@
         }
     }
 
-    /// Goes by the roster until that names no zones, or this node may have to write it: what it says must not come from itself.
+    /// Takes the zones from the roster until it names none, or this node may have to write it: then they must come from the records.
     async fn go_by_named_zones(&self, following: &DrainFollowing, known: &KnownRoster) {
         let mut changed = known.subscribe();
         while !following.keeps_roster.is_active() {
@@ -56,7 +56,7 @@
         }
     }
 
-    /// What is known here never goes back.
+    /// Whether they are no older than those known here, which are never replaced by older ones.
     fn are_as_new(&self, following: &DrainFollowing, drains: &RosterDrains) -> bool {
         let Some(at) = following.view.known_at() else {
             return false;
--- a/crates/front/src/roster/record.rs
+++ b/crates/front/src/roster/record.rs
@@ -30,7 +30,8 @@
     pub known_at: u64,
     /// Services whose instances it names.
     pub services: BTreeSet<String>,
-    /// All instances of these services, sorted by id. Those of drained zones are not ready, for readers that pass over the zones.
+    /// All instances of these services, sorted by id. Those of drained zones are not ready, for readers of older builds, which do not know
+    /// `drains`.
     pub instances: Vec<Discovered>,
     /// The zones that are to be drained; `None`: the writer does not know.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -52,7 +53,7 @@
             let zones = drains.as_ref().map(|drains| &drains.zones);
             let is_drained = |zones: &BTreeSet<String>| zones.contains(&instance.zone);
             instance.is_ready &= !zones.is_some_and(is_drained);
-            // It counts down, and the roster would be written anew with each word about it.
+            // It counts down: the roster would be written again with each record of the instance.
             instance.leaves_ms = None;
         });
         Self {
@@ -81,7 +82,7 @@
 
     /// Whether another roster names the same services, instances and drained zones.
     pub fn is_same(&self, other: &Self) -> bool {
-        // How much longer one is cold is another number with each look.
+        // The time for which an instance stays cold counts down: only whether it is cold matters.
         let is_same = |one: &Discovered, other: &Discovered| {
             let as_cold = Discovered {
                 cold_ms: other.cold_ms,
--- a/crates/front/src/roster/writer.rs
+++ b/crates/front/src/roster/writer.rs
@@ -134,7 +134,7 @@
         }
     }
 
-    /// What is known here; `None`: not all that a roster tells is.
+    /// The roster by what is known here; `None` while a part of it is not known.
     fn roster(&self) -> Option<Roster> {
         let known_at = self.view.known_at()?;
         let services = self.config.current()?.live_services();
--- a/crates/ladderstage/src/region.rs
+++ b/crates/ladderstage/src/region.rs
@@ -69,8 +69,8 @@
 struct Regions {
     by_zone: BTreeMap<Arc<str>, Arc<str>>,
     has_several: bool,
-    /// Zones without a region that the log was told of.
-    told: Mutex<BTreeSet<String>>,
+    /// Zones without a region that were logged.
+    logged: Mutex<BTreeSet<String>>,
 }
 
 impl RegionMap {
@@ -82,7 +82,7 @@
             shared: Arc::new(Regions {
                 by_zone,
                 has_several,
-                told: Mutex::default(),
+                logged: Mutex::default(),
             }),
         }
     }
@@ -98,11 +98,11 @@
         regions.any(|region| region.as_ref() == name)
     }
 
-    /// Region of a zone; `None` if the settings do not tell it, which the log is told once.
+    /// Region of a zone; `None` if the settings do not name it, which is logged once.
     pub fn region_of(&self, zone: &str) -> Option<&str> {
         let region = self.shared.by_zone.get(zone);
         if region.is_none() && !self.shared.by_zone.is_empty() {
-            self.tell(zone);
+            self.log_once(zone);
         }
         region.map(AsRef::as_ref)
     }
@@ -117,8 +117,8 @@
         Distance::between(&place(from), &place(to))
     }
 
-    /// Region by which the distance of a zone is taken: none for all zones where there are no two regions, so that a zone that the
-    /// settings do not name is no farther away than any other.
+    /// Region of a zone for computing distances: empty for all zones unless there are two regions or more, so that a zone that the
+    /// settings do not name is then no farther away than any other.
     pub fn region_for_distance(&self, zone: &str) -> &str {
         if !self.has_several() {
             return "";
@@ -126,13 +126,13 @@
         self.region_of(zone).unwrap_or_default()
     }
 
-    fn tell(&self, zone: &str) {
-        let mut told = self
+    fn log_once(&self, zone: &str) {
+        let mut logged = self
             .shared
-            .told
+            .logged
             .lock()
             .unwrap_or_else(|poisoned| poisoned.into_inner());
-        if told.insert(zone.to_owned()) {
+        if logged.insert(zone.to_owned()) {
             log::warn!("event=zone_without_region zone={zone}");
         }
     }
