--- a/crates/front/tests/region_choice.rs
+++ b/crates/front/tests/region_choice.rs
@@ -6,7 +6,7 @@
 use ladderstage_front::region::{AllowedRegions, Distance, RegionMap};
 use proptest::prelude::*;
 
-/// The way to another region and back.
+/// Round trip to another region.
 const ROUND_TRIP_MS: f64 = 24.0;
 
 /// Time of a live request at an instance.
@@ -30,7 +30,7 @@
     }
 }
 
-/// As it is measured: of whole answers with the way there.
+/// As measured: for whole answers, round trip included.
 fn measured(distance: Distance, load: u32, demand: Demand) -> Candidate {
     let way = if distance == Distance::Elsewhere {
         ROUND_TRIP_MS
@@ -116,7 +116,7 @@
     assert!(!table.has_any_within("service", &only("north")));
 }
 
-/// A live request takes as long as the way there and back: it goes elsewhere once it would wait here for as long.
+/// A live request takes about as long as the round trip: it goes elsewhere once it would wait here for as long.
 #[test]
 fn short_requests_stay_here_for_longer_than_long_ones() {
     let least_load_to_leave = |demand| {
@@ -247,7 +247,7 @@
 }
 
 proptest! {
-    /// Without another region, the way is nowhere in the cost: what was measured of connections changes no choice.
+    /// Without another region the round trip is no part of the cost: its measured values change no choice.
     #[test]
     fn in_one_region_the_way_changes_nothing(
         loads in prop::collection::vec((0u32..10, any::<bool>(), prop::option::of(1.0..200.0f64)), 1..8),
--- a/crates/front/tests/region_nodes.rs
+++ b/crates/front/tests/region_nodes.rs
@@ -143,7 +143,7 @@
     assert_eq!(nodes.distance_to(&nodes.own()), Distance::SameMachine);
 }
 
-/// Nodes of builds before and after run side by side: the former ignore bounds.
+/// A node of an older build ignores bounds. Its record names no region.
 #[tokio::test(start_paused = true)]
 async fn a_job_with_bounds_waits_for_the_last_node_of_a_build_that_knows_none() {
     let earlier = NodeRecord {
@@ -159,7 +159,7 @@
     assert_eq!(nodes.any_outside(&AllowedRegions::default()), None);
 }
 
-/// Nodes of builds before and after run side by side.
+/// Records pass between this build and older ones, which know no regions.
 #[test]
 fn a_record_without_a_region_is_read_and_one_without_regions_is_written_as_before() {
     let earlier = json!({
