Front: make the parts in functions of their own

run() was a list of all fields of all parts; it is now the order in which they start and end. Each part is made from the same values in the same order. Checked by cargo check with all targets; no test was run.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -135,19 +135,15 @@
         address: options.peer_address,
         error,
     })?;
-    let nodes = Nodes::new(NodeRecord {
-        node: options.node.clone(),
-        role: NodeRole::Front,
-        process: rand::random_range(1..=u64::MAX),
-        peer_address: server.address(),
-        zone: options.zone.clone(),
-        replica_id: 0,
-        is_leaving: false,
-        cpu_millis: options.cpu_millis,
-        region: options.own_region(),
-        formats: FormatLevel::OWN,
-    })
-    .with_regions(options.regions.clone());
+    let nodes = Nodes::new(own_record(&options, server.address()));
+    let nodes = nodes.with_regions(options.regions.clone());
+    let common = Common {
+        options: &options,
+        inputs: &inputs,
+        coordination: &coordination,
+        nodes: &nodes,
+        metrics: &metrics,
+    };
     let reports = inputs.usage.as_ref();
     let window = reports.map_or(UNREPORTED_WINDOW, |usage| usage.options.window);
     let meter = UsageMeter::new(nodes.own().process, WindowClock::new(window));
@@ -157,24 +153,7 @@
     metrics.add_nodes(&nodes);
     metrics.add_discovery(inputs.backends.counters());
     let (suspects, unshared) = Suspects::new(Arc::clone(&metrics));
-    let jobs = JobRegistry::new(JobContext {
-        journal: parts.journal.clone(),
-        replica_sets: parts.replica_sets.clone(),
-        nodes: nodes.clone(),
-        config: inputs.config.clone(),
-        backends: inputs.backends.clone(),
-        view: inputs.view.clone(),
-        codec: Arc::clone(&inputs.codec),
-        metrics: Arc::clone(&metrics),
-        retention: options.job_retention,
-        confirmation: Confirmation::default(),
-        lengths: TextLengths::default(),
-        steps: NewestSteps::default(),
-        learnt_loads: LearntLoads::default(),
-        ended_givers: EndedGivers::default(),
-        activity: inputs.activities.with_instances.clone(),
-        suspects: suspects.clone(),
-    });
+    let jobs = JobRegistry::new(common.job_context(&parts, &suspects));
     let permits = PermitDealer::new(inputs.backends.gates().cold.clone());
     let hooks = JobHooks {
         jobs: Some(jobs.clone()),
@@ -207,57 +186,9 @@
         state: Arc::clone(&state),
     };
     listen(&options, addresses, ingress).await?;
-    let giver = OrderGiver {
-        coordination: Arc::clone(&coordination),
-        nodes: nodes.clone(),
-        backends: inputs.backends.clone(),
-        config: inputs.config.clone(),
-        versions: inputs.versions.clone(),
-        codec: Arc::clone(&inputs.codec),
-        metrics: Arc::clone(&metrics),
-        jobs: jobs.clone(),
-        activities: inputs.activities.clone(),
-        options: OrderOptions {
-            quiet: options.order_quiet,
-        },
-        roster: RosterWriter {
-            coordination: Arc::clone(&coordination),
-            backends: inputs.backends.clone(),
-            config: inputs.config.clone(),
-            view: inputs.view.clone(),
-            drains: inputs.drains.clone(),
-            nodes: nodes.clone(),
-            options: inputs.roster,
-        },
-        usage: inputs.usage.clone().map(|usage| UsageReporter {
-            coordination: Arc::clone(&coordination),
-            nodes: nodes.clone(),
-            meter: meter.clone(),
-            options: usage.options,
-            sink: usage.sink,
-            metrics: Arc::clone(&metrics),
-        }),
-        permits: permits.clone(),
-        capacity: inputs.capacity.clone().map(|capacity| CapacityDuty {
-            coordination: Arc::clone(&coordination),
-            node: options.node.clone(),
-            backends: inputs.backends.clone(),
-            view: inputs.view.clone(),
-            config: inputs.config.clone(),
-            sink: capacity.sink,
-            quiet: capacity.quiet,
-            metrics: Arc::clone(&metrics),
-        }),
-    };
+    let giver = common.order_giver(&jobs, &meter, &permits);
     let permits_task = tokio::spawn({
-        let asker = PermitAsker {
-            allowance: inputs.cold,
-            backends: inputs.backends.clone(),
-            config: inputs.config.clone(),
-            nodes: nodes.clone(),
-            dealer: permits,
-            metrics: Arc::clone(&metrics),
-        };
+        let asker = common.permit_asker(permits);
         async move { asker.run().await }
     });
     let sharing_task = inputs.usage.as_ref().map(|_| {
@@ -311,6 +242,132 @@
     Ok(())
 }
 
+/// Record of this front as it starts.
+fn own_record(options: &ProgramOptions, peer_address: SocketAddr) -> NodeRecord {
+    NodeRecord {
+        node: options.node.clone(),
+        role: NodeRole::Front,
+        process: rand::random_range(1..=u64::MAX),
+        peer_address,
+        zone: options.zone.clone(),
+        replica_id: 0,
+        is_leaving: false,
+        cpu_millis: options.cpu_millis,
+        region: options.own_region(),
+        formats: FormatLevel::OWN,
+    }
+}
+
+/// What the parts of a front are made from.
+struct Common<'a> {
+    options: &'a ProgramOptions,
+    inputs: &'a FrontInputs,
+    coordination: &'a Arc<dyn Coordination>,
+    nodes: &'a Nodes,
+    metrics: &'a Arc<Metrics>,
+}
+
+impl Common<'_> {
+    fn job_context(&self, parts: &JournalParts, suspects: &Suspects) -> JobContext {
+        let inputs = self.inputs;
+        JobContext {
+            journal: parts.journal.clone(),
+            replica_sets: parts.replica_sets.clone(),
+            nodes: self.nodes.clone(),
+            config: inputs.config.clone(),
+            backends: inputs.backends.clone(),
+            view: inputs.view.clone(),
+            codec: Arc::clone(&inputs.codec),
+            metrics: Arc::clone(self.metrics),
+            retention: self.options.job_retention,
+            confirmation: Confirmation::default(),
+            lengths: TextLengths::default(),
+            steps: NewestSteps::default(),
+            learnt_loads: LearntLoads::default(),
+            ended_givers: EndedGivers::default(),
+            activity: inputs.activities.with_instances.clone(),
+            suspects: suspects.clone(),
+        }
+    }
+
+    fn order_giver(
+        &self,
+        jobs: &JobRegistry,
+        meter: &UsageMeter,
+        permits: &PermitDealer,
+    ) -> OrderGiver {
+        let inputs = self.inputs;
+        OrderGiver {
+            coordination: Arc::clone(self.coordination),
+            nodes: self.nodes.clone(),
+            backends: inputs.backends.clone(),
+            config: inputs.config.clone(),
+            versions: inputs.versions.clone(),
+            codec: Arc::clone(&inputs.codec),
+            metrics: Arc::clone(self.metrics),
+            jobs: jobs.clone(),
+            activities: inputs.activities.clone(),
+            options: OrderOptions {
+                quiet: self.options.order_quiet,
+            },
+            roster: self.roster_writer(),
+            usage: self.usage_reporter(meter),
+            permits: permits.clone(),
+            capacity: self.capacity_duty(),
+        }
+    }
+
+    fn roster_writer(&self) -> RosterWriter {
+        let inputs = self.inputs;
+        RosterWriter {
+            coordination: Arc::clone(self.coordination),
+            backends: inputs.backends.clone(),
+            config: inputs.config.clone(),
+            view: inputs.view.clone(),
+            drains: inputs.drains.clone(),
+            nodes: self.nodes.clone(),
+            options: inputs.roster,
+        }
+    }
+
+    fn usage_reporter(&self, meter: &UsageMeter) -> Option<UsageReporter> {
+        let usage = self.inputs.usage.clone()?;
+        Some(UsageReporter {
+            coordination: Arc::clone(self.coordination),
+            nodes: self.nodes.clone(),
+            meter: meter.clone(),
+            options: usage.options,
+            sink: usage.sink,
+            metrics: Arc::clone(self.metrics),
+        })
+    }
+
+    fn capacity_duty(&self) -> Option<CapacityDuty> {
+        let capacity = self.inputs.capacity.clone()?;
+        Some(CapacityDuty {
+            coordination: Arc::clone(self.coordination),
+            node: self.options.node.clone(),
+            backends: self.inputs.backends.clone(),
+            view: self.inputs.view.clone(),
+            config: self.inputs.config.clone(),
+            sink: capacity.sink,
+            quiet: capacity.quiet,
+            metrics: Arc::clone(self.metrics),
+        })
+    }
+
+    fn permit_asker(&self, dealer: PermitDealer) -> PermitAsker {
+        PermitAsker {
+            allowance: self.inputs.cold,
+            backends: self.inputs.backends.clone(),
+            config: self.inputs.config.clone(),
+            nodes: self.nodes.clone(),
+            dealer,
+            metrics: Arc::clone(self.metrics),
+        }
+    }
+}
+
 async fn listen(
     options: &ProgramOptions,
     addresses: FrontAddresses,
