--- a/crates/front/src/orders/permits/asking.rs
+++ b/crates/front/src/orders/permits/asking.rs
@@ -1,4 +1,4 @@
-//! Asks for permits while work waits that a cold instance could take.
+//! Asks for permits while work waits here that a cold instance could take.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -17,13 +17,13 @@
 use crate::nodes::{NodeRole, Nodes};
 use crate::orders::candidates::by_rank;
 
-/// What waits within this time is asked for together: a job starts all its items at once.
+/// Wants of this time are asked for together, as a job starts all its items at once.
 const GATHER: Duration = Duration::from_millis(10);
 
-/// Between two questions. What is dealt for an instance in a second is used up in fewer questions.
+/// Pause between two calls. What is dealt for an instance in a second is used up by fewer.
 const ASK_PAUSE: Duration = Duration::from_millis(100);
 
-/// A node asks for one of so many parts of an instance's permits at a time: more would lapse at one with little work while others lack them.
+/// A node asks for one of so many parts of an instance's permits at a time. More could lapse unused at a node with little work.
 const ASKED_SHARE: u32 = 5;
 
 /// Nodes that are asked in turn, by their rank as holders of the lease: more than try to hold it, as ranks change while one holds it.
@@ -39,7 +39,7 @@
     pub config: ConfigInForce,
     /// The other nodes.
     pub nodes: Nodes,
-    /// Asked first, as this node may hold the lease itself.
+    /// Deals at this node, and is asked first: the node may hold the lease itself.
     pub dealer: PermitDealer,
     /// Counters.
     pub metrics: Arc<Metrics>,
--- a/crates/front/src/orders/permits/ledger.rs
+++ b/crates/front/src/orders/permits/ledger.rs
@@ -1,4 +1,4 @@
-//! How many permits one holder has dealt of late.
+//! How many permits one holder has dealt within the last window.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -7,7 +7,7 @@
 
 use crate::backend::{PERMIT_LIFETIME, SEND_WINDOW};
 
-/// A busy node writes a request to the socket up to this long after it let it go.
+/// Longest time that a busy node needs to write a request to the socket once it may be sent.
 const WRITE_MARGIN: Duration = Duration::from_millis(200);
 
 /// Permits that are dealt within this time may be used within one window: each is used within its lifetime.
@@ -15,7 +15,7 @@
     .saturating_add(PERMIT_LIFETIME)
     .saturating_add(WRITE_MARGIN);
 
-/// A new holder deals nothing for so long: nothing that an earlier one dealt is used in a window with what it deals.
+/// A new holder deals nothing for so long, so that no window holds requests by its permits and by those of an earlier holder.
 pub const QUIET_TIME: Duration = DEAL_WINDOW;
 
 /// What one holder has dealt.
@@ -51,6 +51,7 @@
         count
     }
 
+    /// Drops what was dealt before the last window.
     fn forget(&mut self, now: Instant) {
         let is_over = |at: Instant| now.saturating_duration_since(at) > DEAL_WINDOW;
         self.dealt.retain(|_, recent| {
--- a/crates/front/src/roster/drains.rs
+++ b/crates/front/src/roster/drains.rs
@@ -1,4 +1,4 @@
-//! Learns which zones are to be drained: by the roster while it names them, else from the store itself.
+//! Learns which zones are to be drained: from the roster while it names them, else from the operator's records.
 
 use super::reader::{DirectSource, DrainFollowing, KnownRoster, RosterReader};
 use super::record::RosterDrains;
@@ -13,11 +13,11 @@
             self.begins_by_roster(known).await;
         }
         loop {
-            self.go_by_named_zones(following, known).await;
+            self.follow_roster_drains(following, known).await;
             log::info!("event=drains_by_records");
             tokio::select! {
                 () = self.source.follow_drains(&following.view) => return,
-                () = self.names_as_new(following, known) => {}
+                () = self.wait_for_current_drains(following, known) => {}
             }
             following.view.note_resting();
             log::info!("event=drains_by_roster");
@@ -25,7 +25,7 @@
     }
 
     /// Takes the zones from the roster until it names none, or this node may have to write it: then they must come from the records.
-    async fn go_by_named_zones(&self, following: &DrainFollowing, known: &KnownRoster) {
+    async fn follow_roster_drains(&self, following: &DrainFollowing, known: &KnownRoster) {
         let mut changed = known.subscribe();
         while !following.keeps_roster.is_active() {
             let roster = changed.borrow_and_update().clone();
@@ -41,14 +41,14 @@
     }
 
     /// Returns once a roster that this node does not keep names zones that are as new as those known here.
-    async fn names_as_new(&self, following: &DrainFollowing, known: &KnownRoster) {
+    async fn wait_for_current_drains(&self, following: &DrainFollowing, known: &KnownRoster) {
         let mut changed = known.subscribe();
         loop {
             following.view.known().await;
             following.keeps_roster.idle().await;
             let roster = changed.borrow_and_update().clone();
             let drains = roster.and_then(|roster| roster.drains.clone());
-            if drains.is_some_and(|drains| self.are_as_new(following, &drains)) {
+            if drains.is_some_and(|drains| self.are_current(following, &drains)) {
                 return;
             }
             // The sender lives as long as this node follows the roster.
@@ -57,7 +57,7 @@
     }
 
     /// Whether they are no older than those known here, which are never replaced by older ones.
-    fn are_as_new(&self, following: &DrainFollowing, drains: &RosterDrains) -> bool {
+    fn are_current(&self, following: &DrainFollowing, drains: &RosterDrains) -> bool {
         let Some(at) = following.view.known_at() else {
             return false;
         };
