--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -42,7 +42,7 @@
     /// No byte was sent.
     #[error("not sent: {0}")]
     NotSent(String),
-    /// No byte was sent, as the instance is to get nothing now; this says nothing against it.
+    /// No byte was sent, as the instance may get nothing now; this does not count as its failure.
     #[error("held back: {0}")]
     HeldBack(HoldReason),
     /// The instance says that it did not run the request.
@@ -167,7 +167,7 @@
     Ok(reply)
 }
 
-/// Asks all gates right before the first byte. Calls to the instance itself are no work: they may reach one that is to get none.
+/// Asks all gates right before the first byte. Calls to the instance itself, as for reports and orders, are not work: no limit holds for them.
 fn take_ticket(
     instance: &Instance,
     head: &RequestHead,
