Use no permits in one window with requests sent before coldness was known

By the fronts' logs 23, 23 and 23 without permits, by three fronts that took it for warm, and 47 by permits in the same second by two of them. Change: a node that sent requests while it took the instance for warm uses no permits until these have left the window. Ruled out: permits beyond what may be dealt (47 in the window).

--- a/crates/front/src/backend/cold/share.rs
+++ b/crates/front/src/backend/cold/share.rs
@@ -38,6 +38,8 @@
     permits: VecDeque<Instant>,
     /// When requests were sent that may still be written within the last window, in order.
     sent: VecDeque<Instant>,
+    /// When a request was last sent while the instance counted as warm.
+    sent_warm: Option<Instant>,
     /// Ends of reservations, in order.
     reserved: VecDeque<Instant>,
 }
@@ -54,7 +56,7 @@
     /// Whether the instance may be chosen for one more request; requests that it was chosen for and that were not sent yet count.
     pub fn has_room(&mut self, warmth: Warmth, limit: &ColdLimit, now: Instant) -> bool {
         self.forget(now);
-        self.room(warmth, limit) > self.reserved.len()
+        self.room(warmth, limit, now) > self.reserved.len()
     }
 
     /// Notes that the instance was chosen for a request.
@@ -66,9 +68,12 @@
     pub fn take(&mut self, warmth: Warmth, limit: &ColdLimit, now: Instant) -> Option<SendTicket> {
         self.forget(now);
         self.reserved.pop_front();
-        if self.room(warmth, limit) == 0 {
+        if self.room(warmth, limit, now) == 0 {
             return None;
         }
+        if warmth == Warmth::Warm {
+            self.sent_warm = Some(now);
+        }
         let permit_until = match warmth {
             Warmth::Warm => None,
             Warmth::Doubtful | Warmth::Cold => self.permits.pop_front(),
@@ -91,16 +96,27 @@
     }
 
     /// How many requests may be sent now.
-    fn room(&self, warmth: Warmth, limit: &ColdLimit) -> usize {
+    fn room(&self, warmth: Warmth, limit: &ColdLimit, now: Instant) -> usize {
         let without_permits = |most: u32| (most as usize).saturating_sub(self.sent.len());
         match warmth {
             Warmth::Warm => without_permits(limit.unaware),
-            Warmth::Doubtful => self.permits.len().max(without_permits(DOUBTFUL_SENDS)),
-            Warmth::Cold => self.permits.len(),
+            Warmth::Doubtful => self.usable(now).max(without_permits(DOUBTFUL_SENDS)),
+            Warmth::Cold => self.usable(now),
         }
     }
 
     /// Drops what is over by `now`.
+    /// Permits that may be used. None is used in one window with what was sent before the instance was known to be cold: all nodes may have
+    /// sent their shares without permits, and with permits on top these would be too many.
+    fn usable(&self, now: Instant) -> usize {
+        let was_warm =
+            |at: Instant| now.saturating_duration_since(at) <= SEND_WINDOW + WRITE_MARGIN;
+        if self.sent_warm.is_some_and(was_warm) {
+            return 0;
+        }
+        self.permits.len()
+    }
+
     fn forget(&mut self, now: Instant) {
         while self.permits.front().is_some_and(|until| *until <= now) {
             self.permits.pop_front();
