Jobs: take a job over only from an owner that a majority of replicas calls silent

Callers saw: while fronts were busy, a job lost an owner that was alive to another front, which ran its items again: 8 runs instead of 4, 12 instead of 8. The results were right; the step took longer.

Causes: a front took a job over although it knew too little. - A node whose record it had not seen counted as gone.

Change: replicas say for how long they have not heard from a log's owner, and the shortest silence among a majority decides, unless the owner itself says that it does not own the job. Takeovers name the last known epoch; a replica that has promised a later one to another writer refuses. A handover names the owner's epoch. Checks of one job do not overlap. New fields only (Seal.last_promised, LogDescription.owner_silence_ms, ShardNotice.epochs); a build that does not know them behaves as before.

--- a/crates/daemon/src/hooks.rs
+++ b/crates/daemon/src/hooks.rs
@@ -96,6 +96,7 @@
                 .handle_shard_notice(ShardNotice {
                     logs,
                     from_owner: false,
+                    epochs: Vec::new(),
                 })
                 .await;
         });
--- a/crates/daemon/src/shards/mod.rs
+++ b/crates/daemon/src/shards/mod.rs
@@ -277,6 +277,7 @@
                 kind: RequestKind::shard_notice(ShardNotice {
                     logs,
                     from_owner: false,
+                    epochs: Vec::new(),
                 }),
             };
             let result = self
--- a/crates/daemon/tests/journal/writers.rs
+++ b/crates/daemon/tests/journal/writers.rs
@@ -54,6 +54,46 @@
     assert_eq!(read, Some(vec![entry("a"), entry("b")]));
 }
 
+/// Guards against nodes with outdated information that take a log from its new writer, one after
+/// the other.
+#[tokio::test]
+async fn a_conditional_takeover_does_not_fence_a_later_writer() {
+    let network = Network::start(3, 3).await;
+    let (mut first, _) = network.journal("n0").take_over(LOG).await.unwrap();
+    first.append(vec![entry("a")], false).await.unwrap();
+    let last = first.epoch();
+    let taken = network.journal("n1").take_over_from(LOG, last).await;
+    let (mut second, found) = taken.unwrap();
+    assert_eq!(found, [entry("a")]);
+    let late = network.journal("n2").take_over_from(LOG, last).await;
+    assert_eq!(late.unwrap_err(), JournalError::Fenced);
+    second.append(vec![entry("b")], false).await.unwrap();
+    let (third, found) = network
+        .journal("n2")
+        .take_over_from(LOG, second.epoch())
+        .await
+        .unwrap();
+    assert_eq!(found, [entry("a"), entry("b")]);
+    assert!(third.epoch() > second.epoch());
+}
+
+/// Guards against two writers that both hold the log after conditional takeovers from one epoch.
+#[tokio::test]
+async fn at_most_one_of_several_conditional_takeovers_succeeds() {
+    let network = Network::start(3, 3).await;
+    let (first, _) = network.journal("n0").take_over(LOG).await.unwrap();
+    let last = first.epoch();
+    for _ in 0..20 {
+        let journals = [network.journal("n1"), network.journal("n2")];
+        let [left, right] = journals.map(|journal| async move {
+            let taken = journal.take_over_from(LOG, last).await;
+            taken.map(|(writer, _)| writer)
+        });
+        let (left, right) = tokio::join!(left, right);
+        assert!(left.is_err() || right.is_err(), "both have taken the log");
+    }
+}
+
 /// A takeover that transfers a long log several times never finishes on a slow link.
 #[tokio::test]
 async fn a_takeover_transfers_a_long_log_once() {
--- a/crates/front/src/job/handover.rs
+++ b/crates/front/src/job/handover.rs
@@ -63,6 +63,7 @@
         let kind = RequestKind::shard_notice(ShardNotice {
             logs: vec![log_name(&job.id)],
             from_owner: true,
+            epochs: job.epoch().to_wire().into_iter().collect(),
         });
         let nodes = &self.context.nodes;
         let call = nodes.call(&successor.node, Request { kind }, PEER_TIMEOUT);
--- a/crates/front/src/job/local_job.rs
+++ b/crates/front/src/job/local_job.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use ladderstage::journal::WriterEpoch;
 use ladderstage_clock::Instant;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -33,6 +34,8 @@
     pub id: String,
     /// Time at which this node became the owner.
     pub opened_at: Instant,
+    /// Epoch of this node's current writer of the log.
+    epoch: Mutex<WriterEpoch>,
     state: Mutex<JobState>,
     changed: watch::Sender<u64>,
     /// Time of the first report that a replica has accepted another writer of the log.
@@ -43,11 +46,16 @@
 }
 
 impl Job {
-    pub(super) fn new(id: &str, state: JobState) -> (Arc<Self>, mpsc::UnboundedReceiver<Command>) {
+    pub(super) fn new(
+        id: &str,
+        state: JobState,
+        epoch: WriterEpoch,
+    ) -> (Arc<Self>, mpsc::UnboundedReceiver<Command>) {
         let (commands, receiver) = mpsc::unbounded_channel();
         let job = Self {
             id: id.to_owned(),
             opened_at: Instant::now(),
+            epoch: Mutex::new(epoch),
             state: Mutex::new(state),
             changed: watch::Sender::new(0),
             contested_at: Mutex::new(None),
@@ -61,6 +69,16 @@
         lock(&self.state)
     }
 
+    /// Returns the epoch of this node's current writer of the log.
+    pub(super) fn epoch(&self) -> WriterEpoch {
+        *lock(&self.epoch)
+    }
+
+    /// Records that this node has taken the log over again with a new writer.
+    pub(super) fn set_epoch(&self, epoch: WriterEpoch) {
+        *lock(&self.epoch) = epoch;
+    }
+
     /// Records that a replica has accepted another writer of the log.
     pub(super) fn set_contested(&self) {
         let mut contested_at = lock(&self.contested_at);
--- a/crates/front/src/job/locating.rs
+++ b/crates/front/src/job/locating.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladderstage::journal::WriterEpoch;
 use ladderstage::routing::rendezvous_first;
 use ladderstage_clock::Instant;
 use ladderstage_journal::Peers;
@@ -16,26 +17,39 @@
 use super::lock::lock;
 use super::log_name;
 use super::reading::{JobError, unavailable};
-use super::registry::JobRegistry;
+use super::registry::{JobRegistry, TakeOverError};
+use crate::program::OWNER_TIMEOUT;
 
 /// Timeout of a call to another node, in addition to the wait that the request specifies.
 pub(super) const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Maximum number of owners that one request is sent to while the job changes hands.
+const MAX_OWNERS_TRIED: usize = 4;
+
 /// Location of a job.
 enum Location {
     /// This node owns the job.
     Local(Arc<Job>),
-    /// Another node owns the job, according to `source`.
-    Remote { node: String, source: Source },
+    /// A node that owned the job according to this node's cache; the job may have moved since.
+    Cached(String),
+    /// The owner that a majority of replicas has just described.
+    Recorded(RecordedOwner),
+}
+
+/// Owner of a job as described by a majority of the journal's replicas.
+#[derive(Debug, Clone)]
+pub(super) struct RecordedOwner {
+    pub node: String,
+    pub epoch: WriterEpoch,
+    /// Time since any of the replicas heard from the owner; `None` if unknown.
+    pub silence: Option<Duration>,
 }
 
-/// Source of the information about a job's owner.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Source {
-    /// This node's cache; the job may have moved since.
-    Cache,
-    /// A majority of the journal's replicas, queried just now.
-    Journal,
+impl RecordedOwner {
+    /// Returns whether a replica has heard from the owner within `timeout`.
+    pub fn is_heard_within(&self, timeout: Duration) -> bool {
+        self.silence.is_some_and(|silence| silence < timeout)
+    }
 }
 
 /// Owner of a job: this node, which then handles the request itself, or a remote one with its
@@ -48,9 +62,12 @@
 }
 
 /// Reason why a node gave no answer about a job.
-enum NodeCallError {
-    /// The node does not know the job or has left.
+#[derive(Debug)]
+pub(super) enum NodeCallError {
+    /// The node answered that it does not own the job.
     NotOwner,
+    /// The node has left or this node has not seen its record yet.
+    Absent(JobError),
     /// The request could not be sent.
     NotSent(JobError),
     /// The node may own the job but did not answer.
@@ -59,27 +76,65 @@
 
 impl JobRegistry {
     /// Sends a request to the owner of a job. Becomes the owner if the node that the journal names
-    /// does not know the job or has left.
+    /// does not own the job or is gone.
     pub(super) async fn call_owner(
         &self,
         id: &str,
         request: &RequestKind,
         wait: Duration,
     ) -> Result<JobOwner, JobError> {
-        loop {
-            let (node, source) = match self.locate(id).await? {
+        for _ in 0..MAX_OWNERS_TRIED {
+            let owner = match self.locate(id).await? {
                 Location::Local(job) => return Ok(JobOwner::Local(job)),
-                Location::Remote { node, source } => (node, source),
-            };
-            match self.call_node(id, &node, request.clone(), wait).await {
-                Ok(answer) => return Ok(JobOwner::Answer(answer)),
-                Err(NodeCallError::Unavailable(error)) => return Err(error),
-                // The cached owner has been removed, so the next iteration queries the journal.
-                Err(_) if source == Source::Cache => {}
-                Err(NodeCallError::NotOwner) => {
-                    return self.adopt_or_forward(id, request, wait).await;
+                Location::Cached(node) => {
+                    match self.call_node(id, &node, request.clone(), wait).await {
+                        Ok(answer) => return Ok(JobOwner::Answer(answer)),
+                        Err(NodeCallError::Unavailable(error)) => return Err(error),
+                        // The cached owner has been removed, so the next iteration queries the
+                        // journal.
+                        Err(_) => continue,
+                    }
                 }
-                Err(NodeCallError::NotSent(error)) => return Err(error),
+                Location::Recorded(owner) => owner,
+            };
+            match self.call_recorded(id, &owner, request, wait).await {
+                Ok(found) => return Ok(found),
+                Err(TakeOverError::Superseded) => {}
+                Err(TakeOverError::Failed(error)) => return Err(error),
+            }
+        }
+        Err(unavailable("the job keeps changing its owner"))
+    }
+
+    /// Sends a request to the recorded owner. Takes the job over if the owner does not own it or is
+    /// gone, unless another node has taken it over meanwhile.
+    async fn call_recorded(
+        &self,
+        id: &str,
+        owner: &RecordedOwner,
+        request: &RequestKind,
+        wait: Duration,
+    ) -> Result<JobOwner, TakeOverError> {
+        if owner.node == self.context.nodes.own().node {
+            return Ok(JobOwner::Local(self.adopt(id, Some(owner.epoch)).await?));
+        }
+        let called = self.call_node(id, &owner.node, request.clone(), wait).await;
+        let error = match called {
+            Ok(answer) => {
+                let known_owner = (owner.node.clone(), Instant::now());
+                lock(&self.shared.owners).insert(id.to_owned(), known_owner);
+                return Ok(JobOwner::Answer(answer));
+            }
+            Err(error) => error,
+        };
+        match error {
+            NodeCallError::Unavailable(error) | NodeCallError::NotSent(error) => Err(error.into()),
+            // A node that has just started does not know the address of each owner yet.
+            NodeCallError::Absent(error) if owner.is_heard_within(OWNER_TIMEOUT) => {
+                Err(error.into())
+            }
+            NodeCallError::Absent(_) | NodeCallError::NotOwner => {
+                self.adopt_or_forward(id, owner.epoch, request, wait).await
             }
         }
     }
@@ -90,11 +145,12 @@
     async fn adopt_or_forward(
         &self,
         id: &str,
+        last: WriterEpoch,
         request: &RequestKind,
         wait: Duration,
-    ) -> Result<JobOwner, JobError> {
+    ) -> Result<JobOwner, TakeOverError> {
         let Some(candidate) = self.preferred_takeover_node(id) else {
-            return Ok(JobOwner::Local(self.adopt(id).await?));
+            return Ok(JobOwner::Local(self.adopt(id, Some(last)).await?));
         };
         let answer = self.call_node(id, &candidate, with_forwarding(request), wait);
         match answer.await {
@@ -103,9 +159,9 @@
                 lock(&self.shared.owners).insert(id.to_owned(), (candidate, Instant::now()));
                 Ok(JobOwner::Answer(answer))
             }
-            Err(NodeCallError::Unavailable(error)) => Err(error),
-            Err(NodeCallError::NotOwner | NodeCallError::NotSent(_)) => {
-                Ok(JobOwner::Local(self.adopt(id).await?))
+            Err(NodeCallError::Unavailable(error)) => Err(error.into()),
+            Err(NodeCallError::NotOwner | NodeCallError::Absent(_) | NodeCallError::NotSent(_)) => {
+                Ok(JobOwner::Local(self.adopt(id, Some(last)).await?))
             }
         }
     }
@@ -135,17 +191,6 @@
         self.call_owner(id, &owner_probe(id), Duration::ZERO).await
     }
 
-    /// Returns whether another node answers as the confirmed owner of a job. Ignores and removes
-    /// the cached owner.
-    pub(super) async fn is_owned_elsewhere(&self, id: &str) -> bool {
-        lock(&self.shared.owners).remove(id);
-        let Ok(Location::Remote { node, .. }) = self.locate(id).await else {
-            return false;
-        };
-        let answer = self.call_node(id, &node, owner_probe(id), Duration::ZERO);
-        matches!(answer.await, Ok(ResponseKind::job_results(_)))
-    }
-
     /// Finds the owner of a job: this node, the cached owner, or the owner that the journal names.
     async fn locate(&self, id: &str) -> Result<Location, JobError> {
         if let Some(job) = self.local(id) {
@@ -156,26 +201,30 @@
         }
         let cached = lock(&self.shared.owners).get(id).cloned();
         if let Some((node, _)) = cached {
-            let source = Source::Cache;
-            return Ok(Location::Remote { node, source });
+            return Ok(Location::Cached(node));
         }
-        let described = self.context.journal.describe(&log_name(id)).await;
-        let logs = described.map_err(|error| unavailable(&error.to_string()))?;
+        self.recorded_owner(id).await.map(Location::Recorded)
+    }
+
+    /// Queries a majority of replicas for the owner of a job.
+    pub(super) async fn recorded_owner(&self, id: &str) -> Result<RecordedOwner, JobError> {
         let name = log_name(id);
+        let described = self.context.journal.describe(&name).await;
+        let logs = described.map_err(|error| unavailable(&error.to_string()))?;
         let found = logs
             .into_iter()
             .find(|log| log.log == name && log.length > 0);
-        let node = found.ok_or(JobError::NotFound)?.owner_node;
-        if node == self.context.nodes.own().node {
-            return Ok(Location::Local(self.adopt(id).await?));
-        }
-        let known_owner = (node.clone(), Instant::now());
-        lock(&self.shared.owners).insert(id.to_owned(), known_owner);
-        let source = Source::Journal;
-        Ok(Location::Remote { node, source })
+        let log = found.ok_or(JobError::NotFound)?;
+        Ok(RecordedOwner {
+            node: log.owner_node,
+            epoch: WriterEpoch::from(&log.promised),
+            silence: (log.owner_silence_ms > 0)
+                .then(|| Duration::from_millis(log.owner_silence_ms)),
+        })
     }
 
-    async fn call_node(
+    /// Sends a request about a job to another node. Removes the cached owner if that fails.
+    pub(super) async fn call_node(
         &self,
         id: &str,
         node: &str,
@@ -193,15 +242,18 @@
         lock(&self.shared.owners).remove(id);
         let is_not_owner =
             matches!(&error, CallError::Refused(refused) if refused.reason == Reason::NOT_OWNER);
+        let cause = unavailable(&format!("owner {node}: {error}"));
         if !is_not_owner && nodes.is_present(node) {
-            let cause = unavailable(&format!("owner {node}: {error}"));
             return Err(match error {
                 CallError::NotSent(_) => NodeCallError::NotSent(cause),
                 _ => NodeCallError::Unavailable(cause),
             });
         }
         log::info!("event=job_owner_gone job={id} node={node} cause=\"{error}\"");
-        Err(NodeCallError::NotOwner)
+        Err(match is_not_owner {
+            true => NodeCallError::NotOwner,
+            false => NodeCallError::Absent(cause),
+        })
     }
 }
 
@@ -218,7 +270,7 @@
 }
 
 /// Builds a read request that returns no results, to check who owns the job.
-fn owner_probe(id: &str) -> RequestKind {
+pub(super) fn owner_probe(id: &str) -> RequestKind {
     RequestKind::read_job(ReadJob {
         job: id.to_owned(),
         after: u64::MAX,
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -18,6 +18,7 @@
 mod locating;
 mod lock;
 mod migration;
+mod orphans;
 mod owner;
 mod peer_handler;
 mod peer_requests;
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -327,6 +327,7 @@
         loop {
             match self.context.journal.take_over(&log).await {
                 Ok((writer, entries)) => {
+                    self.job.set_epoch(writer.epoch());
                     self.writer = Some(writer);
                     return self.resume_from(&entries);
                 }
--- a/crates/front/src/job/peer_handler.rs
+++ b/crates/front/src/job/peer_handler.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladderstage::journal::WriterEpoch;
 use ladderstage_clock::Instant;
 use ladderstage_wire::compression::compress;
 use ladderstage_wire::encode;
@@ -12,14 +13,14 @@
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
     Demand, Done, EndJob, InstancePace, JobBody, JobSpec, ModelWork, ReadJob, ReadJobBody, Refused,
-    Response, WeightNews,
+    Response, ShardNotice, WeightNews,
 };
 
-use super::LOG_PREFIX;
 use super::local_job::Job;
 use super::lock::lock;
 use super::reading::{JobError, end_local_job, local_item_body, results_answer};
 use super::registry::JobRegistry;
+use super::{LOG_PREFIX, log_name};
 use crate::orders::LoadLimit;
 
 /// Jobs accepted within this time count towards the demand.
@@ -92,7 +93,7 @@
             RequestKind::read_demand(_) => ResponseKind::demand(self.demand()),
             RequestKind::shard_notice(notice) => {
                 if notice.from_owner {
-                    self.take_over_logs(notice.logs);
+                    self.take_over_logs(&notice);
                 } else {
                     self.on_orphaned_logs(notice.logs);
                 }
@@ -177,26 +178,31 @@
         ended.map_or_else(refusal_from, |()| ResponseKind::done(Done {}))
     }
 
-    /// Takes over jobs whose logs a replica reports as orphaned. Skips jobs whose owner still
-    /// answers, because the replica may only be partitioned from it.
+    /// Takes over jobs whose logs a replica reports as orphaned and that have lost their owner.
     pub fn on_orphaned_logs(&self, logs: Vec<String>) {
         for id in self.jobs_not_local(&logs) {
+            if !lock(&self.shared.checking).insert(id.clone()) {
+                continue;
+            }
             let registry = self.clone();
             tokio::spawn(async move {
-                if registry.is_owned_elsewhere(&id).await {
-                    log::info!("event=job_is_owned job={id}");
-                    return;
+                if let Some(last) = registry.confirm_orphaned(&id).await {
+                    registry.adopt_or_log(&id, Some(last)).await;
                 }
-                registry.adopt_or_log(&id).await;
+                lock(&registry.shared.checking).remove(&id);
             });
         }
     }
 
-    /// Takes over jobs that their owner hands over.
-    fn take_over_logs(&self, logs: Vec<String>) {
-        for id in self.jobs_not_local(&logs) {
+    /// Takes over jobs that their owner hands over. An owner of an earlier build does not name its
+    /// epochs.
+    fn take_over_logs(&self, notice: &ShardNotice) {
+        for id in self.jobs_not_local(&notice.logs) {
+            let position = notice.logs.iter().position(|log| *log == log_name(&id));
+            let epoch = position.and_then(|position| notice.epochs.get(position));
+            let last = epoch.map(WriterEpoch::from);
             let registry = self.clone();
-            tokio::spawn(async move { registry.adopt_or_log(&id).await });
+            tokio::spawn(async move { registry.adopt_or_log(&id, last).await });
         }
     }
 
@@ -207,16 +213,18 @@
             .collect()
     }
 
-    async fn adopt_or_log(&self, id: &str) {
-        if let Err(error) = self.adopt(id).await {
+    async fn adopt_or_log(&self, id: &str, last: Option<WriterEpoch>) {
+        if let Err(error) = self.adopt(id, last).await {
             log::warn!("event=job_not_adopted job={id} cause=\"{error}\"");
         }
     }
 
     fn local_or_refusal(&self, id: &str) -> Result<Arc<Job>, Refused> {
-        let job = self.local(id).filter(|job| job.state().spec().is_some());
+        let known = self.local(id);
+        // The acceptance of a known job without a specification is being committed.
+        let is_opening = known.is_some() || lock(&self.shared.opening).contains(id);
+        let job = known.filter(|job| job.state().spec().is_some());
         job.ok_or_else(|| {
-            let is_opening = lock(&self.shared.opening).contains(id);
             let reason = if is_opening {
                 Reason::NOT_READY
             } else {
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use ladderstage::journal::WriterEpoch;
 use ladderstage_clock::Instant;
 use ladderstage_journal::JournalError;
 use ladderstage_wire::messages::{JobResults, JobSpec};
@@ -45,6 +46,17 @@
     OutcomeUnknown(String),
 }
 
+/// Reason why this node did not become the owner of a job.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub(super) enum TakeOverError {
+    /// Another node has become the owner.
+    #[error("another node has taken the job over")]
+    Superseded,
+    /// The job could not be taken over.
+    #[error(transparent)]
+    Failed(#[from] JobError),
+}
+
 /// Jobs of this node. Cheap to clone.
 #[derive(Clone)]
 pub struct JobRegistry {
@@ -58,6 +70,8 @@
     pub(super) jobs: Mutex<HashMap<String, Arc<Job>>>,
     /// Jobs whose logs are being taken over.
     pub(super) opening: Mutex<HashSet<String>>,
+    /// Jobs reported as orphaned that are being checked.
+    pub(super) checking: Mutex<HashSet<String>>,
     /// Cached owners of other nodes' jobs, with the time at which each was learned.
     pub(super) owners: Mutex<HashMap<String, (String, Instant)>>,
     /// Results that were read from other owners.
@@ -105,7 +119,7 @@
             return Err(AcceptError::NotStored(cause.to_string()));
         }
         let fields = log_fields(&spec);
-        let opened = tokio::time::timeout(COMMIT_TIMEOUT, self.open(&id, Some(spec))).await;
+        let opened = tokio::time::timeout(COMMIT_TIMEOUT, self.open(&id, Some(spec), None)).await;
         let job = match opened {
             Ok(Ok(job)) => job,
             Ok(Err(JournalError::NoQuorum(cause))) => return Err(AcceptError::NotStored(cause)),
@@ -317,24 +331,38 @@
             .map_err(|_| AcceptError::OutcomeUnknown("the commit of the job timed out".to_owned()))
     }
 
-    /// Becomes the owner of a job that is in the journal.
-    pub(super) async fn adopt(&self, id: &str) -> Result<Arc<Job>, JobError> {
+    /// Becomes the owner of a job that is in the journal. With the epoch `last`, only if no other
+    /// node has become the owner since the one with that epoch.
+    pub(super) async fn adopt(
+        &self,
+        id: &str,
+        last: Option<WriterEpoch>,
+    ) -> Result<Arc<Job>, TakeOverError> {
         if let Some(job) = self.local(id) {
             return Ok(job);
         }
-        let opened = self.open(id, None).await;
-        let job = opened.map_err(|error| unavailable(&error.to_string()))?;
+        let job = match self.open(id, None, last).await {
+            Ok(job) => job,
+            Err(JournalError::Fenced) => return Err(TakeOverError::Superseded),
+            Err(error) => return Err(unavailable(&error.to_string()).into()),
+        };
         if job.state().spec().is_none() {
             lock(&self.shared.jobs).remove(id);
-            return Err(JobError::NotFound);
+            return Err(JobError::NotFound.into());
         }
         let jobs = &self.context.metrics.jobs;
         jobs.with_label_values(&["adopted"]).inc();
         Ok(job)
     }
 
-    /// Takes over the job's log and starts its owner.
-    async fn open(&self, id: &str, spec: Option<JobSpec>) -> Result<Arc<Job>, JournalError> {
+    /// Takes over the job's log and starts its owner. With the epoch `last`, only if no other
+    /// writer has taken it over since the one with that epoch.
+    async fn open(
+        &self,
+        id: &str,
+        spec: Option<JobSpec>,
+        last: Option<WriterEpoch>,
+    ) -> Result<Arc<Job>, JournalError> {
         if !lock(&self.shared.opening).insert(id.to_owned()) {
             return Err(JournalError::AppendPending);
         }
@@ -342,7 +370,11 @@
             shared: Arc::clone(&self.shared),
             id: id.to_owned(),
         };
-        let (writer, entries) = self.context.journal.take_over(&log_name(id)).await?;
+        let (journal, log) = (&self.context.journal, log_name(id));
+        let (writer, entries) = match last {
+            Some(last) => journal.take_over_from(&log, last).await?,
+            None => journal.take_over(&log).await?,
+        };
         let state = JobState::replay(&entries).map_err(|error| {
             log::error!("event=job_log_unreadable job={id} cause=\"{error}\"");
             JournalError::Retired
@@ -355,7 +387,7 @@
             state.results().len(),
             state.is_ended()
         );
-        let (job, commands) = Job::new(id, state);
+        let (job, commands) = Job::new(id, state, writer.epoch());
         lock(&self.shared.jobs).insert(id.to_owned(), Arc::clone(&job));
         lock(&self.shared.owners).remove(id);
         drop(opening);
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -30,8 +30,8 @@
 /// Interval between an owner's heartbeats to the replicas.
 const OWNER_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time without a heartbeat after which a job's owner is replaced.
-const OWNER_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time without a heartbeat to a replica after which a job's owner is replaced.
+pub(crate) const OWNER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Timeout of a round of calls to the replicas.
 const ROUND_TIMEOUT: Duration = Duration::from_millis(800);
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -185,9 +185,33 @@
     /// `Fenced` if other writers keep raising the epoch, `Retired`, `StaleReplicaSet` or
     /// `NoQuorum`.
     pub async fn take_over(&self, log: &str) -> Result<(LogWriter, Vec<LogEntry>), JournalError> {
+        self.take_over_if(log, None).await
+    }
+
+    /// As [`Journal::take_over`], but only if no writer has taken the log over since the one with
+    /// the epoch `last`. Prevents a node with outdated information from fencing the log's new
+    /// writer.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Journal::take_over`]; `Fenced` if another writer has taken the log over.
+    pub async fn take_over_from(
+        &self,
+        log: &str,
+        last: WriterEpoch,
+    ) -> Result<(LogWriter, Vec<LogEntry>), JournalError> {
+        self.observe(last);
+        self.take_over_if(log, Some(last)).await
+    }
+
+    async fn take_over_if(
+        &self,
+        log: &str,
+        last_promised: Option<WriterEpoch>,
+    ) -> Result<(LogWriter, Vec<LogEntry>), JournalError> {
         for _ in 0..SEAL_ATTEMPTS {
             let set = self.inner.calls.replica_set()?;
-            let Some(sealed) = self.seal(log, &set).await? else {
+            let Some(sealed) = self.seal(log, &set, last_promised).await? else {
                 continue;
             };
             let entries = self.read_sealed(log, &set, &sealed).await?;
@@ -263,11 +287,17 @@
     }
 
     /// Tries once to seal the log with a new epoch; `None` if the epoch was too low.
-    async fn seal(&self, log: &str, set: &ReplicaSet) -> Result<Option<SealedLog>, JournalError> {
+    async fn seal(
+        &self,
+        log: &str,
+        set: &ReplicaSet,
+        last_promised: Option<WriterEpoch>,
+    ) -> Result<Option<SealedLog>, JournalError> {
         let identity = WriterIdentity {
             log: log.to_owned(),
             epoch: self.next_epoch()?,
             node: self.inner.node.clone(),
+            last_promised,
         };
         let mut sealing = Sealing::new(identity, ReplicaCalls::quorum(set));
         let request = RequestKind::seal(sealing.request());
@@ -282,9 +312,14 @@
                 _ => RoundStep::Continue,
             })
             .await;
-        self.observe(sealing.highest_promised());
+        let highest = sealing.highest_promised();
+        self.observe(highest);
         if !result? {
-            return Ok(None);
+            let is_superseded = last_promised.is_some_and(|last| highest > last);
+            return match is_superseded {
+                true => Err(JournalError::Fenced),
+                false => Ok(None),
+            };
         }
         if sealing.is_retired() {
             return Err(JournalError::Retired);
--- a/crates/journal/src/orphaned.rs
+++ b/crates/journal/src/orphaned.rs
@@ -97,6 +97,7 @@
             kind: RequestKind::shard_notice(ShardNotice {
                 logs,
                 from_owner: false,
+                epochs: Vec::new(),
             }),
         };
         let timeout = self.calls.timeout;
--- a/crates/journal/src/replica.rs
+++ b/crates/journal/src/replica.rs
@@ -16,6 +16,7 @@
 use ladderstage_wire::messages::mod_Refused::Reason;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
+use ladderstage_wire::messages::mod_WriteReply::Outcome;
 use ladderstage_wire::messages::{
     Append, DescribeLogs, Done, ExportLogs, ExportLogsReply, FenceReplicaSet, ImportLogs, Install,
     KnownLog, OwnerHeartbeat, OwnerHeartbeatReply, ReadLog, Refused, Response, Seal,
@@ -77,8 +78,11 @@
             Ok(storage) => storage,
             Err(refusal) => return refusal,
         };
-        self.record_activity(&request.log);
+        let log = request.log.clone();
         let result = storage.seal(request).await;
+        if result.as_ref().is_ok_and(|reply| reply.accepted) {
+            self.record_activity(&log);
+        }
         respond(result, ResponseKind::seal)
     }
 
@@ -87,8 +91,14 @@
             Ok(storage) => storage,
             Err(refusal) => return refusal,
         };
-        self.record_activity(&request.log);
+        let log = request.log.clone();
         let result = storage.install(request).await;
+        if result
+            .as_ref()
+            .is_ok_and(|reply| reply.outcome == Outcome::STORED)
+        {
+            self.record_activity(&log);
+        }
         respond(result, ResponseKind::write)
     }
 
@@ -111,12 +121,18 @@
     }
 
     pub fn describe_logs(&self, request: &DescribeLogs) -> Response {
-        match &self.storage {
-            Some(storage) => response(ResponseKind::describe_logs(
-                storage.describe_logs(&request.prefix),
-            )),
-            None => not_a_replica(),
+        let Some(storage) = &self.storage else {
+            return not_a_replica();
+        };
+        let mut described = storage.describe_logs(&request.prefix);
+        let now = self.now();
+        let heartbeats = self.lock_heartbeats();
+        for log in &mut described.logs {
+            let silence = heartbeats.silence(&log.log, now);
+            log.owner_silence_ms = silence.map_or(0, silence_ms);
         }
+        drop(heartbeats);
+        response(ResponseKind::describe_logs(described))
     }
 
     pub fn owner_heartbeat(&self, request: &OwnerHeartbeat) -> Response {
@@ -226,6 +242,13 @@
     }
 }
 
+/// Converts an owner's silence to the wire form, in which 0 stands for an unknown silence.
+fn silence_ms(silence: Duration) -> u64 {
+    u64::try_from(silence.as_millis())
+        .unwrap_or(u64::MAX)
+        .max(1)
+}
+
 fn respond<T>(result: Result<T, StorageError>, kind: impl FnOnce(T) -> ResponseKind) -> Response {
     match result {
         Ok(reply) => response(kind(reply)),
--- a/crates/ladderstage/src/journal/read.rs
+++ b/crates/ladderstage/src/journal/read.rs
@@ -58,7 +58,7 @@
 }
 
 /// Collects descriptions of logs: for each log, that of the newest promise, the greatest length,
-/// and whether any replica reports it closed.
+/// whether any replica reports it closed, and the shortest silence of the newest promise's writer.
 #[derive(Debug, Clone)]
 pub struct LogListing {
     quorum: Quorum,
@@ -102,10 +102,24 @@
         // after sealing.
         let length = known.length.max(description.length);
         let closed = known.closed || description.closed;
+        let silence = owner_silence(known, &description);
         if rank(&description) > rank(known) {
             *known = description;
         }
         known.length = length;
         known.closed = closed;
+        known.owner_silence_ms = silence;
     }
 }
+
+/// Returns the shortest known silence of the newest writer, in milliseconds; 0 if it is unknown.
+fn owner_silence(left: &LogDescription, right: &LogDescription) -> u64 {
+    let promised = |log: &LogDescription| WriterEpoch::from(&log.promised);
+    let newest = promised(left).max(promised(right));
+    let of_newest = [left, right].into_iter();
+    of_newest
+        .filter(|log| promised(log) == newest && log.owner_silence_ms > 0)
+        .map(|log| log.owner_silence_ms)
+        .min()
+        .unwrap_or(0)
+}
--- a/crates/ladderstage/src/journal/replica.rs
+++ b/crates/ladderstage/src/journal/replica.rs
@@ -5,7 +5,7 @@
 
 use ladderstage_wire::messages::mod_WriteReply::Outcome;
 use ladderstage_wire::messages::{
-    Append, ExportedLog, Install, KnownLog, LogDescription, Seal, WriteReply,
+    Append, Epoch, ExportedLog, Install, KnownLog, LogDescription, Seal, WriteReply,
 };
 
 use super::epoch::WriterEpoch;
@@ -89,14 +89,22 @@
             owner_node: self.owner_node.clone(),
             length: self.length,
             closed: self.closed,
+            owner_silence_ms: 0,
         }
     }
 }
 
-/// Promises to refuse epochs below the message's epoch, unless a higher one has been promised.
+/// Promises to refuse epochs below the message's epoch, unless a higher one has been promised. A
+/// conditional message is also refused if another writer has been promised an epoch above the last
+/// one that the sender knew.
 pub fn seal(state: &LogState, request: &Seal) -> Decision {
     let epoch = WriterEpoch::from(&request.epoch);
-    if epoch < state.promised || epoch.is_none() {
+    let is_superseded =
+        |last: &Epoch| state.promised > WriterEpoch::from(last) && state.promised != epoch;
+    if epoch < state.promised
+        || epoch.is_none()
+        || request.last_promised.as_ref().is_some_and(is_superseded)
+    {
         return unchanged(state, Outcome::FENCED);
     }
     let mut state = state.clone();
--- a/crates/ladderstage/src/journal/writer.rs
+++ b/crates/ladderstage/src/journal/writer.rs
@@ -20,6 +20,9 @@
     pub epoch: WriterEpoch,
     /// Node on which the writer runs.
     pub node: String,
+    /// If set, replicas refuse the writer once they have promised a higher epoch than this one to
+    /// another writer.
+    pub last_promised: Option<WriterEpoch>,
 }
 
 /// Progress of sealing.
@@ -74,6 +77,7 @@
             epoch: self.identity.epoch.to_wire(),
             owner_node: self.identity.node.clone(),
             without_entries: true,
+            last_promised: self.identity.last_promised.and_then(WriterEpoch::to_wire),
         }
     }
 
--- a/crates/ladderstage/tests/journal/rules.rs
+++ b/crates/ladderstage/tests/journal/rules.rs
@@ -7,12 +7,12 @@
 use crate::support::{LOG, identity, quorum_of};
 use ladderstage::journal::heartbeat::HeartbeatTable;
 use ladderstage::journal::read::{LogListing, LogRead};
-use ladderstage::journal::replica::{EntryChange, LogState, import, omit_known};
+use ladderstage::journal::replica::{self, EntryChange, LogState, import, omit_known};
 use ladderstage::journal::writer::{LogWriterState, ReplicaWrite, SealProgress, Sealing};
 use ladderstage::journal::{EpochSource, Quorum, WriterEpoch};
 use ladderstage_wire::messages::{
     DescribeLogsReply, ExportedLog, KnownLog, LogDescription, LogEntry, OwnedLog, ReadLogReply,
-    ReplicaMember, ReplicaSet, SealReply,
+    ReplicaMember, ReplicaSet, Seal, SealReply,
 };
 
 fn epoch(round: u64, owner: u64) -> WriterEpoch {
@@ -346,6 +346,67 @@
     assert!(unknown.into_newest().is_none());
 }
 
+/// Guards against a seal that is sent again and then counts as one of another writer.
+#[test]
+fn a_conditional_seal_is_refused_only_after_a_promise_to_another_writer() {
+    let seal = |round, owner, last: Option<WriterEpoch>| Seal {
+        epoch: epoch(round, owner).to_wire(),
+        last_promised: last.and_then(WriterEpoch::to_wire),
+        ..Seal::default()
+    };
+    let promised = |round, owner| LogState {
+        promised: epoch(round, owner),
+        ..LogState::default()
+    };
+    let outcome = |state: &LogState, request: &Seal| replica::seal(state, request).outcome;
+    let conditional = seal(5, 2, Some(epoch(4, 1)));
+    assert_eq!(outcome(&promised(4, 1), &conditional), Outcome::STORED);
+    assert_eq!(outcome(&promised(3, 9), &conditional), Outcome::STORED);
+    assert_eq!(outcome(&promised(5, 1), &conditional), Outcome::FENCED);
+    assert_eq!(
+        outcome(&promised(5, 2), &conditional),
+        Outcome::STORED,
+        "again"
+    );
+    let unconditional = seal(5, 2, None);
+    assert_eq!(outcome(&promised(5, 1), &unconditional), Outcome::STORED);
+}
+
+/// Guards against an owner that counts as silent although another replica hears from it.
+#[test]
+fn a_listing_names_the_shortest_silence_of_the_newest_writer() {
+    let silence_of = |replies: &[(u64, u64, u64)]| {
+        let mut listing = LogListing::new(quorum_of(1..=3));
+        for (replica_id, round, owner_silence_ms) in replies.iter().copied() {
+            let description = LogDescription {
+                log: LOG.to_owned(),
+                promised: epoch(round, 1).to_wire(),
+                length: replica_id,
+                owner_silence_ms,
+                ..LogDescription::default()
+            };
+            listing.on_reply(DescribeLogsReply {
+                replica_id,
+                logs: vec![description],
+            });
+        }
+        listing.into_logs()[0].owner_silence_ms
+    };
+    assert_eq!(silence_of(&[(1, 2, 900), (2, 2, 40)]), 40);
+    assert_eq!(silence_of(&[(2, 2, 40), (1, 2, 900)]), 40);
+    assert_eq!(silence_of(&[(1, 2, 0), (2, 2, 700)]), 700, "unknown at one");
+    assert_eq!(
+        silence_of(&[(1, 1, 40), (2, 2, 900)]),
+        900,
+        "of an earlier writer"
+    );
+    assert_eq!(
+        silence_of(&[(2, 2, 900), (1, 1, 40)]),
+        900,
+        "of an earlier writer"
+    );
+}
+
 /// A replica without the log may have promised a higher epoch to a writer that stopped after
 /// sealing.
 #[test]
@@ -358,6 +419,7 @@
             owner_node: format!("node-{round}"),
             length,
             closed: false,
+            owner_silence_ms: 0,
         }],
     };
     for replies in [
--- a/crates/ladderstage/tests/journal/support.rs
+++ b/crates/ladderstage/tests/journal/support.rs
@@ -458,6 +458,7 @@
         log: LOG.to_owned(),
         epoch,
         node: "node".to_owned(),
+        last_promised: None,
     }
 }
 
--- a/crates/storage/tests/storage.rs
+++ b/crates/storage/tests/storage.rs
@@ -59,6 +59,7 @@
         epoch: epoch(round).to_wire(),
         owner_node: "a".to_owned(),
         without_entries: false,
+        last_promised: None,
     }
 }
 
