Jobs: let a stalled run wait until another instance can continue it

Cause: a run left a stalled instance as soon as any other run there had received an event within 1.2 s, although no other instance could take it; and a run was called slow after four events at an instance of which no interval was known yet.

Change: a stalled run stays until another instance that is not stalled can continue it, for 4.8 s at most, and a run is compared only once its instance's interval is known.

--- a/crates/front/src/job/migration.rs
+++ b/crates/front/src/job/migration.rs
@@ -91,7 +91,7 @@
         let typical = context.backends.typical_unit_time(&context.service)?;
         let model = &context.spec.model;
         let remaining = expected_remaining_events(partial.events(), max_events);
-        let instance_ms = instance.recent_unit_time_ms();
+        let instance_ms = instance.recent_unit_time_ms()?;
         let expected_ms = |other_ms| {
             let run_ms = self.expected_interval_ms(mean_ms, other_ms);
             expected_interval_at_instance(run_ms, instance_ms)
@@ -135,8 +135,8 @@
 /// Returns the event interval that a run may expect if it stays at its instance, in milliseconds:
 /// no more than the recent interval of all runs there. A run that is slower than that was delayed
 /// by something that a migration does not change, such as a stall of this node or of all instances.
-pub fn expected_interval_at_instance(run_ms: f64, instance_ms: Option<f64>) -> f64 {
-    instance_ms.map_or(run_ms, |instance_ms| run_ms.min(instance_ms))
+pub fn expected_interval_at_instance(run_ms: f64, instance_ms: f64) -> f64 {
+    run_ms.min(instance_ms)
 }
 
 /// Returns the expected number of remaining events: as many as there are already, but no more than
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -54,8 +54,7 @@
         let frame = match tokio::time::timeout(limit, body.frame()).await {
             Err(_) => {
                 let since = stalled_since.get_or_insert_with(|| Instant::now() - limit);
-                let may_wait = since.elapsed() < MAX_STALL;
-                if may_wait && must_wait_for_stall(context, instance, partial) {
+                if since.elapsed() < MAX_STALL && !can_migrate(context, instance, partial) {
                     continue;
                 }
                 instance.record_failure(Instant::now());
@@ -107,12 +106,10 @@
     }
 }
 
-/// Returns whether a run without events has nowhere better to go: its instance sends no events to
-/// any run, and neither does any other instance that could continue the text. A migration would
-/// repeat the prefill and gain nothing.
-fn must_wait_for_stall(context: &RunContext, instance: &Instance, partial: &ItemText) -> bool {
+/// Returns whether another instance can continue the text of a stalled run. Without one, a
+/// migration would only repeat the prefill, at the same instance or at one that is stalled too.
+fn can_migrate(context: &RunContext, instance: &Instance, partial: &ItemText) -> bool {
     let now = Instant::now();
-    let is_stalled = |instance: &Instance| instance.silence(now) >= MAX_EVENT_INTERVAL;
     let other = context.backends.best_in_regions(
         &context.service,
         &context.spec.model,
@@ -121,10 +118,10 @@
         |other| {
             other.id() != instance.id()
                 && can_continue(context, partial, other)
-                && !is_stalled(other)
+                && other.silence(now) < MAX_EVENT_INTERVAL
         },
     );
-    is_stalled(instance) && other.is_none()
+    other.is_some()
 }
 
 /// Appends one event to the text; ends the run if the event is out of sequence or its weights are
--- a/crates/front/tests/pace.rs
+++ b/crates/front/tests/pace.rs
@@ -167,7 +167,7 @@
                 // The other instance went through the same stall.
                 let other_ms = instance_ms;
                 let run_ms = intervals.expected_interval_ms(mean_ms, other_ms);
-                let own_ms = expected_interval_at_instance(run_ms, Some(instance_ms));
+                let own_ms = expected_interval_at_instance(run_ms, instance_ms);
                 assert!(
                     !is_migration_worthwhile(own_ms, other_ms, event),
                     "stall of {stall_ms} ms at event {first_stalled}, at event {event}: {own_ms} ms"
