--- a/crates/daemon/tests/journal/network.rs
+++ b/crates/daemon/tests/journal/network.rs
@@ -82,6 +82,7 @@
 pub struct Network {
     nodes: Mutex<BTreeMap<String, Arc<Node>>>,
     disconnected: Mutex<BTreeSet<String>>,
+    refusing: Mutex<BTreeSet<String>>,
     write_losing: Mutex<BTreeSet<String>>,
     frozen: watch::Sender<BTreeSet<String>>,
     folders: TempDir,
@@ -96,6 +97,7 @@
         Arc::new(Self {
             nodes: Mutex::default(),
             disconnected: Mutex::default(),
+            refusing: Mutex::default(),
             write_losing: Mutex::default(),
             frozen: watch::Sender::default(),
             folders: tempfile::tempdir().unwrap(),
@@ -264,6 +266,11 @@
         *self.disconnected.lock().unwrap() = names.iter().map(|name| (*name).to_owned()).collect();
     }
 
+    /// Refuses connections to exactly these nodes, whose records remain.
+    pub fn refuse_connections(&self, names: &[&str]) {
+        *self.refusing.lock().unwrap() = names.iter().map(|name| (*name).to_owned()).collect();
+    }
+
     /// Drops installs and appends to exactly these nodes.
     pub fn lose_writes(&self, names: &[&str]) {
         *self.write_losing.lock().unwrap() = names.iter().map(|name| (*name).to_owned()).collect();
@@ -279,6 +286,9 @@
         if self.disconnected.lock().unwrap().contains(to) {
             return Err(CallError::NotSent("disconnected".to_owned()));
         }
+        if self.refusing.lock().unwrap().contains(to) {
+            return Err(CallError::NotSent("connection refused".to_owned()));
+        }
         let is_write = matches!(
             request.kind,
             RequestKind::install(_) | RequestKind::install_rest(_) | RequestKind::append(_)
--- a/crates/daemon/tests/journal/owners.rs
+++ b/crates/daemon/tests/journal/owners.rs
@@ -49,6 +49,46 @@
     }
 }
 
+/// Guards against notices that go to the silent owner itself, again and again, as long as its
+/// record is there.
+#[tokio::test]
+async fn the_silent_owner_of_orphaned_logs_is_not_their_successor() {
+    const LOGS: usize = 12;
+    let network = Network::start(5, 3).await;
+    for index in 0..LOGS {
+        let log = format!("shard/silent/1/{index}");
+        let (mut writer, _) = network.journal("n4").take_over(&log).await.unwrap();
+        writer.append(vec![entry("a")], false).await.unwrap();
+    }
+    let notified = |names: &[&str]| -> usize {
+        let orphaned = |name: &&str| network.with_hook_calls(name, |calls| calls.orphaned.len());
+        names.iter().map(orphaned).sum()
+    };
+    until("all logs have a successor", async || {
+        notified(&["n0", "n1", "n2", "n3"]) == LOGS
+    })
+    .await;
+    assert_eq!(notified(&["n4"]), 0, "the owner is silent");
+}
+
+/// Guards against orphaned logs that wait for an unreachable successor.
+#[tokio::test]
+async fn orphaned_logs_of_an_unreachable_successor_go_to_the_next_one() {
+    const LOGS: usize = 12;
+    let network = Network::start(5, 3).await;
+    for index in 0..LOGS {
+        let log = format!("shard/silent/1/{index}");
+        let (mut writer, _) = network.journal("n4").take_over(&log).await.unwrap();
+        writer.append(vec![entry("a")], false).await.unwrap();
+    }
+    network.refuse_connections(&["n3", "n4"]);
+    until("all logs have a successor", async || {
+        let orphaned = |name: &&str| network.with_hook_calls(name, |calls| calls.orphaned.len());
+        ["n0", "n1", "n2"].iter().map(orphaned).sum::<usize>() >= LOGS
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn heartbeats_notify_a_fenced_writer() {
     let network = Network::start(3, 3).await;
--- a/crates/journal/src/replica.rs
+++ b/crates/journal/src/replica.rs
@@ -5,14 +5,14 @@
     reason = "an owner's silence must not include time in which this machine was suspended"
 )]
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use ladderstage::ids::ProcessId;
 use ladderstage::journal::heartbeat::HeartbeatTable;
 use ladderstage::journal::replica;
-use ladderstage_storage::{Storage, StorageError};
+use ladderstage_storage::{OpenLog, Storage, StorageError};
 use ladderstage_wire::messages::mod_Refused::Reason;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
@@ -206,18 +206,26 @@
         prefix: &str,
         timeout: Duration,
         has_exited: impl Fn(ProcessId) -> bool,
-    ) -> Vec<String> {
+    ) -> Vec<OpenLog> {
         let Some(storage) = &self.storage else {
             return Vec::new();
         };
-        let open = storage.open_logs_with_owners(prefix).into_iter();
-        let open = open.map(|(log, owner)| match has_exited(owner) {
-            true => (log, timeout.mul_f64(EXITED_OWNER_TIMEOUT_FRACTION)),
-            false => (log, timeout),
+        let mut open = storage.open_logs_with_owners(prefix);
+        let timeouts = open.iter().map(|open| {
+            let timeout = match has_exited(open.owner) {
+                true => timeout.mul_f64(EXITED_OWNER_TIMEOUT_FRACTION),
+                false => timeout,
+            };
+            (open.log.clone(), timeout)
         });
+        let timeouts: Vec<_> = timeouts.collect();
         let now = self.now();
-        self.lock_heartbeats()
-            .orphaned_by_timeout(open, now, timeout)
+        let mut heartbeats = self.lock_heartbeats();
+        let orphaned = heartbeats.orphaned_by_timeout(timeouts, now, timeout);
+        drop(heartbeats);
+        let orphaned: HashSet<String> = orphaned.into_iter().collect();
+        open.retain(|open| orphaned.contains(&open.log));
+        open
     }
 
     fn storage_for(&self, log: &str) -> Result<&Storage, Response> {
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -19,4 +19,4 @@
 pub use error::{OpenError, StorageError};
 pub use open::{DropRule, StorageFaults, StorageOptions};
 pub use retention::SweepReport;
-pub use store::{Storage, StoredBundle};
+pub use store::{OpenLog, Storage, StoredBundle};
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -27,6 +27,17 @@
 /// Number of queued bytes for which one permit is acquired.
 const BYTES_PER_PERMIT: usize = 1024;
 
+/// A log that should have an active writer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OpenLog {
+    /// Name of the log.
+    pub log: String,
+    /// Process of the promised epoch's writer.
+    pub owner: ProcessId,
+    /// Node of that process.
+    pub owner_node: String,
+}
+
 /// Stored bundle.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoredBundle {
@@ -215,12 +226,16 @@
             .collect()
     }
 
-    /// Like [`Storage::open_logs`], but with the process that owns each log's promised epoch.
-    pub fn open_logs_with_owners(&self, prefix: &str) -> Vec<(String, ProcessId)> {
+    /// Like [`Storage::open_logs`], but with the owner of each log.
+    pub fn open_logs_with_owners(&self, prefix: &str) -> Vec<OpenLog> {
         let content = self.content();
         logs_with_prefix(&content, prefix)
             .filter(|(_, record)| record.state.needs_owner())
-            .map(|(log, record)| (log.clone(), record.state.promised.owner))
+            .map(|(log, record)| OpenLog {
+                log: log.clone(),
+                owner: record.state.promised.owner,
+                owner_node: record.state.owner_node.clone(),
+            })
             .collect()
     }
 
