--- a/crates/daemon/tests/journal/replica_sets.rs
+++ b/crates/daemon/tests/journal/replica_sets.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use ladderstage_daemon::journal::JournalError;
+use ladderstage_daemon::replica_set::SetRecords;
+use ladderstage_platform::key_value::KeyValue;
 use ladderstage_wire::messages::LogEntry;
 
 use crate::key_value_server::{Fault, KeyValueServer};
@@ -139,3 +141,41 @@
     let read = network.journal("n3").read("shard/t/1/0").await.unwrap();
     assert_eq!(read, Some(entries));
 }
+
+/// Guards against a member that was not told of a newer set and waits for ever: its heartbeats
+/// reach only a node whose disk was replaced.
+#[tokio::test]
+async fn a_member_learns_a_newer_set_from_a_node_with_a_new_disk() {
+    let network = Network::start(3, 3).await;
+    let mut newer = network.sets()[0].clone();
+    newer.version += 1;
+    network.stop_node("n1").await;
+    network.erase("n1");
+    let replaced = network.start_node("n1", true);
+    replaced.replica_sets.learn(newer).await.unwrap();
+    until("the others know the newer set", async || {
+        network.versions().into_iter().all(|version| version == 2)
+    })
+    .await;
+}
+
+/// Guards against a member that was not told of a newer set and to which no node is left that knows
+/// it.
+#[tokio::test]
+async fn a_member_that_missed_an_announcement_reads_the_recorded_set_after_a_loss() {
+    let server = KeyValueServer::start().await;
+    let network = start(&server, 3, 3).await;
+    let records = KeyValue::new(vec![server.url.clone()], Duration::from_secs(2));
+    let recorded = SetRecords::read(&records).await.unwrap().unwrap();
+    let mut newer = recorded.set;
+    newer.version += 1;
+    newer.current.retain(|member| member.node != "n0");
+    SetRecords::swap(&records, recorded.mod_revision, newer)
+        .await
+        .unwrap();
+    network.stop_node("n0").await;
+    until("the members know the newer set", async || {
+        network.versions().into_iter().all(|version| version == 2)
+    })
+    .await;
+}
--- a/crates/journal/src/heartbeat.rs
+++ b/crates/journal/src/heartbeat.rs
@@ -131,15 +131,16 @@
         reply: OwnerHeartbeatReply,
         answers: &mut RoundReplies,
     ) {
-        if reply.replica_id != member.replica_id || !answers.replicas.insert(reply.replica_id) {
-            return;
-        }
-        answers.evidence.push(reply.evidence.unwrap_or_default());
+        // A node with a new disk does not count as a replica, but knows the set that replaced it.
         let replica_sets = &self.calls.service.replica_sets;
         if reply.replica_set_version > replica_sets.version() {
             let peers = Arc::clone(&self.calls.peers);
             replica_sets.fetch_in_background(peers, member.node.clone());
         }
+        if reply.replica_id != member.replica_id || !answers.replicas.insert(reply.replica_id) {
+            return;
+        }
+        answers.evidence.push(reply.evidence.unwrap_or_default());
         let is_fenced = |owned: &&OwnedLog| reply.fenced_logs.contains(&owned.log);
         for owned in heartbeat.logs.iter().filter(is_fenced) {
             self.on_fenced(owned, reply.replica_id);
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -26,9 +26,9 @@
 /// Timeout of the announcement of a new set to a peer.
 const FENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Minimum time between reads of the record by a node whose disk is not a member. Such nodes
-/// usually learn of their admission from the members, but that announcement may get lost.
-const NON_MEMBER_READ_INTERVAL: Duration = Duration::from_secs(5);
+/// Minimum time between reads of the record by a node that may have missed a newer set. Nodes
+/// usually learn of newer sets from announcements, but these may get lost.
+const RECORD_READ_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Time that a leaving replica waits for a spare (a disk that is not a member) before the set is
 /// shrunk.
@@ -60,7 +60,7 @@
     pub target_count: usize,
     /// Time at which each missing replica, by its id, was first found missing.
     pub missing_since: BTreeMap<u64, Instant>,
-    /// Time at which this node last read the record as a non-member.
+    /// Time at which this node last read the record because it may have missed a newer set.
     pub record_read_at: Option<Instant>,
     /// Time at which this node first tried to leave the set.
     pub leaving_since: Option<Instant>,
@@ -91,16 +91,16 @@
         if self.is_newcomer(set) {
             return self.join(set).await;
         }
+        let alive = self.peers.alive();
+        let spares = self.spares(set, &alive);
+        let lost = self.lost(set, &alive);
         let is_due = self
             .record_read_at
-            .is_none_or(|at| at.elapsed() >= NON_MEMBER_READ_INTERVAL);
-        if self.is_non_member(set) && is_due {
+            .is_none_or(|at| at.elapsed() >= RECORD_READ_INTERVAL);
+        if self.may_have_missed_set(set, &lost) && is_due {
             self.record_read_at = Some(Instant::now());
             self.learn_recorded().await?;
         }
-        let alive = self.peers.alive();
-        let spares = self.spares(set, &alive);
-        let lost = self.lost(set, &alive);
         // A missing replica takes precedence over a leaving one, so that the spare replaces the
         // missing one.
         if self.should_leave(set, &alive) && self.missing_since.is_empty() {
@@ -201,6 +201,13 @@
         own_id.is_some_and(|id| !is_member(set, id))
     }
 
+    /// Returns whether a newer set may exist of which this node was not told: it is no member, or a
+    /// replica is lost that a newer set may have replaced or removed already.
+    fn may_have_missed_set(&self, set: &ReplicaSet, lost: &BTreeSet<u64>) -> bool {
+        let has_disk = self.replica_sets.own_replica_id().is_some();
+        self.is_non_member(set) || has_disk && !lost.is_empty()
+    }
+
     async fn learn_recorded(&self) -> Result<(), RecordError> {
         if let Some(recorded) = self.records.read_stale().await? {
             self.replica_sets.learn_or_log(recorded.set).await;
