--- a/crates/journal/src/replica.rs
+++ b/crates/journal/src/replica.rs
@@ -44,6 +44,14 @@
     started_at: Instant,
 }
 
+/// Activity of a log's writer that was recorded before its write was stored.
+struct RecordedActivity {
+    log: String,
+    at: Duration,
+    /// Time of the activity before.
+    before: Option<Duration>,
+}
+
 impl ReplicaService {
     pub fn new(storage: Option<Storage>, replica_sets: ReplicaSets, hooks: HookSlot) -> Self {
         Self {
@@ -78,10 +86,10 @@
             Ok(storage) => storage,
             Err(refusal) => return refusal,
         };
-        let log = request.log.clone();
+        let activity = self.record_activity(&request.log);
         let result = storage.seal(request).await;
-        if result.as_ref().is_ok_and(|reply| reply.accepted) {
-            self.record_activity(&log);
+        if !result.as_ref().is_ok_and(|reply| reply.accepted) {
+            self.undo_activity(&activity);
         }
         respond(result, ResponseKind::seal)
     }
@@ -91,13 +99,13 @@
             Ok(storage) => storage,
             Err(refusal) => return refusal,
         };
-        let log = request.log.clone();
+        let activity = self.record_activity(&request.log);
         let result = storage.install(request).await;
-        if result
+        if !result
             .as_ref()
             .is_ok_and(|reply| reply.outcome == Outcome::STORED)
         {
-            self.record_activity(&log);
+            self.undo_activity(&activity);
         }
         respond(result, ResponseKind::write)
     }
@@ -128,8 +136,7 @@
         let now = self.now();
         let heartbeats = self.lock_heartbeats();
         for log in &mut described.logs {
-            let silence = heartbeats.silence(&log.log, now);
-            log.owner_silence_ms = silence.map_or(0, silence_ms);
+            log.owner_silence_ms = silence_ms(heartbeats.silence(&log.log, now));
         }
         drop(heartbeats);
         response(ResponseKind::describe_logs(described))
@@ -235,9 +242,21 @@
         self.storage.as_ref().ok_or_else(not_a_replica)
     }
 
-    fn record_activity(&self, log: &str) {
-        let now = self.now();
-        self.lock_heartbeats().record_activity(log, now);
+    /// Records a write before it is stored, so that a log is never seen with a new writer and the
+    /// silence of the one before.
+    fn record_activity(&self, log: &str) -> RecordedActivity {
+        let at = self.now();
+        RecordedActivity {
+            log: log.to_owned(),
+            at,
+            before: self.lock_heartbeats().record_activity(log, at),
+        }
+    }
+
+    /// Forgets a write that was refused, which is no sign of the owner.
+    fn undo_activity(&self, activity: &RecordedActivity) {
+        let RecordedActivity { log, at, before } = activity;
+        self.lock_heartbeats().restore_activity(log, *at, *before);
     }
 
     fn now(&self) -> Duration {
--- a/crates/ladderstage/src/journal/heartbeat.rs
+++ b/crates/ladderstage/src/journal/heartbeat.rs
@@ -33,20 +33,32 @@
         false
     }
 
-    /// Records a seal, an install or an append by a writer of the log.
-    pub fn record_activity(&mut self, log: &str, now: Duration) {
+    /// Records a seal, an install or an append by a writer of the log. Returns the time of the
+    /// activity before.
+    pub fn record_activity(&mut self, log: &str, now: Duration) -> Option<Duration> {
         match self.last_heartbeat.get_mut(log) {
-            Some(last_heartbeat) => *last_heartbeat = now,
-            None => {
-                self.last_heartbeat.insert(log.to_owned(), now);
-            }
+            Some(last_heartbeat) => Some(std::mem::replace(last_heartbeat, now)),
+            None => self.last_heartbeat.insert(log.to_owned(), now),
+        }
+    }
+
+    /// Restores the time of the last activity, for an activity that was refused. Has no effect if
+    /// there was a later one than that at `refused_at`.
+    pub fn restore_activity(&mut self, log: &str, refused_at: Duration, before: Option<Duration>) {
+        let Some(last_heartbeat) = self.last_heartbeat.get_mut(log) else {
+            return;
+        };
+        match before {
+            Some(before) if *last_heartbeat == refused_at => *last_heartbeat = before,
+            _ => {}
         }
     }
 
-    /// Returns the time since the last activity of the log's writer; `None` if none is known.
-    pub fn silence(&self, log: &str, now: Duration) -> Option<Duration> {
-        let last_heartbeat = self.last_heartbeat.get(log)?;
-        Some(now.saturating_sub(*last_heartbeat))
+    /// Returns the time since the last activity of the log's writer. A log that is seen for the
+    /// first time counts as active now.
+    pub fn silence(&self, log: &str, now: Duration) -> Duration {
+        let last_heartbeat = self.last_heartbeat.get(log).copied();
+        now.saturating_sub(last_heartbeat.unwrap_or(now))
     }
 
     /// Returns the logs in `open` without activity for `timeout`. A log that is seen for the first
--- a/crates/ladderstage/tests/journal/rules.rs
+++ b/crates/ladderstage/tests/journal/rules.rs
@@ -372,6 +372,32 @@
     assert_eq!(outcome(&promised(5, 1), &unconditional), Outcome::STORED);
 }
 
+/// Guards against a refused writer that counts as a sign of the silent owner, and against a new
+/// writer that counts as silent because its predecessor was.
+#[test]
+fn a_refused_write_leaves_the_silence_of_the_writer_unchanged() {
+    let at = Duration::from_millis;
+    let mut table = HeartbeatTable::default();
+    assert_eq!(
+        table.silence(LOG, at(100)),
+        at(0),
+        "seen for the first time"
+    );
+    table.record_activity(LOG, at(100));
+    assert_eq!(table.silence(LOG, at(900)), at(800));
+    let before = table.record_activity(LOG, at(900));
+    table.restore_activity(LOG, at(900), before);
+    assert_eq!(table.silence(LOG, at(1_000)), at(900), "refused");
+    let before = table.record_activity(LOG, at(1_000));
+    table.record_activity(LOG, at(1_100));
+    table.restore_activity(LOG, at(1_000), before);
+    assert_eq!(
+        table.silence(LOG, at(1_200)),
+        at(100),
+        "a later one was stored"
+    );
+}
+
 /// Guards against an owner that counts as silent although another replica hears from it.
 #[test]
 fn a_listing_names_the_shortest_silence_of_the_newest_writer() {
