--- a/crates/daemon/tests/journal/network.rs
+++ b/crates/daemon/tests/journal/network.rs
@@ -25,6 +25,9 @@
 /// Maximum wait for a condition before a test fails.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Timeout of a round of calls to the replicas.
+pub const ROUND_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Revision of the bundle that the initial replicas store.
 const BUNDLE: u64 = 3;
 
@@ -85,6 +88,8 @@
     refusing: Mutex<BTreeSet<String>>,
     write_losing: Mutex<BTreeSet<String>>,
     frozen: watch::Sender<BTreeSet<String>>,
+    /// Time that each write to a disk takes.
+    write_delay: Mutex<Duration>,
     folders: TempDir,
     /// Total size of all requests and answers between nodes, in bytes.
     carried: AtomicUsize,
@@ -100,6 +105,7 @@
             refusing: Mutex::default(),
             write_losing: Mutex::default(),
             frozen: watch::Sender::default(),
+            write_delay: Mutex::default(),
             folders: tempfile::tempdir().unwrap(),
             carried: AtomicUsize::new(0),
             key_value_url,
@@ -276,6 +282,11 @@
         *self.write_losing.lock().unwrap() = names.iter().map(|name| (*name).to_owned()).collect();
     }
 
+    /// Makes each write to a disk take this long.
+    pub fn set_write_delay(&self, delay: Duration) {
+        *self.write_delay.lock().unwrap() = delay;
+    }
+
     /// Freezes exactly these nodes: calls to them are executed once they are no longer frozen.
     pub fn freeze(&self, names: &[&str]) {
         self.frozen
@@ -298,6 +309,10 @@
         if is_write && self.write_losing.lock().unwrap().contains(to) {
             return Err(CallError::Unknown("lost".to_owned()));
         }
+        let write_delay = *self.write_delay.lock().unwrap();
+        if is_write || matches!(request.kind, RequestKind::seal(_)) {
+            tokio::time::sleep(write_delay).await;
+        }
         let mut frozen = self.frozen.subscribe();
         let _ = frozen.wait_for(|frozen| !frozen.contains(to)).await;
         let node = self.nodes.lock().unwrap().get(to).cloned();
@@ -377,10 +392,11 @@
         [timing]
         owner_heartbeat_ms = 50
         owner_timeout_ms = 3000
-        journal_timeout_ms = 2000
+        journal_timeout_ms = {}
         key_value_poll_ms = 50
         replica_replace_after_ms = 500
-        "#
+        "#,
+        ROUND_TIMEOUT.as_millis()
     );
     toml::from_str(&text).expect("settings")
 }
--- a/crates/daemon/tests/journal/writers.rs
+++ b/crates/daemon/tests/journal/writers.rs
@@ -2,7 +2,7 @@
 
 use ladderstage_daemon::journal::JournalError;
 
-use crate::network::{Network, entry, until};
+use crate::network::{Network, ROUND_TIMEOUT, entry, until};
 
 const LOG: &str = "shard/trainer/1/0";
 
@@ -94,6 +94,30 @@
     }
 }
 
+/// Guards against takeovers that start over for ever at replicas whose disks need longer for a write
+/// than a round lasts.
+#[tokio::test]
+async fn a_log_is_taken_over_at_replicas_with_slow_disks() {
+    let network = Network::start(4, 3).await;
+    network.store_bundle(&["n0", "n1", "n2"]).await;
+    until("the replicas answer heartbeats", async || {
+        network.with_hook_calls("n3", |calls| calls.evidence_with_majority > 0)
+    })
+    .await;
+    network.set_write_delay(ROUND_TIMEOUT + ROUND_TIMEOUT / 2);
+    let journal = network.journal("n3");
+    let mut attempts = 0;
+    let mut writer = loop {
+        attempts += 1;
+        match journal.take_over(LOG).await {
+            Ok((writer, _)) => break writer,
+            Err(error) => assert!(attempts < 8, "attempt {attempts}: {error}"),
+        }
+    };
+    writer.append(vec![entry("a")], false).await.unwrap();
+    assert_eq!(journal.read(LOG).await.unwrap(), Some(vec![entry("a")]));
+}
+
 /// A takeover that transfers a long log several times never finishes on a slow link.
 #[tokio::test]
 async fn a_takeover_transfers_a_long_log_once() {
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -7,9 +7,11 @@
 
 use ladderstage::journal::WriterEpoch;
 use ladderstage_clock::Instant;
-use ladderstage_journal::JournalError;
-use ladderstage_wire::messages::{JobResults, JobSpec};
+use ladderstage_journal::jitter::jittered;
+use ladderstage_journal::{JournalError, LogWriter};
+use ladderstage_wire::messages::{JobResults, JobSpec, LogEntry};
 
+use super::appending::RETRY_PAUSE;
 use super::context::JobContext;
 use super::digest::LogDigest;
 use super::local_job::{Command, Job};
@@ -370,10 +372,10 @@
             shared: Arc::clone(&self.shared),
             id: id.to_owned(),
         };
-        let (journal, log) = (&self.context.journal, log_name(id));
+        let journal = &self.context.journal;
         let (writer, entries) = match last {
-            Some(last) => journal.take_over_from(&log, last).await?,
-            None => journal.take_over(&log).await?,
+            Some(last) => journal.take_over_from(&log_name(id), last).await?,
+            None => self.take_over_with_retries(id).await?,
         };
         let state = JobState::replay(&entries).map_err(|error| {
             log::error!("event=job_log_unreadable job={id} cause=\"{error}\"");
@@ -415,6 +417,25 @@
         Ok(job)
     }
 
+    /// Takes over a job's log. A round that too few replicas answer in time is repeated while they still
+    /// confirm this node's heartbeats, as they are only busy then.
+    async fn take_over_with_retries(
+        &self,
+        id: &str,
+    ) -> Result<(LogWriter, Vec<LogEntry>), JournalError> {
+        loop {
+            let taken = self.context.journal.take_over(&log_name(id)).await;
+            let Err(JournalError::NoQuorum(cause)) = &taken else {
+                return taken;
+            };
+            if self.is_journal_unreachable() {
+                return taken;
+            }
+            log::warn!("event=job_log_unavailable job={id} cause=\"{cause}\"");
+            tokio::time::sleep(jittered(RETRY_PAUSE)).await;
+        }
+    }
+
     /// Removes this job unless its entry has been replaced.
     fn remove(&self, job: &Arc<Job>) {
         let mut jobs = lock(&self.shared.jobs);
--- a/crates/journal/src/calls.rs
+++ b/crates/journal/src/calls.rs
@@ -1,11 +1,12 @@
 //! Calls to replicas, over the network or directly to this node's own data folder.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use ladderstage::journal::{Quorum, quorum};
+use ladderstage::journal::{Quorum, WriteTimeout, quorum};
+use ladderstage_clock::Instant;
 use ladderstage_transport::CallError;
 use ladderstage_wire::messages::mod_Refused::Reason;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
@@ -35,7 +36,11 @@
 pub(crate) struct ReplicaCalls {
     pub service: Arc<ReplicaService>,
     pub peers: Arc<dyn Peers>,
+    /// Timeout of a round without writes.
     pub timeout: Duration,
+    pub write_timeout: Mutex<WriteTimeout>,
+    /// Time of the last heartbeat that a majority of replicas answered.
+    pub majority_heard_at: Mutex<Option<Instant>>,
     pub metrics: JournalMetrics,
 }
 
@@ -102,6 +107,40 @@
         }
     }
 
+    /// Records that a majority of replicas answered a heartbeat sent at `sent_at`.
+    pub fn record_majority(&self, sent_at: Instant) {
+        let mut heard_at = lock(&self.majority_heard_at);
+        *heard_at = (*heard_at).max(Some(sent_at));
+    }
+
+    /// Returns the timeout of a round in which the replicas write to their disks.
+    pub fn write_timeout(&self) -> Duration {
+        let heartbeat_age = lock(&self.majority_heard_at).map(|at| at.elapsed());
+        lock(&self.write_timeout).next(heartbeat_age)
+    }
+
+    /// Records the outcome of a round with writes whose timeout was `timeout`.
+    pub fn record_write_round<T>(
+        &self,
+        result: &Result<T, JournalError>,
+        timeout: Duration,
+        elapsed: Duration,
+    ) {
+        let mut write_timeout = lock(&self.write_timeout);
+        let is_changed = match result {
+            Ok(_) => write_timeout.record_success(elapsed),
+            Err(JournalError::NoQuorum(_)) if elapsed >= timeout => {
+                write_timeout.record_timeout(timeout)
+            }
+            Err(_) => false,
+        };
+        drop(write_timeout);
+        if is_changed {
+            let timeout_ms = self.write_timeout().as_millis();
+            log::info!("event=write_timeout_changed timeout_ms={timeout_ms}");
+        }
+    }
+
     /// Sends `request` to all replicas of `set` concurrently and passes each response to
     /// `on_answer`. Ends when `on_answer` finishes, a quorum has become impossible, all replicas
     /// have responded, or the timeout expires.
@@ -109,17 +148,45 @@
         &self,
         set: &ReplicaSet,
         request: &RequestKind,
+        on_answer: impl FnMut(ResponseKind) -> RoundStep<T>,
+    ) -> Result<T, JournalError> {
+        self.round_within(set, request, self.timeout, on_answer)
+            .await
+    }
+
+    /// Like [`ReplicaCalls::round`], for a request that the replicas write to their disks.
+    pub async fn write_round<T>(
+        &self,
+        set: &ReplicaSet,
+        request: &RequestKind,
+        on_answer: impl FnMut(ResponseKind) -> RoundStep<T>,
+    ) -> Result<T, JournalError> {
+        let started = Instant::now();
+        let timeout = self.write_timeout();
+        let result = self.round_within(set, request, timeout, on_answer).await;
+        self.record_write_round(&result, timeout, started.elapsed());
+        result
+    }
+
+    async fn round_within<T>(
+        &self,
+        set: &ReplicaSet,
+        request: &RequestKind,
+        timeout: Duration,
         mut on_answer: impl FnMut(ResponseKind) -> RoundStep<T>,
     ) -> Result<T, JournalError> {
         let members = quorum::members(set);
         let mut calls: FuturesUnordered<_> = members
             .iter()
-            .map(|member| async move { (member, self.call(member, request.clone()).await) })
+            .map(|member| async move {
+                let called = self.call_within(member, request.clone(), timeout);
+                (member, called.await)
+            })
             .collect();
         let quorum = Quorum::new(set);
         let mut failed = BTreeSet::new();
         let mut failures = Vec::new();
-        let deadline = tokio::time::sleep(self.timeout);
+        let deadline = tokio::time::sleep(timeout);
         tokio::pin!(deadline);
         loop {
             let answered = tokio::select! {
@@ -192,3 +259,9 @@
         JournalError::NoQuorum(failures.join("; "))
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- a/crates/journal/src/heartbeat.rs
+++ b/crates/journal/src/heartbeat.rs
@@ -170,8 +170,11 @@
     }
 
     fn report(&self, sent_at: Instant, set: &ReplicaSet, answers: &RoundReplies) {
+        let majority = ReplicaCalls::quorum(set).is_met_by(&answers.replicas);
+        if majority {
+            self.calls.record_majority(sent_at);
+        }
         if let Some(hooks) = self.hooks.get() {
-            let majority = ReplicaCalls::quorum(set).is_met_by(&answers.replicas);
             hooks.heartbeat_round(sent_at, answers.evidence.clone(), majority);
         }
     }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -28,7 +28,7 @@
 use ladderstage::ids::ProcessId;
 use ladderstage::journal::read::{LogListing, LogRead};
 use ladderstage::journal::writer::{SealProgress, SealedLog, Sealing, WriterIdentity};
-use ladderstage::journal::{EpochSource, WriterEpoch, quorum};
+use ladderstage::journal::{EpochSource, WriteTimeout, WriterEpoch, quorum};
 use ladderstage_storage::Storage;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
@@ -129,6 +129,8 @@
             service: Arc::new(ReplicaService::new(storage, replica_sets, hooks.clone())),
             peers,
             timeout: options.round_timeout,
+            write_timeout: Mutex::new(WriteTimeout::new(options.round_timeout)),
+            majority_heard_at: Mutex::default(),
             metrics: JournalMetrics::new(),
         });
         let registry = Arc::new(WriterRegistry::new(options.monitored_prefix));
@@ -303,7 +305,7 @@
         let request = RequestKind::seal(sealing.request());
         let calls = &self.inner.calls;
         let result = calls
-            .round(set, &request, |answer| match answer {
+            .write_round(set, &request, |answer| match answer {
                 ResponseKind::seal(reply) => match sealing.on_reply(&reply) {
                     SealProgress::Waiting => RoundStep::Continue,
                     SealProgress::Sealed => RoundStep::Finish(true),
--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -192,24 +192,27 @@
     async fn replicate(self: &Arc<Self>) -> Result<(), JournalError> {
         let started = Instant::now();
         let changed = self.changed.subscribe();
-        let timeout = self.round_timeout();
+        let write_timeout = self.calls.write_timeout();
+        let timeout = transfer_timeout(write_timeout, self.outstanding_bytes());
         for member in quorum::members(&self.set) {
             self.start_task(member);
         }
         let waited = tokio::time::timeout(timeout, self.wait_for_result(changed)).await;
         let result = waited
             .unwrap_or_else(|_| Err(JournalError::NoQuorum(self.lock().last_failure.clone())));
-        self.calls.metrics.record_round(&result, started.elapsed());
+        let elapsed = started.elapsed();
+        self.calls.metrics.record_round(&result, elapsed);
+        self.calls
+            .record_write_round(&result, write_timeout, elapsed);
         result
     }
 
-    /// Returns the timeout of a round in which all replicas are sent the entries that they lack.
-    fn round_timeout(&self) -> Duration {
+    /// Returns the size of the entries that the replicas lack.
+    fn outstanding_bytes(&self) -> usize {
         let progress = self.lock();
         let replicas = quorum::members(&self.set).into_iter();
         let writes = replicas.filter_map(|member| progress.state.next_write(member.replica_id));
-        let bytes = writes.map(|write| payload_bytes(&write)).sum();
-        transfer_timeout(self.calls.timeout, bytes)
+        writes.map(|write| payload_bytes(&write)).sum()
     }
 
     async fn wait_for_result(&self, mut changed: watch::Receiver<()>) -> Result<(), JournalError> {
@@ -253,7 +256,7 @@
         let mut failures = 0;
         while let Some(write) = self.next_write(&member, failures < MAX_FAILURES) {
             let request = request_of(&write);
-            let timeout = transfer_timeout(self.calls.timeout, payload_bytes(&write));
+            let timeout = transfer_timeout(self.calls.write_timeout(), payload_bytes(&write));
             let result = self.calls.call_within(&member, request, timeout).await;
             if !self.record_result(&member, &write, result) {
                 failures += 1;
--- a/crates/ladderstage/src/journal/mod.rs
+++ b/crates/ladderstage/src/journal/mod.rs
@@ -12,7 +12,9 @@
 pub mod read;
 pub mod replica;
 pub mod replica_set;
+pub mod write_timeout;
 pub mod writer;
 
 pub use epoch::{EpochSource, WriterEpoch};
 pub use quorum::Quorum;
+pub use write_timeout::WriteTimeout;
--- a/crates/ladderstage/tests/journal/main.rs
+++ b/crates/ladderstage/tests/journal/main.rs
@@ -4,3 +4,4 @@
 mod rules;
 mod simulated_replica;
 mod support;
+mod write_timeout;
