Jobs: read an unconfirmed own job without the cache of others' results

Callers saw: an owner that had lost all replicas went on to answer reads of its job with 200.

Cause: while its ownership was not confirmed, an owner relayed a read through another front, and put the answer into the cache of other nodes' jobs. Reads of positions in the cache were answered from it once nothing else answered.

Evidence: one failed play of an_owner_without_a_majority_answers_no_reads: job_call_relayed node=front-1 at the owner before the stores were killed, then 200 for 30 s.

Change: an own job that is read through another front bypasses the cache.

--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -166,7 +166,8 @@
         }
     }
 
-    /// Reads a job of another node; requests only results that are not cached.
+    /// Reads a job of another node; requests only results that are not cached. A job of this node
+    /// whose ownership is not confirmed is read through another front, without the cache.
     async fn read_elsewhere(
         &self,
         id: &str,
@@ -174,6 +175,10 @@
         wait: Duration,
         relayed: bool,
     ) -> Result<JobResults, JobError> {
+        if relayed && self.local(id).is_some() {
+            let request = read_request(id, after, wait, relayed);
+            return results_from(self.relay(id, &request, wait).await?);
+        }
         let known = lock(&self.shared.result_cache).count(id);
         let has_some = after < known;
         let (from, wait) = if has_some {
