--- a/crates/wire/tests/formats/samples.rs
+++ b/crates/wire/tests/formats/samples.rs
@@ -54,6 +54,18 @@
                 ..Seal::default()
             }),
         ),
+        (
+            "conditional_seal",
+            RequestKind::seal(Seal {
+                replica_set_version: 3,
+                log: log(),
+                epoch: epoch(4),
+                owner_node: "front-1".into(),
+                without_entries: true,
+                last_promised: epoch(3),
+                ..Seal::default()
+            }),
+        ),
         ("install", RequestKind::install(install())),
         (
             "install_rest",
@@ -102,6 +114,15 @@
                 ..OwnerHeartbeat::default()
             }),
         ),
+        (
+            "handover_notice",
+            RequestKind::shard_notice(ShardNotice {
+                logs: vec![log()],
+                from_owner: true,
+                epochs: epoch(4).into_iter().collect(),
+                ..ShardNotice::default()
+            }),
+        ),
         (
             "shard_notice",
             RequestKind::shard_notice(ShardNotice {
@@ -294,6 +315,22 @@
                 ..ReadLogReply::default()
             }),
         ),
+        (
+            "describe_logs_reply_with_silence",
+            ResponseKind::describe_logs(DescribeLogsReply {
+                replica_id: 21,
+                logs: vec![LogDescription {
+                    log: log(),
+                    promised: epoch(4),
+                    owner_node: "front-1".into(),
+                    length: 12,
+                    closed: true,
+                    owner_silence_ms: 340,
+                    ..LogDescription::default()
+                }],
+                ..DescribeLogsReply::default()
+            }),
+        ),
         (
             "describe_logs_reply",
             ResponseKind::describe_logs(DescribeLogsReply {
