Jobs: promise "not run" only where no other front may have accepted the job

By reading the diff: a front whose seal was refused because of a promise to another one, and that then failed, answered that it has not stored the job. The other front may have, so that the client was told 503 for a job that runs. The outcome is unknown in this case.

--- a/crates/front/src/job/accepting.rs
+++ b/crates/front/src/job/accepting.rs
@@ -1,4 +1,4 @@
-//! Opens the log of a new job, which at most one front accepts at a time.
+//! Accepts new jobs. At most one front accepts a job at a time.
 //!
 //! Several fronts may be asked to accept the same job: a front that forwards a step and gets no answer
 //! in time accepts it itself, and a client repeats a submission at another front. A front that takes
@@ -16,8 +16,8 @@
 use super::appending::RETRY_PAUSE;
 use super::local_job::Job;
 use super::locating::{JobOwner, NodeCallError, RecordedOwner, owner_probe};
-use super::reading::JobError;
-use super::registry::{AcceptError, JobRegistry};
+use super::reading::{COMMIT_TIMEOUT, JobError};
+use super::registry::JobRegistry;
 use crate::program::OWNER_TIMEOUT;
 
 /// Interval between checks of a job that another front is accepting.
@@ -27,27 +27,85 @@
 /// unsuccessful writer with a higher epoch.
 const HIDDEN_OWNER_TIMEOUT: Duration = OWNER_TIMEOUT.saturating_mul(2);
 
+/// Reason why a job was not accepted.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum AcceptError {
+    /// This attempt has not stored the job.
+    #[error("job not stored: {0}")]
+    NotStored(String),
+    /// The job may or may not be stored.
+    #[error("outcome unknown: {0}")]
+    OutcomeUnknown(String),
+}
+
 /// Front that accepts a new job.
-pub(super) enum NewJob {
+enum NewJob {
     /// This front, which queues the acceptance.
     Here(Arc<Job>),
     /// Another front has accepted the job.
     Elsewhere,
 }
 
-fn takeover_timed_out() -> AcceptError {
-    AcceptError::NotStored("the takeover of the job's log timed out".to_owned())
-}
-
-fn accepted_elsewhere() -> AcceptError {
-    AcceptError::OutcomeUnknown("another front may accept the job".to_owned())
+/// Returns the error for a job that this front has not stored. `refused_at` is the time at which a
+/// replica refused this front because of a promise to another one, which may have stored the job.
+fn not_stored(refused_at: Option<Instant>, cause: &str) -> AcceptError {
+    match refused_at {
+        Some(_) => AcceptError::OutcomeUnknown(format!("another front may accept it: {cause}")),
+        None => AcceptError::NotStored(cause.to_owned()),
+    }
 }
 
 impl JobRegistry {
+    /// Accepts a job and becomes its owner. Returns `Ok` once a majority of store disks holds the
+    /// job, also if any node accepted it before.
+    pub(super) async fn accept_here(&self, spec: JobSpec) -> Result<(), AcceptError> {
+        let id = spec.job.clone();
+        match self.find_accepted(&id).await {
+            Ok(JobOwner::Local(job)) => return self.wait_accepted(&job).await,
+            Ok(JobOwner::Answer(_)) => return Ok(()),
+            Err(JobError::NotFound) => {}
+            Err(JobError::Unavailable(cause)) => return Err(AcceptError::NotStored(cause)),
+        }
+        if let Err(cause) = self.check_regions(&spec) {
+            log::warn!("event=job_regions_rejected job={id} cause=\"{cause}\"");
+            let refused = &self.context.metrics.refused_by_region;
+            refused.with_label_values(&["job"]).inc();
+            return Err(AcceptError::NotStored(cause.to_string()));
+        }
+        let fields = log_fields(&spec);
+        let deadline = Instant::now() + COMMIT_TIMEOUT;
+        let job = match self.open_new(&id, spec, deadline).await? {
+            NewJob::Here(job) => job,
+            NewJob::Elsewhere => return Ok(()),
+        };
+        self.wait_accepted(&job).await?;
+        self.context
+            .metrics
+            .jobs
+            .with_label_values(&["accepted"])
+            .inc();
+        log::info!("event=job_accepted job={id} {fields}");
+        Ok(())
+    }
+
+    async fn wait_accepted(&self, job: &Job) -> Result<(), AcceptError> {
+        let mut changed = job.watch();
+        let accepted = async {
+            while job.state().spec().is_none() {
+                if changed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let waited = tokio::time::timeout(COMMIT_TIMEOUT, accepted).await;
+        waited
+            .map_err(|_| AcceptError::OutcomeUnknown("the commit of the job timed out".to_owned()))
+    }
+
     /// Takes over the log of a new job, or waits while another front accepts the job. Repeats rounds
     /// that too few replicas answered in time while they still confirm this node's heartbeats, as
     /// they are only busy then.
-    pub(super) async fn open_new(
+    async fn open_new(
         &self,
         id: &str,
         spec: JobSpec,
@@ -58,19 +116,24 @@
         loop {
             let opening = self.open(id, Some(spec.clone()), Some(last));
             let opened = tokio::time::timeout_at(deadline.into(), opening).await;
-            match opened.map_err(|_| takeover_timed_out())? {
+            let timed_out = |_| not_stored(refused_at, "the takeover of the job's log timed out");
+            match opened.map_err(timed_out)? {
                 Ok(job) => return Ok(NewJob::Here(job)),
                 Err(JournalError::Fenced) => refused_at = Some(Instant::now()),
                 Err(JournalError::NoQuorum(cause)) if !self.is_journal_unreachable() => {
                     log::warn!("event=job_log_unavailable job={id} cause=\"{cause}\"");
                     tokio::time::sleep(jittered(RETRY_PAUSE)).await;
                 }
-                Err(JournalError::NoQuorum(cause)) => return Err(AcceptError::NotStored(cause)),
+                Err(JournalError::NoQuorum(cause)) => return Err(not_stored(refused_at, &cause)),
                 Err(error) => return Err(AcceptError::OutcomeUnknown(error.to_string())),
             }
             let waiting = self.wait_while_accepted_elsewhere(id, refused_at);
             let waited = tokio::time::timeout_at(deadline.into(), waiting).await;
-            match waited.map_err(|_| accepted_elsewhere())?? {
+            let timed_out = |_| {
+                let cause = "timed out waiting for another front's acceptance";
+                AcceptError::OutcomeUnknown(cause.to_owned())
+            };
+            match waited.map_err(timed_out)?? {
                 Some(epoch) => last = epoch,
                 None => return Ok(NewJob::Elsewhere),
             }
@@ -87,7 +150,7 @@
     ) -> Result<Option<WriterEpoch>, AcceptError> {
         loop {
             let promised = self.last_promised(id).await;
-            let promised = promised.map_err(|error| AcceptError::NotStored(error.to_string()))?;
+            let promised = promised.map_err(|error| not_stored(refused_at, &error.to_string()))?;
             let Some(promised) = promised else {
                 return Ok(Some(WriterEpoch::default()));
             };
@@ -128,3 +191,15 @@
         }
     }
 }
+
+/// Formats the fields of a job for the log.
+fn log_fields(spec: &JobSpec) -> String {
+    format!(
+        "model={} step={} oldest_version={} desired_groups={} items={}",
+        spec.model,
+        spec.train_step,
+        spec.min_version,
+        spec.desired_groups,
+        spec.items.len()
+    )
+}
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -42,6 +42,7 @@
 mod trainer_steps;
 mod unfinished;
 
+pub use accepting::AcceptError;
 pub use confirmation::QuorumConfirmation;
 pub use context::JobContext;
 pub use digest::{FoundLog, LogDigest};
@@ -56,7 +57,7 @@
 pub use queue::EntryQueue;
 pub use reading::JobError;
 pub use region_bounds::{RegionBoundsError, check_node_regions};
-pub use registry::{AcceptError, JobRegistry};
+pub use registry::JobRegistry;
 pub use run_context::{exclusion_after_rejection, first_event_timeout};
 pub use state::{JobState, encode_entry};
 pub use text::ItemText;
--- a/crates/front/src/job/preferred_owner.rs
+++ b/crates/front/src/job/preferred_owner.rs
@@ -18,9 +18,10 @@
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{AcceptJob, Done, JobSpec, Request};
 
+use super::accepting::AcceptError;
 use super::lock::lock;
 use super::peer_handler::refused;
-use super::registry::{AcceptError, JobRegistry};
+use super::registry::JobRegistry;
 use crate::nodes::{NodeRecord, NodeRole};
 
 /// Time limit for the preferred owner to accept a job; leaves time to accept the job locally
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -10,7 +10,6 @@
 use ladderstage_journal::JournalError;
 use ladderstage_wire::messages::{JobResults, JobSpec};
 
-use super::accepting::NewJob;
 use super::context::JobContext;
 use super::digest::LogDigest;
 use super::local_job::{Command, Job};
@@ -36,17 +35,6 @@
 /// Interval at which expired jobs are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Reason why a job was not accepted.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum AcceptError {
-    /// This attempt has not stored the job.
-    #[error("job not stored: {0}")]
-    NotStored(String),
-    /// The job may or may not be stored.
-    #[error("outcome unknown: {0}")]
-    OutcomeUnknown(String),
-}
-
 /// Reason why this node did not become the owner of a job.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub(super) enum TakeOverError {
@@ -103,38 +91,6 @@
         }
     }
 
-    /// Accepts a job and becomes its owner. Returns `Ok` once a majority of store disks holds the
-    /// job, also if any node accepted it before.
-    pub(super) async fn accept_here(&self, spec: JobSpec) -> Result<(), AcceptError> {
-        let id = spec.job.clone();
-        match self.find_accepted(&id).await {
-            Ok(JobOwner::Local(job)) => return self.wait_accepted(&job).await,
-            Ok(JobOwner::Answer(_)) => return Ok(()),
-            Err(JobError::NotFound) => {}
-            Err(JobError::Unavailable(cause)) => return Err(AcceptError::NotStored(cause)),
-        }
-        if let Err(cause) = self.check_regions(&spec) {
-            log::warn!("event=job_regions_rejected job={id} cause=\"{cause}\"");
-            let refused = &self.context.metrics.refused_by_region;
-            refused.with_label_values(&["job"]).inc();
-            return Err(AcceptError::NotStored(cause.to_string()));
-        }
-        let fields = log_fields(&spec);
-        let deadline = Instant::now() + COMMIT_TIMEOUT;
-        let job = match self.open_new(&id, spec, deadline).await? {
-            NewJob::Here(job) => job,
-            NewJob::Elsewhere => return Ok(()),
-        };
-        self.wait_accepted(&job).await?;
-        self.context
-            .metrics
-            .jobs
-            .with_label_values(&["accepted"])
-            .inc();
-        log::info!("event=job_accepted job={id} {fields}");
-        Ok(())
-    }
-
     /// Returns results from position `after` on; waits up to `wait` for the first one.
     ///
     /// # Errors
@@ -317,20 +273,6 @@
         lock(&self.shared.jobs).get(id).cloned()
     }
 
-    async fn wait_accepted(&self, job: &Job) -> Result<(), AcceptError> {
-        let mut changed = job.watch();
-        let accepted = async {
-            while job.state().spec().is_none() {
-                if changed.changed().await.is_err() {
-                    return;
-                }
-            }
-        };
-        let waited = tokio::time::timeout(COMMIT_TIMEOUT, accepted).await;
-        waited
-            .map_err(|_| AcceptError::OutcomeUnknown("the commit of the job timed out".to_owned()))
-    }
-
     /// Becomes the owner of a job that is in the journal. With the epoch `last`, only if no other
     /// node has become the owner since the one with that epoch.
     pub(super) async fn adopt(
@@ -426,15 +368,3 @@
         }
     }
 }
-
-/// Formats the fields of a job for the log.
-fn log_fields(spec: &JobSpec) -> String {
-    format!(
-        "model={} step={} oldest_version={} desired_groups={} items={}",
-        spec.model,
-        spec.train_step,
-        spec.min_version,
-        spec.desired_groups,
-        spec.items.len()
-    )
-}
