Jobs: ended jobs need no owner that is alive

So the killed owner of an ended job was never silent, and no front took the job over.

Change: the silence of a closed log's owner is unknown, and fronts ignore it.

--- a/crates/front/src/job/locating.rs
+++ b/crates/front/src/job/locating.rs
@@ -41,13 +41,15 @@
 pub(super) struct RecordedOwner {
     pub node: String,
     pub epoch: WriterEpoch,
-    /// Time since any of the replicas heard from the owner; `None` if unknown.
+    /// Time since any of the replicas heard from the owner; `None` if unknown, or if the job has
+    /// ended and needs no owner.
     pub silence: Option<Duration>,
 }
 
 impl From<LogDescription> for RecordedOwner {
     fn from(log: LogDescription) -> Self {
-        let silence_ms = Some(log.owner_silence_ms).filter(|silence_ms| *silence_ms > 0);
+        let silence_ms = Some(log.owner_silence_ms);
+        let silence_ms = silence_ms.filter(|silence_ms| *silence_ms > 0 && !log.closed);
         Self {
             node: log.owner_node,
             epoch: WriterEpoch::from(&log.promised),
--- a/crates/journal/src/replica.rs
+++ b/crates/journal/src/replica.rs
@@ -136,8 +136,10 @@
         let now = self.now();
         let heartbeats = self.lock_heartbeats();
         for log in &mut described.logs {
-            // As for orphaned logs, one that is seen for the first time counts as active now.
-            let first_seen = (log.length > 0).then_some(Duration::ZERO);
+            // As for orphaned logs, one that is seen for the first time counts as active now. The
+            // activity of a closed log is not recorded.
+            let is_monitored = log.length > 0 && !log.closed;
+            let first_seen = is_monitored.then_some(Duration::ZERO);
             let silence = heartbeats.silence(&log.log, now).or(first_seen);
             log.owner_silence_ms = silence.map_or(0, silence_ms);
         }
