Jobs: ask every writer that a majority names before a takeover

A job that a client submitted at two fronts at once was accepted and completed by one of them, and taken from it 2.4 s later by the other, which reported it as accepted too. Items that were still running would have run again.

Cause: a front whose takeover was refused keeps the promise of the replica that had accepted it. That promise is the newest, and a description of a log named the newest writer only. The refused front saw nothing but its own promise, waited for 2.4 s and took the log; a third front that read the job asked the refused front and took the job at once; the check of orphaned jobs did the same.

Ruled out: a silent owner, as it wrote and answered throughout.

Change: a description has an entry for each writer that a replica has promised the log to. The promise of a majority is in the answer of each majority, so the owner is among them. All three places ask all writers. The next epoch of a node lies above all promises that it has seen, so that an owner that takes its log again reaches the replica that refused it.

--- a/crates/front/src/explain/timeline.rs
+++ b/crates/front/src/explain/timeline.rs
@@ -7,13 +7,14 @@
 use super::line::LogLine;
 
 /// Events of a batch job that affect each of its items.
-const JOB_EVENTS: [&str; 8] = [
+const JOB_EVENTS: [&str; 9] = [
     "job_accepted",
     "job_log_taken",
     "job_log_retaken",
     "job_log_unavailable",
     "append_in_doubt",
     "job_lost",
+    "job_hidden_owner_found",
     "job_is_owned",
     "job_ended",
 ];
--- a/crates/front/src/job/accepting.rs
+++ b/crates/front/src/job/accepting.rs
@@ -15,7 +15,8 @@
 
 use super::appending::RETRY_PAUSE;
 use super::local_job::Job;
-use super::locating::{JobOwner, NodeCallError, RecordedOwner, owner_probe};
+use super::locating::{JobOwner, NodeCallError, RecordedOwner, RecordedOwners, owner_probe};
+use super::orphans::UNREACHABLE_OWNER_TIMEOUT;
 use super::reading::{COMMIT_TIMEOUT, JobError};
 use super::registry::JobRegistry;
 use crate::program::OWNER_TIMEOUT;
@@ -23,10 +24,6 @@
 /// Interval between checks of a job that another front is accepting.
 const ACCEPT_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Time after which an owner that reaches a majority of replicas has taken its log again from an
-/// unsuccessful writer with a higher epoch.
-const HIDDEN_OWNER_TIMEOUT: Duration = OWNER_TIMEOUT.saturating_mul(2);
-
 /// Reason why a job was not accepted.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum AcceptError {
@@ -46,12 +43,23 @@
     Elsewhere,
 }
 
-/// Returns the error for a job that this front has not stored. `refused_at` is the time at which a
-/// replica refused this front because of a promise to another one, which may have stored the job.
-fn not_stored(refused_at: Option<Instant>, cause: &str) -> AcceptError {
-    match refused_at {
-        Some(_) => AcceptError::OutcomeUnknown(format!("another front may accept it: {cause}")),
-        None => AcceptError::NotStored(cause.to_owned()),
+/// Whether an owner that replicas name accepts a new job.
+enum AcceptState {
+    /// It has accepted the job.
+    Accepted,
+    /// It may still accept the job.
+    Undecided,
+    /// It will not accept the job.
+    NotAccepting,
+}
+
+/// Returns the error for a job that this front has not stored. `was_refused` is whether a replica
+/// refused this front because of a promise to another one, which may have stored the job.
+fn not_stored(was_refused: bool, cause: &str) -> AcceptError {
+    if was_refused {
+        AcceptError::OutcomeUnknown(format!("another front may accept it: {cause}"))
+    } else {
+        AcceptError::NotStored(cause.to_owned())
     }
 }
 
@@ -112,22 +120,22 @@
         deadline: Instant,
     ) -> Result<NewJob, AcceptError> {
         let mut last = WriterEpoch::default();
-        let mut refused_at = None;
+        let mut was_refused = false;
         loop {
             let opening = self.open(id, Some(spec.clone()), Some(last));
             let opened = tokio::time::timeout_at(deadline.into(), opening).await;
-            let timed_out = |_| not_stored(refused_at, "the takeover of the job's log timed out");
+            let timed_out = |_| not_stored(was_refused, "the takeover of the job's log timed out");
             match opened.map_err(timed_out)? {
                 Ok(job) => return Ok(NewJob::Here(job)),
-                Err(JournalError::Fenced) => refused_at = Some(Instant::now()),
+                Err(JournalError::Fenced) => was_refused = true,
                 Err(JournalError::NoQuorum(cause)) if !self.is_journal_unreachable() => {
                     log::warn!("event=job_log_unavailable job={id} cause=\"{cause}\"");
                     tokio::time::sleep(jittered(RETRY_PAUSE)).await;
                 }
-                Err(JournalError::NoQuorum(cause)) => return Err(not_stored(refused_at, &cause)),
+                Err(JournalError::NoQuorum(cause)) => return Err(not_stored(was_refused, &cause)),
                 Err(error) => return Err(AcceptError::OutcomeUnknown(error.to_string())),
             }
-            let waiting = self.wait_while_accepted_elsewhere(id, refused_at);
+            let waiting = self.wait_while_accepted_elsewhere(id, was_refused);
             let waited = tokio::time::timeout_at(deadline.into(), waiting).await;
             let timed_out = |_| {
                 let cause = "timed out waiting for another front's acceptance";
@@ -141,54 +149,68 @@
     }
 
     /// Waits while another front accepts the job. Returns the epoch to take the log over from, or
-    /// `None` once the job is accepted. `refused_at` is the time at which a replica last refused this
-    /// front because of a promise to another one.
+    /// `None` once the job is accepted. `was_refused` is whether a replica has refused this front
+    /// because of a promise to another one.
     async fn wait_while_accepted_elsewhere(
         &self,
         id: &str,
-        refused_at: Option<Instant>,
+        was_refused: bool,
     ) -> Result<Option<WriterEpoch>, AcceptError> {
         loop {
-            let promised = self.last_promised(id).await;
-            let promised = promised.map_err(|error| not_stored(refused_at, &error.to_string()))?;
-            let Some(promised) = promised else {
+            let owners = self.promised_owners(id).await;
+            let owners = owners.map_err(|error| not_stored(was_refused, &error.to_string()))?;
+            let Some(owners) = owners else {
                 return Ok(Some(WriterEpoch::default()));
             };
-            if self.is_own_promise(&promised) {
-                // Hides a lower promise to another front, which may have a majority and takes the
-                // log again in this case.
-                let may_hide = |at: Instant| at.elapsed() < HIDDEN_OWNER_TIMEOUT;
-                if !refused_at.is_some_and(may_hide) {
-                    return Ok(Some(promised.epoch));
+            match self.accept_state_of_all(id, &owners).await {
+                AcceptState::Accepted => return Ok(None),
+                AcceptState::Undecided => {}
+                AcceptState::NotAccepting if self.is_own_promise(&owners.newest) => {
+                    return Ok(Some(owners.newest.epoch));
                 }
-            } else if !self.is_accepting(id, &promised).await {
-                match self.find_accepted(id).await {
+                AcceptState::NotAccepting => match self.find_accepted(id).await {
                     Ok(JobOwner::Local(_) | JobOwner::Answer(_)) => return Ok(None),
-                    Err(JobError::NotFound) => return Ok(Some(promised.epoch)),
+                    Err(JobError::NotFound) => return Ok(Some(owners.newest.epoch)),
                     Err(JobError::Unavailable(cause)) => {
                         log::info!("event=job_call_failed job={id} cause=\"{cause}\"");
                     }
-                }
+                },
             }
             tokio::time::sleep(ACCEPT_POLL_INTERVAL).await;
         }
     }
 
-    /// Returns whether the front that was promised the log of a new job may still accept the job.
-    async fn is_accepting(&self, id: &str, promised: &RecordedOwner) -> bool {
-        if promised.node == self.context.nodes.own().node {
-            return false;
-        }
-        let answer = self.call_node(id, &promised.node, owner_probe(id), Duration::ZERO);
-        match answer.await {
-            // It has accepted the job.
-            Ok(_) => false,
-            Err(NodeCallError::NotReady(_)) => true,
-            Err(NodeCallError::Unavailable(_)) => promised.is_heard_within(OWNER_TIMEOUT),
-            Err(NodeCallError::NotOwner | NodeCallError::Absent(_) | NodeCallError::NotSent(_)) => {
-                false
+    /// Asks all fronts that were promised the log of a new job. The newest promise may be this
+    /// front's own at a minority of the replicas and hide the front that a majority has promised.
+    async fn accept_state_of_all(&self, id: &str, owners: &RecordedOwners) -> AcceptState {
+        let mut state = AcceptState::NotAccepting;
+        for owner in owners.iter() {
+            match self.accept_state(id, owner).await {
+                AcceptState::Accepted => return AcceptState::Accepted,
+                AcceptState::Undecided => state = AcceptState::Undecided,
+                AcceptState::NotAccepting => {}
             }
         }
+        state
+    }
+
+    async fn accept_state(&self, id: &str, owner: &RecordedOwner) -> AcceptState {
+        if owner.node == self.context.nodes.own().node {
+            return AcceptState::NotAccepting;
+        }
+        let answer = self.call_node(id, &owner.node, owner_probe(id), Duration::ZERO);
+        let required_silence = match answer.await {
+            Ok(_) => return AcceptState::Accepted,
+            Err(NodeCallError::NotOwner) => return AcceptState::NotAccepting,
+            Err(NodeCallError::NotReady(_)) => return AcceptState::Undecided,
+            Err(NodeCallError::Unavailable(_)) => OWNER_TIMEOUT,
+            Err(NodeCallError::Absent(_) | NodeCallError::NotSent(_)) => UNREACHABLE_OWNER_TIMEOUT,
+        };
+        if owner.is_heard_within(required_silence) {
+            AcceptState::Undecided
+        } else {
+            AcceptState::NotAccepting
+        }
     }
 }
 
--- a/crates/front/src/job/locating.rs
+++ b/crates/front/src/job/locating.rs
@@ -32,8 +32,8 @@
     Local(Arc<Job>),
     /// A node that owned the job according to this node's cache; the job may have moved since.
     Cached(String),
-    /// The owner that a majority of replicas has just described.
-    Recorded(RecordedOwner),
+    /// The owners that a majority of replicas has just described.
+    Recorded(RecordedOwners),
 }
 
 /// Owner of a job as described by a majority of the journal's replicas.
@@ -65,6 +65,24 @@
     }
 }
 
+/// Nodes that replicas of a majority have promised a job's log.
+///
+/// A front that was refused by a majority may leave its promise at a minority of the replicas. It
+/// then is the newest owner, but the job belongs to an earlier one.
+#[derive(Debug, Clone)]
+pub(super) struct RecordedOwners {
+    pub newest: RecordedOwner,
+    /// Owners with lower epochs, newest first.
+    pub earlier: Vec<RecordedOwner>,
+}
+
+impl RecordedOwners {
+    /// Returns all owners, newest first.
+    pub fn iter(&self) -> impl Iterator<Item = &RecordedOwner> {
+        std::iter::once(&self.newest).chain(&self.earlier)
+    }
+}
+
 /// Owner of a job: this node, which then handles the request itself, or a remote one with its
 /// answer.
 pub(super) enum JobOwner {
@@ -99,7 +117,7 @@
         wait: Duration,
     ) -> Result<JobOwner, JobError> {
         for _ in 0..MAX_OWNERS_TRIED {
-            let owner = match self.locate(id).await? {
+            let owners = match self.locate(id).await? {
                 Location::Local(job) => return Ok(JobOwner::Local(job)),
                 Location::Cached(node) => {
                     match self.call_node(id, &node, request.clone(), wait).await {
@@ -112,9 +130,9 @@
                         Err(_) => continue,
                     }
                 }
-                Location::Recorded(owner) => owner,
+                Location::Recorded(owners) => owners,
             };
-            match self.call_recorded(id, &owner, request, wait).await {
+            match self.call_recorded(id, &owners, request, wait).await {
                 Ok(found) => return Ok(found),
                 Err(TakeOverError::Superseded) => {}
                 Err(TakeOverError::Failed(error)) => return Err(error),
@@ -123,15 +141,36 @@
         Err(unavailable("the job keeps changing its owner"))
     }
 
-    /// Sends a request to the recorded owner. Takes the job over if the owner does not own it or is
-    /// gone, unless another node has taken it over meanwhile.
+    /// Sends a request to the recorded owner. Takes the job over if no recorded owner owns it or all
+    /// are gone, unless another node has taken it over meanwhile.
     async fn call_recorded(
         &self,
         id: &str,
-        owner: &RecordedOwner,
+        owners: &RecordedOwners,
         request: &RequestKind,
         wait: Duration,
     ) -> Result<JobOwner, TakeOverError> {
+        let owner = &owners.newest;
+        if !self.is_own_promise(owner) && owner.node != self.context.nodes.own().node {
+            let called = self.call_node(id, &owner.node, request.clone(), wait).await;
+            match called {
+                Ok(answer) => return Ok(self.remote_owner(id, &owner.node, answer)),
+                Err(
+                    NodeCallError::Unavailable(error)
+                    | NodeCallError::NotReady(error)
+                    | NodeCallError::NotSent(error),
+                ) => return Err(error.into()),
+                // A node that has just started does not know the address of each owner yet.
+                Err(NodeCallError::Absent(error)) if owner.is_heard_within(OWNER_TIMEOUT) => {
+                    return Err(error.into());
+                }
+                Err(NodeCallError::Absent(_) | NodeCallError::NotOwner) => {}
+            }
+        }
+        let hidden = self.call_earlier(id, &owners.earlier, request, wait);
+        if let Some(found) = hidden.await? {
+            return Ok(found);
+        }
         if self.is_own_promise(owner) && owner.is_heard_within(OWNER_TIMEOUT) {
             let cause = "this node has just given up the job";
             return Err(unavailable(cause).into());
@@ -139,27 +178,43 @@
         if owner.node == self.context.nodes.own().node {
             return Ok(JobOwner::Local(self.adopt(id, Some(owner.epoch)).await?));
         }
-        let called = self.call_node(id, &owner.node, request.clone(), wait).await;
-        let error = match called {
-            Ok(answer) => {
-                let known_owner = (owner.node.clone(), Instant::now());
-                lock(&self.shared.owners).insert(id.to_owned(), known_owner);
-                return Ok(JobOwner::Answer(answer));
-            }
-            Err(error) => error,
-        };
-        match error {
-            NodeCallError::Unavailable(error)
-            | NodeCallError::NotReady(error)
-            | NodeCallError::NotSent(error) => Err(error.into()),
-            // A node that has just started does not know the address of each owner yet.
-            NodeCallError::Absent(error) if owner.is_heard_within(OWNER_TIMEOUT) => {
-                Err(error.into())
-            }
-            NodeCallError::Absent(_) | NodeCallError::NotOwner => {
-                self.adopt_or_forward(id, owner.epoch, request, wait).await
+        self.adopt_or_forward(id, owner.epoch, request, wait).await
+    }
+
+    /// Sends a request to the owners that the newest promise may hide. Returns `None` if none of them
+    /// owns the job.
+    async fn call_earlier(
+        &self,
+        id: &str,
+        earlier: &[RecordedOwner],
+        request: &RequestKind,
+        wait: Duration,
+    ) -> Result<Option<JobOwner>, JobError> {
+        let own = self.context.nodes.own().node;
+        for owner in earlier.iter().filter(|owner| owner.node != own) {
+            match self.call_node(id, &owner.node, request.clone(), wait).await {
+                Ok(answer) => {
+                    log::info!("event=job_hidden_owner_found job={id} node={}", owner.node);
+                    return Ok(Some(self.remote_owner(id, &owner.node, answer)));
+                }
+                Err(NodeCallError::NotOwner) => {}
+                Err(NodeCallError::NotReady(error)) => return Err(error),
+                Err(
+                    NodeCallError::Unavailable(error)
+                    | NodeCallError::NotSent(error)
+                    | NodeCallError::Absent(error),
+                ) if owner.is_heard_within(OWNER_TIMEOUT) => return Err(error),
+                Err(_) => {}
             }
         }
+        Ok(None)
+    }
+
+    /// Records that `node` has answered as the owner of a job.
+    fn remote_owner(&self, id: &str, node: &str, answer: ResponseKind) -> JobOwner {
+        let known_owner = (node.to_owned(), Instant::now());
+        lock(&self.shared.owners).insert(id.to_owned(), known_owner);
+        JobOwner::Answer(answer)
     }
 
     /// Returns whether the log was last promised to this process, which does not own the job, as it
@@ -185,8 +240,7 @@
         match answer.await {
             Ok(answer) => {
                 log::info!("event=job_takeover_forwarded job={id} node={candidate}");
-                lock(&self.shared.owners).insert(id.to_owned(), (candidate, Instant::now()));
-                Ok(JobOwner::Answer(answer))
+                Ok(self.remote_owner(id, &candidate, answer))
             }
             Err(NodeCallError::Unavailable(error) | NodeCallError::NotReady(error)) => {
                 Err(error.into())
@@ -234,28 +288,29 @@
         if let Some((node, _)) = cached {
             return Ok(Location::Cached(node));
         }
-        self.recorded_owner(id).await.map(Location::Recorded)
+        self.recorded_owners(id).await.map(Location::Recorded)
     }
 
-    /// Queries a majority of replicas for the owner of an accepted job.
-    pub(super) async fn recorded_owner(&self, id: &str) -> Result<RecordedOwner, JobError> {
-        let described = self.describe_log(id).await?;
-        let log = described.filter(|log| log.length > 0);
-        Ok(RecordedOwner::from(log.ok_or(JobError::NotFound)?))
+    /// Queries a majority of replicas for the owners of an accepted job.
+    pub(super) async fn recorded_owners(&self, id: &str) -> Result<RecordedOwners, JobError> {
+        let writers = self.describe_log(id).await?;
+        let accepted = writers.into_iter().filter(|log| log.length > 0);
+        owners_from(accepted).ok_or(JobError::NotFound)
     }
 
-    /// Queries a majority of replicas for the node that was last promised a job's log, whether or
-    /// not the job is accepted; `None` if there was none.
-    pub(super) async fn last_promised(&self, id: &str) -> Result<Option<RecordedOwner>, JobError> {
-        let described = self.describe_log(id).await?;
-        Ok(described.map(RecordedOwner::from))
+    /// Queries a majority of replicas for the nodes that were promised a job's log, whether or not
+    /// the job is accepted; `None` if there was none.
+    pub(super) async fn promised_owners(
+        &self,
+        id: &str,
+    ) -> Result<Option<RecordedOwners>, JobError> {
+        let writers = self.describe_log(id).await?;
+        Ok(owners_from(writers.into_iter()))
     }
 
-    async fn describe_log(&self, id: &str) -> Result<Option<LogDescription>, JobError> {
-        let name = log_name(id);
-        let described = self.context.journal.describe(&name).await;
-        let logs = described.map_err(|error| unavailable(&error.to_string()))?;
-        Ok(logs.into_iter().find(|log| log.log == name))
+    async fn describe_log(&self, id: &str) -> Result<Vec<LogDescription>, JobError> {
+        let described = self.context.journal.describe_writers(&log_name(id)).await;
+        described.map_err(|error| unavailable(&error.to_string()))
     }
 
     /// Sends a request about a job to another node. Removes the cached owner if that fails.
@@ -295,6 +350,14 @@
     }
 }
 
+/// Returns the owners of a log from the descriptions of its writers, newest first.
+fn owners_from(mut writers: impl Iterator<Item = LogDescription>) -> Option<RecordedOwners> {
+    Some(RecordedOwners {
+        newest: RecordedOwner::from(writers.next()?),
+        earlier: writers.map(RecordedOwner::from).collect(),
+    })
+}
+
 /// Copies a request, allowing its receiver to forward it to the owner or to become the owner.
 fn with_forwarding(request: &RequestKind) -> RequestKind {
     let mut request = request.clone();
--- a/crates/front/src/job/orphans.rs
+++ b/crates/front/src/job/orphans.rs
@@ -8,17 +8,18 @@
 use ladderstage::journal::WriterEpoch;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 
-use super::locating::{NodeCallError, RecordedOwner, owner_probe};
+use super::locating::{NodeCallError, RecordedOwner, RecordedOwners, owner_probe};
 use super::lock::lock;
 use super::reading::JobError;
 use super::registry::JobRegistry;
 use crate::program::OWNER_TIMEOUT;
 
-/// Part of [`OWNER_TIMEOUT`] for which all replicas must not have heard from an owner to which
-/// nothing can be sent.
-const UNREACHABLE_OWNER_FRACTION: f64 = 0.4;
+/// Time for which no replica must have heard from an owner to which nothing can be sent.
+pub(super) const UNREACHABLE_OWNER_TIMEOUT: Duration =
+    Duration::from_millis(OWNER_TIMEOUT.as_millis() as u64 * 2 / 5);
 
-/// Evidence against the recorded owner of a job.
+/// Evidence against a recorded owner of a job.
+#[derive(Debug, Clone, Copy)]
 enum OwnerDoubt {
     /// The node says that it does not own the job.
     NotOwner,
@@ -34,7 +35,7 @@
     fn required_silence(&self) -> Option<Duration> {
         match self {
             Self::NotOwner => None,
-            Self::Unreachable => Some(OWNER_TIMEOUT.mul_f64(UNREACHABLE_OWNER_FRACTION)),
+            Self::Unreachable => Some(UNREACHABLE_OWNER_TIMEOUT),
             Self::NoAnswer => Some(OWNER_TIMEOUT),
         }
     }
@@ -45,36 +46,39 @@
     /// any more, or neither answers nor reaches a majority of the replicas.
     pub(super) async fn confirm_orphaned(&self, id: &str) -> Option<WriterEpoch> {
         lock(&self.shared.owners).remove(id);
-        let owner = self.recorded_owner_or_log(id).await?;
-        if owner.node == self.context.nodes.own().node {
-            return Some(owner.epoch);
+        let owners = self.recorded_owners_or_log(id).await?;
+        let mut doubts = Vec::new();
+        for owner in owners.iter() {
+            let Some(doubt) = self.doubt_owner(id, owner).await else {
+                log_owned(id, owner, "answered");
+                return None;
+            };
+            doubts.push((owner.epoch, doubt));
         }
-        let Some(doubt) = self.doubt_owner(id, &owner).await else {
-            log::info!(
-                "event=job_is_owned job={id} node={} reason=answered",
-                owner.node
-            );
+        // Whatever the first owners did or did not answer, the job may have a new one by now.
+        let latest = self.recorded_owners_or_log(id).await?;
+        if latest.newest.epoch != owners.newest.epoch {
+            log_owned(id, &latest.newest, "taken_over");
             return None;
-        };
-        // Whatever the first owner did or did not answer, the job may have a new one by now.
-        let latest = self.recorded_owner_or_log(id).await?;
-        let is_heard = |required| latest.is_heard_within(required);
-        let reason = if latest.epoch != owner.epoch {
-            "taken_over"
-        } else if doubt.required_silence().is_some_and(is_heard) {
-            "heartbeats"
-        } else {
-            return Some(latest.epoch);
-        };
-        log::info!(
-            "event=job_is_owned job={id} node={} reason={reason}",
-            latest.node
-        );
-        None
+        }
+        for owner in latest.iter() {
+            let doubt = doubts.iter().find(|(epoch, _)| *epoch == owner.epoch);
+            // Another majority may name an owner that was not asked.
+            let doubt = doubt.map_or(OwnerDoubt::NoAnswer, |(_, doubt)| *doubt);
+            let required_silence = doubt.required_silence();
+            if required_silence.is_some_and(|required| owner.is_heard_within(required)) {
+                log_owned(id, owner, "heartbeats");
+                return None;
+            }
+        }
+        Some(latest.newest.epoch)
     }
 
-    /// Asks the recorded owner whether it owns the job; returns `None` if it does.
+    /// Asks a recorded owner whether it owns the job; returns `None` if it does.
     async fn doubt_owner(&self, id: &str, owner: &RecordedOwner) -> Option<OwnerDoubt> {
+        if owner.node == self.context.nodes.own().node {
+            return Some(OwnerDoubt::NotOwner);
+        }
         let answer = self.call_node(id, &owner.node, owner_probe(id), Duration::ZERO);
         match answer.await {
             Ok(ResponseKind::job_results(_)) => None,
@@ -88,9 +92,9 @@
         }
     }
 
-    async fn recorded_owner_or_log(&self, id: &str) -> Option<RecordedOwner> {
-        match self.recorded_owner(id).await {
-            Ok(owner) => Some(owner),
+    async fn recorded_owners_or_log(&self, id: &str) -> Option<RecordedOwners> {
+        match self.recorded_owners(id).await {
+            Ok(owners) => Some(owners),
             Err(JobError::NotFound) => None,
             // The replicas repeat their notices while the job has no owner.
             Err(JobError::Unavailable(cause)) => {
@@ -100,3 +104,8 @@
         }
     }
 }
+
+fn log_owned(id: &str, owner: &RecordedOwner, reason: &str) {
+    let node = &owner.node;
+    log::info!("event=job_is_owned job={id} node={node} reason={reason}");
+}
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -280,6 +280,7 @@
                     "event=job_log_retaken job={} cause=\"{error}\"",
                     self.job.id
                 );
+                self.context.journal.observe_refusals(&done.writer);
                 drop(done.writer);
                 self.take_over_again().await
             }
@@ -315,7 +316,9 @@
     /// a majority.
     async fn reclaim(&mut self) -> Option<StopCause> {
         log::info!("event=job_log_reclaimed job={}", self.job.id);
-        self.writer = None;
+        if let Some(writer) = self.writer.take() {
+            self.context.journal.observe_refusals(&writer);
+        }
         self.job.clear_contested();
         self.take_over_again().await
     }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -269,6 +269,25 @@
     ///
     /// `NoQuorum` if no quorum responded.
     pub async fn describe(&self, prefix: &str) -> Result<Vec<LogDescription>, JournalError> {
+        Ok(self.list(prefix).await?.into_logs())
+    }
+
+    /// Returns a description of a log for each writer that one of a quorum of replicas has promised
+    /// it to, newest first; empty if they do not know the log. Unless a later writer has taken the
+    /// log over meanwhile, its owner is among them.
+    ///
+    /// # Errors
+    ///
+    /// `NoQuorum` if no quorum responded.
+    pub async fn describe_writers(&self, log: &str) -> Result<Vec<LogDescription>, JournalError> {
+        let writers = self.list(log).await?.into_writers(log);
+        // A writer of this node with a lower epoch would not reach the replicas with these promises.
+        let newest = writers.first().map(|newest| &newest.promised);
+        self.observe(newest.map(WriterEpoch::from).unwrap_or_default());
+        Ok(writers)
+    }
+
+    async fn list(&self, prefix: &str) -> Result<LogListing, JournalError> {
         let calls = &self.inner.calls;
         let set = calls.replica_set()?;
         let mut listing = LogListing::new(ReplicaCalls::quorum(&set));
@@ -281,7 +300,13 @@
                 _ => RoundStep::Continue,
             })
             .await?;
-        Ok(listing.into_logs())
+        Ok(listing)
+    }
+
+    /// Raises the epoch of this node's next writer above the promises for which replicas have
+    /// refused `writer`. A takeover with a lower epoch would be refused by them again.
+    pub fn observe_refusals(&self, writer: &LogWriter) {
+        self.observe(writer.highest_refusal());
     }
 
     fn service(&self) -> &ReplicaService {
--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -64,6 +64,8 @@
     /// Replicas whose task runs, including tasks that pause before a retry.
     running_tasks: BTreeSet<ReplicaId>,
     last_failure: String,
+    /// Highest epoch for which a replica refused this writer.
+    highest_refusal: WriterEpoch,
     /// True if a replica knows a newer set than the one under which this writer took the log over.
     is_set_stale: bool,
 }
@@ -85,6 +87,7 @@
                 state,
                 running_tasks: BTreeSet::new(),
                 last_failure: "no response before the timeout".to_owned(),
+                highest_refusal: WriterEpoch::default(),
                 is_set_stale: false,
             }),
             changed: watch::Sender::new(()),
@@ -113,6 +116,11 @@
         self.shared.epoch
     }
 
+    /// Returns the highest epoch for which a replica refused this writer; the default if none did.
+    pub(crate) fn highest_refusal(&self) -> WriterEpoch {
+        self.shared.lock().highest_refusal
+    }
+
     /// Appends entries; returns `Ok` once a quorum holds them. `closes` closes the log: no entries
     /// can follow.
     ///
@@ -291,6 +299,10 @@
         let settled = match result {
             Ok(ResponseKind::write(reply)) => {
                 progress.state.on_reply(member.replica_id, write, &reply);
+                if reply.outcome == Outcome::FENCED {
+                    let promised = WriterEpoch::from(&reply.promised);
+                    progress.highest_refusal = progress.highest_refusal.max(promised);
+                }
                 if reply.replica_id != member.replica_id {
                     progress.last_failure =
                         format!("{}: the node's disk was replaced", member.node);
--- a/crates/ladderstage/src/journal/read.rs
+++ b/crates/ladderstage/src/journal/read.rs
@@ -1,5 +1,6 @@
 //! Reads logs from a quorum without fencing their writers.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
 use ladderstage_wire::messages::{DescribeLogsReply, LogDescription, ReadLogReply};
@@ -57,13 +58,17 @@
     (epoch, reply.retired, reply.entries.len())
 }
 
-/// Collects descriptions of logs: for each log, that of the newest promise, the greatest length,
-/// whether any replica reports it closed, and the shortest silence of the newest promise's writer.
+/// Collects descriptions of logs by the writers that replicas have promised them to.
+///
+/// A writer that was refused by a quorum may leave its promise at a minority of the replicas. It
+/// then has the newest epoch, while the log still belongs to an earlier writer, which at least one
+/// of each quorum describes.
 #[derive(Debug, Clone)]
 pub struct LogListing {
     quorum: Quorum,
     answered: BTreeSet<u64>,
-    logs: BTreeMap<String, LogDescription>,
+    /// Descriptions of each log by the promised epoch.
+    logs: BTreeMap<String, BTreeMap<WriterEpoch, LogDescription>>,
 }
 
 impl LogListing {
@@ -79,47 +84,58 @@
     /// Adds an answer; returns whether a quorum has answered.
     pub fn on_reply(&mut self, reply: DescribeLogsReply) -> bool {
         if self.quorum.contains(reply.replica_id) && self.answered.insert(reply.replica_id) {
-            reply.logs.into_iter().for_each(|log| self.keep_newest(log));
+            reply.logs.into_iter().for_each(|log| self.add(log));
         }
         self.quorum.is_met_by(&self.answered)
     }
 
-    /// Returns the newest description of each log, sorted by name.
+    /// Returns a description of each log, sorted by name: that of the newest promise, with length and
+    /// closure of the log, whichever writer reported them.
     pub fn into_logs(self) -> Vec<LogDescription> {
-        self.logs.into_values().collect()
+        let logs = self.logs.into_values();
+        logs.filter_map(|writers| newest_first(writers).into_iter().next())
+            .collect()
     }
 
-    fn keep_newest(&mut self, description: LogDescription) {
-        let rank = |log: &LogDescription| {
-            let epoch = WriterEpoch::from(&log.promised);
-            (epoch, log.closed, log.length)
-        };
-        let Some(known) = self.logs.get_mut(&description.log) else {
-            self.logs.insert(description.log.clone(), description);
-            return;
-        };
-        // The replica with the newest promise may lack the log, as its writer may have stopped
-        // after sealing.
-        let length = known.length.max(description.length);
-        let closed = known.closed || description.closed;
-        let silence = owner_silence(known, &description);
-        if rank(&description) > rank(known) {
-            *known = description;
+    /// Returns a description of one log for each writer that a replica has promised it to, newest
+    /// first. Length and closure are those of the log, whichever writer reported them.
+    pub fn into_writers(mut self, log: &str) -> Vec<LogDescription> {
+        self.logs.remove(log).map_or_else(Vec::new, newest_first)
+    }
+
+    fn add(&mut self, description: LogDescription) {
+        let writers = self.logs.entry(description.log.clone()).or_default();
+        match writers.entry(WriterEpoch::from(&description.promised)) {
+            Entry::Vacant(entry) => {
+                entry.insert(description);
+            }
+            Entry::Occupied(mut entry) => merge(entry.get_mut(), &description),
         }
-        known.length = length;
-        known.closed = closed;
-        known.owner_silence_ms = silence;
     }
 }
 
-/// Returns the shortest known silence of the newest writer, in milliseconds; 0 if it is unknown.
-fn owner_silence(left: &LogDescription, right: &LogDescription) -> u64 {
-    let promised = |log: &LogDescription| WriterEpoch::from(&log.promised);
-    let newest = promised(left).max(promised(right));
-    let of_newest = [left, right].into_iter();
-    of_newest
-        .filter(|log| promised(log) == newest && log.owner_silence_ms > 0)
-        .map(|log| log.owner_silence_ms)
-        .min()
-        .unwrap_or(0)
+/// Merges the description of the same writer by another replica.
+fn merge(known: &mut LogDescription, description: &LogDescription) {
+    known.length = known.length.max(description.length);
+    known.closed |= description.closed;
+    known.owner_silence_ms = shortest_silence(known, description);
+}
+
+/// Returns the shortest known silence of a writer, in milliseconds; 0 if it is unknown.
+fn shortest_silence(left: &LogDescription, right: &LogDescription) -> u64 {
+    let silences = [left.owner_silence_ms, right.owner_silence_ms].into_iter();
+    silences.filter(|silence| *silence > 0).min().unwrap_or(0)
+}
+
+/// Sorts the writers of one log, and gives each of them the greatest length and the closure. The
+/// replica with the newest promise may lack the log, as its writer may have stopped after sealing.
+fn newest_first(writers: BTreeMap<WriterEpoch, LogDescription>) -> Vec<LogDescription> {
+    let length = writers.values().map(|log| log.length).max();
+    let closed = writers.values().any(|log| log.closed);
+    let mut writers: Vec<LogDescription> = writers.into_values().rev().collect();
+    for writer in &mut writers {
+        writer.length = length.unwrap_or_default();
+        writer.closed = closed;
+    }
+    writers
 }
--- a/crates/ladderstage/tests/journal/rules.rs
+++ b/crates/ladderstage/tests/journal/rules.rs
@@ -460,6 +460,41 @@
     }
 }
 
+/// Guards against an owner that is taken for gone because a refused writer has left a newer promise
+/// at one replica.
+#[test]
+fn a_listing_names_the_owner_behind_a_promise_to_a_refused_writer() {
+    let reply = |replica_id, round, owner_silence_ms, closed| DescribeLogsReply {
+        replica_id,
+        logs: vec![LogDescription {
+            log: LOG.to_owned(),
+            promised: epoch(round, 1).to_wire(),
+            owner_node: format!("node-{round}"),
+            length: replica_id,
+            closed,
+            owner_silence_ms,
+        }],
+    };
+    let replies = [
+        reply(1, 3, 700, false),
+        reply(2, 9, 40, false),
+        reply(3, 3, 60, true),
+    ];
+    for first in 0..replies.len() {
+        let mut listing = LogListing::new(quorum_of(1..=3));
+        for offset in 0..replies.len() {
+            listing.on_reply(replies[(first + offset) % replies.len()].clone());
+        }
+        let found = listing.into_writers(LOG);
+        let writers: Vec<_> = found
+            .iter()
+            .map(|log| (log.owner_node.as_str(), log.owner_silence_ms))
+            .collect();
+        assert_eq!(writers, [("node-9", 40), ("node-3", 60)]);
+        assert!(found.iter().all(|log| log.length == 3 && log.closed));
+    }
+}
+
 #[test]
 fn export_omits_entries_the_receiver_holds_and_import_keeps_newer_ones() {
     let exported = |round, entries: u64| ExportedLog {
