Nodes: date the contact with the store from the call

Callers saw: 404 for an unknown route, where 503 is due, from a front that could not reach the store after a suspension of its machine.

Cause: contact with the store, which makes a front trust that its configuration is the newest, was dated by the time at which an answer was read. An answer sent before a suspension is read after it. Configurations other than the first one counted as just read for the same reason.

Change: contact counts from the sending of the answered call. Renewals are spaced from there too, so that it grows no older than before.

--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -277,8 +277,8 @@
 #[derive(Debug, Clone)]
 pub struct CurrentConfig {
     current: watch::Sender<Option<Arc<ServingConfig>>>,
-    /// Time at which the current configuration was installed.
-    installed_at: watch::Sender<Option<Instant>>,
+    /// Time at which the first configuration was installed.
+    first_installed_at: watch::Sender<Option<Instant>>,
     /// Whether any configuration so far restricted the regions. Lets requests skip the lookup of a
     /// route otherwise.
     restricts_regions: Arc<AtomicBool>,
@@ -288,7 +288,7 @@
     fn default() -> Self {
         Self {
             current: watch::Sender::new(None),
-            installed_at: watch::Sender::new(None),
+            first_installed_at: watch::Sender::new(None),
             restricts_regions: Arc::default(),
         }
     }
@@ -321,15 +321,17 @@
             self.restricts_regions
                 .fetch_or(restricts_regions, Ordering::Release);
             *current = Some(Arc::new(std::mem::take(&mut config)));
-            self.installed_at.send_replace(Some(Instant::now()));
+            if known.is_none() {
+                self.first_installed_at.send_replace(Some(Instant::now()));
+            }
             true
         })
     }
 
-    /// Returns when the current configuration was installed, shortly after it was read as the
-    /// newest one; `None` before the first one.
-    pub fn installed_at(&self) -> Option<Instant> {
-        *self.installed_at.borrow()
+    /// Returns when the first configuration was installed, shortly after it was read as the newest
+    /// one; `None` before. Later ones may have been read long before, as after a suspension.
+    pub fn first_installed_at(&self) -> Option<Instant> {
+        *self.first_installed_at.borrow()
     }
 
     /// Returns the installed configuration; `None` before the first one.
--- a/crates/front/src/ingress/mod.rs
+++ b/crates/front/src/ingress/mod.rs
@@ -409,11 +409,11 @@
         }
     }
 
-    /// Returns whether the configuration in force is known to be the newest: it was just read, or
-    /// this node is in contact with the store, which announces newer ones.
+    /// Returns whether the configuration in force is known to be the newest: it is the first one and
+    /// was just read, or this node is in contact with the store, which announces newer ones.
     fn has_newest_config(&self) -> bool {
         let contact = self.nodes.last_store_contact();
-        let contact = contact.max(self.config.installed_at());
+        let contact = contact.max(self.config.first_installed_at());
         contact.is_some_and(|at| at.elapsed() < CONTACT_MAX_AGE)
     }
 
--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -105,7 +105,7 @@
     regions: RegionMap,
     known: Arc<Mutex<KnownNodes>>,
     client: Client,
-    /// Time of the store's last answer to this node.
+    /// Time at which the last call that the store answered was sent.
     store_contact: watch::Sender<Option<Instant>>,
     /// Number of changes of this node's record.
     own_changed: watch::Sender<u64>,
@@ -233,7 +233,8 @@
         strongest.iter().any(|record| record.node == own)
     }
 
-    /// Returns the time of the store's last answer to this node; `None` if there was none.
+    /// Returns when the last call that the store answered was sent; `None` if there was none. The
+    /// answer may have been read much later, as after a suspension of the machine.
     pub fn last_store_contact(&self) -> Option<Instant> {
         *self.store_contact.borrow()
     }
@@ -298,8 +299,8 @@
             .any(|record| record.role == NodeRole::Front && record.node != own)
     }
 
-    fn record_store_contact(&self) {
-        self.store_contact.send_replace(Some(Instant::now()));
+    fn record_store_contact(&self, sent_at: Instant) {
+        self.store_contact.send_replace(Some(sent_at));
     }
 
     /// Applies an update as of revision `at`, unless a later one was applied.
--- a/crates/front/src/nodes/registration.rs
+++ b/crates/front/src/nodes/registration.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladderstage_clock::Instant;
+
 use super::{NODE_PREFIX, NodeRole, Nodes};
 use crate::activity::Activity;
 use crate::coordination::{Coordination, CoordinationError, LeaseId};
@@ -98,8 +100,9 @@
     kind: LeaseKind,
 ) -> Result<LeaseId, CoordinationError> {
     let lease = coordination.grant(kind.ttl()).await?;
+    let sent_at = Instant::now();
     write_record(nodes, coordination, lease).await?;
-    nodes.record_store_contact();
+    nodes.record_store_contact(sent_at);
     Ok(lease)
 }
 
@@ -123,9 +126,11 @@
     activity: &Activity,
 ) -> LeaseEnd {
     let mut own_changed = nodes.own_changed.subscribe();
+    let mut last_sent_at = Instant::now();
     loop {
+        let renew_at = last_sent_at + kind.renewal();
         tokio::select! {
-            () = tokio::time::sleep(kind.renewal()) => {}
+            () = tokio::time::sleep_until(renew_at.into()) => {}
             () = activity.wait_until_active(), if kind == LeaseKind::Long => return LeaseEnd::TooLong,
             _ = own_changed.changed() => {
                 if write_record(nodes, coordination, lease).await.is_err() {
@@ -136,8 +141,9 @@
         if kind == LeaseKind::Long && LeaseKind::required(nodes, activity) == LeaseKind::Short {
             return LeaseEnd::TooLong;
         }
+        last_sent_at = Instant::now();
         match coordination.renew(lease).await {
-            Ok(()) => nodes.record_store_contact(),
+            Ok(()) => nodes.record_store_contact(last_sent_at),
             Err(CoordinationError::LeaseExpired) => return LeaseEnd::Expired,
             Err(error) => {
                 log::warn!("event=node_lease_not_renewed cause=\"{error}\"");
--- a/crates/front/tests/nodes.rs
+++ b/crates/front/tests/nodes.rs
@@ -212,3 +212,28 @@
     );
     assert!(names(vec![of("leaving", 100, true)]).is_empty());
 }
+
+/// Guards against a node that takes an answer that it reads after a suspension for contact with the
+/// store since then.
+#[tokio::test(start_paused = true)]
+async fn contact_with_the_store_dates_from_the_call_that_it_answered() {
+    const SUSPENSION: Duration = Duration::from_secs(10);
+    let store = MemoryStore::default();
+    let activity = Activity::default();
+    let _work = activity.start();
+    let node = RunningNode::start(&store, record("node", 1), &activity);
+    sleep(Duration::from_millis(500)).await;
+    let faults = NodeFaults {
+        renewal_answer_delay: Duration::from_millis(600),
+        ..NodeFaults::default()
+    };
+    store.set_faults("node", faults);
+    let registered_at = node.nodes.last_store_contact().unwrap();
+    // The renewal is sent after 1 s and answered 0.6 s later.
+    sleep(Duration::from_millis(800)).await;
+    ladderstage_clock::testing::suspend(SUSPENSION);
+    sleep(Duration::from_millis(500)).await;
+    let contact = node.nodes.last_store_contact().unwrap();
+    assert!(contact > registered_at, "the renewal was answered");
+    assert!(contact.elapsed() >= SUSPENSION, "{:?}", contact.elapsed());
+}
--- a/crates/front/tests/support/memory_store.rs
+++ b/crates/front/tests/support/memory_store.rs
@@ -22,6 +22,8 @@
     pub rejected_keys: BTreeSet<String>,
     /// Number of latest revisions that are missing from stale listings.
     pub stale_by: u64,
+    /// Answers to lease renewals are delayed by this time.
+    pub renewal_answer_delay: Duration,
     /// The next swap fails at once with an unknown outcome and is applied after this delay.
     pub delayed_swap: Option<Duration>,
 }
@@ -349,14 +351,16 @@
     fn renew(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), CoordinationError>> {
         Box::pin(async move {
             self.start_call("renew", "").await?;
-            self.store.with_state(|state| {
+            let renewed = self.store.with_state(|state| {
                 let (until, ttl) = state
                     .leases
                     .get_mut(&lease)
                     .ok_or(CoordinationError::LeaseExpired)?;
                 *until = Instant::now() + *ttl;
                 Ok(())
-            })
+            });
+            tokio::time::sleep(self.faults().renewal_answer_delay).await;
+            renewed
         })
     }
 
