Jobs: record the crashes of items in the job's log

Cause: crashes of an item are announced from the second one on. An owner that is killed or loses its job takes the first ones along, and nobody sees the end of the run that was in progress. The next owner allowed three crashes of its own.

Change: the log of a job holds each crash of an instance during an item, and each run of a suspected item, which starts once its record is committed. A new owner counts the crashes, and the runs whose instance was replaced or refuses connections. Items that no crash has met write nothing.

Open: the first run of an item is not recorded before it starts.

--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -10,6 +10,7 @@
 
 use super::run_context::{RunContext, exclusion_after_rejection};
 use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE, can_continue};
+use super::run_record::RunRecord;
 use super::scoring::{ScoreEnd, score};
 use super::stream::follow_stream;
 use super::text::ItemText;
@@ -81,7 +82,7 @@
 /// Sends the partial text to be saved.
 fn stop_run(context: &RunContext, item: &str, mut partial: ItemText) -> RunOutcome {
     if let Some(progress) = partial.drain_progress(item) {
-        let _ = context.progress.send(progress);
+        let _ = context.records.send(RunRecord::Progress(progress));
     }
     RunOutcome::Stopped(partial)
 }
@@ -134,7 +135,7 @@
     if !partial.is_complete()
         && let Some(progress) = partial.finish(&item.id)
     {
-        let _ = context.progress.send(progress);
+        let _ = context.records.send(RunRecord::Progress(progress));
     }
     match score(context, index, reward).await {
         ScoreEnd::Scored(score) => Some(ItemEnd::Completed { score }),
@@ -194,7 +195,12 @@
     partial: &mut ItemText,
 ) -> Option<RunEnd> {
     let content = || context.item_content(index);
-    let _permit = context.wait_admitted(index, content).await?;
+    let permit = context.wait_admitted(index, content).await?;
+    if permit.is_tracked() {
+        context
+            .record_suspect_start(index, content(), instance)
+            .await;
+    }
     let started = Instant::now();
     let end = tokio::select! {
         end = run_once(context, index, instance, partial) => end,
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -7,16 +7,18 @@
 use http::{HeaderValue, Method};
 use ladderstage::region::AllowedRegions;
 use ladderstage_clock::Instant;
-use ladderstage_wire::messages::{JobProgress, JobSpec};
+use ladderstage_wire::messages::JobSpec;
 use tokio::sync::{mpsc, watch};
 
+use super::run_record::RunRecord;
 use crate::backend::{BackendTable, Instance, LOADING_PAUSE};
 use crate::config::CurrentConfig;
 use crate::dialect::SharedCodec;
 use crate::metrics::Metrics;
 use crate::orders::LearnedLoadLimit;
 use crate::suspects::{
-    BrokenRun, ContentDigest, HeldBack, RequestContent, RunPermit, RunSubject, Suspects,
+    BrokenRun, ContentDigest, HeldBack, InstanceStatus, RequestContent, RunPermit, RunSubject,
+    Suspects,
 };
 
 /// Maximum timeout for the first event of a run; also used while event intervals are unknown.
@@ -56,8 +58,8 @@
     pub single_version: bool,
     /// Time at which unfinished items are terminated.
     pub item_deadline: Option<Instant>,
-    /// Receives partial texts to be saved in the log.
-    pub progress: mpsc::UnboundedSender<JobProgress>,
+    /// Receives records to be saved in the log.
+    pub records: mpsc::UnboundedSender<RunRecord>,
     /// Stops the runs, so that another node or a later job can continue them.
     pub stop: watch::Receiver<bool>,
     /// Limits when requests may be sent for the items.
@@ -152,7 +154,8 @@
     }
 
     /// Checks whether the instance crashed in a run of the item at `index` whose connection broke.
-    /// Records the result, and announces the item's content to other fronts after its second crash.
+    /// Records the result, also in the job's log, and announces the item's content to other fronts
+    /// after its second crash.
     pub(super) async fn check_broken_run(
         &self,
         index: usize,
@@ -166,7 +169,9 @@
             content,
             started_at,
         };
-        self.suspects.check_broken_run(&run).await;
+        if self.suspects.check_broken_run(&run).await == InstanceStatus::Exited {
+            self.record_suspect_crash(index, content, instance);
+        }
         self.suspects.announce_item(content);
     }
 
--- a/crates/front/src/job/scheduling.rs
+++ b/crates/front/src/job/scheduling.rs
@@ -185,7 +185,7 @@
             initial_allowed_regions: route.allowed_regions_for(tenant.map(AsRef::as_ref)),
             max_attempts: route.max_attempts,
             single_version: route.single_version,
-            progress: self.progress.0.clone(),
+            records: self.records.0.clone(),
             stop: self.stop.subscribe(),
             window: self.window.clone(),
             first_versions: self.first_versions.clone(),
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -12,6 +12,7 @@
 use super::migration::EventIntervals;
 use super::run_context::RunContext;
 use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE, can_continue};
+use super::run_record::RunRecord;
 use super::text::ItemText;
 use crate::backend::{Instance, Reply, WorkKind, keep_alive};
 
@@ -97,7 +98,7 @@
         if partial.unsaved_events() >= EVENTS_PER_PROGRESS {
             let item = &context.spec.items[index].id;
             if let Some(progress) = partial.drain_progress(item) {
-                let _ = context.progress.send(progress);
+                let _ = context.records.send(RunRecord::Progress(progress));
             }
         }
         if let Some(cause) = intervals.reason_to_migrate(context, instance, partial, max_events) {
--- a/crates/front/src/suspects/ledger.rs
+++ b/crates/front/src/suspects/ledger.rs
@@ -211,6 +211,22 @@
         true
     }
 
+    /// Records a crash that an earlier owner of the item has recorded; returns whether it is new
+    /// here.
+    pub fn record_earlier_crash(
+        &mut self,
+        content: ContentDigest,
+        incarnation: &str,
+        now: Instant,
+    ) -> bool {
+        let suspect = self.suspect_mut(content, now);
+        let is_new = suspect.crashes.insert(incarnation.into());
+        if is_new {
+            suspect.last_crash = now;
+        }
+        is_new
+    }
+
     /// Merges crashes known to other nodes; returns whether any is new here.
     pub fn merge<'a>(
         &mut self,
--- a/crates/front/src/suspects/mod.rs
+++ b/crates/front/src/suspects/mod.rs
@@ -153,6 +153,13 @@
     pub retry_after: Duration,
 }
 
+impl RunPermit {
+    /// Returns whether the content of the run is suspected.
+    pub fn is_tracked(&self) -> bool {
+        self.tracked.is_some()
+    }
+}
+
 impl HeldBack {
     /// Returns whether the run waits only for runs in progress.
     pub fn is_concurrency_hold(self) -> bool {
@@ -251,6 +258,16 @@
         status
     }
 
+    /// Suspects a content of a crash that another node has recorded in a job's log.
+    pub fn record_earlier_crash(&self, content: ContentDigest, incarnation: &str) {
+        if self.update(|ledger| ledger.record_earlier_crash(content, incarnation, Instant::now())) {
+            log::info!(
+                "event=suspect_heard content={content} ends={:?}",
+                self.crashes(content)
+            );
+        }
+    }
+
     /// Announces a content to all fronts if it is suspected. A crash makes every run on the
     /// instance a suspect, most of which are soon cleared, so announcing all of them would cost
     /// more than the crash: a live request is announced when its attempts have failed, an item
--- a/crates/wire/tests/formats/samples.rs
+++ b/crates/wire/tests/formats/samples.rs
@@ -451,6 +451,18 @@
                 ..JobProgress::default()
             }),
         ),
+        (
+            "entry_suspect_run",
+            EntryKind::suspect_run(SuspectRun {
+                item: "i-1".into(),
+                content: 77,
+                instance: "s-1".into(),
+                incarnation: "s-1@5".into(),
+                address: "10.0.0.1:80".into(),
+                crashed: true,
+                ..SuspectRun::default()
+            }),
+        ),
         ("entry_compressed", EntryKind::compressed(vec![7, 8, 9])),
     ]
 }
