Jobs: answer whether a job is accepted without confirmed ownership

Callers saw: 504 after 3.5 s from one of two fronts that got the same job, though the other one had accepted it after 0.5 to 1 s; 503 for a repeated submission.

Cause: the question whether a front has accepted a job was a read, which an owner answers only with a confirmation of the last 0.7 s. Beside load confirmations come late. An acceptance is committed and stays true without one.

The check of orphaned jobs asks as before.

--- a/crates/front/src/job/accepting.rs
+++ b/crates/front/src/job/accepting.rs
@@ -15,7 +15,7 @@
 
 use super::appending::RETRY_PAUSE;
 use super::local_job::Job;
-use super::locating::{JobOwner, NodeCallError, RecordedOwner, RecordedOwners, owner_probe};
+use super::locating::{JobOwner, NodeCallError, RecordedOwner, RecordedOwners, acceptance_probe};
 use super::orphans::UNREACHABLE_OWNER_TIMEOUT;
 use super::reading::{COMMIT_TIMEOUT, JobError};
 use super::registry::JobRegistry;
@@ -234,7 +234,7 @@
         if owner.node == self.context.nodes.own().node {
             return AcceptState::NotAccepting;
         }
-        let answer = self.call_node(id, &owner.node, owner_probe(id), Duration::ZERO);
+        let answer = self.call_node(id, &owner.node, acceptance_probe(id), Duration::ZERO);
         let required_silence = match answer.await {
             Ok(_) => return AcceptState::Accepted,
             Err(NodeCallError::NotOwner) => return AcceptState::NotAccepting,
--- a/crates/front/src/job/locating.rs
+++ b/crates/front/src/job/locating.rs
@@ -280,7 +280,8 @@
 
     /// Returns the owner of a job that was accepted earlier. Takes the job over if it is orphaned.
     pub(super) async fn find_accepted(&self, id: &str) -> Result<JobOwner, JobError> {
-        self.call_owner(id, &owner_probe(id), Duration::ZERO).await
+        self.call_owner(id, &acceptance_probe(id), Duration::ZERO)
+            .await
     }
 
     /// Finds the owner of a job: this node, the cached owner, or the owner that the journal names.
@@ -380,8 +381,17 @@
     RequestKind::read_job(ReadJob {
         job: id.to_owned(),
         after: u64::MAX,
-        wait_ms: 0,
-        takes_compressed: false,
-        anywhere: false,
+        ..ReadJob::default()
+    })
+}
+
+/// Builds a request like [`owner_probe`] that an owner of an accepted job also answers while it
+/// cannot confirm its ownership.
+pub(super) fn acceptance_probe(id: &str) -> RequestKind {
+    RequestKind::read_job(ReadJob {
+        job: id.to_owned(),
+        after: u64::MAX,
+        acceptance_only: true,
+        ..ReadJob::default()
     })
 }
--- a/crates/front/src/job/peer_handler.rs
+++ b/crates/front/src/job/peer_handler.rs
@@ -18,7 +18,7 @@
 
 use super::local_job::Job;
 use super::lock::lock;
-use super::reading::{JobError, end_local_job, local_item_body, results_answer};
+use super::reading::{JobError, end_local_job, local_item_body, read_local_job, results_answer};
 use super::registry::JobRegistry;
 use super::{LOG_PREFIX, log_name};
 use crate::orders::LoadLimit;
@@ -137,6 +137,7 @@
             self.read_here_or_at_owner(job, *after, wait).await
         } else {
             match self.local_or_refusal(job) {
+                Ok(job) if request.acceptance_only => Ok(read_local_job(&job, *after, wait).await),
                 Ok(job) => self.read_here(&job, *after, wait).await,
                 Err(refused) => return ResponseKind::refused(refused),
             }
--- a/crates/front/src/job/peer_requests.rs
+++ b/crates/front/src/job/peer_requests.rs
@@ -17,6 +17,7 @@
         wait_ms: wait.as_millis() as u64,
         takes_compressed: true,
         anywhere,
+        acceptance_only: false,
     })
 }
 
