Jobs: count crashes of instances that an item left without an answer

Callers saw: an item that crashes instances after the timeout of the first event crashed one after the other without end, seven in 18 s; three are allowed.

Cause: a run that was given up at a timeout was not checked. The item moved on, and the crash of the instance that it had left counted against nothing.

Change: runs that end without an answer are remembered and their instances checked again; a suspected item waits up to 3 s for them before it runs again. Live requests that are given up at their deadline are still not checked.

--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -18,6 +18,7 @@
 mod local_job;
 mod locating;
 mod lock;
+mod lost_runs;
 mod migration;
 mod orphans;
 mod owner;
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
 use ladderstage_clock::Instant;
 
+use super::lost_runs::LostRuns;
 use super::run_context::{RunContext, exclusion_after_rejection};
 use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE, can_continue};
 use super::run_record::RunRecord;
@@ -162,9 +163,11 @@
     partial: &mut ItemText,
 ) -> Option<TextEnd> {
     let mut failures = 0;
+    let mut lost_runs = LostRuns::default();
     let mut instance = first;
     loop {
-        let Some(end) = run_admitted(context, index, &instance, partial).await else {
+        let run = run_admitted(context, index, &instance, partial, &mut lost_runs);
+        let Some(end) = run.await else {
             return Some(TextEnd::Closed);
         };
         match end {
@@ -177,8 +180,12 @@
                 }
             }
             RunEnd::NotStarted(_) if partial.events() == 0 && failures == 0 => return None,
-            RunEnd::NotStarted(_) | RunEnd::Migrate(_) | RunEnd::Broken(_) => {}
+            RunEnd::NotStarted(_)
+            | RunEnd::Migrate(_)
+            | RunEnd::TimedOut(_)
+            | RunEnd::Broken(_) => {}
         }
+        lost_runs.wait_for_crashes(context, index).await;
         let Some(next) = next_instance(context, &instance, partial).await else {
             return Some(TextEnd::Closed);
         };
@@ -193,6 +200,7 @@
     index: usize,
     instance: &Arc<Instance>,
     partial: &mut ItemText,
+    lost_runs: &mut LostRuns,
 ) -> Option<RunEnd> {
     let content = || context.item_content(index);
     let permit = context.wait_admitted(index, content).await?;
@@ -210,10 +218,10 @@
     log_run(context, index, instance, partial, started, &end);
     context.metrics.record_sent("item", instance.distance());
     match end {
-        RunEnd::Broken(_) => {
-            context
-                .check_broken_run(index, instance, content(), started)
-                .await
+        RunEnd::TimedOut(_) | RunEnd::Broken(_) => {
+            lost_runs
+                .add(context, index, content(), instance, started)
+                .await;
         }
         RunEnd::Complete | RunEnd::Unprocessable | RunEnd::Failed => {
             context.suspects.record_completion(content);
@@ -236,7 +244,9 @@
         RunEnd::Unprocessable => "impossible".to_owned(),
         RunEnd::Failed => "failed".to_owned(),
         RunEnd::NotStarted(cause) => format!("not_taken cause=\"{cause}\""),
-        RunEnd::Migrate(cause) | RunEnd::Broken(cause) => format!("moved cause=\"{cause}\""),
+        RunEnd::Migrate(cause) | RunEnd::TimedOut(cause) | RunEnd::Broken(cause) => {
+            format!("moved cause=\"{cause}\"")
+        }
     };
     log::info!(
         "event=item_run item={} job={} group={} instance={} distance={} started={} tokens={} guess={} events={} versions={:?} elapsed_ms={} outcome={outcome}",
@@ -326,7 +336,7 @@
         Ok(Err(error)) => return on_exchange_error(context, instance, &error),
         Err(_) => {
             instance.record_failure(Instant::now());
-            return RunEnd::Migrate("timed out waiting for the first event".to_owned());
+            return RunEnd::TimedOut("timed out waiting for the first event".to_owned());
         }
     };
     match reply.status {
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -155,24 +155,26 @@
 
     /// Checks whether the instance crashed in a run of the item at `index` whose connection broke.
     /// Records the result, also in the job's log, and announces the item's content to other fronts
-    /// after its second crash.
+    /// after its second crash. Returns the state of the instance.
     pub(super) async fn check_broken_run(
         &self,
         index: usize,
         instance: &Arc<Instance>,
         content: ContentDigest,
         started_at: Instant,
-    ) {
+    ) -> InstanceStatus {
         let run = BrokenRun {
             subject: self.subject(index),
             instance,
             content,
             started_at,
         };
-        if self.suspects.check_broken_run(&run).await == InstanceStatus::Exited {
+        let status = self.suspects.check_broken_run(&run).await;
+        if status == InstanceStatus::Exited {
             self.record_suspect_crash(index, content, instance);
         }
         self.suspects.announce_item(content);
+        status
     }
 
     /// Returns the maximum number of events of the item at `index`, or `None` if it is unknown.
--- a/crates/front/src/job/run_end.rs
+++ b/crates/front/src/job/run_end.rs
@@ -21,6 +21,9 @@
     NotStarted(String),
     /// The item migrates to another instance.
     Migrate(String),
+    /// The instance sent no event in time and may still run the item; the item migrates to another
+    /// instance.
+    TimedOut(String),
     /// The connection broke; the item migrates to another instance.
     Broken(String),
 }
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -59,7 +59,7 @@
                     continue;
                 }
                 instance.record_failure(Instant::now());
-                return RunEnd::Migrate("timed out waiting for an event".to_owned());
+                return RunEnd::TimedOut("timed out waiting for an event".to_owned());
             }
             Ok(Some(Err(error))) => {
                 instance.record_failure(Instant::now());
--- a/crates/front/src/suspects/mod.rs
+++ b/crates/front/src/suspects/mod.rs
@@ -268,6 +268,11 @@
         }
     }
 
+    /// Returns whether a content is suspected of crashes.
+    pub fn is_suspected(&self, content: ContentDigest) -> bool {
+        self.count.load(Ordering::Relaxed) > 0 && !self.lock().crashes(content).is_empty()
+    }
+
     /// Announces a content to all fronts if it is suspected. A crash makes every run on the
     /// instance a suspect, most of which are soon cleared, so announcing all of them would cost
     /// more than the crash: a live request is announced when its attempts have failed, an item
