--- a/crates/front/src/ingress/mod.rs
+++ b/crates/front/src/ingress/mod.rs
@@ -49,7 +49,8 @@
 /// Maximum time that a read of results waits for new ones.
 const MAX_READ_WAIT: Duration = Duration::from_secs(1);
 
-/// Maximum time for reading the body of a refused request.
+/// Maximum time for reading the body of a refused request. On a link of 60 Mbit/s, each megabyte
+/// takes a tenth of it.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(1_400);
 
 /// Maximum time since the last contact with the store for which the configuration counts as the
--- a/crates/front/src/job/preferred_owner.rs
+++ b/crates/front/src/job/preferred_owner.rs
@@ -25,7 +25,8 @@
 use crate::nodes::{NodeRecord, NodeRole};
 
 /// Time limit for the preferred owner to accept a job; leaves time to accept the job locally
-/// afterwards.
+/// afterwards. An acceptance takes some tens of milliseconds, and trainers expect their answer
+/// within 0.4 s.
 const REMOTE_ACCEPT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Outcome of forwarding a job to its preferred owner.
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -30,7 +30,8 @@
 use crate::orders::{FormerLeaders, LearnedLoadLimit};
 
 /// Maximum age of the last majority confirmation at which an owner answers reads. Limits how long
-/// readers may see the state of a superseded owner.
+/// readers may see the state of a superseded owner. Readers may see an outdated state for a second
+/// at most.
 const MAX_READ_CONFIRMATION_AGE: Duration = Duration::from_millis(700);
 
 /// Interval at which expired jobs are removed.
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -24,7 +24,8 @@
 /// Maximum timeout for the first event of a run; also used while event intervals are unknown.
 const MAX_FIRST_EVENT_WAIT: Duration = Duration::from_millis(2_500);
 
-/// Timeout for the first event, in typical event intervals.
+/// Timeout for the first event, in typical event intervals. A prompt is read in less than one, and
+/// an item that waits longer than this for a slot is better off elsewhere.
 const FIRST_EVENT_INTERVALS: f64 = 20.0;
 
 /// Minimum timeout for the first event of a run.
@@ -193,7 +194,8 @@
 
 /// Returns for how long an instance is excluded for a model after it rejected an item. An instance
 /// that rejects an item despite free slots is loading weights, so it is excluded for the typical
-/// load time.
+/// load time. An owner that tried it again after each [`LOADING_PAUSE`] would send it a whole set
+/// of items that it rejects.
 pub fn exclusion_after_rejection(has_free_slots: bool, typical_load: Option<Duration>) -> Duration {
     match typical_load {
         Some(typical) if has_free_slots => typical.max(LOADING_PAUSE),
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -26,7 +26,8 @@
 /// Interval between checks whether a stalled run can migrate.
 const STALL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Number of events after which partial text is saved in the journal.
+/// Number of events after which partial text is saved in the journal. Half as many are lost on
+/// average when an owner dies.
 const EVENTS_PER_PROGRESS: u64 = 8;
 
 /// Reads the events of one run into the text.
--- a/crates/front/src/job/text_reuse.rs
+++ b/crates/front/src/job/text_reuse.rs
@@ -19,7 +19,7 @@
 use super::unfinished::{TextRequest, UnfinishedItems};
 
 /// Time for which a new job waits for texts of earlier jobs. Limits the delay that an unresponsive
-/// front can cause.
+/// front can cause. The acceptance of the job takes 40 ms to 80 ms by itself.
 const COLLECT_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// Unfinished items of an ended job that wait for a later job of the same model.
--- a/crates/front/src/job/unfinished.rs
+++ b/crates/front/src/job/unfinished.rs
@@ -22,10 +22,13 @@
 use super::text::ItemText;
 use crate::backend::WorkKind;
 
-/// Time after the end of a job during which requests may be sent for its items.
+/// Time after the end of a job during which requests may be sent for its items. Platforms forbid
+/// requests from some time after the confirmed end on, the strictest after 3 s; the rest of that
+/// time is for a request that is slow on its way.
 const SEND_GRACE: Duration = Duration::from_millis(2_000);
 
-/// Time for which the texts of an ended job are kept.
+/// Time for which the texts of an ended job are kept. A trainer submits its next step within 4 s to
+/// 8 s of the end.
 const RETENTION: Duration = Duration::from_secs(10);
 
 /// Results listed less than this time before the end of the job count as unread.
--- a/crates/front/src/orders/plan.rs
+++ b/crates/front/src/orders/plan.rs
@@ -82,7 +82,9 @@
 /// because a traded instance is unavailable while it loads other weights.
 const TRADE_DIVISOR: usize = 5;
 
-/// Returns the maximum number of trades per round.
+/// Returns the maximum number of trades per round. With a single trade, a fleet in which a third of
+/// the instances are slow would need tens of seconds until the models with long texts have none of
+/// them.
 pub fn max_trades(demands: &[ModelDemand], fleet: &[FleetInstance]) -> usize {
     (fleet.len() / demands.len().max(1) / TRADE_DIVISOR).max(1)
 }
--- a/crates/front/src/roster/options.rs
+++ b/crates/front/src/roster/options.rs
@@ -13,7 +13,8 @@
 const MIN_BATCH_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Minimum number of fronts for a roster. With fewer fronts, it costs more store calls than it
-/// saves.
+/// saves. The roster costs its writer about three calls a second and saves each idle front about
+/// half a call a second.
 const MIN_FRONTS: usize = 16;
 
 /// Time for which a node waits for a roster when the whole system starts for the first time. The
--- a/crates/front/src/suspects/content.rs
+++ b/crates/front/src/suspects/content.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-/// Number of bytes of the SHA-256 hash that form the digest.
+/// Number of bytes of the SHA-256 hash that form the digest. Two contents share a digest with a
+/// probability of 2^-64.
 const DIGEST_BYTES: usize = 8;
 
 /// The parts of a request that identify its content. Request ids, headers and the receiving node
--- a/crates/front/src/suspects/ledger.rs
+++ b/crates/front/src/suspects/ledger.rs
@@ -15,7 +15,7 @@
 use ladderstage_clock::Instant;
 
 /// Number of crashes after which a live request's content is held back. See `tests/suspect_load.rs`
-/// for the effect of other limits.
+/// for the effect of other limits. With two of three instances down, the third one still serves.
 pub const LIVE_MAX_CRASHES: usize = 2;
 
 /// Number of crashes after which an item's content is held back. Items run longer than live
@@ -32,7 +32,9 @@
 /// Time without a further crash after which a suspect that is not held back is removed.
 pub const SUSPICION_LIFETIME: Duration = Duration::from_secs(600);
 
-/// Maximum number of suspects; the one with the oldest last crash is removed first.
+/// Maximum number of suspects; the one with the oldest last crash is removed first. Suffices for a
+/// hundred crashes a minute, with eight requests beside each cause, for five minutes, and takes
+/// less than 1 MB.
 pub const MAX_SUSPECTS: usize = 4_096;
 
 /// Decision whether a run of a content may start.
