--- a/crates/front/src/job/accepting.rs
+++ b/crates/front/src/job/accepting.rs
@@ -15,9 +15,10 @@
 
 use super::appending::RETRY_PAUSE;
 use super::local_job::Job;
-use super::locating::{JobOwner, NodeCallError, RecordedOwner, RecordedOwners, acceptance_probe};
+use super::locating::{JobOwner, NodeCallError, acceptance_probe};
 use super::orphans::UNREACHABLE_OWNER_TIMEOUT;
 use super::reading::{COMMIT_TIMEOUT, JobError};
+use super::recorded_owners::{RecordedOwner, RecordedOwners};
 use super::registry::JobRegistry;
 use crate::program::OWNER_TIMEOUT;
 
--- a/crates/front/src/job/locating.rs
+++ b/crates/front/src/job/locating.rs
@@ -11,12 +11,13 @@
 use ladderstage_wire::messages::mod_Refused::Reason;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
-use ladderstage_wire::messages::{LogDescription, ReadJob, Request};
+use ladderstage_wire::messages::{ReadJob, Request};
 
 use super::local_job::Job;
 use super::lock::lock;
 use super::log_name;
 use super::reading::{JobError, unavailable};
+use super::recorded_owners::{RecordedOwner, RecordedOwners};
 use super::registry::{JobRegistry, TakeOverError};
 use crate::program::OWNER_TIMEOUT;
 
@@ -36,55 +37,6 @@
     Recorded(RecordedOwners),
 }
 
-/// Owner of a job as described by a majority of the journal's replicas.
-#[derive(Debug, Clone)]
-pub(super) struct RecordedOwner {
-    pub node: String,
-    pub epoch: WriterEpoch,
-    /// Time since any of the replicas heard from the owner; `None` if unknown, or if the job has
-    /// ended and needs no owner.
-    pub silence: Option<Duration>,
-}
-
-impl From<LogDescription> for RecordedOwner {
-    fn from(log: LogDescription) -> Self {
-        let silence_ms = Some(log.owner_silence_ms);
-        let silence_ms = silence_ms.filter(|silence_ms| *silence_ms > 0 && !log.closed);
-        Self {
-            node: log.owner_node,
-            epoch: WriterEpoch::from(&log.promised),
-            silence: silence_ms.map(Duration::from_millis),
-        }
-    }
-}
-
-impl RecordedOwner {
-    /// Returns whether a replica has heard from the owner within `timeout`.
-    pub fn is_heard_within(&self, timeout: Duration) -> bool {
-        self.silence.is_some_and(|silence| silence < timeout)
-    }
-}
-
-/// Nodes that replicas of a majority have promised a job's log.
-///
-/// A front that was refused by a majority may leave its promise at a minority of the replicas. It
-/// then is the newest owner, but the job belongs to an earlier one.
-#[derive(Debug, Clone)]
-pub(super) struct RecordedOwners {
-    pub newest: RecordedOwner,
-    /// Owners with lower epochs, newest first.
-    pub earlier: Vec<RecordedOwner>,
-    /// Whether a replica holds entries of the log. Without any, the job is not accepted.
-    pub has_entries: bool,
-}
-
-impl RecordedOwners {
-    /// Returns all owners, newest first.
-    pub fn iter(&self) -> impl Iterator<Item = &RecordedOwner> {
-        std::iter::once(&self.newest).chain(&self.earlier)
-    }
-}
-
 /// Owner of a job: this node, which then handles the request itself, or a remote one with its
 /// answer.
 pub(super) enum JobOwner {
@@ -219,12 +171,6 @@
         JobOwner::Answer(answer)
     }
 
-    /// Returns whether the log was last promised to this process, which does not own the job, as it
-    /// could not complete the takeover.
-    pub(super) fn is_own_promise(&self, owner: &RecordedOwner) -> bool {
-        owner.epoch.owner == self.context.nodes.own().process
-    }
-
     /// Takes over an orphaned job, or forwards the request to the preferred takeover candidate: the
     /// front to which replicas announce orphaned logs. Without this, the first reader after a
     /// restart of all nodes could place the job at a front with little CPU.
@@ -299,24 +245,6 @@
         self.recorded_owners(id).await.map(Location::Recorded)
     }
 
-    /// Queries a majority of replicas for the owners of an accepted job.
-    pub(super) async fn recorded_owners(&self, id: &str) -> Result<RecordedOwners, JobError> {
-        let owners = self.promised_owners(id).await?;
-        let accepted = owners.filter(|owners| owners.has_entries);
-        accepted.ok_or(JobError::NotFound)
-    }
-
-    /// Queries a majority of replicas for the nodes that were promised a job's log, whether or not
-    /// the job is accepted; `None` if there was none.
-    pub(super) async fn promised_owners(
-        &self,
-        id: &str,
-    ) -> Result<Option<RecordedOwners>, JobError> {
-        let described = self.context.journal.describe_writers(&log_name(id)).await;
-        let writers = described.map_err(|error| unavailable(&error.to_string()))?;
-        Ok(owners_from(writers.into_iter()))
-    }
-
     /// Sends a request about a job to another node. Removes the cached owner if that fails.
     pub(super) async fn call_node(
         &self,
@@ -354,16 +282,6 @@
     }
 }
 
-/// Returns the owners of a log from the descriptions of its writers, newest first.
-fn owners_from(mut writers: impl Iterator<Item = LogDescription>) -> Option<RecordedOwners> {
-    let newest = writers.next()?;
-    Some(RecordedOwners {
-        has_entries: newest.length > 0,
-        newest: RecordedOwner::from(newest),
-        earlier: writers.map(RecordedOwner::from).collect(),
-    })
-}
-
 /// Copies a request, allowing its receiver to forward it to the owner or to become the owner.
 fn with_forwarding(request: &RequestKind) -> RequestKind {
     let mut request = request.clone();
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -27,6 +27,7 @@
 mod preferred_owner;
 mod queue;
 mod reading;
+mod recorded_owners;
 mod region_bounds;
 mod registry;
 mod relay;
--- a/crates/front/src/job/orphans.rs
+++ b/crates/front/src/job/orphans.rs
@@ -8,9 +8,10 @@
 use ladderstage::journal::WriterEpoch;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 
-use super::locating::{NodeCallError, RecordedOwner, RecordedOwners, owner_probe};
+use super::locating::{NodeCallError, owner_probe};
 use super::lock::lock;
 use super::reading::JobError;
+use super::recorded_owners::{RecordedOwner, RecordedOwners};
 use super::registry::JobRegistry;
 use crate::program::OWNER_TIMEOUT;
 
