Jobs: wait for lost runs only while they may crash their instances

Cause: a suspected item whose run had broken at an instance that did not refuse connections waited 3 s before each further run, also where the machine was gone or only the connection was lost.

Change: only runs that were given up at a listening instance are lost runs, and each is waited for until 3 s after its end.

--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -219,8 +219,9 @@
     context.metrics.record_sent("item", instance.distance());
     match end {
         RunEnd::TimedOut(_) | RunEnd::Broken(_) => {
+            let is_given_up = matches!(end, RunEnd::TimedOut(_));
             lost_runs
-                .add(context, index, content(), instance, started)
+                .check(context, index, content(), instance, started, is_given_up)
                 .await;
         }
         RunEnd::Complete | RunEnd::Unprocessable | RunEnd::Failed => {
