Live requests, soak: keep the evidence of a request that runs twice

The violation printed a count, and the front's log had one attempt. That does not tell a second sending from a mix-up of two runs, nor from a fault of the count:

- A front logged an attempt when it ended.
One that was dropped, because the client left or a deadline passed, left no line.
- A request that a connection hands back unsent goes on another one.
No line said so.
- The front may drop lines at more than 400 a second.
The soak did not look.
- A sampler kept neither when nor on which connection a request arrived.

Change: an attempt that is dropped logs outcome=abandoned; event=request_returned_unsent says that a request goes on another connection. The check is unchanged.

--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -128,7 +128,8 @@
     attempt_id: &HeaderValue,
     answer_id: AnswerIdPolicy,
 ) -> Result<Reply, ExchangeError> {
-    let (response, pooled) = send_on_pooled_connection(instance, head, body, answer_id).await?;
+    let (response, pooled) =
+        send_on_pooled_connection(instance, head, body, attempt_id, answer_id).await?;
     let (parts, body) = response.into_parts();
     let echoed_id = parts.headers.get(&names.attempt_id);
     let may_be_missing = answer_id == AnswerIdPolicy::Optional && echoed_id.is_none();
@@ -190,6 +191,7 @@
     instance: &Arc<Instance>,
     head: &RequestHead,
     body: &Bytes,
+    attempt_id: &HeaderValue,
     answer_id: AnswerIdPolicy,
 ) -> Result<(http::Response<Incoming>, PooledConnection), ExchangeError> {
     for _ in 0..MAX_CONNECTION_ATTEMPTS {
@@ -210,6 +212,13 @@
                 if failed.take_message().is_none() {
                     return Err(ExchangeError::Broken(failed.error().to_string()));
                 }
+                log::info!(
+                    "event=request_returned_unsent request={} instance={} reused={} cause=\"{}\"",
+                    attempt_id.to_str().unwrap_or("?"),
+                    instance.id(),
+                    pooled.is_reused,
+                    failed.error()
+                );
                 instance.release_send(ticket);
             }
         }
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -181,6 +181,36 @@
     permit: RunPermit,
 }
 
+/// An attempt that has not ended yet. Dropping it logs the attempt as abandoned: the client
+/// disconnected or a deadline passed, and the request may have run.
+struct UnfinishedAttempt<'a> {
+    route: &'a Route,
+    request: &'a LiveRequest,
+    instance: &'a Instance,
+    started: Instant,
+    is_finished: bool,
+}
+
+impl UnfinishedAttempt<'_> {
+    fn finish(mut self) {
+        self.is_finished = true;
+    }
+}
+
+impl Drop for UnfinishedAttempt<'_> {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            log_attempt(
+                self.route,
+                self.request,
+                self.instance,
+                self.started,
+                "abandoned",
+            );
+        }
+    }
+}
+
 enum AttemptAnswer {
     Complete(StatusCode, HeaderMap, Bytes),
     Stream(Reply),
@@ -424,6 +454,13 @@
         Box::pin(async move {
             let started = Instant::now();
             let head = self.build_head(route, request, &instance, overall_deadline);
+            let unfinished = UnfinishedAttempt {
+                route,
+                request,
+                instance: &instance,
+                started,
+                is_finished: false,
+            };
             let guard = instance.track_request();
             let result = tokio::select! {
                 result = self.exchange(route, request, &instance, &head) => result,
@@ -435,6 +472,7 @@
                 self.check_broken_run(route, request, &instance, started)
                     .await;
             }
+            unfinished.finish();
             Attempt {
                 instance,
                 result,
@@ -614,21 +652,31 @@
             }
             Err(error) => format!("failed cause=\"{error}\""),
         };
-        log::info!(
-            "event=attempt request={} route={} instance={} distance={} started={} in_flight={} elapsed_ms={} outcome={outcome}",
-            request.id(),
-            route.name,
-            ended.instance.id(),
-            ended.instance.distance(),
-            ended.instance.started_unix_ms(),
-            ended.instance.in_flight(),
-            ended.started.elapsed().as_millis(),
-        );
+        log_attempt(route, request, &ended.instance, ended.started, &outcome);
         self.metrics.attempts.inc();
         self.metrics.record_sent("live", ended.instance.distance());
     }
 }
 
+fn log_attempt(
+    route: &Route,
+    request: &LiveRequest,
+    instance: &Instance,
+    started: Instant,
+    outcome: &str,
+) {
+    log::info!(
+        "event=attempt request={} route={} instance={} distance={} started={} in_flight={} elapsed_ms={} outcome={outcome}",
+        request.id(),
+        route.name,
+        instance.id(),
+        instance.distance(),
+        instance.started_unix_ms(),
+        instance.in_flight(),
+        started.elapsed().as_millis(),
+    );
+}
+
 /// Returns the result after the deadline of the client or the route.
 fn result_after_timeout(progress: &Progress) -> LiveAnswer {
     if progress.possible_runs == 0 {
