Live requests: hedge safe requests only

Callers of an `unsafe` or `streaming` route could have one attempt run at two instances at the same time. They got one answer, 200, and knew nothing of the other run.

Cause: the loop of `run_attempts` starts an attempt and goes round again before it waits. In this second round an attempt is due if none runs or if the hedge's time (0.6 of the target latency after the start) has come. Only the wait for that time looked at the kind of the route, not the start. The answer of the faster one dropped the other attempt, which at that time left no log line.

Change: the number of attempts that may have run is bounded by the kind of the route in one place, `max_possible_runs`: `max_attempts` for safe, 1 for all others. An attempt counts from its start until it has certainly not run, so nothing else can start beside it.

--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -267,7 +267,7 @@
             if Instant::now() >= overall_deadline {
                 return result_after_timeout(progress);
             }
-            let may_start = progress.possible_runs < route.max_attempts.max(1);
+            let may_start = progress.possible_runs < max_possible_runs(route);
             let is_attempt_due = running_attempts.is_empty() || Instant::now() >= hedge_at;
             let mut held_back = None;
             if may_start
@@ -303,7 +303,7 @@
                 let answer = result_without_attempts(progress, held_back);
                 return self.classify_not_run(route, service, request, progress, answer);
             }
-            let may_hedge = route.kind == RouteKind::Safe && may_start && !is_attempt_due;
+            let may_hedge = may_start && !is_attempt_due;
             tokio::select! {
                 ended = running_attempts.next() => {
                     if let Some(ended) = ended
@@ -677,6 +677,15 @@
     );
 }
 
+/// Returns how many attempts may have run at most, including those in progress.
+fn max_possible_runs(route: &Route) -> u32 {
+    match route.kind {
+        RouteKind::Safe => route.max_attempts.max(1),
+        // The next attempt starts after the previous one has certainly not run.
+        RouteKind::Unsafe | RouteKind::Streaming | RouteKind::Batch => 1,
+    }
+}
+
 /// Returns the result after the deadline of the client or the route.
 fn result_after_timeout(progress: &Progress) -> LiveAnswer {
     if progress.possible_runs == 0 {
