Suspects: check the instances of abandoned requests

Their instances are checked every 250 ms for 3 s by one connection per instance, at most 16 per interval and front, however many requests are given up: one connection for each request that times out would be too many under overload. A later incarnation counts without a connection. A request whose instance does not answer the first check counts against nothing, as it may never have arrived.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -158,7 +158,7 @@
     metrics.add_store_calls(&options.store_calls);
     metrics.add_nodes(&nodes);
     metrics.add_discovery(inputs.backends.counters());
-    let (suspects, updates) = Suspects::new(Arc::clone(&metrics));
+    let (suspects, updates, abandoned_checks) = Suspects::new(Arc::clone(&metrics));
     let jobs = JobRegistry::new(shared.job_context(&parts, &suspects));
     let permits = PermitIssuer::new(inputs.backends.gates().cold.clone());
     let hooks = JobHooks {
@@ -202,12 +202,13 @@
         tokio::spawn(async move { share_counts(&meter, &nodes).await })
     });
     let suspects_task = tokio::spawn({
+        let checks = abandoned_checks.run(suspects.clone());
         let sharing = SuspectSharing {
             suspects,
             nodes: nodes.clone(),
             coordination: Arc::clone(&coordination),
         };
-        async move { sharing.run(updates).await }
+        async move { tokio::join!(sharing.run(updates), checks) }
     });
     let suspension_task = tokio::spawn({
         let (coordination, metrics) = (Arc::clone(&coordination), Arc::clone(&metrics));
--- a/crates/front/src/suspects/mod.rs
+++ b/crates/front/src/suspects/mod.rs
@@ -1,6 +1,7 @@
 //! Requests that crash instances. They are recognized by their content at any front and held back
 //! after a few crashes.
 
+mod abandoned;
 mod content;
 mod ledger;
 mod probe;
@@ -16,6 +17,7 @@
 use ladderstage_wire::messages::{SuspectNews, SuspectedContent};
 use tokio::sync::mpsc;
 
+pub use abandoned::{AbandonedChecks, AbandonedRun};
 pub use content::{ContentDigest, RequestContent};
 pub use ledger::{
     Admission, Cleared, FIRST_HOLD, ITEM_MAX_CRASHES, LIVE_MAX_CRASHES, MAX_HOLD, MAX_SUSPECTS,
@@ -25,6 +27,7 @@
 pub use record::SuspectRecord;
 pub use sharing::SuspectSharing;
 
+use self::abandoned::{AbandonedQueue, abandoned_queue};
 use crate::backend::Instance;
 use crate::metrics::Metrics;
 
@@ -105,6 +108,7 @@
     /// Number of suspects; while it is zero, no content digests are computed.
     count: Arc<AtomicUsize>,
     updates: mpsc::Sender<ContentDigest>,
+    abandoned: AbandonedQueue,
     metrics: Arc<Metrics>,
 }
 
@@ -169,15 +173,17 @@
 
 impl Suspects {
     /// Creates an empty set; the receiver gets the contents whose changes are to be shared.
-    pub fn new(metrics: Arc<Metrics>) -> (Self, mpsc::Receiver<ContentDigest>) {
+    pub fn new(metrics: Arc<Metrics>) -> (Self, mpsc::Receiver<ContentDigest>, AbandonedChecks) {
         let (updates, unshared_updates) = mpsc::channel(MAX_UNSHARED);
+        let (abandoned, checks) = abandoned_queue();
         let suspects = Self {
             ledger: Arc::new(Mutex::new(SuspectLedger::new(BUSY_RETRY))),
             count: Arc::default(),
             updates,
+            abandoned,
             metrics,
         };
-        (suspects, unshared_updates)
+        (suspects, unshared_updates, checks)
     }
 
     /// Admits a run. `content` is computed only while there are suspects.
@@ -233,12 +239,24 @@
     /// Checks the instance of a broken run, and suspects the run's content at this node if the
     /// instance crashed.
     pub async fn check_broken_run(&self, run: &BrokenRun<'_>) -> InstanceStatus {
-        let run_ms = run.started_at.elapsed().as_millis();
         let status = if run.instance.has_ended() {
             InstanceStatus::Exited
         } else {
             probe(run.instance.address()).await
         };
+        self.record_broken_run(run, status);
+        status
+    }
+
+    /// Has the instance of an abandoned run checked for a while. `run` is computed only if there is
+    /// room for it.
+    pub fn check_abandoned_run(&self, run: impl FnOnce() -> AbandonedRun) {
+        self.abandoned.push(run);
+    }
+
+    /// Suspects the content of a broken run if its instance crashed.
+    fn record_broken_run(&self, run: &BrokenRun<'_>, status: InstanceStatus) {
+        let run_ms = run.started_at.elapsed().as_millis();
         let content = run.content;
         let incarnation = run.instance.incarnation_name();
         if status == InstanceStatus::Exited {
@@ -255,7 +273,6 @@
         );
         let counter = &self.metrics.broken_runs;
         counter.with_label_values(&[status.label()]).inc();
-        status
     }
 
     /// Suspects a content of a crash that another node has recorded in a job's log.
