Live requests: count crashes of instances after a request was given up

Callers: a live request that crashes its instance after its deadline, or after its client left, was never held back, and crashed one instance after the other.

Cause: an attempt that is dropped only logged outcome=abandoned. The instance was not checked, also if its connection had broken and the check was in progress.

--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -1,6 +1,7 @@
 //! Live requests: attempts within the route's limits and the client's deadline, and the response.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,8 +20,8 @@
 use crate::dialect::SharedCodec;
 use crate::metrics::Metrics;
 use crate::suspects::{
-    BrokenRun, ContentDigest, HeldBack, RequestContent, RunPermit, RunSubject, Suspects,
-    UnannouncedSuspect,
+    AbandonedRun, BrokenRun, ContentDigest, HeldBack, RequestContent, RunPermit, RunSubject,
+    Suspects, UnannouncedSuspect,
 };
 use crate::tenant::Caller;
 use crate::usage::UsageMeter;
@@ -131,12 +132,29 @@
     route: String,
     content: ContentDigest,
     started_at: Instant,
+    /// True once the stream was passed on completely or broke.
+    has_ended: AtomicBool,
     suspects: Suspects,
 }
 
+impl Drop for StreamRun {
+    fn drop(&mut self) {
+        if !*self.has_ended.get_mut() {
+            self.suspects.check_abandoned_run(|| AbandonedRun {
+                id: self.id.to_str().unwrap_or("?").to_owned(),
+                route: self.route.clone(),
+                instance: Arc::clone(&self.instance),
+                content: self.content,
+                started_at: self.started_at,
+            });
+        }
+    }
+}
+
 impl StreamRun {
     /// Records that the stream was passed on completely.
     pub fn record_complete(&self) {
+        self.has_ended.store(true, Ordering::Relaxed);
         self.suspects.record_completion(|| self.content);
     }
 
@@ -152,6 +170,7 @@
             started_at: self.started_at,
         };
         self.suspects.check_broken_run(&run).await;
+        self.has_ended.store(true, Ordering::Relaxed);
         self.suspects.announce(self.content);
     }
 }
@@ -181,14 +200,17 @@
     permit: RunPermit,
 }
 
-/// An attempt that has not ended yet. Dropping it logs the attempt as abandoned: the client
-/// disconnected or a deadline passed, and the request may have run.
+/// An attempt that has not ended yet. Dropping it logs the attempt as abandoned, and has its
+/// instance checked unless another attempt was answered: the client disconnected or a deadline
+/// passed, and the request may have run.
 struct UnfinishedAttempt<'a> {
     route: &'a Route,
     request: &'a LiveRequest,
-    instance: &'a Instance,
+    instance: &'a Arc<Instance>,
     started: Instant,
     is_finished: bool,
+    is_request_answered: &'a AtomicBool,
+    suspects: &'a Suspects,
 }
 
 impl UnfinishedAttempt<'_> {
@@ -207,6 +229,15 @@
                 self.started,
                 "abandoned",
             );
+            if !self.is_request_answered.load(Ordering::Relaxed) {
+                self.suspects.check_abandoned_run(|| AbandonedRun {
+                    id: self.request.id().to_owned(),
+                    route: self.route.name.clone(),
+                    instance: Arc::clone(self.instance),
+                    content: self.request.content(self.route),
+                    started_at: self.started,
+                });
+            }
         }
     }
 }
@@ -258,6 +289,7 @@
             .wait_for_first_instance(FIRST_INSTANCE_TIMEOUT)
             .await;
         let service = route.pick_service(rand::random());
+        let is_answered = AtomicBool::new(false);
         let mut running_attempts = FuturesUnordered::new();
         let mut hedge_at = Instant::now();
         let mut table_changed = self.backends.watch();
@@ -285,6 +317,7 @@
                             instance,
                             permit,
                             overall_deadline,
+                            &is_answered,
                         ));
                         continue;
                     }
@@ -309,6 +342,7 @@
                     if let Some(ended) = ended
                         && let Some(answer) = self.apply(route, request, ended, progress)
                     {
+                        is_answered.store(true, Ordering::Relaxed);
                         return answer;
                     }
                 }
@@ -450,6 +484,7 @@
         instance: Arc<Instance>,
         permit: RunPermit,
         overall_deadline: Instant,
+        is_request_answered: &'a AtomicBool,
     ) -> BoxFuture<'a, Attempt> {
         Box::pin(async move {
             let started = Instant::now();
@@ -460,6 +495,8 @@
                 instance: &instance,
                 started,
                 is_finished: false,
+                is_request_answered,
+                suspects: &self.suspects,
             };
             let guard = instance.track_request();
             let result = tokio::select! {
@@ -576,6 +613,7 @@
                     route: route.name.clone(),
                     content: request.content(route),
                     started_at: ended.started,
+                    has_ended: AtomicBool::new(false),
                     suspects: self.suspects.clone(),
                 };
                 let run = Box::new(run);
