Suspects: check the instances of abandoned requests once a second

An abandoned request has its instance checked by a new connection each 250 ms for 3 s. Under overload that is up to 64 connections a second from one front to instances that are short of them. A crash is hardly noticed later with one check a second: a process that crashes and listens again in between has another incarnation, which counts without a connection.

--- a/crates/front/src/suspects/abandoned.rs
+++ b/crates/front/src/suspects/abandoned.rs
@@ -18,8 +18,9 @@
 /// Time after a request was abandoned in which a crash of its instance counts against it.
 const CRASH_WAIT: Duration = Duration::from_secs(3);
 
-/// Interval between checks of an instance.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between checks of an instance. One that crashes and listens again in between is
+/// recognized by its next incarnation.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Maximum number of connections opened per interval; the instances whose last check is the oldest
 /// come first.
