Store: repeat the watches of a process that stood still

Cause: a store that was silent never answers the watches of that time. They restart when another call of the process gets no answer. A process that stands still makes no call, so that a silence that is over when it runs again leaves its watches waiting until their time is over.

Change: the check for suspensions also tells how late it runs. From 1 s on (process_stalled, ladderstage_stalls_total) the watches count as doubtful and are asked again, once the store has answered a call sent after the stall (watches_repeated): earlier the store might lose them as well. At most once in 2 s, spread over 0.5 s; no call while no check is late. A running process calls each 1 s or 2.2 s, so a shorter stall hides hardly more than the time between two of its calls, and small shares of a processor make checks late by some 100 ms.

The three new tests of following fail without the change.

Existing tests are unchanged.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -8,9 +8,11 @@
 #![warn(missing_docs)]
 
 mod instant;
+mod stall;
 mod suspension;
 #[cfg(feature = "test-util")]
 pub mod testing;
 
 pub use instant::Instant;
+pub use stall::StallDetector;
 pub use suspension::{SUSPENSION_CHECK_INTERVAL, SuspensionDetector};
--- a/crates/clock/tests/clock.rs
+++ b/crates/clock/tests/clock.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ladderstage_clock::testing::suspend;
-use ladderstage_clock::{Instant, SuspensionDetector};
+use ladderstage_clock::{Instant, StallDetector, SuspensionDetector};
 
 const SUSPENSION: Duration = Duration::from_secs(20);
 
@@ -54,3 +54,14 @@
         .await
         .unwrap();
 }
+
+#[test]
+fn a_stall_is_detected_once_and_is_no_suspension() {
+    let stall = Duration::from_millis(200);
+    let mut suspensions = SuspensionDetector::default();
+    let mut detector = StallDetector::default();
+    std::thread::sleep(stall);
+    assert!(detector.check(Duration::ZERO) >= stall);
+    assert_eq!(detector.check(Duration::from_secs(3_600)), Duration::ZERO);
+    assert_eq!(suspensions.check(), None);
+}
--- a/crates/front/src/coordination.rs
+++ b/crates/front/src/coordination.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use ladderstage_clock::Instant;
 
 pub use following::{Follower, Update, follow, follow_with};
 pub use observed::{ObservedStore, StoreCallMetrics};
@@ -153,6 +154,13 @@
     /// ones.
     fn cancel_watches(&self) {}
 
+    /// Reports that the answers of the watches in progress may be lost although no other call of
+    /// this process was left without an answer. They are repeated once the store answers a call
+    /// sent at `since` or later.
+    fn doubt_watches(&self, since: Instant) {
+        let _ = since;
+    }
+
     /// Returns once another call of this process succeeded, or after `max_wait` at the latest.
     fn wait_for_success(&self, max_wait: Duration) -> BoxFuture<'_, ()> {
         Box::pin(tokio::time::sleep(max_wait))
--- a/crates/front/src/coordination/observed.rs
+++ b/crates/front/src/coordination/observed.rs
@@ -3,7 +3,8 @@
 //! A store that was unresponsive may never answer the calls that were pending at that time, even
 //! after it has recovered, so that a watch would miss changes until its timeout. [`ObservedStore`]
 //! monitors all calls of the process and ends its watches when another call gets no answer, and
-//! again when the store answers for the first time after that.
+//! again when the store answers for the first time after that. A process that made no call
+//! meanwhile, because it stood still, reports its watches as doubtful; they are repeated.
 
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
@@ -18,6 +19,15 @@
 /// Maximum wait of a new watch for an unresponsive store to answer another call.
 const MAX_RECOVERY_WAIT: Duration = Duration::from_secs(1);
 
+/// Minimum interval between repetitions of doubtful watches, so that a process that often stands
+/// still adds less than two calls a second. A process counts as in touch, and has to hear of
+/// changes in time, only 3 s after it stood still.
+const MIN_REPEAT_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Maximum random delay of the repetition of a doubtful watch, as hundreds of processes may have
+/// stood still together.
+const MAX_REPEAT_DELAY: Duration = Duration::from_millis(500);
+
 /// Health of the store as shown by the calls so far.
 #[derive(Debug, Default)]
 struct StoreHealth {
@@ -27,6 +37,26 @@
     failures: u64,
     /// Send time of the latest call that was answered.
     last_answered: Option<Instant>,
+    /// Time since which the watches in progress are doubtful.
+    watches_doubted_at: Option<Instant>,
+    /// Time of the last repetition of doubtful watches.
+    watches_repeated_at: Option<Instant>,
+}
+
+impl StoreHealth {
+    /// Returns whether doubtful watches are to be repeated after the answer to a call sent at
+    /// `sent`. The answer shows that the store does not lose the repetitions as well.
+    fn repeats_watches(&mut self, sent: Instant) -> bool {
+        let is_due = self.watches_doubted_at.is_some_and(|at| sent >= at)
+            && self
+                .watches_repeated_at
+                .is_none_or(|at| at.elapsed() >= MIN_REPEAT_INTERVAL);
+        if is_due {
+            self.watches_doubted_at = None;
+            self.watches_repeated_at = Some(Instant::now());
+        }
+        is_due
+    }
 }
 
 /// Counter of calls to the store by kind and outcome. Cheap to clone.
@@ -66,6 +96,13 @@
     }
 }
 
+/// Waits until a watch in progress has to be repeated.
+async fn wait_to_repeat(watch_repetitions: &mut watch::Receiver<u64>) {
+    // The store owns the sender, so this does not fail.
+    let _ = watch_repetitions.changed().await;
+    tokio::time::sleep(MAX_REPEAT_DELAY.mul_f64(rand::random_range(0.0..1.0))).await;
+}
+
 /// Store wrapper that counts calls and ends watches whose answers may be lost.
 #[derive(Debug)]
 pub struct ObservedStore<C> {
@@ -74,6 +111,8 @@
     health: Mutex<StoreHealth>,
     /// Changes whenever the watches in progress have to end.
     watch_cancellations: watch::Sender<u64>,
+    /// Changes whenever the watches in progress have to be repeated.
+    watch_repetitions: watch::Sender<u64>,
     /// Number of calls that succeeded.
     successes: watch::Sender<u64>,
 }
@@ -86,6 +125,7 @@
             calls,
             health: Mutex::default(),
             watch_cancellations: watch::Sender::new(0),
+            watch_repetitions: watch::Sender::new(0),
             successes: watch::Sender::new(0),
         }
     }
@@ -134,7 +174,13 @@
     fn record_answer(&self, sent: Instant) {
         let mut health = self.lock();
         health.last_answered = health.last_answered.max(Some(sent));
+        let repeats_watches = health.repeats_watches(sent);
         if !std::mem::take(&mut health.is_unresponsive) {
+            drop(health);
+            if repeats_watches {
+                log::info!("event=watches_repeated");
+                self.watch_repetitions.send_modify(|count| *count += 1);
+            }
             return;
         }
         let failures = std::mem::take(&mut health.failures);
@@ -180,18 +226,22 @@
     ) -> BoxFuture<'a, Result<WatchAnswer, CoordinationError>> {
         Box::pin(async move {
             let mut watch_cancellations = self.watch_cancellations.subscribe();
+            let mut watch_repetitions = self.watch_repetitions.subscribe();
             if self.lock().is_unresponsive {
                 let _ =
                     tokio::time::timeout(MAX_RECOVERY_WAIT, watch_cancellations.changed()).await;
             }
-            tokio::select! {
-                answer = self.store.watch(prefix, after) => {
-                    self.calls.record("watch", &answer);
-                    answer
-                }
-                _ = watch_cancellations.changed() => {
-                    let cause = "watch ended because another call got no answer, the store recovered, or this machine was suspended";
-                    Err(CoordinationError::Unavailable(cause.to_owned()))
+            loop {
+                tokio::select! {
+                    answer = self.store.watch(prefix, after) => {
+                        self.calls.record("watch", &answer);
+                        return answer;
+                    }
+                    _ = watch_cancellations.changed() => {
+                        let cause = "watch ended because another call got no answer, the store recovered, or this machine was suspended";
+                        return Err(CoordinationError::Unavailable(cause.to_owned()));
+                    }
+                    () = wait_to_repeat(&mut watch_repetitions) => {}
                 }
             }
         })
@@ -232,6 +282,10 @@
         self.watch_cancellations.send_modify(|count| *count += 1);
     }
 
+    fn doubt_watches(&self, since: Instant) {
+        self.lock().watches_doubted_at = Some(since);
+    }
+
     fn wait_for_success(&self, max_wait: Duration) -> BoxFuture<'_, ()> {
         Box::pin(async move {
             let mut successes = self.successes.subscribe();
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -62,6 +62,8 @@
     pub capacity_lost: IntCounterVec,
     /// Detected suspensions of the machine.
     pub suspensions: IntCounter,
+    /// Detected times in which the process stood still.
+    pub stalls: IntCounter,
     /// Dropped log lines.
     pub dropped_log_lines: IntCounter,
 }
@@ -188,6 +190,10 @@
                 "ladderstage_suspensions_total",
                 "Times that the machine was suspended",
             ),
+            stalls: counter(
+                "ladderstage_stalls_total",
+                "Times that the process stood still for a second or longer",
+            ),
             dropped_log_lines: counter(
                 "ladderstage_log_lines_dropped_total",
                 "Log lines left out because too many were written",
--- a/crates/front/tests/following.rs
+++ b/crates/front/tests/following.rs
@@ -4,10 +4,13 @@
 mod support;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_front::coordination::{
-    Change, Coordination, Follower, ObservedStore, StoreCallMetrics, Update, follow, follow_with,
+    Change, Coordination, Follower, LeaseId, ObservedStore, StoreCallMetrics, Update, follow,
+    follow_with,
 };
 use support::memory_store::{MemoryStore, NodeFaults};
 use tokio::time::sleep;
@@ -193,3 +196,122 @@
     assert_eq!(store.calls("node", "watch", "instances/"), 5);
     assert_eq!(store.calls("node", "list", "instances/"), 1);
 }
+
+/// Follower that counts the changes that it gets.
+struct CountingFollower {
+    changes: Arc<AtomicUsize>,
+}
+
+impl Follower for CountingFollower {
+    fn pause(&self) -> impl Future<Output = ()> + Send {
+        sleep(Duration::from_millis(10))
+    }
+
+    fn on_update(&mut self, update: Update, _: u64) {
+        if let Update::Changes(changes) = update {
+            self.changes.fetch_add(changes.len(), Ordering::Relaxed);
+        }
+    }
+}
+
+/// Process that follows records of a store which loses the answer of its watch, while no other call
+/// is in progress.
+struct DoubtfulWatch {
+    store: MemoryStore,
+    observed: Arc<dyn Coordination>,
+    lease: LeaseId,
+    changes: Arc<AtomicUsize>,
+    following: tokio::task::JoinHandle<()>,
+}
+
+impl DoubtfulWatch {
+    async fn start() -> Self {
+        let store = MemoryStore::default();
+        let observed: Arc<dyn Coordination> = Arc::new(ObservedStore::new(
+            store.of("node"),
+            StoreCallMetrics::default(),
+        ));
+        let lease = observed.grant(Duration::from_secs(600)).await.unwrap();
+        let changes = Arc::new(AtomicUsize::new(0));
+        let mut follower = CountingFollower {
+            changes: Arc::clone(&changes),
+        };
+        let coordination = Arc::clone(&observed);
+        let following = tokio::spawn(async move {
+            follow_with(coordination, "instances/", &mut follower).await;
+        });
+        sleep(Duration::from_secs(1)).await;
+        store.set_faults(
+            "node",
+            NodeFaults {
+                loses_watches: true,
+                ..NodeFaults::default()
+            },
+        );
+        sleep(Duration::from_secs(1)).await;
+        store.set_faults("node", NodeFaults::default());
+        Self {
+            store,
+            observed,
+            lease,
+            changes,
+            following,
+        }
+    }
+
+    fn watch_count(&self) -> usize {
+        self.store.calls("node", "watch", "instances/")
+    }
+
+    fn change_count(&self) -> usize {
+        self.changes.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for DoubtfulWatch {
+    fn drop(&mut self) {
+        self.following.abort();
+    }
+}
+
+/// Guards against a process that stood still while the store lost the answers of its watches, and
+/// hears of no change until their time is over, as no other call of it failed.
+#[tokio::test(start_paused = true)]
+async fn doubtful_watches_are_repeated_once_the_store_answers() {
+    let process = DoubtfulWatch::start().await;
+    process.store.write("instances/i-1", Vec::new());
+    sleep(Duration::from_secs(60)).await;
+    assert_eq!((process.watch_count(), process.change_count()), (1, 0));
+    process.observed.doubt_watches(Instant::now());
+    process.observed.renew(process.lease).await.unwrap();
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(process.change_count(), 1);
+}
+
+/// Guards against repetitions that the store loses as well, since it recovers only after them.
+#[tokio::test(start_paused = true)]
+async fn doubtful_watches_wait_for_the_answer_to_a_later_call() {
+    let process = DoubtfulWatch::start().await;
+    let stall_end = Instant::now() + Duration::from_secs(1);
+    process.observed.doubt_watches(stall_end);
+    process.observed.renew(process.lease).await.unwrap();
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(process.watch_count(), 1);
+    process.observed.doubt_watches(Instant::now());
+    process.observed.renew(process.lease).await.unwrap();
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(process.watch_count(), 2);
+}
+
+/// Guards against a process that repeats its watches with each call, because it is busy for long.
+#[tokio::test(start_paused = true)]
+async fn doubtful_watches_are_repeated_rarely() {
+    let process = DoubtfulWatch::start().await;
+    for _ in 0..20 {
+        process.observed.doubt_watches(Instant::now());
+        process.observed.renew(process.lease).await.unwrap();
+        sleep(Duration::from_millis(10)).await;
+    }
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(process.watch_count(), 2);
+}
--- a/crates/front/tests/support/memory_store.rs
+++ b/crates/front/tests/support/memory_store.rs
@@ -24,6 +24,8 @@
     pub stale_by: u64,
     /// Answers to lease renewals are delayed by this time.
     pub renewal_answer_delay: Duration,
+    /// Watches that wait while this is set are never answered.
+    pub loses_watches: bool,
     /// The next swap fails at once with an unknown outcome and is applied after this delay.
     pub delayed_swap: Option<Duration>,
 }
@@ -279,6 +281,9 @@
             };
             loop {
                 self.apply_faults(prefix).await?;
+                if self.faults().loses_watches {
+                    return std::future::pending().await;
+                }
                 let (changes, at) = {
                     let state = self.store.lock();
                     if after < state.compacted_revision {
