Replicas: count only the time in which they ran as silence of an owner

Callers: beside load, jobs were taken from owners that were alive, and their items ran again.

Cause: a replica measured an owner's silence by a clock that goes on while the replica itself stands still and heartbeats wait unread. It allowed for that only if two of its checks were more than the whole timeout apart, and not at all in the silence that it tells fronts, by which they confirm an orphan.

A tick has its own task, as checks wait for their notices. After a standstill of more than the timeout all owners get a full one, as before. Leases and confirmations do not use this time.

Evidence: a_standstill_of_the_replica_is_no_silence_of_the_owner (new): the clock before counts 1.4 s of silence there.

--- a/crates/journal/src/orphaned.rs
+++ b/crates/journal/src/orphaned.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
+use ladderstage::journal::TICK_INTERVAL;
 use ladderstage::routing::rendezvous;
 use ladderstage_storage::OpenLog;
 use ladderstage_transport::CallError;
@@ -39,6 +40,22 @@
 /// Checks for orphaned logs several times per `owner_timeout`, with jitter, until the journal is
 /// dropped.
 pub(crate) async fn run(monitor: Weak<OrphanMonitor>, owner_timeout: Duration) {
+    tokio::select! {
+        () = run_checks(Weak::clone(&monitor), owner_timeout) => {}
+        // Notices to successors must not delay the ticks.
+        () = run_ticks(monitor) => {}
+    }
+}
+
+async fn run_ticks(monitor: Weak<OrphanMonitor>) {
+    while let Some(monitor) = monitor.upgrade() {
+        monitor.calls.service.tick(monitor.owner_timeout);
+        drop(monitor);
+        tokio::time::sleep(TICK_INTERVAL).await;
+    }
+}
+
+async fn run_checks(monitor: Weak<OrphanMonitor>, owner_timeout: Duration) {
     loop {
         tokio::time::sleep(crate::jitter::jittered(owner_timeout / CHECKS_PER_TIMEOUT)).await;
         let Some(monitor) = monitor.upgrade() else {
--- a/crates/journal/src/replica.rs
+++ b/crates/journal/src/replica.rs
@@ -6,12 +6,12 @@
 )]
 
 use std::collections::{HashMap, HashSet};
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use ladderstage::ids::ProcessId;
 use ladderstage::journal::heartbeat::HeartbeatTable;
-use ladderstage::journal::replica;
+use ladderstage::journal::{RunningTime, replica};
 use ladderstage_storage::{OpenLog, Storage, StorageError};
 use ladderstage_wire::messages::mod_Refused::Reason;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
@@ -42,6 +42,7 @@
     pub hooks: HookSlot,
     heartbeats: Mutex<HeartbeatTable>,
     started_at: Instant,
+    running_time: Mutex<RunningTime>,
 }
 
 /// Activity of a log's writer that was recorded before its write was stored.
@@ -60,6 +61,19 @@
             hooks,
             heartbeats: Mutex::default(),
             started_at: Instant::now(),
+            running_time: Mutex::default(),
+        }
+    }
+
+    /// Records that this process runs, so that the time counts as silence of silent owners. After
+    /// a standstill of more than `owner_timeout` all owners get a full timeout.
+    pub fn tick(&self, owner_timeout: Duration) {
+        let now = self.started_at.elapsed();
+        let since_last_tick = self.lock_running_time().tick(now);
+        if since_last_tick > owner_timeout {
+            let standstill_ms = since_last_tick.as_millis();
+            log::info!("event=replica_stood_still elapsed_ms={standstill_ms}");
+            self.lock_heartbeats().clear();
         }
     }
 
@@ -264,11 +278,18 @@
         self.lock_heartbeats().restore_activity(log, *at, *before);
     }
 
+    /// Returns the time for which this process has run.
     fn now(&self) -> Duration {
-        self.started_at.elapsed()
+        let now = self.started_at.elapsed();
+        self.lock_running_time().at(now)
+    }
+
+    fn lock_running_time(&self) -> MutexGuard<'_, RunningTime> {
+        let guard = self.running_time.lock();
+        guard.unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    fn lock_heartbeats(&self) -> std::sync::MutexGuard<'_, HeartbeatTable> {
+    fn lock_heartbeats(&self) -> MutexGuard<'_, HeartbeatTable> {
         let guard = self.heartbeats.lock();
         guard.unwrap_or_else(|poisoned| poisoned.into_inner())
     }
--- a/crates/ladderstage/src/journal/heartbeat.rs
+++ b/crates/ladderstage/src/journal/heartbeat.rs
@@ -9,7 +9,8 @@
 use super::replica::LogState;
 
 /// Time of the last activity of each open log's writer. Times are durations since a fixed
-/// origin of the process.
+/// origin of the process; with [`RunningTime`](super::RunningTime), a standstill of this process
+/// does not count as silence of the writers.
 #[derive(Debug, Clone, Default)]
 pub struct HeartbeatTable {
     last_heartbeat: HashMap<String, Duration>,
@@ -54,6 +55,12 @@
         }
     }
 
+    /// Forgets all activity, after this replica was paused and could not receive heartbeats: logs
+    /// count as active when they are seen next.
+    pub fn clear(&mut self) {
+        self.last_heartbeat.clear();
+    }
+
     /// Returns the time since the last activity of the log's writer; `None` if none is known.
     pub fn silence(&self, log: &str, now: Duration) -> Option<Duration> {
         let last_heartbeat = self.last_heartbeat.get(log)?;
--- a/crates/ladderstage/src/journal/mod.rs
+++ b/crates/ladderstage/src/journal/mod.rs
@@ -12,9 +12,11 @@
 pub mod read;
 pub mod replica;
 pub mod replica_set;
+pub mod running_time;
 pub mod write_timeout;
 pub mod writer;
 
 pub use epoch::{EpochSource, WriterEpoch};
 pub use quorum::Quorum;
+pub use running_time::{RunningTime, TICK_INTERVAL};
 pub use write_timeout::WriteTimeout;
--- a/crates/ladderstage/tests/journal/rules.rs
+++ b/crates/ladderstage/tests/journal/rules.rs
@@ -9,7 +9,7 @@
 use ladderstage::journal::read::{LogListing, LogRead};
 use ladderstage::journal::replica::{self, EntryChange, LogState, import, omit_known};
 use ladderstage::journal::writer::{LogWriterState, ReplicaWrite, SealProgress, Sealing};
-use ladderstage::journal::{EpochSource, Quorum, WriterEpoch};
+use ladderstage::journal::{EpochSource, Quorum, RunningTime, WriterEpoch};
 use ladderstage_wire::messages::{
     DescribeLogsReply, ExportedLog, KnownLog, LogDescription, LogEntry, OwnedLog, ReadLogReply,
     ReplicaMember, ReplicaSet, Seal, SealReply,
@@ -299,6 +299,37 @@
     assert_eq!(table.orphaned(open(), at(162), timeout), [LOG]);
 }
 
+/// Guards against a replica that takes its own standstill, in which heartbeats wait unread, for the
+/// silence of an owner, and against one that then finds a dead owner too late.
+#[test]
+fn a_standstill_of_the_replica_is_no_silence_of_the_owner() {
+    let timeout = Duration::from_millis(1_200);
+    let at = Duration::from_millis;
+    let open = || [LOG.to_owned()];
+    let (mut table, mut time) = (HeartbeatTable::default(), RunningTime::default());
+    let mut orphaned_at = |table: &mut HeartbeatTable, now| {
+        time.tick(at(now));
+        let is_orphaned = !table.orphaned(open(), time.at(at(now)), timeout).is_empty();
+        (is_orphaned, time.at(at(now)))
+    };
+    for now in (0..=1_000).step_by(100) {
+        let (is_orphaned, running) = orphaned_at(&mut table, now);
+        assert!(!is_orphaned);
+        table.record_activity(LOG, running);
+    }
+    assert!(!orphaned_at(&mut table, 1_300).0);
+    // Stands still for 1.1 s, less than the timeout. The heartbeats of this time are read next.
+    let (is_orphaned, running) = orphaned_at(&mut table, 2_400);
+    assert!(!is_orphaned, "the replica stood still");
+    assert!(table.silence(LOG, running).unwrap() <= timeout / 2);
+    // The owner is silent from now on.
+    table.record_activity(LOG, running);
+    for now in (2_500..3_600).step_by(100) {
+        assert!(!orphaned_at(&mut table, now).0);
+    }
+    assert!(orphaned_at(&mut table, 3_600).0, "noticed in time");
+}
+
 #[test]
 fn each_log_has_its_own_heartbeat_timeout() {
     let max_timeout = Duration::from_secs(3);
