Jobs: a standstill of a front is no silence of an instance

Callers: beside load, runs were moved from instances that had sent their events in time, so that items ran twice.

Cause: the timeouts of the first and the next event went on while the front stood still and events waited unread.

Change: running_timeout counts at most 300 ms between two checks 100 ms apart.

Evidence: a_standstill_of_the_process_is_no_silence (new) fails with tokio's timeout and passes now.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -8,9 +8,11 @@
 #![warn(missing_docs)]
 
 mod instant;
+mod running_timeout;
 mod suspension;
 #[cfg(feature = "test-util")]
 pub mod testing;
 
 pub use instant::Instant;
+pub use running_timeout::{Silent, running_timeout};
 pub use suspension::{SUSPENSION_CHECK_INTERVAL, SuspensionDetector};
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
-use ladderstage_clock::Instant;
+use ladderstage_clock::{Instant, running_timeout};
 
 use super::lost_runs::LostRuns;
 use super::run_context::{RunContext, exclusion_after_rejection};
@@ -332,7 +332,7 @@
         &attempt_id,
         AnswerIdPolicy::Required,
     );
-    let reply = match tokio::time::timeout(context.first_event_timeout(), sending).await {
+    let reply = match running_timeout(context.first_event_timeout(), sending).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(error)) => return on_exchange_error(context, instance, &error),
         Err(_) => {
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -6,7 +6,7 @@
 
 use http::{HeaderMap, HeaderName};
 use http_body_util::BodyExt;
-use ladderstage_clock::Instant;
+use ladderstage_clock::{Instant, running_timeout};
 
 use super::events::{Event, EventParser};
 use super::migration::EventIntervals;
@@ -53,7 +53,7 @@
             None if intervals.events == 0 => context.first_event_timeout(),
             None => MAX_EVENT_INTERVAL,
         };
-        let frame = match tokio::time::timeout(limit, body.frame()).await {
+        let frame = match running_timeout(limit, body.frame()).await {
             Err(_) => {
                 let since = stalled_since.get_or_insert_with(|| Instant::now() - limit);
                 if since.elapsed() < MAX_STALL && !can_migrate(context, instance, partial) {
