--- a/crates/daemon/tests/journal/network.rs
+++ b/crates/daemon/tests/journal/network.rs
@@ -31,6 +31,15 @@
 /// Revision of the bundle that the initial replicas store.
 const BUNDLE: u64 = 3;
 
+fn write_kind(request: &RequestKind) -> Option<&'static str> {
+    match request {
+        RequestKind::seal(_) => Some("seal"),
+        RequestKind::install(_) | RequestKind::install_rest(_) => Some("install"),
+        RequestKind::append(_) => Some("append"),
+        _ => None,
+    }
+}
+
 /// Calls of the hooks of one node.
 #[derive(Debug, Default)]
 pub struct HookCalls {
@@ -93,6 +102,8 @@
     folders: TempDir,
     /// Total size of all requests and answers between nodes, in bytes.
     carried: AtomicUsize,
+    /// Kinds of the requests that make a node write to its disk, by node.
+    writes: Mutex<BTreeMap<String, Vec<&'static str>>>,
     /// If set, the nodes create and change the replica set themselves, with the first three as initial replicas.
     key_value_url: Option<String>,
 }
@@ -108,6 +119,7 @@
             write_delay: Mutex::default(),
             folders: tempfile::tempdir().unwrap(),
             carried: AtomicUsize::new(0),
+            writes: Mutex::default(),
             key_value_url,
         })
     }
@@ -267,6 +279,12 @@
         self.carried.load(Ordering::Relaxed)
     }
 
+    /// Returns the kinds of the requests of other nodes that made a node write to its disk.
+    pub fn writes_to(&self, name: &str) -> Vec<&'static str> {
+        let writes = self.writes.lock().unwrap();
+        writes.get(name).cloned().unwrap_or_default()
+    }
+
     /// Disconnects exactly these nodes: calls to them fail at once.
     pub fn set_disconnected(&self, names: &[&str]) {
         *self.disconnected.lock().unwrap() = names.iter().map(|name| (*name).to_owned()).collect();
@@ -313,6 +331,10 @@
         if is_write || matches!(request.kind, RequestKind::seal(_)) {
             tokio::time::sleep(write_delay).await;
         }
+        if let Some(kind) = write_kind(&request.kind) {
+            let mut writes = self.writes.lock().unwrap();
+            writes.entry(to.to_owned()).or_default().push(kind);
+        }
         let mut frozen = self.frozen.subscribe();
         let _ = frozen.wait_for(|frozen| !frozen.contains(to)).await;
         let node = self.nodes.lock().unwrap().get(to).cloned();
--- a/crates/daemon/tests/journal/writers.rs
+++ b/crates/daemon/tests/journal/writers.rs
@@ -134,6 +134,93 @@
     assert_eq!(journal.read(LOG).await.unwrap(), Some(vec![entry("a")]));
 }
 
+/// Guards against a round of writes of its own for the install of a log without entries, which a
+/// front that accepts a job waits for.
+#[tokio::test]
+async fn the_first_entries_of_a_new_log_take_two_rounds_of_writes() {
+    let network = Network::start(4, 3).await;
+    let mut take_over = network
+        .journal("n3")
+        .start_take_over(LOG, WriterEpoch::default());
+    let (mut writer, found) = take_over.attempt().await.unwrap();
+    assert!(found.is_empty());
+    writer.append(vec![entry("a")], false).await.unwrap();
+    for replica in ["n0", "n1", "n2"] {
+        until("all replicas hold the entry", async || {
+            let storage = network.node(replica).storage.clone().unwrap();
+            storage
+                .log_state(LOG)
+                .is_some_and(|state| state.length == 1)
+        })
+        .await;
+        assert_eq!(network.writes_to(replica), ["seal", "install"]);
+    }
+    writer.append(vec![entry("b")], false).await.unwrap();
+    let read = network.journal("n0").read(LOG).await.unwrap();
+    assert_eq!(read, Some(vec![entry("a"), entry("b")]));
+}
+
+/// Guards against an attempt that asks replicas for another promise, which they write to their
+/// disks, although they only need longer for the first one.
+#[tokio::test]
+async fn a_repeated_takeover_asks_for_the_same_promise() {
+    let network = Network::start(4, 3).await;
+    network.set_disconnected(&["n1", "n2"]);
+    let mut take_over = network
+        .journal("n3")
+        .start_take_over(LOG, WriterEpoch::default());
+    let lost = take_over.attempt().await;
+    assert!(matches!(lost, Err(JournalError::NoQuorum(_))), "{lost:?}");
+    let promised = || {
+        let storage = network.node("n0").storage.clone().unwrap();
+        storage.log_state(LOG).map(|state| state.promised)
+    };
+    until("a replica has promised the log", async || {
+        promised().is_some()
+    })
+    .await;
+    let first = promised().unwrap();
+    network.set_disconnected(&["n2"]);
+    let (mut writer, _) = take_over.attempt().await.unwrap();
+    assert_eq!(writer.epoch(), first);
+    writer.append(vec![entry("a")], false).await.unwrap();
+}
+
+/// Guards against two writers of one epoch: an epoch that a writer has used is not used again.
+#[tokio::test]
+async fn a_takeover_after_a_writer_has_another_epoch() {
+    let network = Network::start(4, 3).await;
+    let mut take_over = network
+        .journal("n3")
+        .start_take_over(LOG, WriterEpoch::default());
+    let (first, _) = take_over.attempt().await.unwrap();
+    let last = first.epoch();
+    drop(first);
+    let fenced = take_over.attempt().await;
+    assert_eq!(fenced.unwrap_err(), JournalError::Fenced);
+    let mut later = network.journal("n3").start_take_over(LOG, last);
+    let (second, _) = later.attempt().await.unwrap();
+    assert!(second.epoch() > last);
+}
+
+/// Guards against a writer of a new log that commits its first entries after another writer has
+/// taken the log over.
+#[tokio::test]
+async fn the_first_entries_of_a_log_that_was_taken_over_are_refused() {
+    let network = Network::start(5, 3).await;
+    let nobody = WriterEpoch::default();
+    let mut take_over = network.journal("n3").start_take_over(LOG, nobody);
+    let (mut first, _) = take_over.attempt().await.unwrap();
+    let mut take_over = network.journal("n4").start_take_over(LOG, first.epoch());
+    let (mut second, found) = take_over.attempt().await.unwrap();
+    assert!(found.is_empty());
+    let late = first.append(vec![entry("late")], false).await;
+    assert_eq!(late, Err(JournalError::Fenced));
+    second.append(vec![entry("a")], false).await.unwrap();
+    let read = network.journal("n0").read(LOG).await.unwrap();
+    assert_eq!(read, Some(vec![entry("a")]));
+}
+
 /// A takeover that transfers a long log several times never finishes on a slow link.
 #[tokio::test]
 async fn a_takeover_transfers_a_long_log_once() {
--- a/crates/front/src/job/accepting.rs
+++ b/crates/front/src/job/accepting.rs
@@ -4,7 +4,6 @@
 //! in time accepts it itself, and a client repeats a submission at another front. A front that takes
 //! the log from one that is about to commit the acceptance would move the job and start it again.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use ladderstage::journal::WriterEpoch;
@@ -36,14 +35,23 @@
     OutcomeUnknown(String),
 }
 
-/// Front that accepts a new job.
-enum NewJob {
-    /// This front, which queues the acceptance.
-    Here(Arc<Job>),
-    /// Another front has accepted the job.
+/// Front that has accepted a new job.
+enum AcceptedBy {
+    /// This front.
+    Here,
+    /// Another front.
     Elsewhere,
 }
 
+/// End of a wait for this front's acceptance of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OwnAcceptance {
+    /// A majority of store disks holds the job.
+    Committed,
+    /// Another front has taken the log over before.
+    Fenced,
+}
+
 /// Whether an owner that replicas name accepts a new job.
 enum AcceptState {
     /// It has accepted the job.
@@ -71,8 +79,8 @@
         let id = spec.job.clone();
         let deadline = Instant::now() + COMMIT_TIMEOUT;
         match self.find_accepted_before(&id, deadline).await {
-            Ok(JobOwner::Local(job)) => return self.wait_accepted(&job).await,
-            Ok(JobOwner::Answer(_)) => return Ok(()),
+            // Only a job whose acceptance is committed is found.
+            Ok(JobOwner::Local(_) | JobOwner::Answer(_)) => return Ok(()),
             Err(JobError::NotFound) => {}
             Err(JobError::Unavailable(cause)) => return Err(AcceptError::NotStored(cause)),
         }
@@ -83,17 +91,14 @@
             return Err(AcceptError::NotStored(cause.to_string()));
         }
         let fields = log_fields(&spec);
-        let job = match self.open_new(&id, spec, deadline).await? {
-            NewJob::Here(job) => job,
-            NewJob::Elsewhere => return Ok(()),
-        };
-        self.wait_accepted(&job).await?;
-        self.context
-            .metrics
-            .jobs
-            .with_label_values(&["accepted"])
-            .inc();
-        log::info!("event=job_accepted job={id} {fields}");
+        match self.accept_new(&id, spec, deadline).await? {
+            AcceptedBy::Here => {
+                let jobs = &self.context.metrics.jobs;
+                jobs.with_label_values(&["accepted"]).inc();
+                log::info!("event=job_accepted job={id} {fields}");
+            }
+            AcceptedBy::Elsewhere => {}
+        }
         Ok(())
     }
 
@@ -132,42 +137,46 @@
         }
     }
 
-    async fn wait_accepted(&self, job: &Job) -> Result<(), AcceptError> {
+    /// Waits until the acceptance that this front has queued is committed.
+    async fn wait_committed(&self, job: &Job) -> Result<OwnAcceptance, AcceptError> {
         let mut changed = job.watch();
-        let accepted = async {
+        let committed = async {
             while job.state().spec().is_none() {
-                if changed.changed().await.is_err() {
-                    return;
+                tokio::select! {
+                    _ = changed.changed() => {}
+                    () = job.owner_finished() => break,
                 }
             }
+            match job.state().spec() {
+                Some(_) => OwnAcceptance::Committed,
+                None => OwnAcceptance::Fenced,
+            }
         };
-        let waited = tokio::time::timeout(COMMIT_TIMEOUT, accepted).await;
+        let waited = tokio::time::timeout(COMMIT_TIMEOUT, committed).await;
         waited
             .map_err(|_| AcceptError::OutcomeUnknown("the commit of the job timed out".to_owned()))
     }
 
-    /// Takes over the log of a new job, or waits while another front accepts the job. Repeats rounds
-    /// that too few replicas answered in time while they still confirm this node's heartbeats, as
-    /// they are only busy then.
-    async fn open_new(
+    /// Takes over the log of a new job and commits its acceptance, or waits while another front
+    /// accepts the job.
+    async fn accept_new(
         &self,
         id: &str,
         spec: JobSpec,
         deadline: Instant,
-    ) -> Result<NewJob, AcceptError> {
+    ) -> Result<AcceptedBy, AcceptError> {
         let mut last = WriterEpoch::default();
         let mut was_refused = false;
         loop {
-            let opening = self.open(id, Some(spec.clone()), Some(last));
+            let opening = self.open_new(id, spec.clone(), last);
             let opened = tokio::time::timeout_at(deadline.into(), opening).await;
             let timed_out = |_| not_stored(was_refused, "the takeover of the job's log timed out");
             match opened.map_err(timed_out)? {
-                Ok(job) => return Ok(NewJob::Here(job)),
+                Ok(job) => match self.wait_committed(&job).await? {
+                    OwnAcceptance::Committed => return Ok(AcceptedBy::Here),
+                    OwnAcceptance::Fenced => was_refused = true,
+                },
                 Err(JournalError::Fenced) => was_refused = true,
-                Err(JournalError::NoQuorum(cause)) if !self.is_journal_unreachable() => {
-                    log::warn!("event=job_log_unavailable job={id} cause=\"{cause}\"");
-                    tokio::time::sleep(jittered(RETRY_PAUSE)).await;
-                }
                 Err(JournalError::NoQuorum(cause)) => return Err(not_stored(was_refused, &cause)),
                 Err(error) => return Err(AcceptError::OutcomeUnknown(error.to_string())),
             }
@@ -179,7 +188,7 @@
             };
             match waited.map_err(timed_out)?? {
                 Some(epoch) => last = epoch,
-                None => return Ok(NewJob::Elsewhere),
+                None => return Ok(AcceptedBy::Elsewhere),
             }
         }
     }
--- a/crates/front/src/job/local_job.rs
+++ b/crates/front/src/job/local_job.rs
@@ -114,6 +114,11 @@
         self.commands.send(command).is_ok()
     }
 
+    /// Waits until the owner has finished.
+    pub(super) async fn owner_finished(&self) {
+        self.commands.closed().await;
+    }
+
     /// Notifies readers of a change.
     pub(super) fn notify(&self) {
         self.changed.send_modify(|count| *count += 1);
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -7,9 +7,11 @@
 
 use ladderstage::journal::WriterEpoch;
 use ladderstage_clock::Instant;
-use ladderstage_journal::JournalError;
-use ladderstage_wire::messages::{JobResults, JobSpec};
+use ladderstage_journal::jitter::jittered;
+use ladderstage_journal::{JournalError, LogWriter};
+use ladderstage_wire::messages::{JobResults, JobSpec, LogEntry};
 
+use super::appending::RETRY_PAUSE;
 use super::context::JobContext;
 use super::digest::LogDigest;
 use super::local_job::{Command, Job};
@@ -285,7 +287,7 @@
         if let Some(job) = self.local(id) {
             return Ok(job);
         }
-        let job = match self.open(id, None, last).await {
+        let job = match self.open(id, last).await {
             Ok(job) => job,
             Err(JournalError::Fenced) => return Err(TakeOverError::Superseded),
             Err(error) => return Err(unavailable(&error.to_string()).into()),
@@ -299,26 +301,62 @@
         Ok(job)
     }
 
-    /// Takes over the job's log and starts its owner. With the epoch `last`, only if no other
-    /// writer has taken it over since the one with that epoch.
-    pub(super) async fn open(
+    /// Takes over the log of a job that is in the journal and starts its owner. With the epoch
+    /// `last`, only if no other writer has taken it over since the one with that epoch.
+    async fn open(&self, id: &str, last: Option<WriterEpoch>) -> Result<Arc<Job>, JournalError> {
+        let opening = self.start_opening(id)?;
+        let journal = &self.context.journal;
+        let taken = match last {
+            Some(last) => journal.take_over_from(&log_name(id), last).await?,
+            None => journal.take_over(&log_name(id)).await?,
+        };
+        self.start_owner(opening, taken, None).await
+    }
+
+    /// Takes over the log of a new job and starts its owner, which commits the acceptance. Only if
+    /// no other writer has taken it over since the one with the epoch `last`.
+    ///
+    /// Repeats rounds that too few replicas answered in time while they still confirm this node's
+    /// heartbeats, as they are only busy then.
+    pub(super) async fn open_new(
         &self,
         id: &str,
-        spec: Option<JobSpec>,
-        last: Option<WriterEpoch>,
+        spec: JobSpec,
+        last: WriterEpoch,
     ) -> Result<Arc<Job>, JournalError> {
+        let opening = self.start_opening(id)?;
+        let journal = &self.context.journal;
+        let mut take_over = journal.start_take_over(&log_name(id), last);
+        let taken = loop {
+            match take_over.attempt().await {
+                Err(JournalError::NoQuorum(cause)) if !self.is_journal_unreachable() => {
+                    log::warn!("event=job_log_unavailable job={id} cause=\"{cause}\"");
+                    tokio::time::sleep(jittered(RETRY_PAUSE)).await;
+                }
+                taken => break taken?,
+            }
+        };
+        self.start_owner(opening, taken, Some(spec)).await
+    }
+
+    fn start_opening(&self, id: &str) -> Result<OpeningGuard, JournalError> {
         if !lock(&self.shared.opening).insert(id.to_owned()) {
             return Err(JournalError::AppendPending);
         }
-        let opening = OpeningGuard {
+        Ok(OpeningGuard {
             shared: Arc::clone(&self.shared),
             id: id.to_owned(),
-        };
-        let journal = &self.context.journal;
-        let (writer, entries) = match last {
-            Some(last) => journal.take_over_from(&log_name(id), last).await?,
-            None => journal.take_over(&log_name(id)).await?,
-        };
+        })
+    }
+
+    /// Starts the owner of a job whose log has been taken over. `spec` is set for a new job.
+    async fn start_owner(
+        &self,
+        opening: OpeningGuard,
+        (writer, entries): (LogWriter, Vec<LogEntry>),
+        spec: Option<JobSpec>,
+    ) -> Result<Arc<Job>, JournalError> {
+        let id = opening.id.as_str();
         let state = JobState::replay(&entries).map_err(|error| {
             log::error!("event=job_log_unreadable job={id} cause=\"{error}\"");
             JournalError::Retired
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -20,6 +20,7 @@
 mod registry;
 mod replica;
 pub mod replica_set;
+mod take_over;
 mod writer;
 
 use std::sync::{Arc, Mutex};
@@ -48,6 +49,7 @@
 pub use metrics::JournalMetrics;
 pub use options::{InitialReplicas, JournalOptions};
 pub use peers::Peers;
+pub use take_over::TakeOver;
 pub use writer::LogWriter;
 
 /// Number of epochs that one take-over tries. The first is often too low, as the log's current epoch
@@ -206,6 +208,12 @@
         self.take_over_if(log, Some(last)).await
     }
 
+    /// Starts a takeover like [`Journal::take_over_from`] whose attempts the caller repeats while too
+    /// few replicas answer.
+    pub fn start_take_over(&self, log: &str, last: WriterEpoch) -> TakeOver {
+        TakeOver::new(self.clone(), log, last)
+    }
+
     async fn take_over_if(
         &self,
         log: &str,
@@ -213,20 +221,38 @@
     ) -> Result<(LogWriter, Vec<LogEntry>), JournalError> {
         for _ in 0..SEAL_ATTEMPTS {
             let set = self.inner.calls.replica_set()?;
-            let Some(sealed) = self.seal(log, &set, last_promised).await? else {
+            let epoch = self.next_epoch()?;
+            let Some(sealed) = self.seal(log, &set, epoch, last_promised).await? else {
                 continue;
             };
-            let entries = self.read_sealed(log, &set, &sealed).await?;
-            let state = sealed.into_writer(entries);
-            let calls = Arc::clone(&self.inner.calls);
-            let registry = Arc::clone(&self.inner.registry);
-            let writer = LogWriter::install(state, &set, calls, registry).await?;
-            let entries = writer.entries();
-            return Ok((writer, entries));
+            let writer = self.writer_of(log, &set, sealed).await?;
+            writer.install().await?;
+            return Ok(self.open_writer(writer));
         }
         Err(JournalError::Fenced)
     }
 
+    /// Reads a sealed log and returns its writer, which has not installed the log yet.
+    async fn writer_of(
+        &self,
+        log: &str,
+        set: &ReplicaSet,
+        sealed: SealedLog,
+    ) -> Result<LogWriter, JournalError> {
+        let entries = self.read_sealed(log, set, &sealed).await?;
+        let state = sealed.into_writer(entries);
+        let calls = Arc::clone(&self.inner.calls);
+        let registry = Arc::clone(&self.inner.registry);
+        Ok(LogWriter::new(state, set, calls, registry))
+    }
+
+    /// Starts the heartbeats of a writer and returns it with the entries found.
+    fn open_writer(&self, writer: LogWriter) -> (LogWriter, Vec<LogEntry>) {
+        writer.start_heartbeats();
+        let entries = writer.entries();
+        (writer, entries)
+    }
+
     /// Reads a log from a quorum without fencing its writer. `None` if a quorum does not know
     /// the log. The last entries may not be committed yet.
     ///
@@ -313,16 +339,17 @@
         &self.inner.calls.service
     }
 
-    /// Tries once to seal the log with a new epoch; `None` if the epoch was too low.
+    /// Tries once to seal the log with `epoch`; `None` if it was too low.
     async fn seal(
         &self,
         log: &str,
         set: &ReplicaSet,
+        epoch: WriterEpoch,
         last_promised: Option<WriterEpoch>,
     ) -> Result<Option<SealedLog>, JournalError> {
         let identity = WriterIdentity {
             log: log.to_owned(),
-            epoch: self.next_epoch()?,
+            epoch,
             node: self.inner.node.clone(),
             last_promised,
         };
--- /dev/null
+++ b/crates/journal/src/take_over.rs
@@ -0,0 +1,65 @@
+//! A takeover of a log in several attempts.
+
+use ladderstage::journal::WriterEpoch;
+use ladderstage_wire::messages::LogEntry;
+
+use super::{Journal, JournalError, LogWriter, SEAL_ATTEMPTS};
+
+/// Takeover of a log whose attempts are repeated while too few replicas answer, by a caller that
+/// appends to an empty log at once.
+///
+/// All attempts ask for promises of one epoch until the log is sealed. A replica whose promise came
+/// too late for one attempt answers the next one without another write. An empty log is installed
+/// with the entries of the first append, which saves a round of writes; until that append has
+/// returned `Ok`, a later writer may still find entries of an unfinished append before it.
+#[derive(Debug)]
+pub struct TakeOver {
+    journal: Journal,
+    log: String,
+    last: WriterEpoch,
+    /// Epoch for which replicas were asked and no writer exists yet.
+    epoch: Option<WriterEpoch>,
+}
+
+impl TakeOver {
+    pub(super) fn new(journal: Journal, log: &str, last: WriterEpoch) -> Self {
+        journal.observe(last);
+        Self {
+            journal,
+            log: log.to_owned(),
+            last,
+            epoch: None,
+        }
+    }
+
+    /// Tries to take the log over. After `NoQuorum` the attempt may be repeated, with jitter.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Journal::take_over_from`].
+    pub async fn attempt(&mut self) -> Result<(LogWriter, Vec<LogEntry>), JournalError> {
+        let journal = self.journal.clone();
+        for _ in 0..SEAL_ATTEMPTS {
+            let set = journal.inner.calls.replica_set()?;
+            let epoch = match self.epoch {
+                Some(epoch) => epoch,
+                None => journal.next_epoch()?,
+            };
+            self.epoch = Some(epoch);
+            let sealed = journal.seal(&self.log, &set, epoch, Some(self.last)).await;
+            if !matches!(sealed, Err(JournalError::NoQuorum(_))) {
+                // A second writer must not use the epoch of the first one.
+                self.epoch = None;
+            }
+            let Some(sealed) = sealed? else {
+                continue;
+            };
+            let writer = journal.writer_of(&self.log, &set, sealed).await?;
+            if !writer.entries().is_empty() {
+                writer.install().await?;
+            }
+            return Ok(journal.open_writer(writer));
+        }
+        Err(JournalError::Fenced)
+    }
+}
--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -71,13 +71,13 @@
 }
 
 impl LogWriter {
-    /// Installs the sealed log; returns the writer once a quorum holds the log.
-    pub(crate) async fn install(
+    /// Creates a writer of a sealed log. Its first write to each replica installs the log.
+    pub(crate) fn new(
         state: LogWriterState,
         set: &ReplicaSet,
         calls: Arc<ReplicaCalls>,
         registry: Arc<WriterRegistry>,
-    ) -> Result<Self, JournalError> {
+    ) -> Self {
         let shared = Arc::new(WriterShared {
             log: state.identity().log.clone(),
             epoch: state.identity().epoch,
@@ -92,13 +92,21 @@
             }),
             changed: watch::Sender::new(()),
         });
-        shared.replicate().await?;
-        registry.insert(&shared);
-        Ok(Self {
+        Self {
             shared,
             registry,
             pending_append: None,
-        })
+        }
+    }
+
+    /// Installs the sealed log; returns once a quorum holds it.
+    pub(crate) async fn install(&self) -> Result<(), JournalError> {
+        self.shared.replicate().await
+    }
+
+    /// Adds the writer to those that heartbeats name.
+    pub(crate) fn start_heartbeats(&self) {
+        self.registry.insert(&self.shared);
     }
 
     /// Returns all entries of the log, including those found at the take-over.
--- a/crates/storage/tests/storage.rs
+++ b/crates/storage/tests/storage.rs
@@ -476,3 +476,20 @@
     assert!(found("job/open").await);
     assert!(found("other/ended").await);
 }
+
+/// Guards against a commit for a promise that the replica has made before, for which a writer that
+/// repeats a round would wait.
+#[tokio::test]
+async fn a_repeated_promise_is_not_committed_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let storage = open_replica(folder.path(), StorageOptions::default()).await;
+    let first = storage.seal(seal(LOG, 1)).await.unwrap();
+    let watermark = || std::fs::read(folder.path().join("journal.commits")).unwrap();
+    let before = watermark();
+    let repeated = storage.seal(seal(LOG, 1)).await.unwrap();
+    assert!(repeated.accepted);
+    assert_eq!(repeated, first);
+    assert_eq!(watermark(), before, "no commit was made");
+    storage.seal(seal(LOG, 2)).await.unwrap();
+    assert_ne!(watermark(), before, "a new promise is committed");
+}
