Live requests: hedge only on safe routes, after a pause too

Cause: run_attempts starts an attempt, sets hedge_at and goes round its loop. At the top it looks at the clock again, and an attempt was due once hedge_at had passed, for any kind of route; only the timer below asked for a safe route. If the process stood still for longer than 0.6 of the target latency between the two looks (SIGSTOP, a busy machine), an unsafe or streaming request was sent to a second sampler. The first answer is passed on, the other attempt is dropped, which left no line at the time. A route with a short target latency needs only a short pause, one of 0 none.

Ruled out by reading: a second sending by the exchange or by hyper, which hands a request back only before its first byte; the proxy, which forwards bytes once.

--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -268,7 +268,9 @@
                 return result_after_timeout(progress);
             }
             let may_start = progress.possible_runs < route.max_attempts.max(1);
-            let is_attempt_due = running_attempts.is_empty() || Instant::now() >= hedge_at;
+            // A pause of the process may last until the hedge is due, right after an attempt began.
+            let is_hedge_due = route.kind == RouteKind::Safe && Instant::now() >= hedge_at;
+            let is_attempt_due = running_attempts.is_empty() || is_hedge_due;
             let mut held_back = None;
             if may_start
                 && is_attempt_due
