Orders lease: record the last leader by compare-and-swap

A node whose orders lease had ended could take the place of a later holder in the record of the last order leader. It then counted as last leader although another one had issued orders since, skipped the precedence delay and the quiet period, and its orders could follow the other's within the time that must lie between two holders.

Cause: `may_issue_orders` wrote the record by a put without a condition. The holder can stand still between the check of its quiet period and the put, or the store can execute the put late. By then the next holder may have recorded itself.

Change: the holder remembers the revision of the record as read under its lease and writes by swap against it. Won, or lost to its own record (the answer to an earlier swap was lost): recorded. Lost to a lower fence (late write of an earlier holder, which issued nothing after its lease ended): tried again at the next check. Lost to a higher fence or to no record: nothing is issued. Key, value and number of calls stay.

The swap alone does not cover a holder that stood still between acquiring the lease and reading the record: it reads the record of the next holder and would swap against that. So the lease is checked before the write too: whoever read a later holder's record did so after the end of its own lease.

A record that is deleted by hand between the acquisition and the first order keeps its holder from issuing until it loses the lease.

No existing test changed.

--- a/crates/front/src/orders/lease.rs
+++ b/crates/front/src/orders/lease.rs
@@ -4,13 +4,13 @@
 //! that issued orders last.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use ladderstage_clock::Instant;
 use tokio::sync::watch;
 
-use crate::coordination::{Coordination, CoordinationError, LeaseId, SwapResult};
+use crate::coordination::{Coordination, CoordinationError, LeaseId, Record, SwapResult};
 
 /// Key of the leased record.
 const LEASE_KEY: &str = "ladderstage/orders/giver";
@@ -74,6 +74,8 @@
     quiet_until: watch::Sender<Instant>,
     /// Whether the persistent record names this holder.
     is_recorded: AtomicBool,
+    /// Revision of the persistent record as last read; 0 if there was none.
+    last_revision: AtomicU64,
 }
 
 impl HeldLease {
@@ -82,6 +84,10 @@
         *self.valid_until.borrow()
     }
 
+    fn is_valid(&self) -> bool {
+        Instant::now() < self.valid_until()
+    }
+
     /// Watches the time until which the lease is certain to be valid.
     pub fn watch_validity(&self) -> watch::Receiver<Instant> {
         self.valid_until.subscribe()
@@ -92,6 +98,26 @@
         self.is_recorded.load(Ordering::Relaxed)
     }
 
+    /// Returns true if `found`, which a write of `own` lost to, is an earlier write of `own` whose
+    /// answer was lost. The next write takes the place of an earlier holder's late one.
+    fn is_recorded_by(&self, found: Option<&Record>, own: &LastLeader) -> bool {
+        let last = found.map(last_leader);
+        if last.as_ref() == Some(own) {
+            return true;
+        }
+        // An earlier holder issued no orders after this holder had read the record.
+        if let (Some(record), Some(last)) = (found, &last)
+            && last.fence < own.fence
+        {
+            self.last_revision.store(record.revision, Ordering::Relaxed);
+        }
+        log::warn!(
+            "event=orders_lease_not_recorded fence={} found={last:?}",
+            own.fence
+        );
+        false
+    }
+
     /// Returns true during the quiet period after the previous leader's orders.
     pub fn is_in_quiet_period(&self) -> bool {
         Instant::now() < *self.quiet_until.borrow()
@@ -139,7 +165,8 @@
             return Ok(None);
         }
         let found_free_at = Instant::now();
-        let last_before = self.last().await?;
+        let last_before = self.last_record().await?;
+        let last_before = last_before.as_ref().map(last_leader);
         if !self.is_own(last_before.as_ref()) && !is_own {
             tokio::time::sleep(PRECEDENCE_DELAY).await;
         }
@@ -154,7 +181,8 @@
         {
             SwapResult::Won { revision } => {
                 // Read again under the lease, when no other node can become the last leader.
-                let last = self.last().await?;
+                let last_record = self.last_record().await?;
+                let last = last_record.as_ref().map(last_leader);
                 // Any holder in between recorded itself before its first order.
                 let last_order_before = if last == last_before {
                     found_free_at
@@ -179,6 +207,7 @@
                     valid_until: watch::Sender::new(requested_at + LEASE_DURATION),
                     quiet_until: watch::Sender::new(quiet_until),
                     is_recorded: AtomicBool::new(false),
+                    last_revision: AtomicU64::new(last_record.map_or(0, |record| record.revision)),
                 }))
             }
             SwapResult::Lost(_) => {
@@ -229,7 +258,7 @@
     }
 
     /// Returns true if orders may be issued now. Records this holder as the last leader before its
-    /// first order.
+    /// first order; returns false if another holder's record came first.
     ///
     /// # Errors
     /// When the store did not accept that record. No order may be issued then.
@@ -237,17 +266,14 @@
         if held.is_in_quiet_period() {
             return Ok(false);
         }
-        if !held.is_recorded() {
-            let own = LastLeader {
-                node: self.node.clone(),
-                fence: held.fence,
-            };
-            self.coordination
-                .put(LAST_LEADER_KEY, own.write(), None)
-                .await?;
-            held.is_recorded.store(true, Ordering::Relaxed);
+        // The record may have been read after the lease had ended, and may name a later holder.
+        if !held.is_valid() {
+            return Ok(false);
+        }
+        if !held.is_recorded() && !self.record_holder(held).await? {
+            return Ok(false);
         }
-        Ok(Instant::now() < held.valid_until())
+        Ok(held.is_valid())
     }
 
     /// Releases the lease.
@@ -256,9 +282,29 @@
         log::info!("event=orders_lease_released fence={}", held.fence);
     }
 
-    async fn last(&self) -> Result<Option<LastLeader>, CoordinationError> {
-        let record = self.coordination.get(LAST_LEADER_KEY).await?;
-        Ok(record.map(|record| LastLeader::read(&record.value)))
+    /// Records this holder as the last leader, and returns whether it is recorded. The write has a
+    /// condition, because it may be executed after a later holder has recorded itself.
+    async fn record_holder(&self, held: &HeldLease) -> Result<bool, CoordinationError> {
+        let own = LastLeader {
+            node: self.node.clone(),
+            fence: held.fence,
+        };
+        let expected = held.last_revision.load(Ordering::Relaxed);
+        let swap = self
+            .coordination
+            .swap(LAST_LEADER_KEY, expected, own.write(), None);
+        let is_recorded = match swap.await? {
+            SwapResult::Won { .. } => true,
+            SwapResult::Lost(found) => held.is_recorded_by(found.as_ref(), &own),
+        };
+        if is_recorded {
+            held.is_recorded.store(true, Ordering::Relaxed);
+        }
+        Ok(is_recorded)
+    }
+
+    async fn last_record(&self) -> Result<Option<Record>, CoordinationError> {
+        self.coordination.get(LAST_LEADER_KEY).await
     }
 
     /// Returns true if this node issued orders last.
@@ -266,3 +312,7 @@
         last.is_some_and(|last| last.node == self.node)
     }
 }
+
+fn last_leader(record: &Record) -> LastLeader {
+    LastLeader::read(&record.value)
+}
--- a/crates/front/tests/support/memory_store.rs
+++ b/crates/front/tests/support/memory_store.rs
@@ -26,6 +26,8 @@
     pub renewal_answer_delay: Duration,
     /// The next swap fails at once with an unknown outcome and is applied after this delay.
     pub delayed_swap: Option<Duration>,
+    /// The same for the next put.
+    pub delayed_put: Option<Duration>,
 }
 
 #[derive(Default)]
@@ -214,6 +216,20 @@
         }
         Ok(())
     }
+
+    /// Applies a write after a delay. Returns the error of its lost answer.
+    fn apply_later(
+        &self,
+        delay: Duration,
+        write: impl FnOnce(&mut State) + Send + 'static,
+    ) -> CoordinationError {
+        let store = self.store.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            store.with_state(write);
+        });
+        CoordinationError::Unknown("no answer".to_owned())
+    }
 }
 
 impl Coordination for NodeClient {
@@ -310,13 +326,10 @@
             let mut faults = self.faults();
             if let Some(delay) = faults.delayed_swap.take() {
                 self.store.set_faults(&self.node, faults);
-                let store = self.store.clone();
                 let key = key.to_owned();
-                tokio::spawn(async move {
-                    tokio::time::sleep(delay).await;
-                    let _ = store.with_state(|state| state.swap(&key, expected, value, lease));
-                });
-                return Err(CoordinationError::Unknown("no answer".to_owned()));
+                return Err(self.apply_later(delay, move |state| {
+                    let _ = state.swap(&key, expected, value, lease);
+                }));
             }
             self.store
                 .with_state(|state| state.swap(key, expected, value, lease))
@@ -331,6 +344,14 @@
     ) -> BoxFuture<'a, Result<(), CoordinationError>> {
         Box::pin(async move {
             self.start_call("put", key).await?;
+            let mut faults = self.faults();
+            if let Some(delay) = faults.delayed_put.take() {
+                self.store.set_faults(&self.node, faults);
+                let key = key.to_owned();
+                return Err(self.apply_later(delay, move |state| {
+                    state.put(&key, value, lease);
+                }));
+            }
             self.store.with_state(|state| state.put(key, value, lease));
             Ok(())
         })
