Jobs: a standstill of a front is no stall of its runs

Callers: beside load, items of a stalled instance ran twice although no other instance could continue them.

Cause: a run that is stalled leaves its instance after 4.8 s in any case.

Change: running_timeout says for how long the process ran, and a stall is the sum of these times.

--- a/crates/clock/src/running_timeout.rs
+++ b/crates/clock/src/running_timeout.rs
@@ -14,8 +14,11 @@
 
 /// The other was silent for the whole time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("silent for too long")]
-pub struct Silent;
+#[error("silent for {} ms", after.as_millis())]
+pub struct Silent {
+    /// Time for which this process ran meanwhile, at least the limit.
+    pub after: Duration,
+}
 
 /// Awaits `future` until this process has run for `limit`. A process that stood still received
 /// nothing meanwhile, and would take its own standstill for the silence of the other.
@@ -26,15 +29,15 @@
 /// [`Silent`] if the time is over.
 pub async fn running_timeout<F: Future>(limit: Duration, future: F) -> Result<F::Output, Silent> {
     let mut future = pin!(future);
-    let mut left = limit;
+    let mut after = Duration::ZERO;
     loop {
         let started = Instant::now();
-        if let Ok(output) = tokio::time::timeout(SLICE.min(left), &mut future).await {
+        if let Ok(output) = tokio::time::timeout(SLICE.min(limit - after), &mut future).await {
             return Ok(output);
         }
-        left = left.saturating_sub(started.elapsed().min(MAX_SLICE));
-        if left.is_zero() {
-            return Err(Silent);
+        after += started.elapsed().min(MAX_SLICE);
+        if after >= limit {
+            return Err(Silent { after });
         }
     }
 }
--- a/crates/clock/tests/running_timeout.rs
+++ b/crates/clock/tests/running_timeout.rs
@@ -28,5 +28,6 @@
 #[tokio::test]
 async fn a_silent_sender_times_out() {
     let (_sender, mut received) = mpsc::channel::<()>(1);
-    assert!(running_timeout(LIMIT, received.recv()).await.is_err());
+    let silent = running_timeout(LIMIT, received.recv()).await.unwrap_err();
+    assert!(silent.after >= LIMIT);
 }
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -6,7 +6,7 @@
 
 use http::{HeaderMap, HeaderName};
 use http_body_util::BodyExt;
-use ladderstage_clock::{Instant, running_timeout};
+use ladderstage_clock::{Instant, Silent, running_timeout};
 
 use super::events::{Event, EventParser};
 use super::migration::EventIntervals;
@@ -46,17 +46,17 @@
     let mut parser = EventParser::new(names.weight_version.as_str());
     let mut intervals = EventIntervals::default();
     let max_events = context.max_events(index);
-    let mut stalled_since = None;
+    let mut stalled_for = Duration::ZERO;
     loop {
-        let limit = match stalled_since {
-            Some(_) => STALL_POLL_INTERVAL,
-            None if intervals.events == 0 => context.first_event_timeout(),
-            None => MAX_EVENT_INTERVAL,
+        let limit = match intervals.events {
+            _ if stalled_for > Duration::ZERO => STALL_POLL_INTERVAL,
+            0 => context.first_event_timeout(),
+            _ => MAX_EVENT_INTERVAL,
         };
         let frame = match running_timeout(limit, body.frame()).await {
-            Err(_) => {
-                let since = stalled_since.get_or_insert_with(|| Instant::now() - limit);
-                if since.elapsed() < MAX_STALL && !can_migrate(context, instance, partial) {
+            Err(Silent { after }) => {
+                stalled_for += after;
+                if stalled_for < MAX_STALL && !can_migrate(context, instance, partial) {
                     continue;
                 }
                 instance.record_failure(Instant::now());
@@ -74,7 +74,7 @@
             }
             Ok(None) => return RunEnd::Broken("stream ended without an end marker".to_owned()),
         };
-        stalled_since = None;
+        stalled_for = Duration::ZERO;
         instance.record_activity(Instant::now());
         let Ok(data) = frame.into_data() else {
             continue;
