Jobs: do not report a job as not stored while the same front stores it

Callers: a client that submitted a job again, at a front that was just committing its first submission, got 503. That promises that the job will not run, and it ran.

Cause: a front that has taken a job's log over finds the job at itself, without a committed specification. That counts as unavailable, and the acceptance answered every unavailable job with "not stored".

Change: the outcome is unknown (504) if this front is storing the job for another attempt, or has stored it. What no attempt here stores is still refused with 503.

--- a/crates/front/src/job/accepting.rs
+++ b/crates/front/src/job/accepting.rs
@@ -15,6 +15,7 @@
 use super::appending::RETRY_PAUSE;
 use super::local_job::Job;
 use super::locating::{JobOwner, NodeCallError, acceptance_probe};
+use super::lock::lock;
 use super::orphans::UNREACHABLE_OWNER_TIMEOUT;
 use super::reading::{COMMIT_TIMEOUT, JobError};
 use super::recorded_owners::{RecordedOwner, RecordedOwners};
@@ -62,11 +63,11 @@
     NotAccepting,
 }
 
-/// Returns the error for a job that this front has not stored. `was_refused` is whether a replica
-/// refused this front because of a promise to another one, which may have stored the job.
-fn not_stored(was_refused: bool, cause: &str) -> AcceptError {
-    if was_refused {
-        AcceptError::OutcomeUnknown(format!("another front may accept it: {cause}"))
+/// Returns the error for a job that this attempt has not stored. `may_be_accepted` is whether another
+/// attempt, here or at another front, may have stored the job.
+fn not_stored(may_be_accepted: bool, cause: &str) -> AcceptError {
+    if may_be_accepted {
+        AcceptError::OutcomeUnknown(format!("another attempt may store it: {cause}"))
     } else {
         AcceptError::NotStored(cause.to_owned())
     }
@@ -82,7 +83,9 @@
             // Only a job whose acceptance is committed is found.
             Ok(JobOwner::Local(_) | JobOwner::Answer(_)) => return Ok(()),
             Err(JobError::NotFound) => {}
-            Err(JobError::Unavailable(cause)) => return Err(AcceptError::NotStored(cause)),
+            Err(JobError::Unavailable(cause)) => {
+                return Err(not_stored(self.may_be_accepting(&id), &cause));
+            }
         }
         if let Err(cause) = self.check_regions(&spec) {
             log::warn!("event=job_regions_rejected job={id} cause=\"{cause}\"");
@@ -102,6 +105,11 @@
         Ok(())
     }
 
+    /// Returns whether another attempt at this front is storing the job or has stored it.
+    fn may_be_accepting(&self, id: &str) -> bool {
+        lock(&self.shared.opening).contains(id) || self.local(id).is_some()
+    }
+
     /// Returns the owner of a job that was accepted earlier, or `NotFound` for a new job.
     async fn find_accepted_before(
         &self,
