--- a/crates/front/src/coordination/observed.rs
+++ b/crates/front/src/coordination/observed.rs
@@ -20,8 +20,7 @@
 const MAX_RECOVERY_WAIT: Duration = Duration::from_secs(1);
 
 /// Minimum interval between repetitions of doubtful watches, so that a process that often stands
-/// still adds less than two calls a second. A process counts as in touch, and has to hear of
-/// changes in time, only 3 s after it stood still.
+/// still adds few calls.
 const MIN_REPEAT_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Maximum random delay of the repetition of a doubtful watch, as hundreds of processes may have
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -200,9 +200,9 @@
     permit: RunPermit,
 }
 
-/// An attempt that has not ended yet. Dropping it logs the attempt as abandoned, and has its
-/// instance checked unless another attempt was answered: the client disconnected or a deadline
-/// passed, and the request may have run.
+/// An attempt that has not ended yet. Dropping it logs the attempt as abandoned: the client
+/// disconnected, a deadline passed, or another attempt was answered first. The request may have run,
+/// so that its instance is checked unless the request was answered.
 struct UnfinishedAttempt<'a> {
     route: &'a Route,
     request: &'a LiveRequest,
