Read the records of a large fleet once, and the changes after that

A read was given up after 0.9 s in the middle of its body and sent again; a front that could not read the others took itself for a candidate for the orders lease. Change: reads go on while their answer arrives; pages are asked for again instead of whole listings; with more than 400 nodes, records are listed once, paced, and only changes are read after that; one read at a time; a node that knows no others does not try to lead.

--- a/crates/front/src/coordination.rs
+++ b/crates/front/src/coordination.rs
@@ -116,6 +116,23 @@
         self.list(prefix)
     }
 
+    /// Like [`Coordination::list_stale`], for a prefix that holds a record of each node and that all
+    /// nodes may list at the same time. Takes longer, so that the store can serve all of them.
+    fn list_stale_crowded<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> BoxFuture<'a, Result<Listing, CoordinationError>> {
+        self.list_stale(prefix)
+    }
+
+    /// Returns the changes under `prefix` after revision `after`, possibly none, without waiting for
+    /// one.
+    fn changes<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: u64,
+    ) -> BoxFuture<'a, Result<WatchAnswer, CoordinationError>>;
+
     /// Waits for changes under `prefix` after revision `after`.
     fn watch<'a>(
         &'a self,
--- a/crates/front/src/coordination/following.rs
+++ b/crates/front/src/coordination/following.rs
@@ -34,6 +34,12 @@
         false
     }
 
+    /// Returns the revision as of which the records are known already, from which they are watched
+    /// without a listing; `None` if they are not known.
+    fn known_revision(&self) -> Option<u64> {
+        None
+    }
+
     /// Returns the time after which a watch is restarted, in case its answer was lost silently.
     fn max_watch_duration(&self) -> Duration {
         Duration::MAX
@@ -88,7 +94,7 @@
     prefix: &str,
     follower: &mut impl Follower,
 ) {
-    let mut after = None;
+    let mut after = follower.known_revision();
     let mut is_unavailable = false;
     // A listing after compacted history must not be older than the updates already passed on.
     let mut allows_stale = follower.may_start_stale();
--- a/crates/front/src/coordination/observed.rs
+++ b/crates/front/src/coordination/observed.rs
@@ -218,6 +218,21 @@
         Box::pin(self.call("list_stale", self.store.list_stale(prefix)))
     }
 
+    fn list_stale_crowded<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> BoxFuture<'a, Result<Listing, CoordinationError>> {
+        Box::pin(self.call("list_stale", self.store.list_stale_crowded(prefix)))
+    }
+
+    fn changes<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: u64,
+    ) -> BoxFuture<'a, Result<WatchAnswer, CoordinationError>> {
+        Box::pin(self.call("changes", self.store.changes(prefix, after)))
+    }
+
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
--- a/crates/front/src/nodes/following.rs
+++ b/crates/front/src/nodes/following.rs
@@ -77,10 +77,7 @@
     loop {
         let read_at = Instant::now();
         let result = match read_kind {
-            ReadKind::Stale => {
-                let listing = coordination.list_stale(NODE_PREFIX).await;
-                listing.map(|listing| nodes.apply_stale(listing.records, listing.at))
-            }
+            ReadKind::Stale => nodes.read_stale(coordination).await,
             ReadKind::AfterFailedCall => nodes.refresh(coordination, MIN_READ_INTERVAL).await,
         };
         if let Err(error) = result {
@@ -128,6 +125,10 @@
         }
     }
 
+    fn known_revision(&self) -> Option<u64> {
+        self.nodes.large_fleet_revision()
+    }
+
     fn on_update(&mut self, update: Update, at: u64) {
         self.nodes.apply(update, at);
     }
--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -5,6 +5,7 @@
 
 mod following;
 mod formats;
+mod reading;
 mod registration;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,7 +27,7 @@
 pub use formats::{FormatLevel, shared_level};
 
 use crate::activity::Activity;
-use crate::coordination::{Change, Coordination, CoordinationError, Record, Update};
+use crate::coordination::{Change, Coordination, Record, Update};
 
 /// Key prefix of the records.
 const NODE_PREFIX: &str = "ladderstage/node/";
@@ -105,6 +106,8 @@
     regions: RegionMap,
     known: Arc<Mutex<KnownNodes>>,
     client: Client,
+    /// Held while this node reads the records.
+    reading: Arc<tokio::sync::Mutex<()>>,
     /// Time at which the last call that the store answered was sent.
     store_contact: watch::Sender<Option<Instant>>,
     /// Number of changes of this node's record.
@@ -131,6 +134,7 @@
             regions: RegionMap::default(),
             known: Arc::default(),
             client: Client::new(),
+            reading: Arc::default(),
             store_contact: watch::Sender::new(None),
             own_changed: watch::Sender::new(0),
             failed_calls: watch::Sender::new(0),
@@ -207,22 +211,10 @@
         );
     }
 
-    /// Reads all records unless they were read within the last `age`.
-    ///
-    /// # Errors
-    /// Returns an error when the store does not answer.
-    pub async fn refresh(
-        &self,
-        coordination: &dyn Coordination,
-        age: Duration,
-    ) -> Result<(), CoordinationError> {
-        let fresh_read_at = lock(&self.known).fresh_read_at;
-        if fresh_read_at.is_some_and(|at| at.elapsed() < age) {
-            return Ok(());
-        }
-        let listing = coordination.list(NODE_PREFIX).await?;
-        self.apply(Update::Snapshot(listing.records), listing.at);
-        Ok(())
+    /// Returns whether the records of the nodes were ever read. Before that, this node cannot know
+    /// what other nodes do.
+    pub fn are_known(&self) -> bool {
+        lock(&self.known).at > 0
     }
 
     /// Returns whether this node is one of the known fronts with the most CPU time that are not
--- a/crates/front/src/orders/candidates.rs
+++ b/crates/front/src/orders/candidates.rs
@@ -2,6 +2,7 @@
 //! each check of the lease is a charged call to the store.
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 
 use ladderstage::routing::rendezvous;
 
@@ -25,12 +26,8 @@
 
 /// Returns the present nodes in order of rank.
 pub(super) fn ranked_nodes<'a>(present: impl IntoIterator<Item = (&'a str, u32)>) -> Vec<&'a str> {
-    let present: Vec<(&str, u32)> = present.into_iter().collect();
-    let cpu_millis = |name: &str| {
-        let found = present.iter().find(|(known, _)| *known == name);
-        found.map_or(0, |(_, cpu_millis)| *cpu_millis)
-    };
-    let mut ranked = rendezvous(RANKING_KEY, present.iter().map(|(name, _)| *name));
-    ranked.sort_by_cached_key(|name| Reverse(cpu_millis(name)));
+    let cpu_millis: BTreeMap<&str, u32> = present.into_iter().collect();
+    let mut ranked = rendezvous(RANKING_KEY, cpu_millis.keys().copied());
+    ranked.sort_by_key(|name| Reverse(cpu_millis[name]));
     ranked
 }
--- a/crates/front/src/orders/leader.rs
+++ b/crates/front/src/orders/leader.rs
@@ -157,7 +157,8 @@
         };
         let mut foreign_orders = Vec::new();
         loop {
-            if !self.has_duties() || !self.is_lease_candidate() {
+            // A node that knows no others would take itself for a candidate.
+            if !self.has_duties() || !self.nodes.are_known() || !self.is_lease_candidate() {
                 tokio::time::sleep(CANDIDATE_CHECK_INTERVAL).await;
                 continue;
             }
--- a/crates/front/tests/support/memory_store.rs
+++ b/crates/front/tests/support/memory_store.rs
@@ -42,6 +42,8 @@
     /// Revision before which watches are answered with `HistoryCompacted`.
     compacted_revision: u64,
     calls: BTreeMap<(String, &'static str, String), Vec<Instant>>,
+    /// Number of records that each node received in listings and watches.
+    records_sent: BTreeMap<String, usize>,
     faults: BTreeMap<String, NodeFaults>,
 }
 
@@ -101,6 +103,23 @@
         keys.iter().for_each(|key| self.remove(key));
     }
 
+    fn changes_since(&self, prefix: &str, after: u64) -> WatchAnswer {
+        if after < self.compacted_revision {
+            return WatchAnswer::HistoryCompacted;
+        }
+        let is_under = |change: &Change| match change {
+            Change::Written(record) => record.key.starts_with(prefix),
+            Change::Removed { key } => key.starts_with(prefix),
+        };
+        let history = self.history.iter();
+        let matching =
+            history.filter(|(revision, change)| *revision > after && is_under(change));
+        WatchAnswer::Changes {
+            changes: matching.map(|(_, change)| change.clone()).collect(),
+            at: self.revision,
+        }
+    }
+
     fn swap(
         &mut self,
         key: &str,
@@ -170,6 +189,11 @@
         self.with_state(|state| state.calls.get(&call).cloned().unwrap_or_default())
     }
 
+    /// Returns the number of records that a node received in listings and watches.
+    pub fn records_sent(&self, node: &str) -> usize {
+        self.with_state(|state| state.records_sent.get(node).copied().unwrap_or(0))
+    }
+
     fn with_state<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
         let mut state = self.lock();
         state.expire();
@@ -197,6 +221,23 @@
         state.faults.get(&self.node).cloned().unwrap_or_default()
     }
 
+    fn count_records(&self, count: usize) {
+        let mut state = self.store.lock();
+        *state.records_sent.entry(self.node.clone()).or_insert(0) += count;
+    }
+
+    fn count_listing(&self, listing: Listing) -> Listing {
+        self.count_records(listing.records.len());
+        listing
+    }
+
+    fn count_changes(&self, answer: WatchAnswer) -> WatchAnswer {
+        if let WatchAnswer::Changes { changes, .. } = &answer {
+            self.count_records(changes.len());
+        }
+        answer
+    }
+
     /// Records the time of a call and applies the faults of its node.
     async fn start_call(&self, kind: &'static str, key: &str) -> Result<(), CoordinationError> {
         let call = (self.node.clone(), kind, key.to_owned());
@@ -248,7 +289,7 @@
     fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Listing, CoordinationError>> {
         Box::pin(async move {
             self.start_call("list", prefix).await?;
-            Ok(self.store.with_state(|state| {
+            let listing = self.store.with_state(|state| {
                 let records = state.records.values().map(|(record, _)| record.clone());
                 Listing {
                     records: records
@@ -256,7 +297,8 @@
                         .collect(),
                     at: state.revision,
                 }
-            }))
+            });
+            Ok(self.count_listing(listing))
         })
     }
 
@@ -267,7 +309,7 @@
         Box::pin(async move {
             self.start_call("list_stale", prefix).await?;
             let stale_by = self.faults().stale_by;
-            Ok(self.store.with_state(|state| {
+            let listing = self.store.with_state(|state| {
                 let at = state.revision - stale_by.min(state.revision);
                 let records = state.records.values().map(|(record, _)| record);
                 let records = records.filter(|record| record.key.starts_with(prefix));
@@ -279,7 +321,22 @@
                         .collect(),
                     at,
                 }
-            }))
+            });
+            Ok(self.count_listing(listing))
+        })
+    }
+
+    fn changes<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: u64,
+    ) -> BoxFuture<'a, Result<WatchAnswer, CoordinationError>> {
+        Box::pin(async move {
+            self.start_call("changes", prefix).await?;
+            let answer = self
+                .store
+                .with_state(|state| state.changes_since(prefix, after));
+            Ok(self.count_changes(answer))
         })
     }
 
@@ -291,28 +348,15 @@
         Box::pin(async move {
             self.start_call("watch", prefix).await?;
             let mut changed = self.store.changed.subscribe();
-            let is_under = |change: &Change| match change {
-                Change::Written(record) => record.key.starts_with(prefix),
-                Change::Removed { key } => key.starts_with(prefix),
-            };
             loop {
                 self.apply_faults(prefix).await?;
                 if self.faults().loses_watches {
                     return std::future::pending().await;
                 }
-                let (changes, at) = {
-                    let state = self.store.lock();
-                    if after < state.compacted_revision {
-                        return Ok(WatchAnswer::HistoryCompacted);
-                    }
-                    let history = state.history.iter();
-                    let matching =
-                        history.filter(|(revision, change)| *revision > after && is_under(change));
-                    let changes: Vec<Change> = matching.map(|(_, change)| change.clone()).collect();
-                    (changes, state.revision)
-                };
-                if !changes.is_empty() {
-                    return Ok(WatchAnswer::Changes { changes, at });
+                let answer = self.store.lock().changes_since(prefix, after);
+                let is_silent = matches!(&answer, WatchAnswer::Changes { changes, .. } if changes.is_empty());
+                if !is_silent {
+                    return Ok(self.count_changes(answer));
                 }
                 self.store.next_change(&mut changed).await;
             }
