Reject unknown routes and keys only by a configuration known to be the newest

Change: the age belongs to the watch. After a failure of it, the store is asked for changes before such a request is rejected, one check for all requests that wait; without an answer it is 503.

--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -7,9 +7,9 @@
 
 use http::HeaderValue;
 use ladderstage::region::AllowedRegions;
-use ladderstage_clock::Instant;
 use tokio::sync::watch;
 
+use crate::config_age::ConfigAge;
 use crate::tenant::{KeyDigest, KeyRefusal, Tenant, find_tenant};
 
 /// Kind of a route, which decides how its requests may be retried.
@@ -277,8 +277,7 @@
 #[derive(Debug, Clone)]
 pub struct CurrentConfig {
     current: watch::Sender<Option<Arc<ServingConfig>>>,
-    /// Time at which the first configuration was installed.
-    first_installed_at: watch::Sender<Option<Instant>>,
+    age: ConfigAge,
     /// Whether any configuration so far restricted the regions. Lets requests skip the lookup of a
     /// route otherwise.
     restricts_regions: Arc<AtomicBool>,
@@ -288,7 +287,7 @@
     fn default() -> Self {
         Self {
             current: watch::Sender::new(None),
-            first_installed_at: watch::Sender::new(None),
+            age: ConfigAge::default(),
             restricts_regions: Arc::default(),
         }
     }
@@ -322,16 +321,15 @@
                 .fetch_or(restricts_regions, Ordering::Release);
             *current = Some(Arc::new(std::mem::take(&mut config)));
             if known.is_none() {
-                self.first_installed_at.send_replace(Some(Instant::now()));
+                self.age.record_first();
             }
             true
         })
     }
 
-    /// Returns when the first configuration was installed, shortly after it was read as the newest
-    /// one; `None` before. Later ones may have been read long before, as after a suspension.
-    pub fn first_installed_at(&self) -> Option<Instant> {
-        *self.first_installed_at.borrow()
+    /// Returns the time as of which the installed configuration is known to be the newest.
+    pub fn age(&self) -> &ConfigAge {
+        &self.age
     }
 
     /// Returns the installed configuration; `None` before the first one.
--- a/crates/front/src/ingress/mod.rs
+++ b/crates/front/src/ingress/mod.rs
@@ -53,9 +53,9 @@
 /// takes a tenth of it.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(1_400);
 
-/// Maximum time since the last contact with the store for which the configuration counts as the
-/// newest.
-const CONTACT_MAX_AGE: Duration = Duration::from_millis(2_500);
+/// Maximum time for which a request without a route or key waits until the store has confirmed that
+/// the configuration is the newest.
+const CONFIG_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// State shared by all client connections.
 pub struct Ingress {
@@ -212,16 +212,23 @@
         let Some(config) = self.config.current() else {
             return outcome;
         };
-        outcome.version = config.version;
         let path = request.uri().path().to_owned();
         let Some(host) = host(&request) else {
+            outcome.version = config.version;
             outcome.response = empty(StatusCode::BAD_REQUEST);
             return outcome;
         };
-        let route = config.route(&host, &path);
         let call = self
             .codec
             .job_call(request.method(), &path, request.uri().query());
+        let is_known = |config: &ServingConfig| {
+            let route = config.route(&host, &path);
+            let is_found = route.is_some() || call.is_some();
+            is_found && identify_caller(config, route, request.headers()).is_ok()
+        };
+        let config = self.confirm_unless(is_known, config).await;
+        outcome.version = config.version;
+        let route = config.route(&host, &path);
         outcome.route = match (route, &call) {
             (Some(route), _) => route.name.clone(),
             (None, Some(_)) => "jobs".to_owned(),
@@ -401,6 +408,20 @@
         })
     }
 
+    /// Returns the configuration in force if it `is_known` to have what a request needs. If not,
+    /// asks the store for a newer one, unless the configuration is the newest.
+    async fn confirm_unless(
+        &self,
+        is_known: impl Fn(&ServingConfig) -> bool,
+        config: Arc<ServingConfig>,
+    ) -> Arc<ServingConfig> {
+        if is_known(&config) || self.has_newest_config() {
+            return config;
+        }
+        self.config.age().check(CONFIG_CHECK_TIMEOUT).await;
+        self.config.current().unwrap_or(config)
+    }
+
     /// Responds with 404 only while the configuration in force is known to be the newest.
     fn no_route(&self) -> Response<AnswerBody> {
         if self.has_newest_config() {
@@ -410,12 +431,10 @@
         }
     }
 
-    /// Returns whether the configuration in force is known to be the newest: it is the first one and
-    /// was just read, or this node is in contact with the store, which announces newer ones.
+    /// Returns whether the configuration in force is known to be the newest.
     fn has_newest_config(&self) -> bool {
         let contact = self.nodes.last_store_contact();
-        let contact = contact.max(self.config.first_installed_at());
-        contact.is_some_and(|at| at.elapsed() < CONTACT_MAX_AGE)
+        self.config.age().is_newest(contact)
     }
 
     fn read_wait(&self, headers: &HeaderMap) -> Duration {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod backend;
 pub mod capacity;
 pub mod config;
+pub mod config_age;
 pub mod coordination;
 pub mod dialect;
 pub mod explain;
