Load weights on as many instances as the work needs

Cause: the order leader shared out all instances, so that each version was loaded by thousands that no item uses; planning compared every instance with every assignment and filtered the fleet for each single order. All instances stay in use where the work needs them or a front of an older build reports no items. A round is planned with one look at each instance in use.

--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -265,6 +265,16 @@
         self.lock().discovered.service == service
     }
 
+    /// Returns the name of its service.
+    pub fn service(&self) -> String {
+        self.lock().discovered.service.clone()
+    }
+
+    /// Returns the number of requests that it runs concurrently.
+    pub fn slots(&self) -> u32 {
+        self.lock().discovered.slots
+    }
+
     /// Returns the zone that it runs in.
     pub fn zone(&self) -> String {
         self.lock().discovered.zone.clone()
--- a/crates/front/src/job/peer_handler.rs
+++ b/crates/front/src/job/peer_handler.rs
@@ -33,18 +33,22 @@
     /// Returns the work that this node accepted recently, by model, and its instances' event
     /// intervals.
     pub fn demand(&self) -> Demand {
-        let mut tokens = BTreeMap::<String, u64>::new();
+        let mut work = BTreeMap::<String, ModelWork>::new();
         for job in lock(&self.shared.jobs).values() {
             if job.opened_at.elapsed() < DEMAND_WINDOW
                 && let Some(spec) = job.state().spec()
             {
-                *tokens.entry(spec.model.clone()).or_insert(0) += expected_tokens(spec);
+                let of_model = work.entry(spec.model.clone()).or_default();
+                let items = spec.items.len() as u64;
+                of_model.tokens += expected_tokens(spec);
+                of_model.items += items;
+                of_model.largest_job = of_model.largest_job.max(items);
             }
         }
-        let work = tokens.into_iter().map(|(model, tokens)| ModelWork {
+        let work = work.into_iter().map(|(model, work)| ModelWork {
             longest_events: self.context.lengths.longest(&model),
             model,
-            tokens,
+            ..work
         });
         Demand {
             work: work.collect(),
--- a/crates/front/src/orders/announced_versions.rs
+++ b/crates/front/src/orders/announced_versions.rs
@@ -52,6 +52,7 @@
                 since_announcement: announced.received_at.elapsed(),
                 relative_work: 1.0,
                 longest_events: 0,
+                open_items: None,
             })
             .collect()
     }
--- a/crates/front/src/orders/demand.rs
+++ b/crates/front/src/orders/demand.rs
@@ -8,7 +8,7 @@
 use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
-use ladderstage_wire::messages::{Demand, ReadDemand, Request};
+use ladderstage_wire::messages::{Demand, ModelWork, ReadDemand, Request};
 
 use super::calls::CALL_TIMEOUT;
 use super::plan::ModelDemand;
@@ -24,18 +24,52 @@
 /// or a brief disturbance hardly affects it.
 const MAX_INTERVAL_INCREASE: f64 = 1.05;
 
+/// Part of the recently accepted items that may be open at the same time. Items are accepted for
+/// about twice as long as they are open.
+const OPEN_SHARE: f64 = 0.5;
+
+/// Time for which the largest number of open items counts, so that a pause of a trainer leaves its
+/// instances in use.
+const OPEN_ITEMS_WINDOW: Duration = Duration::from_secs(60);
+
 /// Combined reports of the fronts.
 #[derive(Debug, Default)]
 pub(super) struct FleetDemand {
     tokens: BTreeMap<String, u64>,
     longest_events: BTreeMap<String, u64>,
     event_intervals_ms: BTreeMap<String, f64>,
+    /// Items of each model that may be open at once, and the time of the report; `None` if a front
+    /// reported work without its items.
+    open_items: BTreeMap<String, (Option<u64>, Instant)>,
     /// Fronts that reported work.
     busy_fronts: BTreeSet<String>,
     /// Time of the last poll of all fronts.
     last_full_poll_at: Option<Instant>,
 }
 
+/// Items of one model that the fronts accepted recently.
+#[derive(Debug, Default)]
+struct ReportedItems {
+    items: u64,
+    largest_job: u64,
+    /// Whether a front of an older build reported work without its items.
+    is_unknown: bool,
+}
+
+impl ReportedItems {
+    fn add(&mut self, work: &ModelWork) {
+        self.items += work.items;
+        self.largest_job = self.largest_job.max(work.largest_job);
+        self.is_unknown |= work.items == 0;
+    }
+
+    /// Returns the number of items that may be open at once; `None` if it is unknown.
+    fn open(&self) -> Option<u64> {
+        let open = (self.items as f64 * OPEN_SHARE).ceil() as u64;
+        (!self.is_unknown).then_some(open.max(self.largest_job))
+    }
+}
+
 impl FleetDemand {
     /// Polls the busy fronts, and all of them every [`FULL_POLL_INTERVAL`]. Fronts that do not
     /// answer in time are left out. `last` holds the previous reports.
@@ -63,6 +97,7 @@
         let own = (own_node.as_str(), jobs.demand());
         let mut combined = Self::combine(answers.into_iter().flatten().chain([own]));
         combined.limit_interval_increases(last);
+        combined.keep_largest_open_items(last);
         combined.last_full_poll_at = if polls_all {
             Some(Instant::now())
         } else {
@@ -93,14 +128,31 @@
         }
     }
 
+    /// Keeps earlier numbers of open items that are larger, until they are too old.
+    fn keep_largest_open_items(&mut self, last: &Self) {
+        for (model, (items, at)) in &last.open_items {
+            let is_recent = at.elapsed() < OPEN_ITEMS_WINDOW;
+            let is_larger = |now: &(Option<u64>, Instant)| match (items, now.0) {
+                (Some(items), Some(now)) => *items > now,
+                // An unknown number is replaced by a known one, as the builds may have changed.
+                _ => false,
+            };
+            if is_recent && self.open_items.get(model).is_none_or(is_larger) {
+                self.open_items.insert(model.clone(), (*items, *at));
+            }
+        }
+    }
+
     fn combine<'a>(answers: impl Iterator<Item = (&'a str, Demand)>) -> Self {
         let mut combined = Self::default();
         let mut intervals_ms = BTreeMap::<String, Vec<f64>>::new();
+        let mut items = BTreeMap::<String, ReportedItems>::new();
         for (node, answer) in answers {
             if !answer.work.is_empty() {
                 combined.busy_fronts.insert(node.to_owned());
             }
             for work in answer.work {
+                items.entry(work.model.clone()).or_default().add(&work);
                 let longest = combined
                     .longest_events
                     .entry(work.model.clone())
@@ -113,6 +165,11 @@
                 known.push(interval.event_micros as f64 / 1e3);
             }
         }
+        let now = Instant::now();
+        let items = items.into_iter();
+        combined.open_items = items
+            .map(|(model, items)| (model, (items.open(), now)))
+            .collect();
         let intervals_ms = intervals_ms.into_iter();
         combined.event_intervals_ms = intervals_ms
             .filter_map(|(instance, intervals_ms)| Some((instance, median(intervals_ms)?)))
@@ -127,6 +184,8 @@
             demand.relative_work = tokens.map_or(1.0, |tokens| tokens as f64);
             let longest = self.longest_events.get(&demand.model).copied();
             demand.longest_events = longest.unwrap_or(0);
+            let open_items = self.open_items.get(&demand.model);
+            demand.open_items = open_items.map_or(Some(0), |(items, _)| *items);
         }
     }
 
--- a/crates/front/src/orders/leader.rs
+++ b/crates/front/src/orders/leader.rs
@@ -1,5 +1,6 @@
 //! Order leader: sends weight-load orders to instances while this node holds the orders lease.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +17,8 @@
 use super::lease::{HeldLease, LastLeader, OrdersLease};
 use super::load_limit_store::restore_load_limit;
 use super::permits::PermitIssuer;
-use super::plan::{FleetInstance, PlannedLoad, plan};
+use super::plan::{FleetInstance, ModelDemand, PlannedLoad, plan_round};
+use super::working_set::{SpareInstance, needed_slots};
 use crate::backend::{BackendTable, HoldReason, Instance, LOADING_PAUSE};
 use crate::capacity::CapacityController;
 use crate::config::CurrentConfig;
@@ -146,6 +148,21 @@
     }
 }
 
+/// Returns whether an instance may load weights. Instances in drained zones serve no requests.
+fn may_load(instance: &Instance) -> bool {
+    instance.is_ready() && instance.check_drain() != Err(HoldReason::ZoneDrained)
+}
+
+fn spare_instance(instance: &Instance, demands: &[ModelDemand]) -> SpareInstance {
+    let lag = |demand: &ModelDemand| demand.newest.saturating_sub(instance.version(&demand.model));
+    SpareInstance {
+        id: instance.id().to_owned(),
+        zone: instance.zone(),
+        slots: instance.slots(),
+        lag: demands.iter().map(lag).min().unwrap_or(0),
+    }
+}
+
 impl OrderLeader {
     /// Acquires the lease whenever it is free and this node is a candidate, and issues orders while
     /// the lease is valid. Runs for as long as the future is polled.
@@ -357,10 +374,8 @@
         state.excluded_until.retain(|_, until| *until > now);
         let mut demands = self.versions.demands();
         state.demand.set_work(&mut demands);
-        let mut instances = self.fleet();
-        // Instances in drained zones serve no requests, so they load no weights and get no model.
-        instances.retain(|one| one.check_drain() != Err(HoldReason::ZoneDrained));
-        let mut fleet: Vec<FleetInstance> = instances
+        let instances = self.instances_in_use(state, &demands);
+        let fleet: Vec<FleetInstance> = instances
             .iter()
             .map(|instance| FleetInstance {
                 id: instance.id().to_owned(),
@@ -372,35 +387,60 @@
             .collect();
         state.assignment.update(&demands, &fleet);
         state.trade_if_refreshed(&demands, &fleet);
-        let limit = state.load_limit.get();
-        let mut orders = Vec::new();
-        while orders.len() < MAX_ORDERS_PER_ROUND {
-            let loading = state.pending_loads() + orders.len();
-            let planned = plan(&demands, &state.assignment, &fleet, loading, limit);
-            let Some(planned) = planned else {
-                break;
-            };
-            let Some(index) = fleet.iter().position(|one| one.id == planned.instance) else {
-                break;
-            };
-            fleet[index].is_busy = true;
-            orders.push(Order {
-                instance: Arc::clone(&instances[index]),
-                planned,
-            });
-        }
-        orders
+        let planned = plan_round(
+            &demands,
+            &state.assignment,
+            &fleet,
+            state.pending_loads(),
+            state.load_limit.get(),
+            MAX_ORDERS_PER_ROUND,
+        );
+        let orders = planned.into_iter().filter_map(|planned| {
+            let instance = self.backends.get(&planned.instance)?;
+            Some(Order { instance, planned })
+        });
+        orders.collect()
     }
 
-    /// Returns the ready instances of all services that have models.
-    pub(super) fn fleet(&self) -> Vec<Arc<Instance>> {
-        let Some(config) = self.config.current() else {
-            return Vec::new();
+    /// Returns the instances that load weights, after replacing those that can no longer be used.
+    /// Looks at the whole fleet only if some are lacking.
+    fn instances_in_use(
+        &self,
+        state: &mut LeaderState,
+        demands: &[ModelDemand],
+    ) -> Vec<Arc<Instance>> {
+        let services = self.services_with_models();
+        let usable = |id: &str| {
+            let instance = self.backends.get(id)?;
+            let is_served = services.contains(&instance.service());
+            (is_served && may_load(&instance)).then_some(instance)
         };
+        let in_use = &mut state.in_use;
+        in_use.retain(|id| usable(id).is_some());
+        let needed = needed_slots(demands);
+        if in_use.lacks_slots(needed) {
+            let spare = self.fleet().into_iter().filter(|one| may_load(one));
+            in_use.fill(needed, spare.map(|one| spare_instance(&one, demands)));
+        }
+        in_use.ids().filter_map(usable).collect()
+    }
+
+    /// Returns the names of the services that have models.
+    fn services_with_models(&self) -> BTreeSet<String> {
+        let config = self.config.current().unwrap_or_default();
         let services = config.services.iter();
         services
             .filter(|(_, service)| !service.models.is_empty())
-            .flat_map(|(name, _)| self.backends.instances_of(name))
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// Returns the ready instances of all services that have models.
+    pub(super) fn fleet(&self) -> Vec<Arc<Instance>> {
+        let services = self.services_with_models();
+        services
+            .iter()
+            .flat_map(|name| self.backends.instances_of(name))
             .filter(|instance| instance.is_ready())
             .collect()
     }
--- a/crates/front/src/orders/leader_state.rs
+++ b/crates/front/src/orders/leader_state.rs
@@ -10,6 +10,7 @@
 use super::load_limit_store::LoadLimitWriter;
 use super::plan::{Assignment, FleetInstance, ModelDemand, PlannedLoad, max_trades};
 use super::weight_updates::WeightUpdateSender;
+use super::working_set::WorkingSet;
 use crate::backend::Instance;
 use ladderstage_clock::Instant;
 
@@ -56,6 +57,8 @@
     pub demand_polled_at: Option<Instant>,
     /// Whether the demand was refreshed since the last trade of instances between models.
     pub may_trade: bool,
+    /// Instances that load weights.
+    pub in_use: WorkingSet,
     /// Model that each instance serves.
     pub assignment: Assignment,
     /// Weight updates to send to the fronts.
--- a/crates/front/src/orders/load_checks.rs
+++ b/crates/front/src/orders/load_checks.rs
@@ -30,11 +30,10 @@
     /// Checks all loads that are due, concurrently, so that an instance that hangs does not delay
     /// the updates of others.
     pub(super) async fn check_loads(&self, state: &mut LeaderState) {
-        let fleet = self.fleet();
         let checks = state.due_loads().into_iter().map(|(id, load)| {
-            let instance = fleet.iter().find(|one| one.id() == id);
+            let instance = self.backends.get(&id).filter(|one| one.is_ready());
             async move {
-                let check = self.check_load(instance, &load).await;
+                let check = self.check_load(instance.as_ref(), &load).await;
                 (id, load, instance, check)
             }
         });
@@ -44,7 +43,7 @@
                 check @ (LoadCheck::ReportedLoaded | LoadCheck::AlreadyLoaded) => {
                     let was_reported = matches!(check, LoadCheck::ReportedLoaded);
                     state.observe_load(&id, &load, was_reported);
-                    if let Some(instance) = instance {
+                    if let Some(instance) = &instance {
                         state
                             .weight_updates
                             .loaded(instance, &load.model, load.version);
--- a/crates/front/src/orders/mod.rs
+++ b/crates/front/src/orders/mod.rs
@@ -19,6 +19,7 @@
 mod permits;
 mod plan;
 mod weight_updates;
+mod working_set;
 
 pub use announced_versions::AnnouncedVersions;
 pub use candidates::is_lease_candidate;
@@ -29,5 +30,8 @@
 pub use load_limit::{FinishedLoad, LoadLimit, LoadTiming};
 pub use load_limit_store::{LoadLimitWriter, restore_load_limit};
 pub use permits::{PERMIT_QUIET_PERIOD, PermitIssuer, PermitLedger, PermitRequester};
-pub use plan::{Assignment, FleetInstance, ModelDemand, PlannedLoad, Trade, max_trades, plan};
+pub use plan::{
+    Assignment, FleetInstance, ModelDemand, PlannedLoad, Trade, max_trades, plan_round,
+};
 pub use weight_updates::LearnedLoadLimit;
+pub use working_set::{SpareInstance, WorkingSet, needed_slots};
--- a/crates/front/src/orders/plan.rs
+++ b/crates/front/src/orders/plan.rs
@@ -5,7 +5,8 @@
 //! version of its model or the one before. An instance would become unusable if it skipped
 //! versions, so it loads each one, but only after the burst of work that follows the announcement.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::time::Duration;
 
 /// Time after an announcement during which instances with the previous version are not reloaded,
@@ -56,6 +57,8 @@
     pub relative_work: f64,
     /// Number of events in the longest recent text; 0 if unknown.
     pub longest_events: u64,
+    /// Number of items that may be open at the same time; `None` if unknown.
+    pub open_items: Option<u64>,
 }
 
 /// Planned order to load a version.
@@ -117,53 +120,42 @@
     /// Adapts the assignment to the fleet and the demand. An instance keeps its model unless
     /// another model lacks at least two instances or has none.
     pub fn update(&mut self, demands: &[ModelDemand], fleet: &[FleetInstance]) {
+        let ids: HashSet<&str> = fleet.iter().map(|one| one.id.as_str()).collect();
         self.model_of.retain(|id, model| {
-            fleet.iter().any(|one| one.id == *id) && demands.iter().any(|one| one.model == *model)
+            ids.contains(id.as_str()) && demands.iter().any(|one| one.model == *model)
         });
         if demands.is_empty() {
             return;
         }
         let quotas = quotas(demands, fleet.len());
+        let mut counts = self.counts(&quotas);
         for instance in fleet {
             if !self.model_of.contains_key(&instance.id) {
-                let model = self.best_model(demands, &quotas, instance);
+                let model = best_model(demands, &quotas, &counts, instance);
+                *counts.entry(model.clone()).or_insert(0) += 1;
                 self.model_of.insert(instance.id.clone(), model);
             }
         }
-        self.balance(&quotas, fleet);
-    }
-
-    /// Returns the model for a new instance: among the models below their quota, or all models if
-    /// there are none, the one whose weights at the instance lag least. Ties go to the model that
-    /// lacks the most instances.
-    fn best_model(
-        &self,
-        demands: &[ModelDemand],
-        quotas: &BTreeMap<String, usize>,
-        instance: &FleetInstance,
-    ) -> String {
-        let key = |demand: &&ModelDemand| {
-            let lacks_instances = self.count(&demand.model) < quotas[&demand.model];
-            let version = instance.versions.get(&demand.model).copied().unwrap_or(0);
-            let lag = demand.newest.saturating_sub(version);
-            let missing = quotas[&demand.model].saturating_sub(self.count(&demand.model));
-            (lacks_instances, std::cmp::Reverse(lag), missing)
-        };
-        let best = demands.iter().max_by_key(key);
-        best.map(|demand| demand.model.clone()).unwrap_or_default()
+        self.balance(&quotas, &counts, fleet);
     }
 
     /// Moves one instance from the model with the largest surplus to one that lacks at least two,
     /// or has none.
-    fn balance(&mut self, quotas: &BTreeMap<String, usize>, fleet: &[FleetInstance]) {
-        let surplus = |model: &String| self.count(model) as i64 - quotas[model] as i64;
+    fn balance(
+        &mut self,
+        quotas: &BTreeMap<String, usize>,
+        counts: &BTreeMap<String, usize>,
+        fleet: &[FleetInstance],
+    ) {
+        let count = |model: &String| counts.get(model).copied().unwrap_or(0);
+        let surplus = |model: &String| count(model) as i64 - quotas[model] as i64;
         let Some(largest) = quotas.keys().max_by_key(|model| surplus(model)) else {
             return;
         };
         let Some(smallest) = quotas.keys().min_by_key(|model| surplus(model)) else {
             return;
         };
-        if surplus(largest) < 1 || surplus(smallest) > -2 && self.count(smallest) > 0 {
+        if surplus(largest) < 1 || surplus(smallest) > -2 && count(smallest) > 0 {
             return;
         }
         let moved = fleet
@@ -244,14 +236,37 @@
             })
     }
 
-    fn count(&self, model: &str) -> usize {
-        self.model_of
-            .values()
-            .filter(|served| *served == model)
-            .count()
+    /// Returns the number of instances of each model.
+    fn counts(&self, quotas: &BTreeMap<String, usize>) -> BTreeMap<String, usize> {
+        let mut counts: BTreeMap<String, usize> =
+            quotas.keys().map(|model| (model.clone(), 0)).collect();
+        for model in self.model_of.values() {
+            *counts.entry(model.clone()).or_insert(0) += 1;
+        }
+        counts
     }
 }
 
+/// Returns the model for a new instance: among the models below their quota, or all models if there
+/// are none, the one whose weights at the instance lag least. Ties go to the model that lacks the
+/// most instances.
+fn best_model(
+    demands: &[ModelDemand],
+    quotas: &BTreeMap<String, usize>,
+    counts: &BTreeMap<String, usize>,
+    instance: &FleetInstance,
+) -> String {
+    let key = |demand: &&ModelDemand| {
+        let count = counts.get(&demand.model).copied().unwrap_or(0);
+        let missing = quotas[&demand.model].saturating_sub(count);
+        let version = instance.versions.get(&demand.model).copied().unwrap_or(0);
+        let lag = demand.newest.saturating_sub(version);
+        (missing > 0, Reverse(lag), missing)
+    };
+    let best = demands.iter().max_by_key(key);
+    best.map(|demand| demand.model.clone()).unwrap_or_default()
+}
+
 /// Returns the number of instances for each model: proportional to demand, by the largest remainder
 /// method, and at least one if there are enough instances.
 fn quotas(demands: &[ModelDemand], instances: usize) -> BTreeMap<String, usize> {
@@ -281,63 +296,117 @@
         .collect()
 }
 
-/// Plans the next order, given the number of loads in progress and its maximum.
+/// Plans the next orders, at most `max_orders`, given the number of loads in progress and its
+/// maximum. Looks at each instance of the fleet once.
 ///
 /// Instances whose weights are too old for any job come first and without delay. Instances one
 /// version behind follow after the burst of work, those with the fewest requests first.
-pub fn plan(
+pub fn plan_round(
     demands: &[ModelDemand],
     assignment: &Assignment,
     fleet: &[FleetInstance],
     loads_in_progress: usize,
     max_loads: usize,
-) -> Option<PlannedLoad> {
-    if loads_in_progress >= max_loads {
-        return None;
+    max_orders: usize,
+) -> Vec<PlannedLoad> {
+    let max_orders = max_orders.min(max_loads.saturating_sub(loads_in_progress));
+    if max_orders == 0 {
+        return Vec::new();
     }
-    let candidates = demands
-        .iter()
-        .filter_map(|demand| next_load(demand, assignment, fleet));
-    candidates
-        .max_by_key(|(urgency, _)| *urgency)
-        .map(|(_, planned)| planned)
+    let mut models = model_loads(demands, assignment, fleet);
+    let mut orders = Vec::new();
+    while orders.len() < max_orders {
+        let next = models
+            .iter_mut()
+            .filter_map(|model| Some((model.urgency()?, model)))
+            .max_by_key(|(urgency, _)| *urgency);
+        let Some(planned) = next.and_then(|(_, model)| model.take_next()) else {
+            break;
+        };
+        orders.push(planned);
+    }
+    orders
 }
 
 /// Urgency of an order: whether its instance is unusable, then the model's unusable instances per
 /// thousand, then its number of outdated instances.
 type Urgency = (bool, u64, usize);
 
-/// Plans the next order for one model.
-fn next_load(
-    demand: &ModelDemand,
+/// Loads of one model that could be ordered.
+struct ModelLoads<'a> {
+    demand: &'a ModelDemand,
+    served: usize,
+    unusable: usize,
+    outdated: usize,
+    /// Instances to load in reverse order: the first one is at the end.
+    waiting: Vec<(u64, u32, &'a str)>,
+}
+
+impl<'a> ModelLoads<'a> {
+    fn new(demand: &'a ModelDemand) -> Self {
+        Self {
+            demand,
+            served: 0,
+            unusable: 0,
+            outdated: 0,
+            waiting: Vec::new(),
+        }
+    }
+
+    fn add(&mut self, instance: &'a FleetInstance) {
+        let version = instance.versions.get(&self.demand.model).copied();
+        let version = version.unwrap_or(0);
+        let lag = self.demand.newest.saturating_sub(version);
+        let min_lag = if self.demand.since_announcement < RELOAD_DELAY {
+            UNUSABLE_LAG
+        } else {
+            1
+        };
+        self.served += 1;
+        self.unusable += usize::from(lag >= UNUSABLE_LAG);
+        self.outdated += usize::from(lag >= 1);
+        if !instance.is_busy && lag >= min_lag {
+            let requests = instance.requests_in_progress;
+            self.waiting.push((version, requests, &instance.id));
+        }
+    }
+
+    /// Returns the urgency of the next load, `None` if there is none.
+    fn urgency(&self) -> Option<Urgency> {
+        let (version, _, _) = self.waiting.last()?;
+        let is_unusable = self.demand.newest.saturating_sub(*version) >= UNUSABLE_LAG;
+        let unusable_per_mille = (self.unusable * 1_000 / self.served.max(1)) as u64;
+        Some((is_unusable, unusable_per_mille, self.outdated))
+    }
+
+    fn take_next(&mut self) -> Option<PlannedLoad> {
+        let (_, _, instance) = self.waiting.pop()?;
+        Some(PlannedLoad {
+            instance: instance.to_owned(),
+            model: self.demand.model.clone(),
+            version: self.demand.newest,
+        })
+    }
+}
+
+/// Returns the possible loads of each model.
+fn model_loads<'a>(
+    demands: &'a [ModelDemand],
     assignment: &Assignment,
-    fleet: &[FleetInstance],
-) -> Option<(Urgency, PlannedLoad)> {
-    let version = |one: &FleetInstance| one.versions.get(&demand.model).copied().unwrap_or(0);
-    let lag = |one: &FleetInstance| demand.newest.saturating_sub(version(one));
-    let min_lag = if demand.since_announcement < RELOAD_DELAY {
-        UNUSABLE_LAG
-    } else {
-        1
-    };
-    let served: Vec<&FleetInstance> = fleet
-        .iter()
-        .filter(|one| assignment.model(&one.id) == Some(demand.model.as_str()))
-        .collect();
-    let next = served
-        .iter()
-        .filter(|one| !one.is_busy && lag(one) >= min_lag)
-        .min_by_key(|one| (version(one), one.requests_in_progress, &one.id))?;
-    let unusable = served.iter().filter(|one| lag(one) >= UNUSABLE_LAG).count();
-    let outdated = served.iter().filter(|one| lag(one) >= 1).count();
-    let unusable_per_mille = (unusable * 1_000 / served.len().max(1)) as u64;
-    let planned = PlannedLoad {
-        instance: next.id.clone(),
-        model: demand.model.clone(),
-        version: demand.newest,
-    };
-    Some((
-        (lag(next) >= UNUSABLE_LAG, unusable_per_mille, outdated),
-        planned,
-    ))
+    fleet: &'a [FleetInstance],
+) -> Vec<ModelLoads<'a>> {
+    let mut models: Vec<ModelLoads> = demands.iter().map(ModelLoads::new).collect();
+    for instance in fleet {
+        let assigned = assignment.model(&instance.id);
+        let model = models
+            .iter_mut()
+            .find(|model| Some(model.demand.model.as_str()) == assigned);
+        if let Some(model) = model {
+            model.add(instance);
+        }
+    }
+    for model in &mut models {
+        model.waiting.sort_unstable_by(|one, other| other.cmp(one));
+    }
+    models
 }
