Choose among lists of instances with the weights, not the whole fleet

Cause: each choice of an instance cloned and filtered all instances of the service: 9,625 of them for each item that starts or moves. A listing searched the kept ids linearly for each instance. Change: lists of the instances by service, model and minimum version, made when they are first needed; a choice compares 256 fitting ones at most; the median of many unit times is kept for 0.1 s.

--- a/crates/front/src/backend/gate.rs
+++ b/crates/front/src/backend/gate.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 
 use super::cold::{ColdLimitTable, PermitRequests};
+use super::index::WeightChanges;
 
 /// Reason why a ready instance gets no requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -157,6 +158,8 @@
     pub permit_requests: PermitRequests,
     /// Zones and regions of this node and the instances.
     pub locality: Locality,
+    /// Changes of the instances' weights.
+    pub weight_changes: WeightChanges,
 }
 
 /// Zone of this node and the regions of all zones. Cheap to clone.
--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -306,6 +306,9 @@
             );
         }
         state.cold.apply_discovery_record(cold, now);
+        if state.discovered.versions != discovered.versions {
+            self.gates.weight_changes.count();
+        }
         state.discovered = discovered;
     }
 
@@ -323,6 +326,7 @@
         if version > *entry {
             *entry = version;
             state.loading_until.remove(model);
+            self.gates.weight_changes.count();
         }
     }
 
--- a/crates/front/src/backend/mod.rs
+++ b/crates/front/src/backend/mod.rs
@@ -6,6 +6,7 @@
 mod counters;
 mod exchange;
 mod gate;
+mod index;
 mod instance;
 mod table;
 
@@ -20,5 +21,6 @@
 pub(crate) use exchange::keep_alive;
 pub use exchange::{AnswerIdPolicy, ExchangeError, Reply, RequestHead, end_to_end_headers, send};
 pub use gate::{DrainedZones, HoldReason, Locality, SendGates};
+pub use index::{RequiredWeights, WeightChanges};
 pub use instance::{DiscoveredInstance, InFlightGuard, Instance, LOADING_PAUSE, Load};
 pub use table::BackendTable;
--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -1,6 +1,6 @@
 //! Table of all discovered instances.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -11,13 +11,24 @@
 use super::choice::{Candidate, WorkKind, choose, median};
 use super::counters::DiscoveryCounters;
 use super::gate::{HoldReason, Locality, SendGates};
+use super::index::{ChoiceIndex, RequiredWeights};
 use super::instance::{DiscoveredInstance, Instance};
 
+/// Maximum number of fitting instances that one choice compares. The best of a random part of a
+/// large fleet is as good as the best of all, and chosen by fewer nodes at the same time.
+const MAX_CONSIDERED: usize = 256;
+
+/// Time for which the median unit time of a service with more instances is kept.
+const UNIT_TIME_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Instances by id. Cheap to clone.
 #[derive(Debug, Clone)]
 pub struct BackendTable {
     zone: Arc<str>,
     instances: Arc<Mutex<BTreeMap<String, Arc<Instance>>>>,
+    index: Arc<Mutex<ChoiceIndex>>,
+    /// Median unit times of the services with many instances, and when they were computed.
+    unit_times: Arc<Mutex<BTreeMap<String, (Option<f64>, Instant)>>>,
     changed: watch::Sender<u64>,
     /// Changes when an instance is added, removed or changed in anything but its weights.
     membership: watch::Sender<u64>,
@@ -35,6 +46,8 @@
         Self {
             zone: zone.into(),
             instances: Arc::default(),
+            index: Arc::default(),
+            unit_times: Arc::default(),
             changed: watch::Sender::new(0),
             membership: watch::Sender::new(0),
             is_populated: watch::Sender::new(false),
@@ -159,6 +172,9 @@
                         discovered.is_ready
                     );
                 }
+                if !known.belongs_to(&discovered.service) {
+                    lock(&self.index).clear();
+                }
                 known.update(discovered);
             }
             _ => {
@@ -176,6 +192,7 @@
                 );
                 let id = discovered.id.clone();
                 let instance = Arc::new(Instance::new(discovered, self.gates.clone()));
+                lock(&self.index).clear();
                 if let Some(earlier) = instances.insert(id, instance) {
                     earlier.mark_ended();
                     self.counters.restarts.inc();
@@ -234,7 +251,9 @@
 
     /// Removes an instance; its requests in flight continue.
     pub fn remove(&self, id: &str) {
-        if let Some(instance) = self.lock().remove(id) {
+        let removed = self.lock().remove(id);
+        if let Some(instance) = removed {
+            lock(&self.index).clear();
             instance.connections().close_idle();
             log::info!("event=instance_removed instance={id}");
             self.membership.send_modify(|count| *count += 1);
@@ -244,11 +263,12 @@
 
     /// Removes all instances that `is_in_scope` accepts and whose ids are not in `kept`.
     pub fn retain(&self, kept: &[String], is_in_scope: impl Fn(&DiscoveredInstance) -> bool) {
+        let kept: HashSet<&str> = kept.iter().map(String::as_str).collect();
         let gone: Vec<String> = {
             let instances = self.lock();
             let instances = instances.values();
             instances
-                .filter(|instance| !kept.iter().any(|id| id == instance.id()))
+                .filter(|instance| !kept.contains(instance.id()))
                 .filter(|instance| is_in_scope(&instance.discovered()))
                 .map(|instance| instance.id().to_owned())
                 .collect()
@@ -288,35 +308,57 @@
 
     /// Returns the instances of a service, sorted by id.
     pub fn instances_of(&self, service: &str) -> Vec<Arc<Instance>> {
+        self.list(service, RequiredWeights::ANY).to_vec()
+    }
+
+    /// Returns the instances of a service with the required weights, sorted by id.
+    fn list(&self, service: &str, weights: RequiredWeights) -> Arc<Vec<Arc<Instance>>> {
         let instances = self.lock();
-        let found = instances.values();
-        found
-            .filter(|instance| instance.belongs_to(service))
-            .cloned()
-            .collect()
+        let changes = &self.gates.weight_changes;
+        lock(&self.index).list(service, weights, changes, instances.values())
+    }
+
+    /// Returns the number of instances looked at so far to find those that fit a choice.
+    pub fn looked_at(&self) -> u64 {
+        lock(&self.index).looked_at()
     }
 
     /// Returns the median of the recent unit times of a service's instances, in milliseconds.
     pub fn typical_unit_time(&self, service: &str) -> Option<f64> {
         let now = Instant::now();
-        let instances = self.instances_of(service);
+        let instances = self.list(service, RequiredWeights::ANY);
+        if instances.len() <= MAX_CONSIDERED {
+            return self.median_unit_time(&instances, now);
+        }
+        let known = lock(&self.unit_times).get(service).copied();
+        if let Some((median, at)) = known
+            && now.saturating_duration_since(at) < UNIT_TIME_INTERVAL
+        {
+            return median;
+        }
+        let median = self.median_unit_time(&instances, now);
+        lock(&self.unit_times).insert(service.to_owned(), (median, now));
+        median
+    }
+
+    fn median_unit_time(&self, instances: &[Arc<Instance>], now: Instant) -> Option<f64> {
         let unit_times = instances
             .iter()
             .filter_map(|one| one.candidate(&self.zone, now).unit_time_ms);
         median(unit_times.collect())
     }
 
-    /// Chooses among the usable instances of `service` that `fits` accepts, and reserves capacity
-    /// for the request.
+    /// Chooses among the usable instances of `service` with the required weights that `fits`
+    /// accepts, and reserves capacity for the request.
     pub fn choose(
         &self,
         service: &str,
-        model: &str,
+        weights: RequiredWeights,
         demand: WorkKind,
         fits: impl Fn(&Instance) -> bool,
     ) -> Option<Arc<Instance>> {
         let now = Instant::now();
-        let (chosen, cold) = self.select(service, model, demand, now, fits);
+        let (chosen, cold) = self.select(service, weights, demand, now, fits);
         match &chosen {
             Some(instance) => instance.reserve_send(now),
             None => {
@@ -333,13 +375,13 @@
     pub fn best_in_regions(
         &self,
         service: &str,
-        model: &str,
+        weights: RequiredWeights,
         demand: WorkKind,
         allowed: &AllowedRegions,
         fits: impl Fn(&Instance) -> bool,
     ) -> Option<Arc<Instance>> {
         let fits = |instance: &Instance| instance.is_within(allowed) && fits(instance);
-        let (best, _) = self.select(service, model, demand, Instant::now(), fits);
+        let (best, _) = self.select(service, weights, demand, Instant::now(), fits);
         best
     }
 
@@ -347,13 +389,16 @@
     fn select(
         &self,
         service: &str,
-        model: &str,
+        weights: RequiredWeights,
         demand: WorkKind,
         now: Instant,
         fits: impl Fn(&Instance) -> bool,
     ) -> (Option<Arc<Instance>>, Vec<Arc<Instance>>) {
-        let mut usable = self.instances_of(service);
-        usable.retain(|instance| instance.is_usable(model, now) && fits(instance));
+        let list = self.list(service, weights);
+        let fits = |instance: &Instance| {
+            instance.is_usable(weights.model, now) && weights.fit(instance) && fits(instance)
+        };
+        let mut usable = considered(&list, fits);
         let cold = self.remove_held(&mut usable, now);
         let candidates: Vec<Candidate> = usable
             .iter()
@@ -406,12 +451,12 @@
     pub fn choose_in_regions(
         &self,
         service: &str,
-        model: &str,
+        weights: RequiredWeights,
         demand: WorkKind,
         allowed: &AllowedRegions,
         fits: impl Fn(&Instance) -> bool,
     ) -> Option<Arc<Instance>> {
-        self.choose(service, model, demand, |instance| {
+        self.choose(service, weights, demand, |instance| {
             instance.is_within(allowed) && fits(instance)
         })
     }
@@ -441,8 +486,24 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Arc<Instance>>> {
-        self.instances
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.instances)
     }
 }
+
+/// Returns the instances of a list that fit; of many, [`MAX_CONSIDERED`] from a random place on.
+fn considered(list: &[Arc<Instance>], fits: impl Fn(&Instance) -> bool) -> Vec<Arc<Instance>> {
+    let start = if list.len() > MAX_CONSIDERED {
+        rand::random_range(0..list.len())
+    } else {
+        0
+    };
+    let (before, after) = list.split_at(start);
+    let fitting = after.iter().chain(before).filter(|one| fits(one));
+    fitting.take(MAX_CONSIDERED).cloned().collect()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- a/crates/front/src/job/migration.rs
+++ b/crates/front/src/job/migration.rs
@@ -89,7 +89,6 @@
         let elapsed = self.last_at?.saturating_duration_since(self.first_at?);
         let mean_ms = elapsed.as_secs_f64() * 1e3 / f64::from(self.events - 1);
         let typical = context.backends.typical_unit_time(&context.service)?;
-        let model = &context.spec.model;
         let remaining = expected_remaining_events(partial.events(), max_events);
         let instance_ms = instance.recent_unit_time_ms()?;
         let expected_ms = |other_ms| {
@@ -102,7 +101,7 @@
         let demand = remaining_demand(partial.events());
         let other = context.backends.best_in_regions(
             &context.service,
-            model,
+            context.required_weights(),
             demand,
             &context.allowed_regions(),
             |other| other.id() != instance.id() && can_continue(context, partial, other),
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -296,7 +296,7 @@
     let choose = |exclude_last: bool| {
         backends.choose_in_regions(
             &context.service,
-            &context.spec.model,
+            context.required_weights(),
             WorkKind::InterruptedBatch,
             &context.allowed_regions(),
             |instance| {
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::run_record::RunRecord;
-use crate::backend::{BackendTable, Instance, LOADING_PAUSE};
+use crate::backend::{BackendTable, Instance, LOADING_PAUSE, RequiredWeights};
 use crate::config::CurrentConfig;
 use crate::dialect::SharedCodec;
 use crate::metrics::Metrics;
@@ -76,6 +76,14 @@
 }
 
 impl RunContext {
+    /// Returns the weights that an instance needs to run items of the job.
+    pub fn required_weights(&self) -> RequiredWeights<'_> {
+        RequiredWeights {
+            model: &self.spec.model,
+            min_version: self.spec.min_version,
+        }
+    }
+
     /// Returns the content digest of the item at `index`. It is the same if a later job repeats the
     /// item.
     pub(super) fn item_content(&self, index: usize) -> ContentDigest {
--- a/crates/front/src/job/scheduling.rs
+++ b/crates/front/src/job/scheduling.rs
@@ -67,15 +67,13 @@
             } else {
                 remaining_demand(saved.events())
             };
-            let is_new_enough =
-                |instance: &Instance| instance.version(&spec.model) >= spec.min_version;
             let backends = &self.context.backends;
             let chosen = backends.choose_in_regions(
                 &run.service,
-                &spec.model,
+                run.required_weights(),
                 demand,
                 &allowed,
-                is_new_enough,
+                |_| true,
             );
             let Some(instance) = chosen else {
                 self.has_waiting_items = true;
--- a/crates/front/src/job/scoring.rs
+++ b/crates/front/src/job/scoring.rs
@@ -12,7 +12,9 @@
 use ladderstage_wire::messages::RewardCall;
 
 use super::run_context::RunContext;
-use crate::backend::{AnswerIdPolicy, ExchangeError, Instance, RequestHead, WorkKind, send};
+use crate::backend::{
+    AnswerIdPolicy, ExchangeError, Instance, RequestHead, RequiredWeights, WorkKind, send,
+};
 use crate::config::Route;
 use crate::suspects::{ContentDigest, RunPermit};
 use crate::tenant::set_tenant;
@@ -138,7 +140,13 @@
         let is_new = |instance: &Instance| tried.iter().all(|other| other.id() != instance.id());
         let backends = &self.context.backends;
         let allowed = self.allowed_regions();
-        backends.choose_in_regions(service, "", WorkKind::Scoring, &allowed, is_new)
+        backends.choose_in_regions(
+            service,
+            RequiredWeights::ANY,
+            WorkKind::Scoring,
+            &allowed,
+            is_new,
+        )
     }
 
     /// Returns the regions in which the call may be served: by the current configuration, or by the
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -114,7 +114,7 @@
     let now = Instant::now();
     let other = context.backends.best_in_regions(
         &context.service,
-        &context.spec.model,
+        context.required_weights(),
         WorkKind::InterruptedBatch,
         &context.allowed_regions(),
         |other| {
--- a/crates/front/src/job/unfinished.rs
+++ b/crates/front/src/job/unfinished.rs
@@ -418,16 +418,13 @@
 async fn run_when_available(context: Arc<RunContext>, index: usize) -> RunOutcome {
     let mut stop = context.stop.clone();
     while context.window.is_open() && !*stop.borrow() {
-        let is_new_enough = |instance: &crate::backend::Instance| {
-            instance.version(&context.spec.model) >= context.spec.min_version
-        };
         let backends = &context.backends;
         let chosen = backends.choose_in_regions(
             &context.service,
-            &context.spec.model,
+            context.required_weights(),
             WorkKind::LongBatch,
             &context.allowed_regions(),
-            is_new_enough,
+            |_| true,
         );
         if let Some(instance) = chosen {
             let text = ItemText::default();
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -14,7 +14,7 @@
 
 use crate::backend::{
     AnswerIdPolicy, BackendTable, ExchangeError, HoldReason, InFlightGuard, Instance, Reply,
-    RequestHead, WorkKind, end_to_end_headers, send,
+    RequestHead, RequiredWeights, WorkKind, end_to_end_headers, send,
 };
 use crate::config::{CurrentConfig, Route, RouteKind};
 use crate::dialect::SharedCodec;
@@ -383,9 +383,13 @@
                 .any(|id| id == instance.id())
         };
         let untried = |instance: &Instance| !was_tried(instance);
-        let chosen =
-            self.backends
-                .choose_in_regions(service, "", WorkKind::Live, &allowed, untried);
+        let chosen = self.backends.choose_in_regions(
+            service,
+            RequiredWeights::ANY,
+            WorkKind::Live,
+            &allowed,
+            untried,
+        );
         let may_repeat = route.kind == RouteKind::Safe && progress.possible_runs > 0;
         chosen.or_else(|| {
             let tries = progress.tried_instances.len() as u32;
--- a/crates/front/src/orders/leader.rs
+++ b/crates/front/src/orders/leader.rs
@@ -154,7 +154,11 @@
 }
 
 fn spare_instance(instance: &Instance, demands: &[ModelDemand]) -> SpareInstance {
-    let lag = |demand: &ModelDemand| demand.newest.saturating_sub(instance.version(&demand.model));
+    let lag = |demand: &ModelDemand| {
+        demand
+            .newest
+            .saturating_sub(instance.version(&demand.model))
+    };
     SpareInstance {
         id: instance.id().to_owned(),
         zone: instance.zone(),
--- a/crates/front/tests/cold_instances.rs
+++ b/crates/front/tests/cold_instances.rs
@@ -7,7 +7,7 @@
 use ladderstage_clock::Instant;
 use ladderstage_front::backend::{
     BackendTable, ColdAllowance, ColdLimit, ColdState, ColdStatus, DiscoveredInstance, HoldReason,
-    PERMIT_LIFETIME, SEND_WINDOW, SendBudget, WRITE_MARGIN, WorkKind,
+    PERMIT_LIFETIME, RequiredWeights, SEND_WINDOW, SendBudget, WRITE_MARGIN, WorkKind,
 };
 use ladderstage_front::config::{ColdSpec, ServiceSpec, ServingConfig};
 use ladderstage_front::orders::{PERMIT_QUIET_PERIOD, PermitLedger};
@@ -195,7 +195,7 @@
 fn a_choice_counts_earlier_reservations() {
     let table = limited_table();
     table.upsert(record("i-1", 3_000));
-    let choose = || table.choose("service", "", WorkKind::Batch, |_| true);
+    let choose = || table.choose("service", RequiredWeights::ANY, WorkKind::Batch, |_| true);
     assert!(choose().is_none());
     let permit_requests = table.gates().permit_requests.drain_pending();
     assert_eq!(
--- a/crates/front/tests/large_fleet.rs
+++ b/crates/front/tests/large_fleet.rs
@@ -9,6 +9,7 @@
 use ladderstage_front::activity::Activity;
 use ladderstage_front::coordination::Coordination;
 use ladderstage_front::nodes::{FormatLevel, NodeRecord, NodeRole, Nodes};
+use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::{FetchReplicaSet, Request};
 use support::memory_store::{MemoryStore, NodeFaults};
@@ -51,6 +52,11 @@
     nodes
 }
 
+/// Lets the ages of what the nodes know grow, which tokio's paused clock does not.
+fn pass_time() {
+    ladderstage_clock::testing::suspend(Duration::from_secs(5));
+}
+
 /// Guards against nodes that read all records again each few seconds: together they would read the
 /// square of their number, more than the store can send.
 #[tokio::test(start_paused = true)]
@@ -79,6 +85,7 @@
         sleep(Duration::from_secs(30)).await;
         let before = store.records_sent("observer");
         write_node(&store, "front-late");
+        pass_time();
         let kind = RequestKind::fetch_replica_set(FetchReplicaSet {});
         let call = nodes.call("front-late", Request { kind }, Duration::from_millis(50));
         assert!(call.await.is_err());
@@ -99,6 +106,7 @@
     write_node(&store, "front-late");
     store.compact_history();
     sleep(Duration::from_secs(30)).await;
+    pass_time();
     assert!(nodes.is_present("front-late"));
     assert!(!nodes.is_present("front-7"));
 }
--- a/crates/front/tests/order_plan.rs
+++ b/crates/front/tests/order_plan.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use ladderstage_front::orders::{Assignment, FleetInstance, ModelDemand, max_trades, plan};
+use ladderstage_front::orders::{
+    Assignment, FleetInstance, ModelDemand, PlannedLoad, max_trades, plan_round,
+};
 use proptest::prelude::*;
 
 fn demand(model: &str, newest: u64, announced_for_ms: u64) -> ModelDemand {
@@ -13,9 +15,21 @@
         since_announcement: Duration::from_millis(announced_for_ms),
         relative_work: 1.0,
         longest_events: 0,
+        open_items: None,
     }
 }
 
+/// Plans the next order only.
+fn plan(
+    demands: &[ModelDemand],
+    assignment: &Assignment,
+    fleet: &[FleetInstance],
+    loads_in_progress: usize,
+    max_loads: usize,
+) -> Option<PlannedLoad> {
+    plan_round(demands, assignment, fleet, loads_in_progress, max_loads, 1).pop()
+}
+
 fn instance(id: &str, versions: &[(&str, u64)]) -> FleetInstance {
     let versions = versions
         .iter()
--- a/crates/front/tests/region_choice.rs
+++ b/crates/front/tests/region_choice.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use ladderstage_front::backend::{BackendTable, Candidate, DiscoveredInstance, WorkKind, choose};
+use ladderstage_front::backend::{
+    BackendTable, Candidate, DiscoveredInstance, RequiredWeights, WorkKind, choose,
+};
 use ladderstage_front::region::{AllowedRegions, Distance, RegionMap};
 use proptest::prelude::*;
 
@@ -97,7 +99,13 @@
     let table = table_of_two_regions();
     let only = |region: &str| AllowedRegions::only([region.into()]);
     let chosen = |allowed: &AllowedRegions| {
-        let first = table.choose_in_regions("service", "", WorkKind::Live, allowed, |_| true);
+        let first = table.choose_in_regions(
+            "service",
+            RequiredWeights::ANY,
+            WorkKind::Live,
+            allowed,
+            |_| true,
+        );
         let again = table.choose_for_retry("service", allowed);
         [first, again].map(|choice| choice.map(|instance| instance.id().to_owned()))
     };
--- a/crates/front/tests/support/memory_store.rs
+++ b/crates/front/tests/support/memory_store.rs
@@ -112,8 +112,7 @@
             Change::Removed { key } => key.starts_with(prefix),
         };
         let history = self.history.iter();
-        let matching =
-            history.filter(|(revision, change)| *revision > after && is_under(change));
+        let matching = history.filter(|(revision, change)| *revision > after && is_under(change));
         WatchAnswer::Changes {
             changes: matching.map(|(_, change)| change.clone()).collect(),
             at: self.revision,
@@ -354,7 +353,8 @@
                     return std::future::pending().await;
                 }
                 let answer = self.store.lock().changes_since(prefix, after);
-                let is_silent = matches!(&answer, WatchAnswer::Changes { changes, .. } if changes.is_empty());
+                let is_silent =
+                    matches!(&answer, WatchAnswer::Changes { changes, .. } if changes.is_empty());
                 if !is_silent {
                     return Ok(self.count_changes(answer));
                 }
