Ask a bounded number of fronts for demand, texts and the end of a leader

Change: a poll asks the strongest, the busy and 64 of the others in turn; texts are asked of the strongest fronts and the known owners; the end of a leader is told to the 16 that may lead next; updates are gathered so that they cost 500 calls a second at most.

--- a/crates/front/src/job/text_reuse.rs
+++ b/crates/front/src/job/text_reuse.rs
@@ -1,6 +1,6 @@
 //! Transfers texts from ended jobs to a later job that repeats their items.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -82,7 +82,7 @@
         KeptTexts { texts }
     }
 
-    /// Requests the texts of ended jobs for a new job from all fronts.
+    /// Requests the texts of ended jobs for a new job from the fronts that may have owned them.
     pub(super) fn collect_kept_texts(&self, spec: &JobSpec) -> BoxFuture<'static, Vec<KeptText>> {
         let request = TakeKeptTexts {
             model: spec.model.clone(),
@@ -101,16 +101,29 @@
         })
     }
 
+    /// Returns the other fronts that may have owned jobs: the strongest ones, to which the others
+    /// forward jobs, and the known owners. The text of another owner is generated again.
+    fn possible_owners(&self) -> BTreeSet<String> {
+        let nodes = &self.context.nodes;
+        let strongest = nodes.takeover_candidates().into_iter();
+        let mut fronts: BTreeSet<String> = strongest.map(|front| front.node).collect();
+        fronts.extend(
+            lock(&self.shared.owners)
+                .values()
+                .map(|(node, _)| node.clone()),
+        );
+        fronts.remove(&nodes.own().node);
+        fronts
+    }
+
     async fn collect_from_fronts(&self, request: TakeKeptTexts, texts: &mut Vec<KeptText>) {
         let nodes = &self.context.nodes;
-        let own = nodes.own().node;
-        let mut fronts = nodes.successors();
-        fronts.retain(|front| front.node != own);
+        let fronts = self.possible_owners();
         let mut calls: FuturesUnordered<_> = fronts
             .iter()
             .map(|front| {
                 let kind = RequestKind::take_kept_texts(request.clone());
-                nodes.call(&front.node, Request { kind }, COLLECT_TIMEOUT)
+                nodes.call(front, Request { kind }, COLLECT_TIMEOUT)
             })
             .collect();
         texts.extend(self.take_kept_texts(request.clone()).await.texts);
--- a/crates/front/src/orders/demand.rs
+++ b/crates/front/src/orders/demand.rs
@@ -2,6 +2,7 @@
 //! interval of each instance.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 use std::time::Duration;
 
 use ladderstage_clock::Instant;
@@ -16,9 +17,12 @@
 use crate::job::JobRegistry;
 use crate::nodes::Nodes;
 
-/// Interval between polls of all fronts. Between these, only the fronts with the most CPU and the
-/// busy ones are polled, to limit the leader's CPU use in a deployment with hundreds of fronts.
-const FULL_POLL_INTERVAL: Duration = Duration::from_secs(12);
+/// Number of polls in which all fronts are polled. Each poll asks the fronts with the most CPU, the
+/// busy ones and a part of the others.
+const POLLS_PER_CYCLE: usize = 4;
+
+/// Maximum number of the others that one poll asks, so that its cost does not grow with the fleet.
+const MAX_OTHERS_PER_POLL: usize = 64;
 
 /// Maximum factor by which an event interval grows from one poll to the next, so that a weight load
 /// or a brief disturbance hardly affects it.
@@ -43,8 +47,8 @@
     open_items: BTreeMap<String, (Option<u64>, Instant)>,
     /// Fronts that reported work.
     busy_fronts: BTreeSet<String>,
-    /// Time of the last poll of all fronts.
-    last_full_poll_at: Option<Instant>,
+    /// Front at which the last poll ended its part of the others; `None` before the first poll.
+    polled_up_to: Option<String>,
 }
 
 /// Items of one model that the fronts accepted recently.
@@ -70,19 +74,29 @@
     }
 }
 
+/// Returns the fronts that follow `polled_up_to` in order of their names, for one poll.
+fn next_part(fronts: &BTreeSet<String>, polled_up_to: Option<&str>) -> Vec<String> {
+    let count = fronts.len().div_ceil(POLLS_PER_CYCLE);
+    let count = count.min(MAX_OTHERS_PER_POLL);
+    let Some(last) = polled_up_to else {
+        // A new leader knows no busy fronts.
+        let count = fronts.len().min(MAX_OTHERS_PER_POLL * POLLS_PER_CYCLE);
+        return fronts.iter().take(count).cloned().collect();
+    };
+    let later = fronts.range::<str, _>((Bound::Excluded(last), Bound::Unbounded));
+    let earlier = fronts.range::<str, _>((Bound::Unbounded, Bound::Included(last)));
+    later.chain(earlier).take(count).cloned().collect()
+}
+
 impl FleetDemand {
-    /// Polls the busy fronts, and all of them every [`FULL_POLL_INTERVAL`]. Fronts that do not
-    /// answer in time are left out. `last` holds the previous reports.
+    /// Polls the busy fronts and a part of the others. Fronts that do not answer in time are left
+    /// out. `last` holds the previous reports.
     pub async fn collect_reports(nodes: &Nodes, jobs: &JobRegistry, last: &Self) -> Self {
-        let polls_all = last
-            .last_full_poll_at
-            .is_none_or(|at| at.elapsed() >= FULL_POLL_INTERVAL);
-        let fronts = if polls_all {
-            let fronts = nodes.successors().into_iter();
-            fronts.map(|front| front.node).collect()
-        } else {
-            last.recipients(nodes)
-        };
+        let mut fronts = last.recipients(nodes);
+        let all = nodes.successors().into_iter().map(|front| front.node);
+        let part = next_part(&all.collect(), last.polled_up_to.as_deref());
+        let polled_up_to = part.last().cloned();
+        fronts.extend(part);
         let own_node = nodes.own().node;
         let others = fronts.iter().filter(|front| **front != own_node);
         let calls = others.map(|front| async move {
@@ -98,11 +112,7 @@
         let mut combined = Self::combine(answers.into_iter().flatten().chain([own]));
         combined.limit_interval_increases(last);
         combined.keep_largest_open_items(last);
-        combined.last_full_poll_at = if polls_all {
-            Some(Instant::now())
-        } else {
-            last.last_full_poll_at
-        };
+        combined.polled_up_to = polled_up_to;
         combined
     }
 
--- a/crates/front/src/orders/former_leaders.rs
+++ b/crates/front/src/orders/former_leaders.rs
@@ -14,12 +14,17 @@
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::{GiverEnd, RecentOrder, Request};
 
+use super::candidates::ranked_nodes;
 use super::lease::LastLeader;
-use crate::nodes::Nodes;
+use crate::nodes::{NodeRole, Nodes};
 
 /// Timeout of one announcement.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum number of fronts that are told: several times the candidates for the lease, as some of
+/// them may leave at the same time.
+const MAX_RECIPIENTS: usize = 16;
+
 /// Announcement of a former leader.
 #[derive(Debug, Clone)]
 struct FormerLeader {
@@ -75,8 +80,8 @@
     }
 }
 
-/// Announces to all other fronts that `leader`, which is this node, issues no more orders, with its
-/// recent ones.
+/// Announces to the fronts that may lead next that `leader`, which is this node, issues no more
+/// orders, with its recent ones.
 pub(super) async fn announce_stop(nodes: &Nodes, leader: LastLeader, orders: &[(String, Instant)]) {
     let orders = orders.iter().map(|(instance, sent_at)| RecentOrder {
         instance: instance.clone(),
@@ -87,11 +92,13 @@
         fence: leader.fence,
         orders: orders.collect(),
     });
-    let fronts = nodes.successors();
-    let others = fronts.iter().filter(|front| front.node != leader.node);
-    let calls = others.map(|front| {
+    let fronts = nodes.with_role(NodeRole::Front);
+    let staying = fronts.iter().filter(|front| !front.is_leaving);
+    let ranked = ranked_nodes(staying.map(|front| (front.node.as_str(), front.cpu_millis)));
+    let others = ranked.into_iter().filter(|node| *node != leader.node);
+    let calls = others.take(MAX_RECIPIENTS).map(|node| {
         let request = Request { kind: kind.clone() };
-        nodes.call(&front.node, request, ANNOUNCEMENT_TIMEOUT)
+        nodes.call(node, request, ANNOUNCEMENT_TIMEOUT)
     });
     let answers = join_all(calls).await;
     let received = answers.iter().filter(|answer| answer.is_ok()).count();
--- a/crates/front/src/orders/weight_updates.rs
+++ b/crates/front/src/orders/weight_updates.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use ladderstage_clock::Instant;
 use ladderstage_journal::Peers;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::{InstanceWeights, Request, WeightNews};
@@ -47,10 +48,16 @@
     }
 }
 
+/// Maximum number of calls per second with which updates are sent. With many recipients, the
+/// updates of a longer time share one call to each.
+const MAX_CALLS_PER_SECOND: f64 = 500.0;
+
 /// Collects updates and sends them to other fronts.
 #[derive(Default)]
 pub(super) struct WeightUpdateSender {
     updates: Vec<InstanceWeights>,
+    /// Time before which no updates are sent.
+    send_after: Option<Instant>,
     calls: JoinSet<()>,
 }
 
@@ -79,9 +86,12 @@
     /// each load to hundreds of fronts would delay the load checks of a weak leader.
     pub fn send(&mut self, nodes: &Nodes, recipients: &BTreeSet<String>, limit: &LoadLimit) {
         while self.calls.try_join_next().is_some() {}
-        if self.updates.is_empty() {
+        let now = Instant::now();
+        if self.updates.is_empty() || self.send_after.is_some_and(|at| now < at) {
             return;
         }
+        let interval = Duration::from_secs_f64(recipients.len() as f64 / MAX_CALLS_PER_SECOND);
+        self.send_after = Some(now + interval);
         let kind = RequestKind::weight_news(WeightNews {
             instances: std::mem::take(&mut self.updates),
             usual_load_ms: limit.typical_load_time().unwrap_or_default().as_millis() as u64,
