Let the fronts of a large fleet wait for the roster instead of listing discovery

Change: with more than 400 known fronts, a front waits for the roster, and for the next order leader's, before it lists discovery; the roster is compressed where all fronts read that; a reader gathers changes for what the writer leaves of the delay.

--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -21,6 +21,9 @@
 /// Time for which the median unit time of a service with more instances is kept.
 const UNIT_TIME_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Median unit time of a service in milliseconds, and when it was computed.
+type UnitTimeMedian = (Option<f64>, Instant);
+
 /// Instances by id. Cheap to clone.
 #[derive(Debug, Clone)]
 pub struct BackendTable {
@@ -28,7 +31,7 @@
     instances: Arc<Mutex<BTreeMap<String, Arc<Instance>>>>,
     index: Arc<Mutex<ChoiceIndex>>,
     /// Median unit times of the services with many instances, and when they were computed.
-    unit_times: Arc<Mutex<BTreeMap<String, (Option<f64>, Instant)>>>,
+    unit_times: Arc<Mutex<BTreeMap<String, UnitTimeMedian>>>,
     changed: watch::Sender<u64>,
     /// Changes when an instance is added, removed or changed in anything but its weights.
     membership: watch::Sender<u64>,
@@ -306,6 +309,16 @@
             .collect()
     }
 
+    /// Returns the last discovery records of the instances of some services, sorted by id.
+    pub fn discovered_of(&self, services: &BTreeSet<String>) -> Vec<DiscoveredInstance> {
+        let instances = self.lock();
+        instances
+            .values()
+            .filter(|instance| services.contains(&instance.service()))
+            .map(|instance| instance.discovered())
+            .collect()
+    }
+
     /// Returns the instances of a service, sorted by id.
     pub fn instances_of(&self, service: &str) -> Vec<Arc<Instance>> {
         self.list(service, RequiredWeights::ANY).to_vec()
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -19,7 +19,7 @@
 use crate::job::{JobContext, JobRegistry, LatestSteps, LongestTexts, QuorumConfirmation};
 use crate::live::LiveService;
 use crate::metrics::Metrics;
-use crate::nodes::{FormatLevel, NodeRecord, NodeRole, Nodes};
+use crate::nodes::{FormatLevel, FrontCount, NodeRecord, NodeRole, Nodes};
 use crate::orders::{
     AnnouncedVersions, FormerLeaders, LearnedLoadLimit, OrderLeader, OrderOptions, PermitIssuer,
     PermitRequester,
@@ -69,6 +69,8 @@
     /// Timing of the roster (the record of the instances that live requests may go to); `None` if
     /// there is no roster.
     pub roster: Option<RosterTiming>,
+    /// Number of known fronts.
+    pub fronts: FrontCount,
     /// Codec of the platform's headers and bodies.
     pub codec: SharedCodec,
     /// Usage reports; `None` if they are disabled.
@@ -142,7 +144,9 @@
         error,
     })?;
     let nodes = Nodes::new(own_record(&options, server.address()));
-    let nodes = nodes.with_regions(options.regions.clone());
+    let nodes = nodes
+        .with_regions(options.regions.clone())
+        .with_front_count(inputs.fronts.clone());
     let shared = SharedParts {
         options: &options,
         inputs: &inputs,
--- a/crates/front/src/nodes/formats.rs
+++ b/crates/front/src/nodes/formats.rs
@@ -24,8 +24,11 @@
     /// for permits.
     pub const ZONES_AND_PERMITS: Self = Self(1);
 
+    /// Adds the compressed roster.
+    pub const PACKED_ROSTER: Self = Self(2);
+
     /// Level of this build.
-    pub const OWN: Self = Self::ZONES_AND_PERMITS;
+    pub const OWN: Self = Self::PACKED_ROSTER;
 }
 
 /// Returns the lowest level among the records with a role, or this build's own level if there are
--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -10,6 +10,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -39,6 +40,10 @@
 /// Time after which a node without a record counts as removed.
 const REMOVAL_AGE: Duration = Duration::from_secs(60);
 
+/// Maximum number of known nodes with which all records are read each time. Up to it, a stale
+/// listing costs less than a call for the changes.
+const MAX_RELISTED_NODES: usize = 400;
+
 /// Maximum number of changes per update that are logged individually; of more, only the count is
 /// logged.
 const MAX_LOGGED_CHANGES: usize = 16;
@@ -99,6 +104,28 @@
     outdated: BTreeSet<String>,
 }
 
+/// Number of fronts that a node knows, itself included. Cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub struct FrontCount(Arc<AtomicUsize>);
+
+impl FrontCount {
+    /// Returns the number.
+    pub fn get(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether there are so many fronts that what each reads from the store has to be
+    /// small.
+    pub fn is_large_fleet(&self) -> bool {
+        self.get() > MAX_RELISTED_NODES
+    }
+
+    /// Sets the number.
+    pub fn set(&self, count: usize) {
+        self.0.store(count, Ordering::Relaxed);
+    }
+}
+
 /// The known nodes, and calls to them. Cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Nodes {
@@ -117,6 +144,7 @@
     failed_calls: watch::Sender<u64>,
     /// Number of present nodes that read fewer formats than this one.
     outdated_nodes: IntGauge,
+    fronts: FrontCount,
 }
 
 impl Nodes {
@@ -139,9 +167,16 @@
             own_changed: watch::Sender::new(0),
             failed_calls: watch::Sender::new(0),
             outdated_nodes: outdated_nodes.expect("valid name"),
+            fronts: FrontCount::default(),
         }
     }
 
+    /// Sets the count that is updated whenever the nodes change.
+    pub fn with_front_count(mut self, fronts: FrontCount) -> Self {
+        self.fronts = fronts;
+        self
+    }
+
     /// Sets the regions of the deployment.
     pub fn with_regions(mut self, regions: RegionMap) -> Self {
         self.regions = regions;
@@ -316,6 +351,7 @@
                 }
             }),
         }
+        self.fronts.set(known.count_fronts());
         let outdated = known.update_outdated(own_formats);
         self.outdated_nodes
             .set(i64::try_from(outdated).unwrap_or(i64::MAX));
@@ -419,6 +455,14 @@
         }
     }
 
+    fn count_fronts(&self) -> usize {
+        let present = self.present.iter();
+        let records = present.filter_map(|node| self.records.get(node));
+        records
+            .filter(|record| record.role == NodeRole::Front)
+            .count()
+    }
+
     /// Updates the set of present nodes below a level, logs a change, and returns their number.
     fn update_outdated(&mut self, level: FormatLevel) -> usize {
         let present = self.present.iter();
--- a/crates/front/src/nodes/reading.rs
+++ b/crates/front/src/nodes/reading.rs
@@ -8,13 +8,9 @@
 
 use tokio::sync::MutexGuard;
 
-use super::{NODE_PREFIX, Nodes, lock};
+use super::{MAX_RELISTED_NODES, NODE_PREFIX, Nodes, lock};
 use crate::coordination::{Coordination, CoordinationError, Update, WatchAnswer};
 
-/// Maximum number of known nodes with which all records are read each time. Up to it, a stale
-/// listing costs less than a call for the changes.
-const MAX_RELISTED_NODES: usize = 400;
-
 impl Nodes {
     /// Reads the records, which may lag by some seconds.
     pub(super) async fn read_stale(
--- a/crates/front/src/roster/mod.rs
+++ b/crates/front/src/roster/mod.rs
@@ -22,9 +22,9 @@
 mod view;
 mod writer;
 
-pub use options::{FIRST_START_WAIT, RESTART_WAIT, RosterTiming};
+pub use options::{FIRST_START_WAIT, FLEET_START_WAIT, RESTART_WAIT, RosterTiming};
 pub use reader::{DiscoverySource, DrainTracking, RosterReader};
-pub use record::{Roster, RosterDrains};
+pub use record::{Roster, RosterDrains, RosterReadError};
 pub use view::DiscoveryView;
 pub use writer::RosterWriter;
 
--- a/crates/front/src/roster/options.rs
+++ b/crates/front/src/roster/options.rs
@@ -6,9 +6,12 @@
 /// Minimum lease of the roster; long enough for three renewals of 0.3 s each.
 const MIN_LEASE: Duration = Duration::from_secs(1);
 
-/// Maximum batch interval.
+/// Maximum batch interval of the writer.
 const MAX_BATCH_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Maximum batch interval of a reader. Every front reads each change that it does not batch.
+const MAX_READER_BATCH_INTERVAL: Duration = Duration::from_secs(3);
+
 /// Minimum batch interval; no roster is used if a shorter one would be required.
 const MIN_BATCH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -21,6 +24,10 @@
 /// roster is written once discovery is stable and the order leader holds its lease.
 pub const FIRST_START_WAIT: Duration = Duration::from_secs(8);
 
+/// Time for which a node of a fleet with enough fronts for a roster waits for it. Following discovery
+/// at all of them would cost far more.
+pub const FLEET_START_WAIT: Duration = Duration::from_secs(60);
+
 /// Time for which a restarted node waits for a roster. If a roster exists, the
 /// first answer of the store contains it.
 pub const RESTART_WAIT: Duration = Duration::from_millis(500);
@@ -44,11 +51,13 @@
     /// shortest lease that the store grants.
     pub fn within(limit: Duration, store_lease: Duration) -> Option<Self> {
         let lease = store_lease.max(MIN_LEASE);
-        let batch_interval = (limit.checked_sub(lease)? / 2).min(MAX_BATCH_INTERVAL);
-        (batch_interval >= MIN_BATCH_INTERVAL).then_some(Self {
+        let intervals = limit.checked_sub(lease)?;
+        let writer_batch_interval = (intervals / 2).min(MAX_BATCH_INTERVAL);
+        let reader_batch_interval = intervals - writer_batch_interval;
+        (writer_batch_interval >= MIN_BATCH_INTERVAL).then_some(Self {
             lease,
-            writer_batch_interval: batch_interval,
-            reader_batch_interval: batch_interval,
+            writer_batch_interval,
+            reader_batch_interval: reader_batch_interval.min(MAX_READER_BATCH_INTERVAL),
             min_fronts: MIN_FRONTS,
         })
     }
--- a/crates/front/src/roster/reader.rs
+++ b/crates/front/src/roster/reader.rs
@@ -3,18 +3,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ladderstage_journal::jitter::jittered;
 use tokio::sync::watch;
 
-use super::{DiscoveryView, ROSTER_KEY, Roster, RosterTiming};
+use super::{DiscoveryView, FIRST_START_WAIT, FLEET_START_WAIT, ROSTER_KEY, Roster, RosterTiming};
 use crate::activity::Activity;
 use crate::backend::BackendTable;
 use crate::config::CurrentConfig;
 use crate::coordination::{Change, Coordination, Follower, Record, Update, follow_with};
+use crate::nodes::FrontCount;
 
 /// Time after the last work for which discovery is followed. A front that gets steps gets one every
 /// few seconds, and switching back costs a listing before a step can start.
 const DISCOVERY_LINGER: Duration = Duration::from_secs(15);
 
+/// Mean time for which the fronts of a large fleet wait for the roster of the next order leader: the
+/// lease of the last one, and the time that the next one takes to list discovery.
+const NEXT_WRITER_WAIT: Duration = Duration::from_secs(6);
+
 /// Follows the discovery records and the operator's drain records.
 pub trait DiscoverySource: Send + Sync {
     /// Applies the discovery records to the table of instances until the future is dropped, and
@@ -53,6 +59,8 @@
     pub drains: Option<DrainTracking>,
     /// Time for which a starting node waits for a roster before it follows discovery.
     pub startup_wait: Duration,
+    /// Number of known fronts.
+    pub fronts: FrontCount,
     /// Discovery records.
     pub source: S,
 }
@@ -86,6 +94,7 @@
     async fn maintain_table(&self, known: &KnownRoster) {
         if self.wait_for_first_roster(known).await {
             self.use_roster(known).await;
+            self.use_rosters_of_next_writers(known).await;
         }
         loop {
             tokio::select! {
@@ -94,6 +103,27 @@
             }
             self.view.mark_unfollowed();
             self.use_roster(known).await;
+            self.use_rosters_of_next_writers(known).await;
+        }
+    }
+
+    /// Uses the rosters of the following writers for as long as each appears soon after the last one
+    /// is gone, in a large fleet: if all its fronts listed discovery whenever the writer is lost,
+    /// the store could serve nothing else.
+    async fn use_rosters_of_next_writers(&self, known: &KnownRoster) {
+        while self.fronts.is_large_fleet() && self.wait_for_next_roster(known).await {
+            self.use_roster(known).await;
+        }
+    }
+
+    /// Waits until another order leader has written the roster, unless work starts or none appears;
+    /// returns whether there is one.
+    async fn wait_for_next_roster(&self, known: &KnownRoster) -> bool {
+        let mut known = known.subscribe();
+        tokio::select! {
+            _ = known.wait_for(|roster| roster.as_ref().is_some_and(|one| self.covers_config(one))) => true,
+            () = tokio::time::sleep(jittered(NEXT_WRITER_WAIT)) => false,
+            () = self.activity.wait_until_active() => false,
         }
     }
 
@@ -107,9 +137,30 @@
         let mut known = known.subscribe();
         tokio::select! {
             _ = known.wait_for(|roster| roster.as_ref().is_some_and(|one| self.covers_config(one))) => true,
-            () = tokio::time::sleep(self.startup_wait) => false,
+            () = self.startup_wait() => false,
             () = self.activity.wait_until_active() => false,
-            () = self.backends.wait_for_first_request() => false,
+            () = self.wait_for_request() => false,
+        }
+    }
+
+    /// Waits until a request needs the first instances. In a large fleet, requests do not make the
+    /// fronts list discovery.
+    async fn wait_for_request(&self) {
+        self.backends.wait_for_first_request().await;
+        if self.fronts.is_large_fleet() {
+            std::future::pending().await
+        }
+    }
+
+    /// Waits for as long as a starting node waits for a roster: longer if there are enough fronts
+    /// for one.
+    async fn startup_wait(&self) {
+        tokio::time::sleep(self.startup_wait).await;
+        let min_fronts = self
+            .options
+            .map_or(usize::MAX, |options| options.min_fronts);
+        if self.startup_wait >= FIRST_START_WAIT && self.fronts.get() >= min_fronts {
+            tokio::time::sleep(FLEET_START_WAIT.saturating_sub(self.startup_wait)).await;
         }
     }
 
@@ -217,7 +268,13 @@
     }
 
     fn pause(&self) -> impl Future<Output = ()> + Send {
-        tokio::time::sleep(self.batch_interval)
+        // The next roster is used at once.
+        let has_roster = self.known.borrow().is_some();
+        tokio::time::sleep(if has_roster {
+            self.batch_interval
+        } else {
+            Duration::ZERO
+        })
     }
 
     fn on_update(&mut self, update: Update, _at: u64) {
--- a/crates/front/src/roster/record.rs
+++ b/crates/front/src/roster/record.rs
@@ -3,9 +3,25 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use ladderstage_wire::compression::{CompressionError, compress, decompress};
 use serde::{Deserialize, Serialize};
 
 use crate::backend::{BackendTable, DiscoveredInstance};
+use crate::nodes::FormatLevel;
+
+/// First byte of a compressed record; no JSON document begins with it.
+const PACKED_MARK: u8 = 1;
+
+/// Error of decoding a roster.
+#[derive(Debug, thiserror::Error)]
+pub enum RosterReadError {
+    /// The JSON is invalid.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    /// The compressed content is invalid.
+    #[error(transparent)]
+    Compression(#[from] CompressionError),
+}
 
 /// Drained zones as of a revision of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,8 +62,7 @@
         known_at: u64,
         drains: Option<RosterDrains>,
     ) -> Self {
-        let mut instances = table.discovered();
-        instances.retain(|instance| services.contains(&instance.service));
+        let mut instances = table.discovered_of(&services);
         instances.iter_mut().for_each(|instance| {
             instance.versions.clear();
             let zones = drains.as_ref().map(|drains| &drains.zones);
@@ -65,20 +80,31 @@
         }
     }
 
-    /// Encodes the record.
+    /// Encodes the record for readers of a level. It is sent to every front after each change, and
+    /// compressed to about a tenth.
     ///
     /// # Errors
     /// Returns an error when the JSON encoding fails.
-    pub fn write(&self) -> Result<Vec<u8>, serde_json::Error> {
-        serde_json::to_vec(self)
+    pub fn write(&self, level: FormatLevel) -> Result<Vec<u8>, serde_json::Error> {
+        let json = serde_json::to_vec(self)?;
+        Ok(if level >= FormatLevel::PACKED_ROSTER {
+            let mut packed = vec![PACKED_MARK];
+            packed.extend(compress(&json));
+            packed
+        } else {
+            json
+        })
     }
 
-    /// Decodes a record.
+    /// Decodes a record of any level.
     ///
     /// # Errors
     /// Returns an error when the bytes are not a valid roster.
-    pub fn read(bytes: &[u8]) -> Result<Self, serde_json::Error> {
-        serde_json::from_slice(bytes)
+    pub fn read(bytes: &[u8]) -> Result<Self, RosterReadError> {
+        match bytes.strip_prefix(&[PACKED_MARK]) {
+            Some(packed) => Ok(serde_json::from_slice(&decompress(packed)?)?),
+            None => Ok(serde_json::from_slice(bytes)?),
+        }
     }
 
     /// Returns whether another roster has the same services, instances and drained zones.
--- a/crates/front/src/roster/writer.rs
+++ b/crates/front/src/roster/writer.rs
@@ -10,7 +10,7 @@
 use crate::backend::BackendTable;
 use crate::config::CurrentConfig;
 use crate::coordination::{Coordination, CoordinationError, LeaseId, SwapResult};
-use crate::nodes::Nodes;
+use crate::nodes::{NodeRole, Nodes};
 
 /// Number of renewals within a lease, so that the record survives a lost or slow one.
 const RENEWALS_PER_LEASE: u32 = 3;
@@ -173,7 +173,7 @@
             return Ok(());
         }
         written.roster = None;
-        let value = roster.write()?;
+        let value = roster.write(self.nodes.shared_level(NodeRole::Front))?;
         match self.swap(written, value).await {
             Ok(SwapResult::Won { revision }) => {
                 log::info!(
--- a/crates/front/tests/formats.rs
+++ b/crates/front/tests/formats.rs
@@ -120,7 +120,8 @@
         assert!([0, 1_700_000_000_000].contains(&one.started_unix_ms));
         one.cold_ms = 4_000;
         one.is_preemptible = true;
-        let read: OlderRoster = serde_json::from_slice(&roster.write().unwrap()).unwrap();
+        let read: OlderRoster =
+            serde_json::from_slice(&roster.write(FormatLevel::ZONES_AND_PERMITS).unwrap()).unwrap();
         let expected: OlderRoster = serde_json::from_str(written["roster"]).unwrap();
         assert_eq!(read, expected);
     }
--- a/crates/front/tests/roster.rs
+++ b/crates/front/tests/roster.rs
@@ -12,7 +12,7 @@
     CurrentConfig, Route, RouteKind, ServiceSpec, ServingConfig, WeightedService,
 };
 use ladderstage_front::coordination::{Change, Coordination, Follower, Update, follow_with};
-use ladderstage_front::nodes::{FormatLevel, NodeRecord, NodeRole, Nodes};
+use ladderstage_front::nodes::{FormatLevel, FrontCount, NodeRecord, NodeRole, Nodes};
 use ladderstage_front::region::AllowedRegions;
 use ladderstage_front::roster::{
     DiscoverySource, DiscoveryView, DrainTracking, ROSTER_KEY, Roster, RosterDrains, RosterReader,
@@ -202,6 +202,7 @@
     config: CurrentConfig,
     view: DiscoveryView,
     activity: Activity,
+    fronts: FrontCount,
     drains: Option<DrainTracking>,
     coordination: NodeClient,
     tasks: Vec<JoinHandle<()>>,
@@ -251,6 +252,7 @@
         config.apply_if_newer(config_of(1, &[(RouteKind::Safe, "scorer")]));
         let view = DiscoveryView::default();
         let activity = Activity::default();
+        let fronts = FrontCount::default();
         let reader = RosterReader {
             coordination: Arc::new(coordination.clone()),
             backends: backends.clone(),
@@ -260,6 +262,7 @@
             options: Some(options()),
             drains: drains.clone(),
             startup_wait,
+            fronts: fronts.clone(),
             source: InstanceRecords {
                 coordination: Arc::new(coordination.clone()),
                 backends: backends.clone(),
@@ -272,6 +275,7 @@
             config,
             view,
             activity,
+            fronts,
             drains,
             coordination,
             tasks: vec![reading],
@@ -613,7 +617,7 @@
         drains: None,
     };
     leave(&store, "i-1");
-    store.write(ROSTER_KEY, old.write().unwrap());
+    store.write(ROSTER_KEY, old.write(FormatLevel::OWN).unwrap());
     let reader = Node::start(&store, "reader", options().reader_batch_interval);
     for _ in 0..4_000 {
         sleep(Duration::from_millis(5)).await;
@@ -667,6 +671,86 @@
     }
 }
 
+/// Guards against hundreds of fronts that all list discovery because the roster of a large fleet
+/// takes longer than the usual startup.
+#[tokio::test(start_paused = true)]
+async fn a_front_of_a_large_fleet_waits_longer_for_the_roster() {
+    let store = MemoryStore::default();
+    write(&store, &instance("i-1"));
+    let wait = Duration::from_secs(8);
+    let reader = Node::start_waiting(&store, "reader", options().reader_batch_interval, wait);
+    reader.fronts.set(options().min_fronts);
+    sleep(Duration::from_secs(20)).await;
+    assert_eq!(store.calls("reader", "list", INSTANCES), 0);
+    let _writer = Node::start_writer(&store, "writer");
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(reader.is_ready("i-1"), Some(true));
+    assert_eq!(store.calls("reader", "list", INSTANCES), 0);
+}
+
+/// Guards against a loss of the order leader after which all fronts of a large fleet list discovery.
+#[tokio::test(start_paused = true)]
+async fn a_front_of_a_large_fleet_waits_for_the_next_writer_of_the_roster() {
+    let store = MemoryStore::default();
+    write(&store, &instance("i-1"));
+    let writer = Node::start_writer(&store, "writer");
+    let wait = Duration::from_secs(8);
+    let reader = Node::start_waiting(&store, "reader", options().reader_batch_interval, wait);
+    reader.fronts.set(500);
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(reader.is_ready("i-1"), Some(true));
+    drop(writer);
+    sleep(Duration::from_secs(3)).await;
+    leave(&store, "i-1");
+    let _next = Node::start_writer(&store, "next");
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(reader.is_ready("i-1"), Some(false));
+    assert_eq!(store.calls("reader", "list", INSTANCES), 0);
+}
+
+/// Guards against a front of a large fleet that never learns of changes without a writer.
+#[tokio::test(start_paused = true)]
+async fn a_front_of_a_large_fleet_follows_discovery_if_no_next_writer_appears() {
+    let store = MemoryStore::default();
+    write(&store, &instance("i-1"));
+    let writer = Node::start_writer(&store, "writer");
+    let wait = Duration::from_secs(8);
+    let reader = Node::start_waiting(&store, "reader", options().reader_batch_interval, wait);
+    reader.fronts.set(500);
+    sleep(Duration::from_secs(10)).await;
+    drop(writer);
+    sleep(Duration::from_secs(12)).await;
+    leave(&store, "i-1");
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(reader.is_ready("i-1"), Some(false));
+}
+
+/// Guards against a roster whose size lets each change fill the store's link.
+#[test]
+fn a_packed_roster_takes_a_fraction_of_the_plain_one() {
+    let instances = (0..400).map(|index| DiscoveredInstance {
+        id: format!("i-{:08x}", index * 2_654_435_761_u64 % 4_294_967_296),
+        address: ([10, 128, (index % 256) as u8, 7], 8080).into(),
+        ..instance("i")
+    });
+    let roster = Roster {
+        known_at: 7,
+        services: BTreeSet::from(["scorer".to_owned()]),
+        instances: instances.collect(),
+        drains: None,
+    };
+    let [plain, packed] = [FormatLevel::ZONES_AND_PERMITS, FormatLevel::OWN]
+        .map(|level| roster.write(level).unwrap());
+    assert!(
+        packed.len() * 5 < plain.len(),
+        "{} of {}",
+        packed.len(),
+        plain.len()
+    );
+    assert_eq!(Roster::read(&packed).unwrap(), roster);
+    assert_eq!(Roster::read(&plain).unwrap(), roster);
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_invalid_roster_is_ignored() {
     let (store, writer, reader) = start_fleet().await;
@@ -904,7 +988,7 @@
     drain(&store, "a");
     let reader = Node::start_draining(&store, "reader", Duration::ZERO);
     sleep(Duration::from_secs(1)).await;
-    store.write(ROSTER_KEY, old.write().unwrap());
+    store.write(ROSTER_KEY, old.write(FormatLevel::OWN).unwrap());
     for _ in 0..4_000 {
         sleep(Duration::from_millis(5)).await;
         assert!(!reader.may_send("i-a"));
