Say that discovery is followed when it is, and what a small fleet is

Cause: instances_from_discovery was logged when a roster ended, also while the front waits for the next one; a constant was named after one of its uses; a method had the name of a field. Change: names and the place of the log line; a test that older builds refuse the packed roster.

--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -40,9 +40,9 @@
 /// Time after which a node without a record counts as removed.
 const REMOVAL_AGE: Duration = Duration::from_secs(60);
 
-/// Maximum number of known nodes with which all records are read each time. Up to it, a stale
-/// listing costs less than a call for the changes.
-const MAX_RELISTED_NODES: usize = 400;
+/// Maximum number of nodes of a small fleet, in which each node may read all records each time. Up to
+/// it, a stale listing costs less than a call for the changes.
+const MAX_SMALL_FLEET: usize = 400;
 
 /// Maximum number of changes per update that are logged individually; of more, only the count is
 /// logged.
@@ -117,7 +117,7 @@
     /// Returns whether there are so many fronts that what each reads from the store has to be
     /// small.
     pub fn is_large_fleet(&self) -> bool {
-        self.get() > MAX_RELISTED_NODES
+        self.get() > MAX_SMALL_FLEET
     }
 
     /// Sets the number.
--- a/crates/front/src/nodes/reading.rs
+++ b/crates/front/src/nodes/reading.rs
@@ -8,7 +8,7 @@
 
 use tokio::sync::MutexGuard;
 
-use super::{MAX_RELISTED_NODES, NODE_PREFIX, Nodes, lock};
+use super::{MAX_SMALL_FLEET, NODE_PREFIX, Nodes, lock};
 use crate::coordination::{Coordination, CoordinationError, Update, WatchAnswer};
 
 impl Nodes {
@@ -57,7 +57,7 @@
     /// changes are read.
     pub(super) fn large_fleet_revision(&self) -> Option<u64> {
         let known = lock(&self.known);
-        (known.present.len() > MAX_RELISTED_NODES).then_some(known.at)
+        (known.present.len() > MAX_SMALL_FLEET).then_some(known.at)
     }
 
     /// Reads the changes after a revision, or all records if the store no longer has the changes.
--- a/crates/front/src/orders/working_set.rs
+++ b/crates/front/src/orders/working_set.rs
@@ -58,11 +58,6 @@
         self.members.keys().map(String::as_str)
     }
 
-    /// Returns whether an instance is in use.
-    pub fn contains(&self, id: &str) -> bool {
-        self.members.contains_key(id)
-    }
-
     /// Removes the instances that can no longer be used.
     pub fn retain(&mut self, is_usable: impl Fn(&str) -> bool) {
         self.members.retain(|id, _| is_usable(id));
--- a/crates/front/src/roster/reader.rs
+++ b/crates/front/src/roster/reader.rs
@@ -97,6 +97,10 @@
             self.use_rosters_of_next_writers(known).await;
         }
         loop {
+            log::info!(
+                "event=instances_from_discovery working={}",
+                self.activity.is_active()
+            );
             tokio::select! {
                 () = self.source.follow(&self.view) => return,
                 () = self.wait_until_roster_suffices(known) => {}
@@ -137,7 +141,7 @@
         let mut known = known.subscribe();
         tokio::select! {
             _ = known.wait_for(|roster| roster.as_ref().is_some_and(|one| self.covers_config(one))) => true,
-            () = self.startup_wait() => false,
+            () = self.pass_startup() => false,
             () = self.activity.wait_until_active() => false,
             () = self.wait_for_request() => false,
         }
@@ -154,7 +158,7 @@
 
     /// Waits for as long as a starting node waits for a roster: longer if there are enough fronts
     /// for one.
-    async fn startup_wait(&self) {
+    async fn pass_startup(&self) {
         tokio::time::sleep(self.startup_wait).await;
         let min_fronts = self
             .options
@@ -167,10 +171,6 @@
     async fn use_roster(&self, known: &KnownRoster) {
         log::info!("event=instances_from_roster");
         self.follow_roster(known).await;
-        log::info!(
-            "event=instances_from_discovery working={}",
-            self.activity.is_active()
-        );
     }
 
     /// Returns once there has been no work for [`DISCOVERY_LINGER`] and the roster is at least as
--- a/crates/front/tests/formats.rs
+++ b/crates/front/tests/formats.rs
@@ -124,6 +124,10 @@
             serde_json::from_slice(&roster.write(FormatLevel::ZONES_AND_PERMITS).unwrap()).unwrap();
         let expected: OlderRoster = serde_json::from_str(written["roster"]).unwrap();
         assert_eq!(read, expected);
+        // A build that cannot read it follows discovery.
+        let packed = roster.write(FormatLevel::PACKED_ROSTER).unwrap();
+        assert!(serde_json::from_slice::<OlderRoster>(&packed).is_err());
+        assert_eq!(Roster::read(&packed).unwrap(), roster);
     }
 }
 
