Jobs: log whose run an item had, who was silent, and why an owner is ruled out

Callers: items ran more often than they should; the log of such a play named neither the owner of a run nor the silence that ended it.

Cause: item_run had no epoch, so that the runs of successive owners looked the same. A run that left a silent instance did not say how long the front itself had run meanwhile, nor what made the other instance look better. A front that took an orphaned job over did not say which doubt ruled its owner out; a node that answered "not confirmed" counted as one that did not answer.

Change: item_run has the owner's epoch; a run that left a silent instance logs silent_ms, ran_ms, and the other instance with its silence. job_without_owner has a line for each recorded owner: doubt and silence. Decisions are as before.

--- a/crates/clock/src/running_timeout.rs
+++ b/crates/clock/src/running_timeout.rs
@@ -18,6 +18,8 @@
 pub struct Silent {
     /// Time for which this process ran meanwhile, at least the limit.
     pub after: Duration,
+    /// Time by the clock, which includes standstills of this process.
+    pub elapsed: Duration,
 }
 
 /// Awaits `future` until this process has run for `limit`. A process that stood still received
@@ -30,6 +32,7 @@
 pub async fn running_timeout<F: Future>(limit: Duration, future: F) -> Result<F::Output, Silent> {
     let mut future = pin!(future);
     let mut after = Duration::ZERO;
+    let first_started = Instant::now();
     loop {
         let started = Instant::now();
         if let Ok(output) = tokio::time::timeout(SLICE.min(limit - after), &mut future).await {
@@ -37,7 +40,8 @@
         }
         after += started.elapsed().min(MAX_SLICE);
         if after >= limit {
-            return Err(Silent { after });
+            let elapsed = first_started.elapsed();
+            return Err(Silent { after, elapsed });
         }
     }
 }
--- a/crates/front/src/explain/timeline.rs
+++ b/crates/front/src/explain/timeline.rs
@@ -7,7 +7,7 @@
 use super::line::LogLine;
 
 /// Events of a batch job that affect each of its items.
-const JOB_EVENTS: [&str; 9] = [
+const JOB_EVENTS: [&str; 10] = [
     "job_accepted",
     "job_log_taken",
     "job_log_retaken",
@@ -16,6 +16,7 @@
     "job_lost",
     "job_hidden_owner_found",
     "job_is_owned",
+    "job_without_owner",
     "job_ended",
 ];
 
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -38,6 +38,7 @@
 mod run_record;
 mod scheduling;
 mod scoring;
+mod stall;
 mod state;
 mod stream;
 mod suspect_runs;
--- a/crates/front/src/job/orphans.rs
+++ b/crates/front/src/job/orphans.rs
@@ -26,7 +26,9 @@
     NotOwner,
     /// Nothing can be sent to the node, or it has left.
     Unreachable,
-    /// The node did not answer, or could not confirm its ownership.
+    /// The node answered that it cannot confirm its ownership at present.
+    NotConfirmed,
+    /// The node did not answer.
     NoAnswer,
 }
 
@@ -37,7 +39,17 @@
         match self {
             Self::NotOwner => None,
             Self::Unreachable => Some(UNREACHABLE_OWNER_TIMEOUT),
-            Self::NoAnswer => Some(OWNER_TIMEOUT),
+            Self::NotConfirmed | Self::NoAnswer => Some(OWNER_TIMEOUT),
+        }
+    }
+
+    /// Returns the label in logs.
+    fn label(self) -> &'static str {
+        match self {
+            Self::NotOwner => "not_owner",
+            Self::Unreachable => "unreachable",
+            Self::NotConfirmed => "not_confirmed",
+            Self::NoAnswer => "no_answer",
         }
     }
 }
@@ -71,6 +83,7 @@
                 log_owned(id, owner, "heartbeats");
                 return None;
             }
+            log_without_owner(id, owner, doubt);
         }
         Some(latest.newest.epoch)
     }
@@ -83,9 +96,8 @@
         let answer = self.call_node(id, &owner.node, owner_probe(id), Duration::ZERO);
         match answer.await {
             Ok(ResponseKind::job_results(_)) => None,
-            Ok(_) | Err(NodeCallError::Unavailable(_) | NodeCallError::NotReady(_)) => {
-                Some(OwnerDoubt::NoAnswer)
-            }
+            Err(NodeCallError::NotReady(_)) => Some(OwnerDoubt::NotConfirmed),
+            Ok(_) | Err(NodeCallError::Unavailable(_)) => Some(OwnerDoubt::NoAnswer),
             Err(NodeCallError::NotOwner) => Some(OwnerDoubt::NotOwner),
             Err(NodeCallError::Absent(_) | NodeCallError::NotSent(_)) => {
                 Some(OwnerDoubt::Unreachable)
@@ -106,6 +118,16 @@
     }
 }
 
+fn log_without_owner(id: &str, owner: &RecordedOwner, doubt: OwnerDoubt) {
+    log::info!(
+        "event=job_without_owner job={id} node={} epoch={} doubt={} silence_ms={}",
+        owner.node,
+        owner.epoch.round,
+        doubt.label(),
+        owner.silence.unwrap_or_default().as_millis()
+    );
+}
+
 fn log_owned(id: &str, owner: &RecordedOwner, reason: &str) {
     let node = &owner.node;
     log::info!("event=job_is_owned job={id} node={node} reason={reason}");
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -13,6 +13,7 @@
 use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE, can_continue};
 use super::run_record::RunRecord;
 use super::scoring::{ScoreEnd, score};
+use super::stall::{Awaited, Silence, StalledRun};
 use super::stream::follow_stream;
 use super::text::ItemText;
 use crate::backend::{AnswerIdPolicy, ExchangeError, Instance, RequestHead, WorkKind, send};
@@ -245,12 +246,11 @@
         RunEnd::Unprocessable => "impossible".to_owned(),
         RunEnd::Failed => "failed".to_owned(),
         RunEnd::NotStarted(cause) => format!("not_taken cause=\"{cause}\""),
-        RunEnd::Migrate(cause) | RunEnd::TimedOut(cause) | RunEnd::Broken(cause) => {
-            format!("moved cause=\"{cause}\"")
-        }
+        RunEnd::Migrate(cause) | RunEnd::Broken(cause) => format!("moved cause=\"{cause}\""),
+        RunEnd::TimedOut(stalled) => format!("moved {stalled}"),
     };
     log::info!(
-        "event=item_run item={} job={} group={} instance={} distance={} started={} tokens={} guess={} events={} versions={:?} elapsed_ms={} outcome={outcome}",
+        "event=item_run item={} job={} group={} instance={} distance={} started={} tokens={} guess={} events={} versions={:?} epoch={} elapsed_ms={} outcome={outcome}",
         context.spec.items[index].id,
         context.spec.job,
         context.spec.items[index].group,
@@ -261,6 +261,7 @@
         context.spec.items[index].expected_tokens,
         partial.events(),
         partial.versions(),
+        context.owner_round,
         started.elapsed().as_millis()
     );
 }
@@ -335,9 +336,15 @@
     let reply = match running_timeout(context.first_event_timeout(), sending).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(error)) => return on_exchange_error(context, instance, &error),
-        Err(_) => {
+        Err(silent) => {
             instance.record_failure(Instant::now());
-            return RunEnd::TimedOut("timed out waiting for the first event".to_owned());
+            let mut silence = Silence::default();
+            silence.extend(silent);
+            return RunEnd::TimedOut(StalledRun {
+                awaited: Awaited::Response,
+                silence,
+                alternative: None,
+            });
         }
     };
     match reply.status {
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -47,6 +47,9 @@
     pub metrics: Arc<Metrics>,
     /// Specification of the job.
     pub spec: Arc<JobSpec>,
+    /// Round of the owner's epoch when the runs were started. Tells runs of successive owners
+    /// apart in the log.
+    pub owner_round: u64,
     /// Service that runs the items.
     pub service: String,
     /// Priority of the items at instances.
--- a/crates/front/src/job/run_end.rs
+++ b/crates/front/src/job/run_end.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::run_context::RunContext;
+use super::stall::StalledRun;
 use super::text::ItemText;
 use crate::backend::Instance;
 
@@ -23,7 +24,7 @@
     Migrate(String),
     /// The instance sent no event in time and may still run the item; the item migrates to another
     /// instance.
-    TimedOut(String),
+    TimedOut(StalledRun),
     /// The connection broke; the item migrates to another instance.
     Broken(String),
 }
--- a/crates/front/src/job/scheduling.rs
+++ b/crates/front/src/job/scheduling.rs
@@ -178,6 +178,7 @@
             config: self.context.config.clone(),
             metrics: Arc::clone(&self.context.metrics),
             spec: Arc::clone(spec),
+            owner_round: self.job.epoch().round,
             service: service.to_owned(),
             priority_header: route.priority_header(tenant.map(AsRef::as_ref)),
             initial_allowed_regions: route.allowed_regions_for(tenant.map(AsRef::as_ref)),
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -6,13 +6,14 @@
 
 use http::{HeaderMap, HeaderName};
 use http_body_util::BodyExt;
-use ladderstage_clock::{Instant, Silent, running_timeout};
+use ladderstage_clock::{Instant, running_timeout};
 
 use super::events::{Event, EventParser};
 use super::migration::EventIntervals;
 use super::run_context::RunContext;
 use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE, can_continue};
 use super::run_record::RunRecord;
+use super::stall::{Alternative, Awaited, Silence, StalledRun};
 use super::text::ItemText;
 use crate::backend::{Instance, Reply, WorkKind, keep_alive};
 
@@ -46,21 +47,26 @@
     let mut parser = EventParser::new(names.weight_version.as_str());
     let mut intervals = EventIntervals::default();
     let max_events = context.max_events(index);
-    let mut stalled_for = Duration::ZERO;
+    let mut silence = Silence::default();
     loop {
         let limit = match intervals.events {
-            _ if stalled_for > Duration::ZERO => STALL_POLL_INTERVAL,
+            _ if silence.running > Duration::ZERO => STALL_POLL_INTERVAL,
             0 => context.first_event_timeout(),
             _ => MAX_EVENT_INTERVAL,
         };
         let frame = match running_timeout(limit, body.frame()).await {
-            Err(Silent { after }) => {
-                stalled_for += after;
-                if stalled_for < MAX_STALL && !can_migrate(context, instance, partial) {
+            Err(silent) => {
+                silence.extend(silent);
+                let alternative = find_alternative(context, instance, partial);
+                if silence.running < MAX_STALL && alternative.is_none() {
                     continue;
                 }
                 instance.record_failure(Instant::now());
-                return RunEnd::TimedOut("timed out waiting for an event".to_owned());
+                return RunEnd::TimedOut(StalledRun {
+                    awaited: Awaited::Event,
+                    silence,
+                    alternative,
+                });
             }
             Ok(Some(Err(error))) => {
                 instance.record_failure(Instant::now());
@@ -74,7 +80,7 @@
             }
             Ok(None) => return RunEnd::Broken("stream ended without an end marker".to_owned()),
         };
-        stalled_for = Duration::ZERO;
+        silence = Silence::default();
         instance.record_activity(Instant::now());
         let Ok(data) = frame.into_data() else {
             continue;
@@ -108,9 +114,13 @@
     }
 }
 
-/// Returns whether another instance can continue the text of a stalled run. Without one, a
-/// migration would only repeat the prefill, at the same instance or at one that is stalled too.
-fn can_migrate(context: &RunContext, instance: &Instance, partial: &ItemText) -> bool {
+/// Returns another instance that can continue the text of a stalled run. Without one, a migration
+/// would only repeat the prefill, at the same instance or at one that is stalled too.
+fn find_alternative(
+    context: &RunContext,
+    instance: &Instance,
+    partial: &ItemText,
+) -> Option<Alternative> {
     let now = Instant::now();
     let other = context.backends.best_in_regions(
         &context.service,
@@ -122,8 +132,8 @@
                 && can_continue(context, partial, other)
                 && other.silence(now) < MAX_EVENT_INTERVAL
         },
-    );
-    other.is_some()
+    )?;
+    Some(Alternative::new(&other, other.silence(now)))
 }
 
 /// Appends one event to the text; ends the run if the event is out of sequence or its weights are
