Jobs: an owner that hands a job over does not take it back

Callers: all items of a job ran a third time after one handover: 12 runs instead of 8 of a_job_that_was_handed_on_stays_with_its_new_owner.

Cause: an owner takes its log back if a replica has accepted another writer for 1.2 s and no majority has confirmed that one. A stopping owner did so to the successor that it had named itself, if two of three replicas were too slow to tell it of the successor.

Evidence: two of three stores stalled for 3 s right after the successor began. The log has job_handed_over, job_log_taken (round 2), 1.5 s later job_log_reclaimed with found=Other at the old owner, job_lost at the successor, and item_run with epoch=3 of all items.

Change: an owner that hands over leaves a contested log to the other writer. It names the successor again until it has lost the job, as before.

Conclusion: one way to a third run of all items is closed.

--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -164,6 +164,7 @@
         let mut appending: Option<BoxFuture<'static, AppendDone>> = None;
         loop {
             let list_at = self.list_at();
+            let reclaim_at = self.reclaim_at();
             if appending.is_none() {
                 appending = self.next_append();
             }
@@ -198,7 +199,7 @@
                     }
                 }
                 () = sleep_until(list_at) => self.list_ready(),
-                () = sleep_until(self.job.reclaim_at()), if appending.is_none() => {
+                () = sleep_until(reclaim_at), if appending.is_none() => {
                     if let Some(cause) = self.reclaim().await {
                         return self.end(cause);
                     }
@@ -325,6 +326,13 @@
         self.job.notify();
     }
 
+    /// Returns when this owner takes its contested log over again. An owner that hands the job over
+    /// does not: the other writer is its successor.
+    fn reclaim_at(&self) -> Option<Instant> {
+        let is_handing_over = *self.stop.borrow();
+        self.job.reclaim_at().filter(|_| !is_handing_over)
+    }
+
     /// Takes over the log again because a replica has accepted another writer that did not reach
     /// a majority.
     async fn reclaim(&mut self) -> Option<StopCause> {
