Jobs: wait for a late answer as for a late event

Callers: all items of a job ran twice at the only instance that could run them, 8 runs instead of 4, and their prompts were read twice.

Cause: a run leaves a silent instance only if another one can continue it, or after 4.8 s. The wait for the head of a response had no such rule: after 1.1 to 2.5 s the run left in any case, and began again at the same instance.

Evidence: the only sampler behind a proxy that forwards nothing for 3 s. Four lines at once: item_run events=0 epoch=2 cause="timed out waiting for the first event" silent_ms=2056 ran_ms=2056 other=none. So neither a takeover (one epoch) nor a standstill of the front (it ran all the time).

Change: both waits use StallTimeout (job/stall.rs), which stream.rs had before.

--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -6,14 +6,14 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
-use ladderstage_clock::{Instant, running_timeout};
+use ladderstage_clock::Instant;
 
 use super::lost_runs::LostRuns;
 use super::run_context::{RunContext, exclusion_after_rejection};
 use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE, can_continue};
 use super::run_record::RunRecord;
 use super::scoring::{ScoreEnd, score};
-use super::stall::{Awaited, Silence, StalledRun};
+use super::stall::{Awaited, StallTimeout};
 use super::stream::follow_stream;
 use super::text::ItemText;
 use crate::backend::{AnswerIdPolicy, ExchangeError, Instance, RequestHead, WorkKind, send};
@@ -333,19 +333,13 @@
         &attempt_id,
         AnswerIdPolicy::Required,
     );
-    let reply = match running_timeout(context.first_event_timeout(), sending).await {
+    let limit = context.first_event_timeout();
+    let stall_timeout = StallTimeout { context, instance };
+    let sent = stall_timeout.wait(Awaited::Response, limit, partial, sending);
+    let reply = match sent.await {
         Ok(Ok(reply)) => reply,
         Ok(Err(error)) => return on_exchange_error(context, instance, &error),
-        Err(silent) => {
-            instance.record_failure(Instant::now());
-            let mut silence = Silence::default();
-            silence.extend(silent);
-            return RunEnd::TimedOut(StalledRun {
-                awaited: Awaited::Response,
-                silence,
-                alternative: None,
-            });
-        }
+        Err(stalled) => return RunEnd::TimedOut(stalled),
     };
     match reply.status {
         StatusCode::OK => follow_stream(context, index, instance, reply, partial).await,
--- a/crates/front/src/job/stall.rs
+++ b/crates/front/src/job/stall.rs
@@ -1,11 +1,25 @@
 //! Silence of a run's instance, after which the run leaves it.
 
 use std::fmt;
+use std::pin::pin;
 use std::time::Duration;
 
-use ladderstage_clock::Silent;
+use ladderstage_clock::{Instant, Silent, running_timeout};
 
-use crate::backend::Instance;
+use super::run_context::RunContext;
+use super::run_end::can_continue;
+use super::text::ItemText;
+use crate::backend::{Instance, WorkKind};
+
+/// Time since the last event after which another instance counts as silent too.
+const MAX_ALTERNATIVE_SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Time without anything after which a run migrates even if no other instance is known to be
+/// better, as its connection may be broken.
+const MAX_STALL: Duration = Duration::from_millis(4_800);
+
+/// Interval between checks whether a stalled run can migrate.
+const STALL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What a run waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,16 +32,16 @@
 
 /// Time without anything from a run's instance.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Silence {
+struct Silence {
     /// Time for which this node ran meanwhile.
-    pub running: Duration,
+    running: Duration,
     /// Time by the clock, which includes standstills of this node.
-    pub elapsed: Duration,
+    elapsed: Duration,
 }
 
 impl Silence {
     /// Adds a further wait without result.
-    pub fn extend(&mut self, silent: Silent) {
+    fn extend(&mut self, silent: Silent) {
         self.running += silent.after;
         self.elapsed += silent.elapsed;
     }
@@ -35,32 +49,22 @@
 
 /// Another instance that can continue a stalled run.
 #[derive(Debug)]
-pub(super) struct Alternative {
+struct Alternative {
     /// Id of the instance.
-    pub id: String,
+    id: String,
     /// Time since this node last heard from it.
-    pub silence: Duration,
-}
-
-impl Alternative {
-    /// Describes an instance that can continue the run.
-    pub fn new(instance: &Instance, silence: Duration) -> Self {
-        Self {
-            id: instance.id().to_owned(),
-            silence,
-        }
-    }
+    silence: Duration,
 }
 
 /// Reason why a run left a silent instance.
 #[derive(Debug)]
 pub(super) struct StalledRun {
     /// What the run waited for.
-    pub awaited: Awaited,
+    awaited: Awaited,
     /// Silence of the run's instance.
-    pub silence: Silence,
+    silence: Silence,
     /// The instance that made the run leave; `None` if the time limit did.
-    pub alternative: Option<Alternative>,
+    alternative: Option<Alternative>,
 }
 
 impl fmt::Display for StalledRun {
@@ -86,3 +90,66 @@
         }
     }
 }
+
+/// Timeout of a run at its instance. A stalled run stays until another instance can continue it, as
+/// a migration without one would only repeat the prefill.
+pub(super) struct StallTimeout<'a> {
+    pub context: &'a RunContext,
+    pub instance: &'a Instance,
+}
+
+impl StallTimeout<'_> {
+    /// Awaits `future`, which completes when something arrives from the instance.
+    ///
+    /// # Errors
+    /// After `limit`, as soon as another instance can continue the text of the run, and after
+    /// [`MAX_STALL`] in any case.
+    pub async fn wait<F: Future>(
+        &self,
+        awaited: Awaited,
+        limit: Duration,
+        partial: &ItemText,
+        future: F,
+    ) -> Result<F::Output, StalledRun> {
+        let mut future = pin!(future);
+        let mut silence = Silence::default();
+        let mut next_check = limit;
+        loop {
+            match running_timeout(next_check, future.as_mut()).await {
+                Ok(output) => return Ok(output),
+                Err(silent) => silence.extend(silent),
+            }
+            let alternative = self.find_alternative(partial);
+            if alternative.is_some() || silence.running >= MAX_STALL {
+                self.instance.record_failure(Instant::now());
+                return Err(StalledRun {
+                    awaited,
+                    silence,
+                    alternative,
+                });
+            }
+            next_check = STALL_POLL_INTERVAL;
+        }
+    }
+
+    /// Returns another instance that can continue the text of the run and is not silent too.
+    fn find_alternative(&self, partial: &ItemText) -> Option<Alternative> {
+        let context = self.context;
+        let now = Instant::now();
+        let other = context.backends.best_in_regions(
+            &context.service,
+            context.required_weights(),
+            WorkKind::InterruptedBatch,
+            &context.allowed_regions(),
+            |other| {
+                other.id() != self.instance.id()
+                    && can_continue(context, partial, other)
+                    && other.silence(now) < MAX_ALTERNATIVE_SILENCE
+            },
+        )?;
+        Some(Alternative {
+            id: other.id().to_owned(),
+            silence: other.silence(now),
+        })
+    }
+}
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -6,27 +6,20 @@
 
 use http::{HeaderMap, HeaderName};
 use http_body_util::BodyExt;
-use ladderstage_clock::{Instant, running_timeout};
+use ladderstage_clock::Instant;
 
 use super::events::{Event, EventParser};
 use super::migration::EventIntervals;
 use super::run_context::RunContext;
-use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE, can_continue};
+use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE};
 use super::run_record::RunRecord;
-use super::stall::{Alternative, Awaited, Silence, StalledRun};
+use super::stall::{Awaited, StallTimeout};
 use super::text::ItemText;
-use crate::backend::{Instance, Reply, WorkKind, keep_alive};
+use crate::backend::{Instance, Reply, keep_alive};
 
 /// Timeout for each event after the first one.
 const MAX_EVENT_INTERVAL: Duration = Duration::from_millis(1_200);
 
-/// Time without an event after which a run migrates even if no other instance is known to be
-/// better, as its connection may be broken.
-const MAX_STALL: Duration = Duration::from_millis(4_800);
-
-/// Interval between checks whether a stalled run can migrate.
-const STALL_POLL_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Number of events after which partial text is saved in the journal. Half as many are lost on
 /// average when an owner dies.
 const EVENTS_PER_PROGRESS: u64 = 8;
@@ -47,27 +40,15 @@
     let mut parser = EventParser::new(names.weight_version.as_str());
     let mut intervals = EventIntervals::default();
     let max_events = context.max_events(index);
-    let mut silence = Silence::default();
+    let stall_timeout = StallTimeout { context, instance };
     loop {
         let limit = match intervals.events {
-            _ if silence.running > Duration::ZERO => STALL_POLL_INTERVAL,
             0 => context.first_event_timeout(),
             _ => MAX_EVENT_INTERVAL,
         };
-        let frame = match running_timeout(limit, body.frame()).await {
-            Err(silent) => {
-                silence.extend(silent);
-                let alternative = find_alternative(context, instance, partial);
-                if silence.running < MAX_STALL && alternative.is_none() {
-                    continue;
-                }
-                instance.record_failure(Instant::now());
-                return RunEnd::TimedOut(StalledRun {
-                    awaited: Awaited::Event,
-                    silence,
-                    alternative,
-                });
-            }
+        let frame = stall_timeout.wait(Awaited::Event, limit, partial, body.frame());
+        let frame = match frame.await {
+            Err(stalled) => return RunEnd::TimedOut(stalled),
             Ok(Some(Err(error))) => {
                 instance.record_failure(Instant::now());
                 return RunEnd::Broken(format!("connection broken: {error}"));
@@ -80,7 +61,6 @@
             }
             Ok(None) => return RunEnd::Broken("stream ended without an end marker".to_owned()),
         };
-        silence = Silence::default();
         instance.record_activity(Instant::now());
         let Ok(data) = frame.into_data() else {
             continue;
@@ -114,28 +94,6 @@
     }
 }
 
-/// Returns another instance that can continue the text of a stalled run. Without one, a migration
-/// would only repeat the prefill, at the same instance or at one that is stalled too.
-fn find_alternative(
-    context: &RunContext,
-    instance: &Instance,
-    partial: &ItemText,
-) -> Option<Alternative> {
-    let now = Instant::now();
-    let other = context.backends.best_in_regions(
-        &context.service,
-        context.required_weights(),
-        WorkKind::InterruptedBatch,
-        &context.allowed_regions(),
-        |other| {
-            other.id() != instance.id()
-                && can_continue(context, partial, other)
-                && other.silence(now) < MAX_EVENT_INTERVAL
-        },
-    )?;
-    Some(Alternative::new(&other, other.silence(now)))
-}
-
 /// Appends one event to the text; ends the run if the event is out of sequence or its weights are
 /// unsuitable.
 fn append_event(
