Jobs: move no stalled run to an instance that is silent too

Callers: runs of items swapped instances while all instances were silent, and each swap read the prompt again: 9 to 12 runs instead of 8 after a handover, 8 instead of 4 without one.

Cause: a run is stalled after 1.2 s without an event and may then continue at an instance that was heard within 1.2 s. If all fall silent together, those that had an event a moment later still count as heard. Once the runs of an instance have left it, it has no request in flight, which counted as no silence at all: the runs of the other instance then moved there.

Evidence: two samplers that fall silent 0.3 s apart for 3 s, by their log: i-0 moved silent_ms=1203 ran_ms=1203 other=i-1 other_silent_ms=886 i-1 moved silent_ms=1405 ran_ms=1405 other=i-0 other_silent_ms=0 One epoch, no takeover; the front ran all the time.

A request that was given up leaves its instance unanswered until it is heard again, whether or not it gets a new one. Without any alternative a run stays for 4.8 s, as before.

Conclusion: a single silent instance is left as soon as before, 1.2 s after its last event, as the others have answered meanwhile.

--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -15,6 +15,7 @@
 use super::cold::{ColdLimit, ColdState, ColdStatus, SendBudget, SendTicket};
 use super::connection::ConnectionPool;
 use super::gate::{HoldReason, SendGates};
+use super::liveness::Liveness;
 
 /// Maximum age of a reported load.
 const LOAD_MAX_AGE: Duration = Duration::from_millis(500);
@@ -124,8 +125,7 @@
     /// the report.
     other_load: Option<(u32, Instant)>,
     unit_time: Option<(f64, Instant)>,
-    /// Time of the last response or event, or of the first request in flight if that is later.
-    active_at: Instant,
+    liveness: Liveness,
     failures: u32,
     paused_until: Option<Instant>,
     loading_until: BTreeMap<String, Instant>,
@@ -191,7 +191,7 @@
                 discovered,
                 other_load: None,
                 unit_time: None,
-                active_at: Instant::now(),
+                liveness: Liveness::new(Instant::now()),
                 failures: 0,
                 paused_until: None,
                 loading_until: BTreeMap::new(),
@@ -333,7 +333,7 @@
     /// Counts a request as in flight until the guard is dropped.
     pub fn track_request(self: &Arc<Self>) -> InFlightGuard {
         if self.in_flight.fetch_add(1, Ordering::Relaxed) == 0 {
-            self.record_activity(Instant::now());
+            self.lock().liveness.record_first_request(Instant::now());
         }
         InFlightGuard {
             instance: Arc::clone(self),
@@ -347,16 +347,24 @@
 
     /// Records a response or an event of a stream.
     pub fn record_activity(&self, now: Instant) {
-        self.lock().active_at = now;
+        self.lock().liveness.record_answer(now);
     }
 
-    /// Returns for how long requests of this node have been in flight without any response or
-    /// event; zero if none is in flight.
+    /// Records that a request of this node was given up because the instance was silent.
+    pub fn record_unanswered(&self, now: Instant) {
+        self.lock().liveness.record_unanswered();
+        self.record_failure(now);
+    }
+
+    /// Returns for how long requests of this node have had no response or event; zero if none is
+    /// expected.
     pub fn silence(&self, now: Instant) -> Duration {
-        match self.in_flight() {
-            0 => Duration::ZERO,
-            _ => now.saturating_duration_since(self.lock().active_at),
-        }
+        self.lock().liveness.silence(self.in_flight(), now)
+    }
+
+    /// Returns whether the instance answers the requests of this node.
+    pub fn is_answering(&self, now: Instant) -> bool {
+        self.lock().liveness.is_answering(self.in_flight(), now)
     }
 
     /// Records the load that came with a response.
@@ -402,7 +410,7 @@
     /// Records a response, which shows that the instance is running.
     pub fn record_response(&self, now: Instant) {
         let mut state = self.lock();
-        state.active_at = now;
+        state.liveness.record_answer(now);
         let limit = self.gates.cold.get(&state.discovered.service);
         let time = limit.map_or(Duration::ZERO, |limit| limit.time);
         state.cold.record_response(now, time);
--- a/crates/front/src/backend/mod.rs
+++ b/crates/front/src/backend/mod.rs
@@ -8,6 +8,7 @@
 mod gate;
 mod index;
 mod instance;
+mod liveness;
 mod table;
 
 pub(crate) use choice::median;
@@ -23,4 +24,5 @@
 pub use gate::{DrainedZones, HoldReason, Locality, SendGates};
 pub use index::{RequiredWeights, WeightChanges};
 pub use instance::{DiscoveredInstance, InFlightGuard, Instance, LOADING_PAUSE, Load};
+pub use liveness::Liveness;
 pub use table::BackendTable;
--- a/crates/front/src/job/stall.rs
+++ b/crates/front/src/job/stall.rs
@@ -11,9 +11,6 @@
 use super::text::ItemText;
 use crate::backend::{Instance, WorkKind};
 
-/// Time since the last event after which another instance counts as silent too.
-const MAX_ALTERNATIVE_SILENCE: Duration = Duration::from_millis(1_200);
-
 /// Time without anything after which a run migrates even if no other instance is known to be
 /// better, as its connection may be broken.
 const MAX_STALL: Duration = Duration::from_millis(4_800);
@@ -121,7 +118,7 @@
             }
             let alternative = self.find_alternative(partial);
             if alternative.is_some() || silence.running >= MAX_STALL {
-                self.instance.record_failure(Instant::now());
+                self.instance.record_unanswered(Instant::now());
                 return Err(StalledRun {
                     awaited,
                     silence,
@@ -132,7 +129,7 @@
         }
     }
 
-    /// Returns another instance that can continue the text of the run and is not silent too.
+    /// Returns another instance that can continue the text of the run and answers its requests.
     fn find_alternative(&self, partial: &ItemText) -> Option<Alternative> {
         let context = self.context;
         let now = Instant::now();
@@ -144,7 +141,7 @@
             |other| {
                 other.id() != self.instance.id()
                     && can_continue(context, partial, other)
-                    && other.silence(now) < MAX_ALTERNATIVE_SILENCE
+                    && other.is_answering(now)
             },
         )?;
         Some(Alternative {
