Jobs: prefer an instance that answers for an interrupted run

Callers: items ran once more than needed after a standstill of some instances.

Cause: a stalled run leaves only if another instance answers, but the instance where it continues was chosen anew, without that condition. With two of three instances silent, runs moved to the other silent one.

--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -288,25 +288,26 @@
     None
 }
 
+/// Chooses one that answers if possible; `last` only if there is no other.
 fn choose_instance(
     context: &RunContext,
     last: &Arc<Instance>,
     partial: &ItemText,
 ) -> Option<Arc<Instance>> {
     let backends = &context.backends;
-    let choose = |exclude_last: bool| {
+    let now = Instant::now();
+    let choose = |fits: fn(&Instance, &Instance, Instant) -> bool| {
         backends.choose_in_regions(
             &context.service,
             context.required_weights(),
             WorkKind::InterruptedBatch,
             &context.allowed_regions(),
-            |instance| {
-                let is_excluded = exclude_last && instance.id() == last.id();
-                !is_excluded && can_continue(context, partial, instance)
-            },
+            |instance| fits(instance, last, now) && can_continue(context, partial, instance),
         )
     };
-    choose(true).or_else(|| choose(false))
+    choose(|instance, last, now| instance.id() != last.id() && instance.is_answering(now))
+        .or_else(|| choose(|instance, last, _| instance.id() != last.id()))
+        .or_else(|| choose(|_, _, _| true))
 }
 
 async fn run_once(
