Jobs: wait for the heartbeats of an owner that answers

Callers: all items of a job ran once more because another front took it from its owner, which was alive: 12 runs instead of 8.

Cause: an owner that has stood still answers as soon as it runs, but cannot confirm its ownership until its next heartbeat is answered. A front that checked the job as orphaned took that answer for none, and asked the replicas before the heartbeat had reached them.

Change: after such an answer the front waits for two heartbeat intervals before it asks the replicas. A silent owner is replaced as soon as before; one that answers but is cut off from the replicas 0.6 s later.

--- a/crates/front/src/job/orphans.rs
+++ b/crates/front/src/job/orphans.rs
@@ -13,14 +13,19 @@
 use super::reading::JobError;
 use super::recorded_owners::{RecordedOwner, RecordedOwners};
 use super::registry::JobRegistry;
-use crate::program::OWNER_TIMEOUT;
+use crate::program::{OWNER_HEARTBEAT_INTERVAL, OWNER_TIMEOUT};
 
 /// Time for which no replica must have heard from an owner to which nothing can be sent.
 pub(super) const UNREACHABLE_OWNER_TIMEOUT: Duration =
     Duration::from_millis(OWNER_TIMEOUT.as_millis() as u64 * 2 / 5);
 
+/// Time in which the heartbeats of an owner that answers must reach the replicas again. One that
+/// stood still answers as soon as it runs, and sends its next heartbeats a moment later.
+const CONFIRMATION_WAIT: Duration =
+    Duration::from_millis(OWNER_HEARTBEAT_INTERVAL.as_millis() as u64 * 2);
+
 /// Evidence against a recorded owner of a job.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum OwnerDoubt {
     /// The node says that it does not own the job.
     NotOwner,
@@ -68,6 +73,10 @@
             };
             doubts.push((owner.epoch, doubt));
         }
+        let is_not_confirmed = |(_, doubt): &(_, OwnerDoubt)| *doubt == OwnerDoubt::NotConfirmed;
+        if doubts.iter().any(is_not_confirmed) {
+            tokio::time::sleep(CONFIRMATION_WAIT).await;
+        }
         // Whatever the first owners did or did not answer, the job may have a new one by now.
         let latest = self.recorded_owners_or_log(id).await?;
         if latest.newest.epoch != owners.newest.epoch {
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -28,7 +28,7 @@
 use crate::usage::UsageMeter;
 
 /// Interval between an owner's heartbeats to the replicas.
-const OWNER_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+pub(crate) const OWNER_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time without a heartbeat to a replica after which a job's owner is replaced.
 pub(crate) const OWNER_TIMEOUT: Duration = Duration::from_millis(1_200);
