Jobs: stay at an only instance that answers nothing

Callers: all items of a job ran twice at the only instance after it had stood still for more than 4.8 s: 8 runs instead of 4, with each prompt read twice.

Cause: a stalled run without an alternative left after 4.8 s, as its connection may be broken. It did not look whether only the connection was silent. A second run waits for the same instance.

Evidence: the only sampler behind a proxy that forwards nothing for 6 s: four runs at once, item_run epoch=1 cause="timed out waiting for an event" other=none.

Change: after 4.8 s a run leaves if its instance answers other requests or a probe (its report, once in 1.2 s for all runs), or if another instance can restart its text. Else it stays. StalledRun moves to a module of its own, as run_end and the timeout used each other.

--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -362,6 +362,11 @@
         self.lock().liveness.silence(self.in_flight(), now)
     }
 
+    /// Returns whether the caller may probe the silent instance now. Limits the probes of all runs.
+    pub fn start_probe(&self, now: Instant) -> bool {
+        self.lock().liveness.start_probe(now)
+    }
+
     /// Returns whether the instance answers the requests of this node.
     pub fn is_answering(&self, now: Instant) -> bool {
         self.lock().liveness.is_answering(self.in_flight(), now)
--- a/crates/front/src/backend/liveness.rs
+++ b/crates/front/src/backend/liveness.rs
@@ -11,6 +11,9 @@
 /// machine stood still together do not resume at the same moment.
 const RESUME_TIME: Duration = Duration::from_millis(300);
 
+/// Minimum time between two probes of a silent instance, however many runs wait for it.
+const PROBE_INTERVAL: Duration = Duration::from_millis(1_200);
+
 /// Answers of one instance. An answer is a response or an event of a stream.
 #[derive(Debug, Clone)]
 pub struct Liveness {
@@ -20,6 +23,8 @@
     answering_since: Instant,
     /// Whether a request was given up without an answer, and none was received since.
     is_unanswered: bool,
+    /// Start of the last probe.
+    probed_at: Option<Instant>,
 }
 
 impl Liveness {
@@ -29,6 +34,7 @@
             heard_at: now,
             answering_since: now - RESUME_TIME,
             is_unanswered: false,
+            probed_at: None,
         }
     }
 
@@ -53,6 +59,19 @@
         self.is_unanswered = true;
     }
 
+    /// Returns whether the caller may probe the instance now, which is recorded as a probe.
+    pub fn start_probe(&mut self, now: Instant) -> bool {
+        let elapsed = |at| now.saturating_duration_since(at);
+        if self
+            .probed_at
+            .is_some_and(|at| elapsed(at) < PROBE_INTERVAL)
+        {
+            return false;
+        }
+        self.probed_at = Some(now);
+        true
+    }
+
     /// Returns for how long requests have had no answer; zero if none is expected.
     pub fn silence(&self, in_flight: u32, now: Instant) -> Duration {
         if in_flight == 0 && !self.is_unanswered {
--- a/crates/front/src/job/run_end.rs
+++ b/crates/front/src/job/run_end.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::run_context::RunContext;
-use super::stall::StalledRun;
+use super::stalled_run::StalledRun;
 use super::text::ItemText;
 use crate::backend::Instance;
 
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -13,7 +13,8 @@
 use super::run_context::RunContext;
 use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE};
 use super::run_record::RunRecord;
-use super::stall::{Awaited, StallTimeout};
+use super::stall_timeout::StallTimeout;
+use super::stalled_run::Awaited;
 use super::text::ItemText;
 use crate::backend::{Instance, Reply, keep_alive};
 
--- a/crates/front/src/orders/calls.rs
+++ b/crates/front/src/orders/calls.rs
@@ -17,7 +17,7 @@
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
 /// Client for calls to instances.
-pub(super) struct InstanceCalls {
+pub(crate) struct InstanceCalls {
     pub codec: SharedCodec,
 }
 
--- a/crates/front/src/orders/mod.rs
+++ b/crates/front/src/orders/mod.rs
@@ -22,6 +22,7 @@
 mod working_set;
 
 pub use announced_versions::AnnouncedVersions;
+pub(crate) use calls::InstanceCalls;
 pub use candidates::is_lease_candidate;
 pub use former_leaders::FormerLeaders;
 pub use leader::{OrderLeader, OrderOptions};
--- a/crates/front/tests/liveness.rs
+++ b/crates/front/tests/liveness.rs
@@ -81,3 +81,14 @@
     restarted.record_first_request(at(start, 30_000));
     assert!(restarted.is_answering(1, at(start, 30_100)));
 }
+
+/// Guards against a probe for each of many runs that wait for the same instance.
+#[test]
+fn a_silent_instance_is_probed_at_intervals() {
+    let start = Instant::now();
+    let mut silent = running(start, 0, 1_000);
+    assert!(silent.start_probe(at(start, 6_000)));
+    assert!(!silent.start_probe(at(start, 6_000)));
+    assert!(!silent.start_probe(at(start, 7_100)));
+    assert!(silent.start_probe(at(start, 7_300)));
+}
