Jobs: say which owners are ruled out only once all of them are

job_without_owner stood in the log of a job that another of its recorded owners kept. Wording of two comments; a constant without a cast.

--- a/crates/front/src/backend/instance.rs
+++ b/crates/front/src/backend/instance.rs
@@ -125,6 +125,7 @@
     /// the report.
     other_load: Option<(u32, Instant)>,
     unit_time: Option<(f64, Instant)>,
+    /// Answers to the requests of this node.
     liveness: Liveness,
     failures: u32,
     paused_until: Option<Instant>,
--- a/crates/front/src/job/orphans.rs
+++ b/crates/front/src/job/orphans.rs
@@ -21,8 +21,7 @@
 
 /// Time in which the heartbeats of an owner that answers must reach the replicas again. One that
 /// stood still answers as soon as it runs, and sends its next heartbeats a moment later.
-const CONFIRMATION_WAIT: Duration =
-    Duration::from_millis(OWNER_HEARTBEAT_INTERVAL.as_millis() as u64 * 2);
+const CONFIRMATION_WAIT: Duration = OWNER_HEARTBEAT_INTERVAL.saturating_mul(2);
 
 /// Evidence against a recorded owner of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -83,16 +82,20 @@
             log_owned(id, &latest.newest, "taken_over");
             return None;
         }
-        for owner in latest.iter() {
+        let doubt_about = |owner: &RecordedOwner| {
             let doubt = doubts.iter().find(|(epoch, _)| *epoch == owner.epoch);
             // Another majority may name an owner that was not asked.
-            let doubt = doubt.map_or(OwnerDoubt::NoAnswer, |(_, doubt)| *doubt);
-            let required_silence = doubt.required_silence();
+            doubt.map_or(OwnerDoubt::NoAnswer, |(_, doubt)| *doubt)
+        };
+        for owner in latest.iter() {
+            let required_silence = doubt_about(owner).required_silence();
             if required_silence.is_some_and(|required| owner.is_heard_within(required)) {
                 log_owned(id, owner, "heartbeats");
                 return None;
             }
-            log_without_owner(id, owner, doubt);
+        }
+        for owner in latest.iter() {
+            log_without_owner(id, owner, doubt_about(owner));
         }
         Some(latest.newest.epoch)
     }
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -289,7 +289,7 @@
     None
 }
 
-/// Chooses one that answers if possible; `last` only if there is no other.
+/// Prefers instances that answer, then any other than `last`.
 fn choose_instance(
     context: &RunContext,
     last: &Arc<Instance>,
