Jobs: a single answer after a gap is not enough

Callers: 9 runs instead of 8 of a_job_that_was_handed_on_stays_with_its_new_owner in 1 of 30 plays of target jobs (-j 8 -l 30, in memory, beside a release build).

Cause: Liveness counted the time since the first answer after a gap, so that one answer was enough after 0.3 s. By the log the run left with silent_ms=1207 ran_ms=1207 other=i-0 other_silent_ms=331, at the end of a standstill of all (replica_stood_still 1396 ms, a store without a record). That i-0 was silent before is inferred, not logged.

Change: the time from the first to the last answer counts. An answered probe is followed by a second one after 0.3 s, as one no longer shows that an instance answers.

Test: liveness::a_single_answer_after_a_gap_is_not_enough; the instance counted as answering from 300 ms on before.

--- a/crates/front/src/backend/liveness.rs
+++ b/crates/front/src/backend/liveness.rs
@@ -7,11 +7,11 @@
 /// Maximum time between two answers of an instance that answers.
 const MAX_ANSWER_GAP: Duration = Duration::from_millis(600);
 
-/// Time for which an instance must have answered again after a gap. Instances whose network or
-/// machine stood still together do not resume at the same moment.
+/// Time from the first to the last answer of an instance after a gap from which it answers again.
+/// Instances whose network or machine stood still together do not resume at the same moment.
 const RESUME_TIME: Duration = Duration::from_millis(300);
 
-/// Minimum time between two probes of a silent instance, however many runs wait for it.
+/// Minimum time between two unanswered probes of an instance, however many runs wait for it.
 const PROBE_INTERVAL: Duration = Duration::from_millis(1_200);
 
 /// Answers of one instance. An answer is a response or an event of a stream.
@@ -59,17 +59,22 @@
         self.is_unanswered = true;
     }
 
-    /// Returns whether the caller may probe the instance now, which is recorded as a probe.
+    /// Returns whether the caller may probe the instance now, which is recorded as a probe. An
+    /// answered probe is followed by another one, as a single answer is not enough.
     pub fn start_probe(&mut self, now: Instant) -> bool {
-        let elapsed = |at| now.saturating_duration_since(at);
-        if self
-            .probed_at
-            .is_some_and(|at| elapsed(at) < PROBE_INTERVAL)
-        {
-            return false;
+        let is_due = self.probed_at.is_none_or(|at| {
+            let is_answered = self.heard_at > at;
+            let interval = if is_answered {
+                RESUME_TIME
+            } else {
+                PROBE_INTERVAL
+            };
+            now.saturating_duration_since(at) >= interval
+        });
+        if is_due {
+            self.probed_at = Some(now);
         }
-        self.probed_at = Some(now);
-        true
+        is_due
     }
 
     /// Returns for how long requests have had no answer; zero if none is expected.
@@ -83,7 +88,9 @@
     /// Returns whether the instance answers its requests, and has done so for a while. One without
     /// requests does, unless it left the last one unanswered.
     pub fn is_answering(&self, in_flight: u32, now: Instant) -> bool {
-        let answering_for = now.saturating_duration_since(self.answering_since);
+        let answering_for = self
+            .heard_at
+            .saturating_duration_since(self.answering_since);
         self.silence(in_flight, now) <= MAX_ANSWER_GAP && answering_for >= RESUME_TIME
     }
 }
--- a/crates/front/tests/liveness.rs
+++ b/crates/front/tests/liveness.rs
@@ -91,4 +91,21 @@
     assert!(!silent.start_probe(at(start, 6_000)));
     assert!(!silent.start_probe(at(start, 7_100)));
     assert!(silent.start_probe(at(start, 7_300)));
+    silent.record_answer(at(start, 7_310));
+    assert!(!silent.is_answering(1, at(start, 7_700)));
+    assert!(silent.start_probe(at(start, 7_700)));
+    silent.record_answer(at(start, 7_710));
+    assert!(silent.is_answering(1, at(start, 7_710)));
+}
+
+/// Guards against a run that moves because another instance has had a single event after a
+/// standstill of all.
+#[test]
+fn a_single_answer_after_a_gap_is_not_enough() {
+    let start = Instant::now();
+    let mut other = running(start, 0, 1_000);
+    other.record_answer(at(start, 2_000));
+    for ms in (2_000..=2_600).step_by(50) {
+        assert!(!other.is_answering(1, at(start, ms)), "at {ms} ms");
+    }
 }
