Jobs: an owner that answers is not gone

Cause: a node whose record has lapsed was taken for gone although it answered "not ready". Its job was taken after 0.48 s without a heartbeat instead of 1.2 s. The record of an owner that stood still lapses.

Change: "not ready" counts as an answer whether or not the node has a record.

--- a/crates/front/src/job/locating.rs
+++ b/crates/front/src/job/locating.rs
@@ -262,15 +262,17 @@
             Err(error) => error,
         };
         lock(&self.shared.owners).remove(id);
-        let is_not_owner =
-            matches!(&error, CallError::Refused(refused) if refused.reason == Reason::NOT_OWNER);
+        let is_refused_for =
+            |reason| matches!(&error, CallError::Refused(refused) if refused.reason == reason);
+        let is_not_owner = is_refused_for(Reason::NOT_OWNER);
         let cause = unavailable(&format!("owner {node}: {error}"));
+        // The record of a node that answers may have lapsed while it could not renew it.
+        if is_refused_for(Reason::NOT_READY) {
+            return Err(NodeCallError::NotReady(cause));
+        }
         if !is_not_owner && nodes.is_present(node) {
             return Err(match error {
                 CallError::NotSent(_) => NodeCallError::NotSent(cause),
-                CallError::Refused(refused) if refused.reason == Reason::NOT_READY => {
-                    NodeCallError::NotReady(cause)
-                }
                 _ => NodeCallError::Unavailable(cause),
             });
         }
