review: case 2 with events of the size that the site names

Events of 256 bytes (a stride of 58 tokens each) instead of 2,040; eleven steps of 40 items with 150 events.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,7 +17,7 @@
 
     # A step whose first group is done at once and whose second one takes some seconds.
     job = "dd0000000000000d"
-    await deployment.until("the job is accepted", 10, lambda: accepted(deployment, owner, job, [[1, 1], [160, 160]]))
+    await deployment.until("the job is accepted", 10, lambda: accepted(deployment, owner, job, [[1, 1], [600, 600]]))
     held = {}
     await deployment.until("its first group is listed", 10, lambda: follow(deployment, reader, job, held, 2))
     if len(held) != 2:
@@ -26,7 +26,7 @@
     # The steps of other trainers, taken by another front.
     steps = [f"ee{number:02x}00000000000e" for number in range(11)]
     for step in steps:
-        await deployment.until("a step is accepted", 10, lambda: accepted(deployment, other, step, [[20] * 8] * 5))
+        await deployment.until("a step is accepted", 10, lambda: accepted(deployment, other, step, [[150] * 8] * 5))
     for step in steps:
         listed = {}
         await deployment.until("a step is listed", 60, lambda: follow(deployment, other, step, listed, 40))
@@ -88,4 +88,4 @@
     return len(results) >= count
 
 
-run_case(case, FOLDER, fronts=3, stores=3, samplers=3, event_s=0.05, event_bytes=2040)
+run_case(case, FOLDER, fronts=3, stores=3, samplers=3, event_s=0.005, event_bytes=256)
