--- a/review/3/standins.py
+++ b/review/3/standins.py
@@ -17,7 +17,11 @@
 import urllib.parse
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
+# The program of the deploy file; a debug build if there is no other.
 PROGRAM = os.path.join(ROOT, "target", "release", "ladderstage-node")
+if not os.path.exists(PROGRAM):
+    PROGRAM = os.path.join(ROOT, "target", "debug", "ladderstage-node")
+LIMIT_S = 112
 STARTED = time.monotonic()
 
 
@@ -538,10 +542,13 @@
             await deployment.stop()
 
     async def whole_then_exit():
+        loop, play = asyncio.get_running_loop(), asyncio.ensure_future(asyncio.wait_for(whole(), LIMIT_S))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, play.cancel)
         try:
-            code = await whole()
-        except CannotRun as error:
-            print("could not run:", error)
+            code = await play
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError) as error:
+            print("could not run:", repr(error))
             code = 2
         sys.stdout.flush()
         # All processes have ended; the stand-ins' open connections need no farewell.
