transport: name the message that exceeds the frame limit

Cause: a store logs `peer_response_refused reason="frame of N bytes exceeds the limit"` and its peer an unknown outcome. Neither says whether a log was read for a takeover, exported to a new replica or something else, so the log could not tell these apart.

Change: the line has the kind of the response (`response=read_log`), and a request that is too long is refused with its kind. Contents are not formatted.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ladderstage_wire::frame::encode_frame;
+use ladderstage_wire::kind::frame_kind;
 use ladderstage_wire::messages::mod_Frame::OneOfbody;
 use ladderstage_wire::messages::{Frame, Request};
 use tokio::sync::{mpsc, oneshot};
@@ -78,7 +79,7 @@
         };
         let encoded = match encode_frame(&frame) {
             Ok(encoded) => encoded,
-            Err(error) => return not_sent(error.to_string()),
+            Err(error) => return not_sent(format!("{}: {error}", frame_kind(&frame))),
         };
         let mut reply = match self.calls.register(call_id, encoded.len()) {
             Ok(reply) => reply,
--- a/crates/transport/src/session.rs
+++ b/crates/transport/src/session.rs
@@ -6,6 +6,7 @@
 
 use futures_util::FutureExt;
 use ladderstage_wire::frame::encode_frame;
+use ladderstage_wire::kind::frame_kind;
 use ladderstage_wire::messages::mod_Frame::OneOfbody;
 use ladderstage_wire::messages::mod_Refused::Reason;
 use ladderstage_wire::messages::{Frame, Refused, Request, Response, mod_Request, mod_Response};
@@ -179,7 +180,8 @@
         Ok(encoded) => Ok(encoded),
         Err(error) => {
             let detail = error.to_string();
-            log::error!("event=peer_response_refused reason={detail:?}");
+            let kind = frame_kind(frame);
+            log::error!("event=peer_response_refused response={kind} reason={detail:?}");
             encode_frame(&refusal(frame.call_id, Reason::INTERNAL, &detail))
                 .map_err(|error| error.to_string())
         }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod compression;
 pub mod frame;
+pub mod kind;
 
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -94,3 +94,16 @@
         Err(FrameError::TooLong { .. })
     ));
 }
+
+/// Guards against logs of oversized messages that do not say which message it was.
+#[test]
+fn the_name_of_a_kind_omits_its_content() {
+    use ladderstage_wire::kind::kind_name;
+    use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
+    use ladderstage_wire::messages::{Done, ReadLogReply};
+
+    let read_log = ResponseKind::read_log(ReadLogReply::default());
+    assert_eq!(kind_name(&read_log), "read_log");
+    assert_eq!(kind_name(&ResponseKind::done(Done {})), "done");
+    assert_eq!(kind_name(&ResponseKind::None), "None");
+}
