--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use ladderstage::document::{self, Finding};
+use ladderstage::journal::DEFAULT_PART_BYTES;
 use serde::Deserialize;
 
 pub use flags::{FlagError, Flags};
@@ -184,6 +185,7 @@
             owner_heartbeat_interval: Duration::from_millis(timing.owner_heartbeat_ms),
             owner_timeout: Duration::from_millis(timing.owner_timeout_ms),
             round_timeout: Duration::from_millis(timing.journal_timeout_ms),
+            part_bytes: DEFAULT_PART_BYTES,
             poll_interval: Duration::from_millis(timing.key_value_poll_ms),
             max_poll_interval: Duration::from_secs(10),
             replace_after: Duration::from_millis(timing.replica_replace_after_ms),
--- a/crates/daemon/tests/journal/main.rs
+++ b/crates/daemon/tests/journal/main.rs
@@ -3,6 +3,7 @@
 #[path = "../../../platform/tests/support/key_value_server.rs"]
 #[allow(dead_code)]
 mod key_value_server;
+mod long_logs;
 mod network;
 mod owners;
 mod replica_sets;
--- a/crates/daemon/tests/journal/network.rs
+++ b/crates/daemon/tests/journal/network.rs
@@ -14,6 +14,7 @@
 use ladderstage_storage::{Storage, StorageOptions};
 use ladderstage_transport::CallError;
 use ladderstage_wire::encode;
+use ladderstage_wire::frame::MAX_PAYLOAD_BYTES;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
@@ -311,7 +312,11 @@
             .send_replace(names.iter().map(|name| (*name).to_owned()).collect());
     }
 
+    /// Delivers a request; messages that exceed the frame limit are refused, as over TCP.
     async fn deliver(&self, to: &str, request: Request) -> Result<Response, CallError> {
+        if encode(&request).len() > MAX_PAYLOAD_BYTES {
+            return Err(CallError::NotSent("the frame is too long".to_owned()));
+        }
         if self.disconnected.lock().unwrap().contains(to) {
             return Err(CallError::NotSent("disconnected".to_owned()));
         }
@@ -349,8 +354,11 @@
             }
             kind => node.journal.handle(kind).await,
         };
-        self.carried
-            .fetch_add(encode(&response).len(), Ordering::Relaxed);
+        let response_bytes = encode(&response).len();
+        self.carried.fetch_add(response_bytes, Ordering::Relaxed);
+        if response_bytes > MAX_PAYLOAD_BYTES {
+            return Err(CallError::Unknown("the frame is too long".to_owned()));
+        }
         match response.kind {
             ResponseKind::refused(refused) => Err(CallError::Refused(refused)),
             kind => Ok(Response { kind }),
--- a/crates/daemon/tests/journal/replica_sets.rs
+++ b/crates/daemon/tests/journal/replica_sets.rs
@@ -12,7 +12,7 @@
 use crate::network::{Network, entry, until};
 
 /// Starts nodes of which `n0` to `n2` are the initial replicas and the first `folders` have a data folder.
-async fn start(server: &KeyValueServer, nodes: usize, folders: usize) -> Arc<Network> {
+pub async fn start(server: &KeyValueServer, nodes: usize, folders: usize) -> Arc<Network> {
     let network = Network::empty(Some(server.url.clone()));
     for index in 0..nodes {
         network.start_node(&format!("n{index}"), index < folders);
@@ -23,7 +23,7 @@
 }
 
 /// Waits until every node knows a set of at least this version; nodes exchange versions as with pings.
-async fn until_version(network: &Arc<Network>, version: u64) {
+pub async fn until_version(network: &Arc<Network>, version: u64) {
     until("every node knows the set", async || {
         network.ping();
         network.versions().into_iter().all(|known| known >= version)
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use ladderstage::journal::DEFAULT_PART_BYTES;
 use ladderstage::region::RegionMap;
 use ladderstage_clock::Instant;
 use ladderstage_journal::replica_set::{ReplicaSetTask, ReplicaSets};
@@ -91,6 +92,7 @@
             owner_heartbeat_interval: OWNER_HEARTBEAT_INTERVAL,
             owner_timeout: OWNER_TIMEOUT,
             round_timeout: ROUND_TIMEOUT,
+            part_bytes: DEFAULT_PART_BYTES,
             poll_interval: REPLICA_SET_POLL_INTERVAL,
             max_poll_interval: REPLICA_SET_POLL_INTERVAL,
             replace_after: REPLICA_REPLACEMENT_DELAY,
--- a/crates/journal/src/calls.rs
+++ b/crates/journal/src/calls.rs
@@ -38,6 +38,8 @@
     pub peers: Arc<dyn Peers>,
     /// Timeout of a round without writes.
     pub timeout: Duration,
+    /// Maximum size of the entries in one message, in bytes.
+    pub part_bytes: usize,
     pub write_timeout: Mutex<WriteTimeout>,
     /// Time of the last heartbeat that a majority of replicas answered.
     pub majority_heard_at: Mutex<Option<Instant>>,
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -13,6 +13,7 @@
 mod heartbeat;
 mod hooks;
 pub mod jitter;
+mod log_reader;
 mod metrics;
 mod options;
 mod orphaned;
@@ -24,7 +25,6 @@
 mod writer;
 
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use ladderstage::ids::ProcessId;
 use ladderstage::journal::read::{LogListing, LogRead};
@@ -33,7 +33,9 @@
 use ladderstage_storage::Storage;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
-use ladderstage_wire::messages::{DescribeLogs, LogDescription, LogEntry, ReadLog, ReplicaSet};
+use ladderstage_wire::messages::{
+    DescribeLogs, LogDescription, LogEntry, ReadLogReply, ReplicaMember, ReplicaSet,
+};
 
 use rand::seq::SliceRandom;
 
@@ -41,6 +43,7 @@
 use calls::{ReplicaCalls, RoundStep};
 use heartbeat::Heartbeats;
 use hooks::HookSlot;
+use log_reader::{LogChanged, LogParts, ReadError};
 use orphaned::OrphanMonitor;
 use registry::WriterRegistry;
 use replica::ReplicaService;
@@ -56,8 +59,8 @@
 /// is learned only from the replies.
 const SEAL_ATTEMPTS: u32 = 3;
 
-/// Timeout for reading a sealed log from one replica.
-const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Number of attempts to read a log that a writer takes over meanwhile.
+const READ_ATTEMPTS: u32 = 3;
 
 /// Error of a journal operation.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -131,6 +134,7 @@
             service: Arc::new(ReplicaService::new(storage, replica_sets, hooks.clone())),
             peers,
             timeout: options.round_timeout,
+            part_bytes: options.part_bytes,
             write_timeout: Mutex::new(WriteTimeout::new(options.round_timeout)),
             majority_heard_at: Mutex::default(),
             metrics: JournalMetrics::new(),
@@ -240,7 +244,8 @@
         sealed: SealedLog,
     ) -> Result<LogWriter, JournalError> {
         let entries = self.read_sealed(log, set, &sealed).await?;
-        let state = sealed.into_writer(entries);
+        let part_bytes = self.inner.calls.part_bytes;
+        let state = sealed.into_writer(entries).with_part_bytes(part_bytes);
         let calls = Arc::clone(&self.inner.calls);
         let registry = Arc::clone(&self.inner.registry);
         Ok(LogWriter::new(state, set, calls, registry))
@@ -270,22 +275,50 @@
     ///
     /// `NoQuorum` if no quorum responded.
     pub async fn read_snapshot(&self, log: &str) -> Result<Option<LogSnapshot>, JournalError> {
+        let mut failure = String::new();
+        for _ in 0..READ_ATTEMPTS {
+            match self.read_newest(log).await? {
+                Ok(snapshot) => return Ok(snapshot),
+                Err(cause) => failure = cause,
+            }
+        }
+        Err(JournalError::NoQuorum(failure))
+    }
+
+    /// Tries once to read a log from a quorum. The inner error is the reason why the rest of a long log
+    /// could not be read from the replica with the newest version.
+    async fn read_newest(
+        &self,
+        log: &str,
+    ) -> Result<Result<Option<LogSnapshot>, String>, JournalError> {
         let calls = &self.inner.calls;
         let set = calls.replica_set()?;
         let mut read = LogRead::new(ReplicaCalls::quorum(&set));
-        let request = RequestKind::read_log(ReadLog {
-            log: log.to_owned(),
-        });
+        let request = RequestKind::read_log(log_reader::first_request(log, calls.part_bytes));
         calls
             .round(&set, &request, |answer| match answer {
                 ResponseKind::read_log(reply) => RoundStep::finish_if(read.on_reply(reply)),
                 _ => RoundStep::Continue,
             })
             .await?;
-        Ok(read.into_newest().map(|newest| LogSnapshot {
-            entries: newest.entries,
-            retired: newest.retired,
-        }))
+        let Some(newest) = read.into_newest() else {
+            return Ok(Ok(None));
+        };
+        let retired = newest.retired;
+        let members = quorum::members(&set);
+        let source = members
+            .iter()
+            .find(|member| member.replica_id == newest.replica_id);
+        let Some(source) = source else {
+            return Ok(Err("the replica has left the set".to_owned()));
+        };
+        let entries = match LogParts::new(newest) {
+            Ok(parts) => calls.read_rest(source, log, parts, |_| true).await,
+            Err(error) => Err(error.into()),
+        };
+        Ok(entries
+            .map(|entries| Some(LogSnapshot { entries, retired }))
+            .map_err(|error| error.describe(source)))
     }
 
     /// Returns the newest description, as known by a quorum, of each log whose name starts with
@@ -384,7 +417,7 @@
         Ok(Some(sealing.into_sealed()))
     }
 
-    /// Reads a sealed log from the first replica that returns it, in random order.
+    /// Reads a sealed log from the first replica that returns all of it, in random order.
     async fn read_sealed(
         &self,
         log: &str,
@@ -394,30 +427,37 @@
         if sealed.is_empty() {
             return Ok(Vec::new());
         }
-        let calls = &self.inner.calls;
         let sources = sealed.sources();
         let mut members = quorum::members(set);
         members.retain(|member| sources.contains(&member.replica_id));
         members.shuffle(&mut rand::rng());
         let mut failures = Vec::new();
         for member in &members {
-            let request = RequestKind::read_log(ReadLog {
-                log: log.to_owned(),
-            });
-            match calls.call_within(member, request, READ_TIMEOUT).await {
-                Ok(ResponseKind::read_log(reply)) if sealed.is_newest(&reply) => {
-                    return Ok(reply.entries);
-                }
-                Ok(_) => failures.push(format!(
-                    "{}: not the sealed version of the log",
-                    member.node
-                )),
-                Err(failure) => failures.push(calls::describe_failure(member, &failure)),
+            match self.read_sealed_from(member, log, sealed).await {
+                Ok(entries) => return Ok(entries),
+                Err(error) => failures.push(error.describe(member)),
             }
         }
         Err(JournalError::NoQuorum(failures.join("; ")))
     }
 
+    async fn read_sealed_from(
+        &self,
+        member: &ReplicaMember,
+        log: &str,
+        sealed: &SealedLog,
+    ) -> Result<Vec<LogEntry>, ReadError> {
+        let calls = &self.inner.calls;
+        let request = log_reader::first_request(log, calls.part_bytes);
+        let first = calls.read_parts(member, request).await?;
+        if !sealed.is_newest(&first) {
+            return Err(LogChanged.into());
+        }
+        let parts = LogParts::new(first)?;
+        let is_newest = |reply: &ReadLogReply| sealed.is_newest(reply);
+        calls.read_rest(member, log, parts, is_newest).await
+    }
+
     fn next_epoch(&self) -> Result<WriterEpoch, JournalError> {
         let epoch = self.lock_epochs().next_epoch();
         epoch.ok_or(JournalError::Fenced)
--- a/crates/journal/src/options.rs
+++ b/crates/journal/src/options.rs
@@ -41,6 +41,9 @@
     pub owner_timeout: Duration,
     /// Timeout of one round of calls to the replicas.
     pub round_timeout: Duration,
+    /// Maximum size of the entries in one message to or from a replica, in bytes. Longer logs and entries
+    /// are sent in parts.
+    pub part_bytes: usize,
     /// Time between reads of the replica set's record.
     pub poll_interval: Duration,
     /// Upper bound of the poll interval while reads of the record fail.
--- a/crates/journal/src/replica.rs
+++ b/crates/journal/src/replica.rs
@@ -19,7 +19,7 @@
 use ladderstage_wire::messages::mod_WriteReply::Outcome;
 use ladderstage_wire::messages::{
     Append, DescribeLogs, Done, ExportLogs, ExportLogsReply, FenceReplicaSet, ImportLogs, Install,
-    KnownLog, OwnerHeartbeat, OwnerHeartbeatReply, ReadLog, Refused, Response, Seal,
+    KnownLog, OwnerHeartbeat, OwnerHeartbeatReply, ReadLog, Refused, Response, Seal, StageEntries,
 };
 
 use super::hooks::HookSlot;
@@ -35,6 +35,9 @@
 /// orphaned. It covers one and a half heartbeat intervals, as the membership information may lag.
 const EXITED_OWNER_TIMEOUT_FRACTION: f64 = 0.4;
 
+/// Detail of refusals by a node that is no replica.
+const NO_DATA_FOLDER: &str = "this node has no data folder";
+
 /// Handler of journal requests; a node without a data folder refuses them.
 pub(crate) struct ReplicaService {
     pub storage: Option<Storage>,
@@ -81,15 +84,20 @@
     pub async fn answer(&self, request: RequestKind) -> Response {
         match request {
             RequestKind::seal(request) => self.seal(request).await,
-            RequestKind::install(request) | RequestKind::install_rest(request) => {
-                self.install(request).await
+            RequestKind::install(request)
+            | RequestKind::install_rest(request)
+            | RequestKind::install_staged(request) => self.install(request).await,
+            RequestKind::append(request) | RequestKind::append_staged(request) => {
+                self.append(request).await
             }
-            RequestKind::append(request) => self.append(request).await,
+            RequestKind::stage_entries(request) => self.stage(request).await,
             RequestKind::read_log(request) => self.read_log(request).await,
             RequestKind::describe_logs(request) => self.describe_logs(&request),
             RequestKind::owner_heartbeat(request) => self.owner_heartbeat(&request),
             RequestKind::export_logs(request) => self.export_logs(request).await,
-            RequestKind::import_logs(request) => self.import_logs(request).await,
+            RequestKind::import_logs(request) | RequestKind::import_staged(request) => {
+                self.import_logs(request).await
+            }
             RequestKind::fence_replica_set(request) => self.fence_replica_set(request).await,
             _ => refused(Reason::MALFORMED, "not a journal request"),
         }
@@ -98,7 +106,7 @@
     pub async fn seal(&self, request: Seal) -> Response {
         let storage = match self.storage_for(&request.log) {
             Ok(storage) => storage,
-            Err(refusal) => return refusal,
+            Err(refusal) => return response(ResponseKind::refused(refusal)),
         };
         let activity = self.record_activity(&request.log);
         let result = storage.seal(request).await;
@@ -111,7 +119,7 @@
     pub async fn install(&self, request: Install) -> Response {
         let storage = match self.storage_for(&request.log) {
             Ok(storage) => storage,
-            Err(refusal) => return refusal,
+            Err(refusal) => return response(ResponseKind::refused(refusal)),
         };
         let activity = self.record_activity(&request.log);
         let result = storage.install(request).await;
@@ -127,18 +135,27 @@
     pub async fn append(&self, request: Append) -> Response {
         let storage = match self.storage_for(&request.log) {
             Ok(storage) => storage,
-            Err(refusal) => return refusal,
+            Err(refusal) => return response(ResponseKind::refused(refusal)),
         };
         let result = storage.append(request).await;
         respond(result, ResponseKind::write)
     }
 
+    /// Stores parts of entries. They are no sign of the log's owner, as copies are staged as well.
+    pub async fn stage(&self, request: StageEntries) -> Response {
+        let storage = match self.storage_for(&request.log) {
+            Ok(storage) => storage,
+            Err(refusal) => return response(ResponseKind::refused(refusal)),
+        };
+        respond(storage.stage(request).await, ResponseKind::write)
+    }
+
     pub async fn read_log(&self, request: ReadLog) -> Response {
         let storage = match self.storage_for(&request.log) {
             Ok(storage) => storage,
-            Err(refusal) => return refusal,
+            Err(refusal) => return response(ResponseKind::refused(refusal)),
         };
-        let result = storage.read_log(&request.log).await;
+        let result = storage.read_log_parts(request).await;
         respond(result, ResponseKind::read_log)
     }
 
@@ -194,7 +211,9 @@
             return refused(Reason::NOT_READY, "not fenced for that replica set yet");
         }
         let limit = request.limit.clamp(1, MAX_EXPORTED_LOGS) as usize;
-        let mut result = storage.export_logs(&request.after, limit).await;
+        let max_log_bytes = usize::try_from(request.max_log_bytes).unwrap_or(usize::MAX);
+        let exporting = storage.export_logs(&request.after, limit, max_log_bytes);
+        let mut result = exporting.await;
         if let Ok(page) = &mut result {
             omit_known(page, &request.known);
         }
@@ -254,11 +273,12 @@
         open
     }
 
-    fn storage_for(&self, log: &str) -> Result<&Storage, Response> {
+    fn storage_for(&self, log: &str) -> Result<&Storage, Refused> {
         if log.is_empty() || log.len() > MAX_LOG_NAME_BYTES {
-            return Err(refused(Reason::MALFORMED, "log name is empty or too long"));
+            return Err(refusal(Reason::MALFORMED, "log name is empty or too long"));
         }
-        self.storage.as_ref().ok_or_else(not_a_replica)
+        let no_storage = || refusal(Reason::NOT_A_REPLICA, NO_DATA_FOLDER);
+        self.storage.as_ref().ok_or_else(no_storage)
     }
 
     /// Records a write before it is stored, so that a log is never seen with a new writer and the
@@ -311,7 +331,7 @@
 
 fn reason_of(error: &StorageError) -> Reason {
     match error {
-        StorageError::Failed(_) => Reason::INTERNAL,
+        StorageError::Failed(_) | StorageError::PartsMissing { .. } => Reason::INTERNAL,
         StorageError::NoReplicaSet => Reason::NOT_READY,
         StorageError::NotAReplica { .. } => Reason::NOT_A_REPLICA,
         StorageError::StaleReplicaSet { .. } => Reason::STALE_REPLICA_SET,
@@ -329,7 +349,7 @@
 }
 
 fn not_a_replica() -> Response {
-    refused(Reason::NOT_A_REPLICA, "this node has no data folder")
+    refused(Reason::NOT_A_REPLICA, NO_DATA_FOLDER)
 }
 
 fn response(kind: ResponseKind) -> Response {
@@ -337,9 +357,13 @@
 }
 
 pub(crate) fn refused(reason: Reason, detail: &str) -> Response {
-    response(ResponseKind::refused(Refused {
+    response(ResponseKind::refused(refusal(reason, detail)))
+}
+
+fn refusal(reason: Reason, detail: &str) -> Refused {
+    Refused {
         reason,
         detail: detail.to_owned(),
         retry_after_ms: 0,
-    }))
+    }
 }
--- a/crates/journal/src/replica_set/copy.rs
+++ b/crates/journal/src/replica_set/copy.rs
@@ -11,12 +11,15 @@
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
-    ExportLogs, ExportLogsReply, ImportLogs, OwnerHeartbeat, ReplicaMember, ReplicaSet, Request,
+    ExportLogs, ExportLogsReply, ExportedLog, ImportLogs, OwnerHeartbeat, ReplicaMember,
+    ReplicaSet, Request,
 };
 
+use super::long_log::LongLog;
 use super::replacement::fence;
 use super::zones::location;
 use crate::Peers;
+use crate::log_reader::LogChanged;
 
 /// Timeout of one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -61,6 +64,8 @@
     #[error("the node's disk was replaced")]
     DiskReplaced,
     #[error(transparent)]
+    LogChanged(#[from] LogChanged),
+    #[error(transparent)]
     Storage(#[from] StorageError),
 }
 
@@ -76,6 +81,8 @@
     pub node: String,
     pub peers: Arc<dyn Peers>,
     pub storage: Storage,
+    /// Maximum size of the entries in one message, in bytes. Longer logs are copied in parts.
+    pub part_bytes: usize,
 }
 
 impl LogCopier {
@@ -146,21 +153,27 @@
         let mut after = String::new();
         let mut copied = 0;
         loop {
-            let page = self
-                .storage
-                .export_logs(&after, LOGS_PER_PAGE as usize)
-                .await?;
+            let limit = LOGS_PER_PAGE as usize;
+            let exporting = self.storage.export_logs(&after, limit, self.part_bytes);
+            let page = exporting.await?;
+            copied += page.logs.len();
+            let last = page.logs.last().map(|log| log.log.clone());
+            let (long, short): (Vec<_>, Vec<_>) =
+                page.logs.into_iter().partition(|log| log.is_long);
             for member in &set.next {
                 let request = RequestKind::import_logs(ImportLogs {
                     replica_set_version: set.version,
-                    logs: page.logs.clone(),
+                    logs: short.clone(),
                 });
                 let imported = self.call(member, request).await;
                 imported.map_err(|error| failed(&member.node, error))?;
+                for log in &long {
+                    let pushed = self.push_long_log(set, member, log.clone()).await;
+                    pushed.map_err(|error| failed(&member.node, error))?;
+                }
             }
-            copied += page.logs.len();
-            match page.logs.last() {
-                Some(last) if page.more => after = last.log.clone(),
+            match last {
+                Some(last) if page.more => after = last,
                 _ => break,
             }
         }
@@ -198,7 +211,11 @@
             let page = self.fetch_page(set, member, &after).await?;
             logs += page.logs.len();
             let last = page.logs.last().map(|log| log.log.clone());
-            self.storage.import_logs(set.version, page.logs).await?;
+            let (long, short) = page.logs.into_iter().partition(|log| log.is_long);
+            self.storage.import_logs(set.version, short).await?;
+            for log in long {
+                self.copy_long_log(set, member, log).await?;
+            }
             match last {
                 Some(last) if page.more => after = last,
                 _ => break,
@@ -212,6 +229,54 @@
         })
     }
 
+    /// Copies a log that is too long for one message to this node.
+    async fn copy_long_log(
+        &self,
+        set: &ReplicaSet,
+        member: &ReplicaMember,
+        exported: ExportedLog,
+    ) -> Result<(), ReplicaError> {
+        let mut log = LongLog::new(exported, member.replica_id);
+        while let Some(request) = log.next_request(self.part_bytes) {
+            let ResponseKind::read_log(reply) =
+                self.call(member, RequestKind::read_log(request)).await?
+            else {
+                return Err(ReplicaError::UnexpectedResponse);
+            };
+            let parts = log.stage(reply, set.version)?;
+            self.storage.stage(parts).await?;
+        }
+        let log = log.into_import();
+        let storage = &self.storage;
+        storage.import_logs(set.version, vec![log.clone()]).await?;
+        log_long_copy(&log, &member.node, &self.node);
+        Ok(())
+    }
+
+    /// Sends a log of this node that is too long for one message.
+    async fn push_long_log(
+        &self,
+        set: &ReplicaSet,
+        member: &ReplicaMember,
+        exported: ExportedLog,
+    ) -> Result<(), ReplicaError> {
+        let mut log = LongLog::new(exported, self.storage.replica_id());
+        while let Some(request) = log.next_request(self.part_bytes) {
+            let reply = self.storage.read_log_parts(request).await?;
+            let parts = log.stage(reply, set.version)?;
+            let request = RequestKind::stage_entries(parts);
+            self.call(member, request).await?;
+        }
+        let log = log.into_import();
+        let request = RequestKind::import_staged(ImportLogs {
+            replica_set_version: set.version,
+            logs: vec![log.clone()],
+        });
+        self.call(member, request).await?;
+        log_long_copy(&log, &self.node, &member.node);
+        Ok(())
+    }
+
     /// Fetches the page of logs whose names follow `after`.
     async fn fetch_page(
         &self,
@@ -224,6 +289,7 @@
             after: after.to_owned(),
             limit: LOGS_PER_PAGE,
             known: self.storage.known_logs(after, KNOWN_LOGS_PER_REQUEST),
+            max_log_bytes: self.part_bytes as u64,
         });
         match self.call(member, request).await? {
             ResponseKind::export_logs(page) => Ok(page),
@@ -258,3 +324,11 @@
         }
     }
 }
+
+fn log_long_copy(log: &ExportedLog, from: &str, to: &str) {
+    log::info!(
+        "event=log_copied_in_parts log={} from={from} to={to} entries={}",
+        log.log,
+        log.staged_length
+    );
+}
--- a/crates/journal/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -6,6 +6,7 @@
 mod bootstrap;
 mod copy;
 mod key_value_records;
+mod long_log;
 mod records;
 mod replacement;
 pub mod zones;
@@ -88,6 +89,7 @@
             replace_after: options.replace_after,
             max_poll_interval: options.max_poll_interval,
             target_count: options.initial_replicas.target_count(),
+            part_bytes: options.part_bytes,
             missing_since: BTreeMap::new(),
             record_read_at: None,
             leaving_since: None,
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -56,6 +56,8 @@
     pub replace_after: Duration,
     /// Upper bound of the time between checks while they fail.
     pub max_poll_interval: Duration,
+    /// Maximum size of the entries in one message, in bytes.
+    pub part_bytes: usize,
     /// Number of replicas that the set should have.
     pub target_count: usize,
     /// Time at which each missing replica, by its id, was first found missing.
@@ -182,6 +184,7 @@
             node: self.node.clone(),
             peers: Arc::clone(&self.peers),
             storage: storage.clone(),
+            part_bytes: self.part_bytes,
         };
         Ok(copy.push_to_next_members(set).await?)
     }
@@ -235,6 +238,7 @@
             node: self.node.clone(),
             peers: Arc::clone(&self.peers),
             storage: storage.clone(),
+            part_bytes: self.part_bytes,
         };
         let logs = copy.copy_from_replicas(set).await?;
         log::info!("event=logs_copied version={} logs={logs}", set.version);
--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -227,8 +227,9 @@
     fn outstanding_bytes(&self) -> usize {
         let progress = self.lock();
         let replicas = quorum::members(&self.set).into_iter();
-        let writes = replicas.filter_map(|member| progress.state.next_write(member.replica_id));
-        writes.map(|write| payload_bytes(&write)).sum()
+        replicas
+            .map(|member| progress.state.outstanding_bytes(member.replica_id))
+            .sum()
     }
 
     async fn wait_for_result(&self, mut changed: watch::Receiver<()>) -> Result<(), JournalError> {
@@ -272,7 +273,8 @@
         let mut failures = 0;
         while let Some(write) = self.next_write(&member, failures < MAX_FAILURES) {
             let request = request_of(&write);
-            let timeout = transfer_timeout(self.calls.write_timeout(), payload_bytes(&write));
+            let bytes = self.lock().state.payload_bytes(&write);
+            let timeout = transfer_timeout(self.calls.write_timeout(), bytes);
             let result = self.calls.call_within(&member, request, timeout).await;
             if !self.record_result(&member, &write, result) {
                 failures += 1;
@@ -324,9 +326,14 @@
             }
             Err(failure) => {
                 progress.last_failure = describe_failure(member, &failure);
-                // An earlier version does not support `install_rest`, which omits stored entries.
-                if failure == ReplicaFailure::UnknownRequest {
-                    progress.state.on_complete_log_needed(member.replica_id);
+                match failure {
+                    ReplicaFailure::UnknownRequest => {
+                        progress.state.on_unknown_request(member.replica_id, write);
+                    }
+                    ReplicaFailure::Unavailable(_) => {
+                        progress.state.on_unreachable(member.replica_id);
+                    }
+                    ReplicaFailure::StaleReplicaSet => {}
                 }
                 let is_stale = failure == ReplicaFailure::StaleReplicaSet;
                 if is_stale {
@@ -351,20 +358,21 @@
 /// Reference to a writer that may have been dropped.
 pub(crate) type WeakWriter = Weak<WriterShared>;
 
-fn payload_bytes(write: &ReplicaWrite) -> usize {
-    let entries = match write {
-        ReplicaWrite::Install(install) => &install.entries,
-        ReplicaWrite::Append(append) => &append.entries,
-    };
-    entries.iter().map(|entry| entry.payload.len()).sum()
-}
-
+/// Wraps a write. Those that refer to stored or staged entries have kinds of their own, which replicas
+/// of earlier versions refuse: they would take the message for the complete log.
 fn request_of(write: &ReplicaWrite) -> RequestKind {
     match write {
+        ReplicaWrite::Install(install) if install.staged_length > 0 => {
+            RequestKind::install_staged(install.clone())
+        }
         ReplicaWrite::Install(install) if install.kept_length > 0 => {
             RequestKind::install_rest(install.clone())
         }
         ReplicaWrite::Install(install) => RequestKind::install(install.clone()),
+        ReplicaWrite::Append(append) if append.staged_length > 0 => {
+            RequestKind::append_staged(append.clone())
+        }
         ReplicaWrite::Append(append) => RequestKind::append(append.clone()),
+        ReplicaWrite::Stage(stage) => RequestKind::stage_entries(stage.clone()),
     }
 }
--- a/crates/ladderstage/src/journal/read.rs
+++ b/crates/ladderstage/src/journal/read.rs
@@ -53,9 +53,15 @@
     }
 }
 
-fn rank(reply: &ReadLogReply) -> (WriterEpoch, bool, usize) {
+fn rank(reply: &ReadLogReply) -> (WriterEpoch, bool, u64) {
     let epoch = WriterEpoch::from(&reply.log_epoch);
-    (epoch, reply.retired, reply.entries.len())
+    (epoch, reply.retired, stored_length(reply))
+}
+
+/// Returns the number of entries that the answering replica stores. A replica of an earlier version
+/// sends all of them.
+pub fn stored_length(reply: &ReadLogReply) -> u64 {
+    reply.length.max(reply.entries.len() as u64)
 }
 
 /// Collects descriptions of logs by the writers that replicas have promised them to.
--- a/crates/ladderstage/src/journal/replica.rs
+++ b/crates/ladderstage/src/journal/replica.rs
@@ -5,7 +5,7 @@
 
 use ladderstage_wire::messages::mod_WriteReply::Outcome;
 use ladderstage_wire::messages::{
-    Append, Epoch, ExportedLog, Install, KnownLog, LogDescription, Seal, WriteReply,
+    Append, Epoch, ExportedLog, Install, KnownLog, LogDescription, LogEntry, Seal, WriteReply,
 };
 
 use super::epoch::WriterEpoch;
@@ -47,6 +47,19 @@
     },
 }
 
+impl EntryChange {
+    /// Returns the index of the first entry that is added to a log of `length` entries; `None` if the
+    /// change adds none.
+    pub fn first_added(self, length: u64) -> Option<u64> {
+        match self {
+            Self::Keep => None,
+            Self::Replace => Some(0),
+            Self::ReplaceFrom { kept } => Some(kept),
+            Self::Extend { .. } => Some(length),
+        }
+    }
+}
+
 /// A replica's decision about one message.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Decision {
@@ -126,7 +139,7 @@
         return unchanged(state, Outcome::FENCED);
     }
     let kept = request.kept_length;
-    let length = kept.saturating_add(request.entries.len() as u64);
+    let length = kept.saturating_add(added_length(request.staged_length, &request.entries));
     if state.log_epoch == epoch && state.length >= length {
         return unchanged(state, Outcome::STORED);
     }
@@ -169,9 +182,8 @@
     if state.log_epoch != epoch || state.retired || request.first_index > state.length {
         return unchanged(state, Outcome::NEEDS_INSTALL);
     }
-    let end = request
-        .first_index
-        .saturating_add(request.entries.len() as u64);
+    let added = added_length(request.staged_length, &request.entries);
+    let end = request.first_index.saturating_add(added);
     let mut after = state.clone();
     after.length = state.length.max(end);
     after.closed = state.closed || request.closes;
@@ -189,6 +201,20 @@
     }
 }
 
+/// Returns the number of entries that a write brings. Staged entries take the place of sent ones.
+pub fn added_length(staged_length: u64, sent: &[LogEntry]) -> u64 {
+    match staged_length {
+        0 => sent.len() as u64,
+        staged_length => staged_length,
+    }
+}
+
+/// Returns the decision for a write whose staged entries are not all present: the writer has to send
+/// the log again.
+pub fn missing_entries(state: &LogState) -> Decision {
+    unchanged(state, Outcome::NEEDS_INSTALL)
+}
+
 /// Returns the decision to answer `outcome` and store nothing.
 fn unchanged(state: &LogState, outcome: Outcome) -> Decision {
     Decision {
@@ -209,6 +235,7 @@
     let log_epoch = WriterEpoch::from(&known.log_epoch);
     if !is_newer(exported, log_epoch, known.retired, known.length) {
         exported.entries.clear();
+        exported.is_long = false;
     }
 }
 
@@ -219,7 +246,8 @@
     let promised = WriterEpoch::from(&exported.promised).max(log_epoch);
     // The source omits the entries if this replica has reported a log at least as new. That log is
     // then kept, because the state of a replica never becomes older than reported.
-    let is_complete = exported.retired || exported.entries.len() as u64 == exported.length;
+    let stored_length = added_length(exported.staged_length, &exported.entries);
+    let is_complete = !exported.is_long && (exported.retired || stored_length == exported.length);
     let is_newer = is_complete && is_newer(exported, state.log_epoch, state.retired, state.length);
     let mut after = state.clone();
     if promised > state.promised {
--- a/crates/ladderstage/src/journal/writer.rs
+++ b/crates/ladderstage/src/journal/writer.rs
@@ -2,14 +2,17 @@
 //! missing, and appends.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 
 use ladderstage_wire::messages::mod_WriteReply::Outcome;
 use ladderstage_wire::messages::{
-    Append, Install, LogEntry, ReadLogReply, Seal, SealReply, WriteReply,
+    Append, Install, LogEntry, ReadLogReply, Seal, SealReply, StageEntries, WriteReply,
 };
 
 use super::epoch::WriterEpoch;
+use super::parts::{self, DEFAULT_PART_BYTES, LogPosition};
 use super::quorum::{Quorum, ReplicaId};
+use super::{read, replica};
 
 /// Identity of a writer towards the replicas.
 #[derive(Debug, Clone)]
@@ -166,13 +169,13 @@
             .collect()
     }
 
-    /// Returns whether an answer of one of the sources is the newest log, unchanged since it was
-    /// sealed.
+    /// Returns whether an answer of one of the sources is the newest log or parts of it, unchanged
+    /// since it was sealed.
     pub fn is_newest(&self, reply: &ReadLogReply) -> bool {
         self.sources().contains(&reply.replica_id)
             && WriterEpoch::from(&reply.promised) == self.identity.epoch
             && WriterEpoch::from(&reply.log_epoch) == self.newest.epoch
-            && reply.entries.len() as u64 == self.newest.length
+            && read::stored_length(reply) == self.newest.length
     }
 
     /// Returns the number of entries of the newest log that a replica holds. A replica that has not
@@ -185,7 +188,12 @@
         }
     }
 
-    /// Continues with installing the log. `entries` are those of an answer that
+    /// Returns the number of entries of the newest log.
+    pub fn length(&self) -> u64 {
+        self.newest.length
+    }
+
+    /// Continues with installing the log. `entries` are those of answers that
     /// [`SealedLog::is_newest`] accepted, or empty if the log is empty.
     pub fn into_writer(self, entries: Vec<LogEntry>) -> LogWriterState {
         LogWriterState::new(self, entries)
@@ -199,15 +207,21 @@
     Install(Install),
     /// Appends to the entries that the replica holds under this epoch.
     Append(Append),
+    /// Stages entries of a later install or append that is too long for one message.
+    Stage(StageEntries),
 }
 
 impl ReplicaWrite {
-    /// Returns the number of entries that the replica holds after storing this message.
-    pub fn end(&self) -> u64 {
-        match self {
-            Self::Install(install) => install.kept_length + install.entries.len() as u64,
-            Self::Append(append) => append.first_index + append.entries.len() as u64,
-        }
+    /// Returns the range of entries that this message adds to the replica's log.
+    pub fn added(&self) -> Range<u64> {
+        let (first, staged, entries) = match self {
+            Self::Install(install) => {
+                (install.kept_length, install.staged_length, &install.entries)
+            }
+            Self::Append(append) => (append.first_index, append.staged_length, &append.entries),
+            Self::Stage(_) => return 0..0,
+        };
+        first..first + replica::added_length(staged, entries)
     }
 
     fn closes(&self) -> bool {
@@ -223,10 +237,29 @@
     /// Number of entries of the adopted log that the replica holds or is assumed to hold; an
     /// install leaves them out.
     kept: u64,
+    /// Entries of the next write that are being staged.
+    staging: Option<Staging>,
+    /// Whether the replica runs an earlier version, which takes no parts.
+    refuses_parts: bool,
     closed: bool,
     fenced: bool,
 }
 
+/// Entries that are staged at a replica for one write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Staging {
+    first: u64,
+    end: u64,
+    /// Position of the first byte that the replica has not confirmed.
+    next: LogPosition,
+}
+
+impl Staging {
+    fn is_complete(&self) -> bool {
+        self.next >= LogPosition::at(self.end)
+    }
+}
+
 /// A writer with the promises of a quorum. Entries are only ever added, so an index of one epoch
 /// never has two contents. A write without a quorum is repeated unchanged, or the writer is
 /// abandoned.
@@ -236,6 +269,8 @@
     quorum: Quorum,
     entries: Vec<LogEntry>,
     closed: bool,
+    /// Maximum size of the entries in one message, in bytes; larger writes are staged in parts.
+    part_bytes: usize,
     /// Epoch of the adopted log.
     adopted_epoch: WriterEpoch,
     progress: BTreeMap<ReplicaId, ReplicaProgress>,
@@ -259,10 +294,16 @@
             quorum: sealed.quorum,
             entries,
             closed: false,
+            part_bytes: DEFAULT_PART_BYTES,
             progress,
         }
     }
 
+    /// Sets the maximum size of the entries in one message, in bytes.
+    pub fn with_part_bytes(self, part_bytes: usize) -> Self {
+        Self { part_bytes, ..self }
+    }
+
     /// Returns the identity of this writer.
     pub fn identity(&self) -> &WriterIdentity {
         &self.identity
@@ -288,14 +329,29 @@
     /// epoch.
     pub fn next_write(&self, replica: ReplicaId) -> Option<ReplicaWrite> {
         let progress = self.progress.get(&replica)?;
-        if progress.fenced {
-            return None;
-        }
-        let Some(held) = progress.held else {
-            return Some(ReplicaWrite::Install(self.install(progress.kept)));
+        let first = self.next_index(progress)?;
+        let Some(staging) = self.staging_from(progress, first) else {
+            return Some(self.write(progress, first..self.length(), false));
         };
-        let is_behind = held < self.entries.len() as u64 || (self.closed && !progress.closed);
-        is_behind.then(|| ReplicaWrite::Append(self.append_from(held)))
+        if staging.is_complete() {
+            return Some(self.write(progress, first..staging.end, true));
+        }
+        Some(ReplicaWrite::Stage(self.stage(&staging)))
+    }
+
+    /// Returns the size of the entries that `replica` lacks, in bytes.
+    pub fn outstanding_bytes(&self, replica: ReplicaId) -> usize {
+        let progress = self.progress.get(&replica);
+        let first = progress.and_then(|progress| self.next_index(progress));
+        first.map_or(0, |first| self.size_of(first..self.length()))
+    }
+
+    /// Returns the size of the entries that `write` sends or takes from the staged ones, in bytes.
+    pub fn payload_bytes(&self, write: &ReplicaWrite) -> usize {
+        match write {
+            ReplicaWrite::Stage(stage) => stage.parts.iter().map(|part| part.payload.len()).sum(),
+            ReplicaWrite::Install(_) | ReplicaWrite::Append(_) => self.size_of(write.added()),
+        }
     }
 
     /// Applies the answer of `replica` to `sent`. Answers with another replica id are ignored.
@@ -303,17 +359,23 @@
         if reply.replica_id != replica {
             return;
         }
+        let length = self.length();
         let Some(progress) = self.progress.get_mut(&replica) else {
             return;
         };
-        match reply.outcome {
-            Outcome::STORED => {
-                progress.held = Some(progress.held.unwrap_or(0).max(sent.end()));
+        match (reply.outcome, sent) {
+            (Outcome::STORED, ReplicaWrite::Stage(stage)) => {
+                progress.fenced |= WriterEpoch::from(&reply.promised) > self.identity.epoch;
+                progress.on_staged(stage, length);
+            }
+            (Outcome::STORED, _) => {
+                progress.held = Some(progress.held.unwrap_or(0).max(sent.added().end));
                 progress.closed |= sent.closes();
+                progress.staging = None;
             }
-            Outcome::FENCED => progress.fenced = true,
-            Outcome::NEEDS_INSTALL => self.on_complete_log_needed(replica),
-            Outcome::FAILED | Outcome::UNSPECIFIED => {}
+            (Outcome::FENCED, _) => progress.fenced = true,
+            (Outcome::NEEDS_INSTALL, _) => self.on_complete_log_needed(replica),
+            (Outcome::FAILED | Outcome::UNSPECIFIED, _) => {}
         }
     }
 
@@ -322,6 +384,31 @@
         if let Some(progress) = self.progress.get_mut(&replica) {
             progress.held = None;
             progress.kept = 0;
+            progress.staging = None;
+        }
+    }
+
+    /// Records that the replica does not know a request. An earlier version knows no installs that
+    /// leave out stored entries, or none that leave out staged ones either.
+    pub fn on_unknown_request(&mut self, replica: ReplicaId, sent: &ReplicaWrite) {
+        let sends_parts = match sent {
+            ReplicaWrite::Stage(_) => true,
+            ReplicaWrite::Install(install) => install.staged_length > 0,
+            ReplicaWrite::Append(append) => append.staged_length > 0,
+        };
+        if !sends_parts {
+            return self.on_complete_log_needed(replica);
+        }
+        if let Some(progress) = self.progress.get_mut(&replica) {
+            progress.refuses_parts = true;
+            progress.staging = None;
+        }
+    }
+
+    /// Records that the replica could not be reached. It may run another version afterwards.
+    pub fn on_unreachable(&mut self, replica: ReplicaId) {
+        if let Some(progress) = self.progress.get_mut(&replica) {
+            progress.refuses_parts = false;
         }
     }
 
@@ -366,26 +453,105 @@
             .collect()
     }
 
-    fn install(&self, kept: u64) -> Install {
-        Install {
+    /// Returns the number of entries of the complete log.
+    fn length(&self) -> u64 {
+        self.entries.len() as u64
+    }
+
+    fn size_of(&self, range: Range<u64>) -> usize {
+        let entries = &self.entries[range.start as usize..range.end as usize];
+        entries.iter().map(|entry| entry.payload.len()).sum()
+    }
+
+    /// Returns the index of the first entry that a replica needs; `None` if it needs no message.
+    fn next_index(&self, progress: &ReplicaProgress) -> Option<u64> {
+        if progress.fenced {
+            return None;
+        }
+        let Some(held) = progress.held else {
+            return Some(progress.kept);
+        };
+        let is_behind = held < self.length() || (self.closed && !progress.closed);
+        is_behind.then_some(held)
+    }
+
+    /// Returns the staging of the entries from `first` on; `None` if they fit into one message or the
+    /// replica takes no parts.
+    fn staging_from(&self, progress: &ReplicaProgress, first: u64) -> Option<Staging> {
+        let started = progress.staging.filter(|staging| staging.first == first);
+        if started.is_some() || progress.refuses_parts {
+            return started;
+        }
+        let is_long = self.size_of(first..self.length()) > self.part_bytes;
+        is_long.then(|| Staging {
+            first,
+            end: self.length(),
+            next: LogPosition::at(first),
+        })
+    }
+
+    fn stage(&self, staging: &Staging) -> StageEntries {
+        StageEntries {
             replica_set_version: self.quorum.version(),
             log: self.identity.log.clone(),
             epoch: self.identity.epoch.to_wire(),
-            owner_node: self.identity.node.clone(),
-            entries: self.entries[kept as usize..].to_vec(),
-            kept_epoch: self.adopted_epoch.to_wire(),
-            kept_length: kept,
+            parts: parts::split(&self.entries, staging.next, staging.end, self.part_bytes),
         }
     }
 
-    fn append_from(&self, held: u64) -> Append {
-        Append {
+    /// Returns the message that adds `range` to the replica's log. The entries are left out if they
+    /// are staged.
+    fn write(
+        &self,
+        progress: &ReplicaProgress,
+        range: Range<u64>,
+        is_staged: bool,
+    ) -> ReplicaWrite {
+        let added = &self.entries[range.start as usize..range.end as usize];
+        let (entries, staged_length) = match is_staged {
+            true => (Vec::new(), added.len() as u64),
+            false => (added.to_vec(), 0),
+        };
+        if progress.held.is_none() {
+            return ReplicaWrite::Install(Install {
+                replica_set_version: self.quorum.version(),
+                log: self.identity.log.clone(),
+                epoch: self.identity.epoch.to_wire(),
+                owner_node: self.identity.node.clone(),
+                entries,
+                kept_epoch: self.adopted_epoch.to_wire(),
+                kept_length: range.start,
+                staged_length,
+            });
+        }
+        ReplicaWrite::Append(Append {
             replica_set_version: self.quorum.version(),
             log: self.identity.log.clone(),
             epoch: self.identity.epoch.to_wire(),
-            first_index: held,
-            entries: self.entries[held as usize..].to_vec(),
-            closes: self.closed,
+            first_index: range.start,
+            entries,
+            closes: self.closed && range.end == self.length(),
+            staged_length,
+        })
+    }
+}
+
+impl ReplicaProgress {
+    /// Applies the confirmation of staged parts; `length` is the number of entries of the complete
+    /// log. Confirmations that do not continue the staging are ignored.
+    fn on_staged(&mut self, stage: &StageEntries, length: u64) {
+        let (Some(start), Some(end)) = (stage.parts.first(), stage.parts.last()) else {
+            return;
+        };
+        let first = self.held.unwrap_or(self.kept);
+        let mut staging = self.staging.unwrap_or(Staging {
+            first,
+            end: length,
+            next: LogPosition::at(first),
+        });
+        if staging.first == first && staging.next == LogPosition::start_of(start) {
+            staging.next = LogPosition::end_of(end);
+            self.staging = Some(staging);
         }
     }
 }
--- a/crates/ladderstage/tests/journal/interleavings.rs
+++ b/crates/ladderstage/tests/journal/interleavings.rs
@@ -27,10 +27,16 @@
         4 => number().prop_map(|writer| Step::UpdateWriterSet { writer }),
         2 => number().prop_map(|replica| Step::UpdateReplicaSet { replica }),
         4 => number().prop_map(|source| Step::Copy { source }),
+        8 => Just(Step::CopyParts),
         2 => Just(Step::CompleteReplacement),
     ]
 }
 
+/// Maximum size of the entries in one message: from one that splits most writes to one that splits none.
+fn part_bytes() -> impl Strategy<Value = usize> {
+    prop_oneof![Just(4), Just(12), Just(50), Just(200), Just(usize::MAX)]
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -38,9 +44,10 @@
     fn committed_entries_are_never_lost_reordered_or_doubled(
         replicas in 3usize..=5,
         writers in 2usize..=4,
+        part_bytes in part_bytes(),
         steps in prop::collection::vec(step(), 50..400),
     ) {
-        let mut simulation = Simulation::new(replicas, writers);
+        let mut simulation = Simulation::new(replicas, writers, part_bytes);
         for step in &steps {
             simulation.apply(step);
         }
@@ -55,9 +62,10 @@
     fn replacing_replicas_loses_reorders_and_doubles_nothing(
         replicas in prop::sample::select(vec![3usize, 5]),
         writers in 2usize..=3,
+        part_bytes in part_bytes(),
         steps in prop::collection::vec(step_with_replacement(), 100..500),
     ) {
-        let mut simulation = Simulation::new(replicas, writers);
+        let mut simulation = Simulation::new(replicas, writers, part_bytes);
         for step in &steps {
             simulation.apply(step);
         }
@@ -69,15 +77,42 @@
 /// replacements must commit after one has completed.
 #[test]
 fn interleavings_commit_and_replace() {
+    let (committing, replacing) = count_committing_and_replacing(usize::MAX, 500);
+    assert!(
+        committing > 50,
+        "{committing} of 100 committed at least two entries"
+    );
+    assert!(
+        replacing > 20,
+        "{replacing} of 100 committed after a replacement"
+    );
+}
+
+/// As above, where every entry is sent in parts, each of which can be lost.
+#[test]
+fn interleavings_with_parts_commit_and_replace() {
+    let (committing, replacing) = count_committing_and_replacing(12, 1_000);
+    assert!(
+        committing > 20,
+        "{committing} of 100 committed at least two entries"
+    );
+    assert!(
+        replacing > 5,
+        "{replacing} of 100 committed after a replacement"
+    );
+}
+
+/// Returns how many of 100 interleavings of `steps` steps commit two entries and commit after a replacement.
+fn count_committing_and_replacing(part_bytes: usize, steps: usize) -> (usize, usize) {
     let mut runner = proptest::test_runner::TestRunner::deterministic();
-    let strategy = prop::collection::vec(step_with_replacement(), 500);
+    let strategy = prop::collection::vec(step_with_replacement(), steps);
     let (mut committing, mut replacing) = (0, 0);
     for _ in 0..100 {
         let steps = strategy
             .new_tree(&mut runner)
             .expect("a sequence")
             .current();
-        let mut simulation = Simulation::new(3, 2);
+        let mut simulation = Simulation::new(3, 2, part_bytes);
         let mut before_replacement = usize::MAX;
         for step in &steps {
             simulation.apply(step);
@@ -88,12 +123,5 @@
         committing += usize::from(simulation.committed.len() >= 2);
         replacing += usize::from(simulation.committed.len() > before_replacement);
     }
-    assert!(
-        committing > 50,
-        "{committing} of 100 committed at least two entries"
-    );
-    assert!(
-        replacing > 20,
-        "{replacing} of 100 committed after a replacement"
-    );
+    (committing, replacing)
 }
--- a/crates/ladderstage/tests/journal/rules.rs
+++ b/crates/ladderstage/tests/journal/rules.rs
@@ -1,11 +1,12 @@
 //! Unit tests of the journal: epochs, quorums, replica replies, heartbeats and reads.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::simulated_replica::{Outcome, SimulatedReplica, new_replica};
 use crate::support::{LOG, identity, quorum_of};
 use ladderstage::journal::heartbeat::HeartbeatTable;
+use ladderstage::journal::parts::{LogPosition, PartAssembler, split};
 use ladderstage::journal::read::{LogListing, LogRead};
 use ladderstage::journal::replica::{self, EntryChange, LogState, import, omit_known};
 use ladderstage::journal::writer::{LogWriterState, ReplicaWrite, SealProgress, Sealing};
@@ -14,6 +15,7 @@
     DescribeLogsReply, ExportedLog, KnownLog, LogDescription, LogEntry, OwnedLog, ReadLogReply,
     ReplicaMember, ReplicaSet, Seal, SealReply,
 };
+use proptest::prelude::*;
 
 fn epoch(round: u64, owner: u64) -> WriterEpoch {
     WriterEpoch { round, owner }
@@ -164,6 +166,7 @@
     let entries = writes.iter().map(|write| match write {
         ReplicaWrite::Install(install) => install.entries.len(),
         ReplicaWrite::Append(append) => append.entries.len(),
+        ReplicaWrite::Stage(stage) => stage.parts.len(),
     });
     entries.sum()
 }
@@ -565,3 +568,123 @@
         "a copy whose entries were omitted replaces nothing"
     );
 }
+
+/// Size of parts that splits the entries of a test.
+const SMALL_PART_BYTES: usize = 3;
+
+fn staged_parts(writes: &[ReplicaWrite]) -> usize {
+    let stages = |write: &&ReplicaWrite| matches!(write, ReplicaWrite::Stage(_));
+    writes.iter().filter(stages).count()
+}
+
+/// Guards against a replica that counts a part of a long log as a newer log than the complete one
+/// that it holds.
+#[test]
+fn parts_of_a_long_log_become_visible_together() {
+    let mut replica = new_replica(1);
+    let mut first = sealed_writer(epoch(1, 1), &mut replica);
+    first.add(vec![entry("committed"), entry("entries")], false);
+    write_all(&mut first, &mut replica);
+
+    let mut second = sealed_writer(epoch(2, 2), &mut replica).with_part_bytes(SMALL_PART_BYTES);
+    second.on_complete_log_needed(1);
+    while let Some(write @ ReplicaWrite::Stage(_)) = second.next_write(1) {
+        let reply = replica.write(&write);
+        second.on_reply(1, &write, &reply);
+        assert_eq!(replica.state.log_epoch, epoch(1, 1));
+        assert_eq!(replica.entries, first.entries());
+        assert!(!second.is_committed());
+    }
+    let writes = write_all(&mut second, &mut replica);
+    assert_eq!((writes.len(), staged_parts(&writes)), (1, 0));
+    assert!(second.is_committed());
+    assert_eq!(replica.state.log_epoch, epoch(2, 2));
+    assert_eq!(replica.entries, second.entries());
+    assert!(replica.staged.is_empty());
+}
+
+/// Guards against results of one group of which only some are found after a takeover: entries that are
+/// appended together become visible together, however long they are.
+#[test]
+fn a_long_append_is_stored_completely_or_not_at_all() {
+    let mut replica = new_replica(1);
+    let mut writer = sealed_writer(epoch(1, 1), &mut replica).with_part_bytes(SMALL_PART_BYTES);
+    writer.add(vec![entry("a")], false);
+    write_all(&mut writer, &mut replica);
+    writer.add(vec![entry("one group"), entry("of results")], true);
+    while let Some(write @ ReplicaWrite::Stage(_)) = writer.next_write(1) {
+        let reply = replica.write(&write);
+        writer.on_reply(1, &write, &reply);
+        assert_eq!(replica.state.length, 1);
+    }
+    write_all(&mut writer, &mut replica);
+    assert!(writer.is_committed() && replica.state.closed);
+    assert_eq!(replica.entries, writer.entries());
+}
+
+/// Guards against a log with missing entries after a replica has lost staged parts.
+#[test]
+fn a_write_whose_staged_parts_are_missing_is_repeated() {
+    let mut replica = new_replica(1);
+    let mut writer = sealed_writer(epoch(1, 1), &mut replica).with_part_bytes(SMALL_PART_BYTES);
+    writer.add(vec![entry("long"), entry("entries")], false);
+    while let Some(write @ ReplicaWrite::Stage(_)) = writer.next_write(1) {
+        let reply = replica.write(&write);
+        writer.on_reply(1, &write, &reply);
+    }
+    replica.staged.pop_first();
+    let write = writer.next_write(1).expect("a staged install");
+    let reply = replica.write(&write);
+    assert_eq!(reply.outcome, Outcome::NEEDS_INSTALL);
+    assert!(replica.entries.is_empty());
+    writer.on_reply(1, &write, &reply);
+    let writes = write_all(&mut writer, &mut replica);
+    assert!(staged_parts(&writes) > 0);
+    assert_eq!(replica.entries, writer.entries());
+}
+
+/// Guards against long logs that a replica of an earlier version refuses while they still fit into one
+/// message.
+#[test]
+fn a_replica_that_takes_no_parts_gets_the_complete_log() {
+    let mut replica = new_replica(1);
+    let mut writer = sealed_writer(epoch(1, 1), &mut replica).with_part_bytes(SMALL_PART_BYTES);
+    writer.add(vec![entry("long"), entry("entries")], false);
+    let refused = writer.next_write(1).expect("parts");
+    writer.on_unknown_request(1, &refused);
+    let writes = write_all(&mut writer, &mut replica);
+    assert_eq!((writes.len(), staged_parts(&writes)), (1, 0));
+    assert_eq!(replica.entries, writer.entries());
+    // The replica may have been replaced by the present version.
+    writer.on_unreachable(1);
+    writer.add(vec![entry("more entries")], false);
+    assert!(staged_parts(&write_all(&mut writer, &mut replica)) > 0);
+}
+
+proptest! {
+    /// Guards against entries that are damaged where parts of different sizes overlap.
+    #[test]
+    fn parts_of_any_sizes_combine_to_the_same_entries(
+        payloads in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..90), 0..12),
+        sizes in prop::collection::vec(1usize..120, 1..4),
+    ) {
+        let entries: Vec<LogEntry> =
+            payloads.into_iter().map(|payload| LogEntry { payload }).collect();
+        let end = entries.len() as u64;
+        let mut parts = BTreeMap::new();
+        for size in sizes {
+            let mut position = LogPosition::default();
+            while position.index < end {
+                let message = split(&entries, position, end, size);
+                position = LogPosition::end_of(message.last().expect("progress"));
+                parts.extend(message.into_iter().map(|part| (LogPosition::start_of(&part), part)));
+            }
+        }
+        let mut assembler = PartAssembler::new(0);
+        let mut combined = Vec::new();
+        for part in parts.values() {
+            combined.extend(assembler.push(part).expect("no gap"));
+        }
+        prop_assert_eq!(combined, entries);
+    }
+}
--- a/crates/ladderstage/tests/journal/simulated_replica.rs
+++ b/crates/ladderstage/tests/journal/simulated_replica.rs
@@ -1,11 +1,16 @@
 //! In-memory journal replica.
 
+use std::collections::BTreeMap;
+
+use ladderstage::journal::WriterEpoch;
+use ladderstage::journal::parts::{LogPosition, PartAssembler};
 use ladderstage::journal::replica::{self, Decision, EntryChange, LogState};
 use ladderstage::journal::replica_set;
 use ladderstage::journal::writer::ReplicaWrite;
 pub use ladderstage_wire::messages::mod_WriteReply::Outcome;
 use ladderstage_wire::messages::{
-    ExportedLog, LogEntry, ReadLogReply, ReplicaMember, ReplicaSet, Seal, SealReply, WriteReply,
+    EntryPart, Epoch, ExportedLog, LogEntry, ReadLogReply, ReplicaMember, ReplicaSet, Seal,
+    SealReply, StageEntries, WriteReply,
 };
 
 /// The durable state of a replica. A restart therefore only affects messages in transit.
@@ -14,6 +19,8 @@
     pub id: u64,
     pub state: LogState,
     pub entries: Vec<LogEntry>,
+    /// Staged parts by the epoch of their writer and their position.
+    pub staged: BTreeMap<(WriterEpoch, LogPosition), EntryPart>,
     /// Replica set known to the replica; without one it accepts nothing.
     pub set: Option<ReplicaSet>,
     /// Whether its disk is permanently lost.
@@ -45,15 +52,31 @@
         }
     }
 
-    pub fn import(&mut self, exported: &ExportedLog) {
+    /// Imports a copy; returns whether all its staged entries were present.
+    pub fn import(&mut self, exported: &ExportedLog) -> bool {
         let decision = replica::import(&self.state, exported);
-        self.store(&decision, &exported.entries);
+        let staged = Staged::new(0, exported.staged_length, &exported.log_epoch);
+        self.store(decision, &exported.entries, staged).outcome == Outcome::STORED
+    }
+
+    pub fn stage(&mut self, request: &StageEntries) -> WriteReply {
+        let epoch = WriterEpoch::from(&request.epoch);
+        for part in &request.parts {
+            let key = (epoch, LogPosition::start_of(part));
+            self.staged.insert(key, part.clone());
+        }
+        WriteReply {
+            replica_id: self.id,
+            outcome: Outcome::STORED,
+            promised: self.state.promised.to_wire(),
+            length: self.state.length,
+        }
     }
 
     pub fn seal(&mut self, request: &Seal) -> SealReply {
         let decision = replica::seal(&self.state, request);
         let accepted = decision.outcome == Outcome::STORED;
-        self.store(&decision, &[]);
+        self.store(decision, &[], None);
         SealReply {
             replica_id: self.id,
             accepted,
@@ -71,32 +94,78 @@
             promised: self.state.promised.to_wire(),
             log_epoch: self.state.log_epoch.to_wire(),
             entries: self.entries.clone(),
-            retired: false,
+            ..ReadLogReply::default()
         }
     }
 
     pub fn write(&mut self, write: &ReplicaWrite) -> WriteReply {
-        let (decision, entries) = match write {
-            ReplicaWrite::Install(install) => {
-                (replica::install(&self.state, install), &install.entries)
-            }
-            ReplicaWrite::Append(append) => (replica::append(&self.state, append), &append.entries),
+        let (decision, entries, staged) = match write {
+            ReplicaWrite::Install(install) => (
+                replica::install(&self.state, install),
+                &install.entries,
+                Staged::new(install.kept_length, install.staged_length, &install.epoch),
+            ),
+            ReplicaWrite::Append(append) => (
+                replica::append(&self.state, append),
+                &append.entries,
+                Staged::new(append.first_index, append.staged_length, &append.epoch),
+            ),
+            ReplicaWrite::Stage(stage) => return self.stage(stage),
         };
-        self.store(&decision, entries);
-        decision.write_reply(self.id)
+        self.store(decision, entries, staged).write_reply(self.id)
     }
 
-    fn store(&mut self, decision: &Decision, entries: &[LogEntry]) {
-        match decision.entries {
-            EntryChange::Keep => {}
-            EntryChange::Replace => self.entries = entries.to_vec(),
-            EntryChange::ReplaceFrom { kept } => {
-                self.entries.truncate(kept as usize);
-                self.entries.extend_from_slice(entries);
-            }
-            EntryChange::Extend { skip } => self.entries.extend_from_slice(&entries[skip..]),
-        }
+    fn store(
+        &mut self,
+        decision: Decision,
+        entries: &[LogEntry],
+        staged: Option<Staged>,
+    ) -> Decision {
+        let Some(first) = decision.entries.first_added(self.state.length) else {
+            self.state = decision.state.clone();
+            return decision;
+        };
+        let added = match (&staged, decision.entries) {
+            (Some(staged), _) => match self.staged_entries(first, staged) {
+                Some(entries) => entries,
+                None => return replica::missing_entries(&self.state),
+            },
+            (None, EntryChange::Extend { skip }) => entries[skip..].to_vec(),
+            (None, _) => entries.to_vec(),
+        };
+        self.entries.truncate(first as usize);
+        self.entries.extend(added);
         self.state = decision.state.clone();
+        let epoch = decision.state.log_epoch;
+        self.staged.retain(|(writer, _), _| *writer > epoch);
+        decision
+    }
+
+    /// Returns the staged entries from `first` on; `None` if some are missing.
+    fn staged_entries(&self, first: u64, staged: &Staged) -> Option<Vec<LogEntry>> {
+        let mut assembler = PartAssembler::new(first);
+        let mut entries = Vec::new();
+        let range =
+            (staged.epoch, LogPosition::at(first))..(staged.epoch, LogPosition::at(staged.end));
+        for part in self.staged.range(range).map(|(_, part)| part) {
+            entries.extend(assembler.push(part).ok()?);
+        }
+        (assembler.position().index >= staged.end).then_some(entries)
+    }
+}
+
+/// Staged entries that take the place of those in a message.
+struct Staged {
+    epoch: WriterEpoch,
+    end: u64,
+}
+
+impl Staged {
+    fn new(first: u64, length: u64, epoch: &Option<Epoch>) -> Option<Self> {
+        (length > 0).then(|| Self {
+            epoch: WriterEpoch::from(epoch),
+            end: first + length,
+        })
     }
 }
 
--- a/crates/ladderstage/tests/journal/support.rs
+++ b/crates/ladderstage/tests/journal/support.rs
@@ -2,12 +2,15 @@
 
 use std::collections::BTreeSet;
 
+use ladderstage::journal::parts::{self, LogPosition};
 use ladderstage::journal::replica_set;
 use ladderstage::journal::writer::{
     LogWriterState, ReplicaWrite, SealProgress, SealedLog, Sealing, WriterIdentity,
 };
 use ladderstage::journal::{EpochSource, Quorum, WriterEpoch};
-use ladderstage_wire::messages::{LogEntry, ReadLogReply, ReplicaSet, Seal, SealReply, WriteReply};
+use ladderstage_wire::messages::{
+    ExportedLog, LogEntry, ReadLogReply, ReplicaSet, Seal, SealReply, StageEntries, WriteReply,
+};
 
 use crate::simulated_replica::{SimulatedReplica, member_of, new_replica};
 
@@ -51,6 +54,7 @@
             Self::Seal(seal) => Some(seal.replica_set_version),
             Self::Write(ReplicaWrite::Install(install)) => Some(install.replica_set_version),
             Self::Write(ReplicaWrite::Append(append)) => Some(append.replica_set_version),
+            Self::Write(ReplicaWrite::Stage(stage)) => Some(stage.replica_set_version),
             Self::Read | Self::SealReply(_) | Self::ReadReply(_) | Self::WriteReply(..) => None,
         }
     }
@@ -108,9 +112,21 @@
     Copy {
         source: usize,
     },
+    /// The joining replica stages the next parts of the log that it copies, or imports them if it has all.
+    CopyParts,
     CompleteReplacement,
 }
 
+/// Log that the joining replica copies under set `version`.
+#[derive(Debug)]
+struct CopiedLog {
+    version: u64,
+    source: usize,
+    joining: usize,
+    log: ExportedLog,
+    position: LogPosition,
+}
+
 /// Simulated replicas, writers and network.
 #[derive(Debug)]
 pub struct Simulation {
@@ -121,17 +137,23 @@
     pub set: ReplicaSet,
     /// Replicas that the joining replica has copied under `set`.
     copied: BTreeSet<u64>,
+    copying: Option<CopiedLog>,
+    /// Maximum size of the entries in one message, in bytes.
+    part_bytes: usize,
     writers: Vec<SimulatedWriter>,
     network: Vec<Envelope>,
 }
 
 impl Simulation {
-    pub fn new(replicas: usize, writers: usize) -> Self {
+    /// Creates a simulation in which writes and copies with more than `part_bytes` are sent in parts.
+    pub fn new(replicas: usize, writers: usize, part_bytes: usize) -> Self {
         let set = set_of(1..=replicas as u64);
         let mut simulation = Self {
             replicas: (1..=replicas as u64 + SPARES).map(new_replica).collect(),
             committed: Vec::new(),
             copied: BTreeSet::new(),
+            copying: None,
+            part_bytes,
             writers: (1..=writers as u64)
                 .map(|id| new_writer(id, &set))
                 .collect(),
@@ -181,6 +203,7 @@
                 self.replicas[index].apply_replica_set(&self.set);
             }
             Step::Copy { source } => self.copy(source),
+            Step::CopyParts => self.copy_parts(),
             Step::CompleteReplacement => self.complete_replacement(),
         }
     }
@@ -220,9 +243,45 @@
         }
         self.replicas[joining].apply_replica_set(&self.set);
         self.replicas[index_of(source)].apply_replica_set(&self.set);
-        let exported = self.replicas[index_of(source)].export();
-        self.replicas[joining].import(&exported);
-        self.copied.insert(source);
+        let mut log = self.replicas[index_of(source)].export();
+        log.entries.clear();
+        self.copying = Some(CopiedLog {
+            version: self.set.version,
+            source: index_of(source),
+            joining,
+            log,
+            position: LogPosition::default(),
+        });
+        self.copy_parts();
+    }
+
+    /// Continues a copy; abandons it if the source was lost or its log has a new writer.
+    fn copy_parts(&mut self) {
+        let Some(mut copying) = self.copying.take() else {
+            return;
+        };
+        let source = &self.replicas[copying.source];
+        let log_epoch = WriterEpoch::from(&copying.log.log_epoch);
+        let is_current = copying.version == self.set.version && !source.lost;
+        if !is_current || source.state.log_epoch != log_epoch {
+            return;
+        }
+        if copying.position.index >= copying.log.length {
+            copying.log.staged_length = copying.log.length;
+            if self.replicas[copying.joining].import(&copying.log) {
+                self.copied.insert(replica_id(copying.source));
+            }
+            return;
+        }
+        let end = copying.log.length;
+        let parts = parts::split(&source.entries, copying.position, end, self.part_bytes);
+        copying.position = LogPosition::end_of(parts.last().expect("progress"));
+        self.replicas[copying.joining].stage(&StageEntries {
+            epoch: copying.log.log_epoch.clone(),
+            parts,
+            ..StageEntries::default()
+        });
+        self.copying = Some(copying);
     }
 
     fn complete_replacement(&mut self) {
@@ -365,14 +424,15 @@
         let mut sources = BTreeSet::new();
         writer.phase = match (phase, envelope.message) {
             (Phase::Sealing(sealing), Message::SealReply(reply)) => {
-                let phase = on_seal_reply(sealing, &reply, writer);
+                let phase = on_seal_reply(sealing, &reply, writer, self.part_bytes);
                 if let Phase::Reading(sealed) = &phase {
                     sources = sealed.sources();
                 }
                 phase
             }
             (Phase::Reading(sealed), Message::ReadReply(reply)) if sealed.is_newest(&reply) => {
-                Phase::Writing(sealed.into_writer(reply.entries))
+                let state = sealed.into_writer(reply.entries);
+                Phase::Writing(state.with_part_bytes(self.part_bytes))
             }
             (Phase::Writing(mut state), Message::WriteReply(sent, reply)) => {
                 state.on_reply(self.replicas[envelope.replica].id, &sent, &reply);
@@ -409,13 +469,19 @@
     }
 }
 
-fn on_seal_reply(mut sealing: Sealing, reply: &SealReply, writer: &mut SimulatedWriter) -> Phase {
+fn on_seal_reply(
+    mut sealing: Sealing,
+    reply: &SealReply,
+    writer: &mut SimulatedWriter,
+    part_bytes: usize,
+) -> Phase {
     match sealing.on_reply(reply) {
         SealProgress::Waiting => Phase::Sealing(sealing),
         SealProgress::Sealed => {
             let sealed = sealing.into_sealed();
             if sealed.is_empty() {
-                Phase::Writing(sealed.into_writer(Vec::new()))
+                let state = sealed.into_writer(Vec::new());
+                Phase::Writing(state.with_part_bytes(part_bytes))
             } else {
                 Phase::Reading(sealed)
             }
@@ -427,6 +493,10 @@
     }
 }
 
+fn replica_id(index: usize) -> u64 {
+    index as u64 + 1
+}
+
 fn index_of(replica: u64) -> usize {
     replica as usize - 1
 }
--- a/crates/storage/src/batch.rs
+++ b/crates/storage/src/batch.rs
@@ -2,11 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use ladderstage::journal::WriterEpoch;
 use ladderstage::journal::replica::{self, Decision, EntryChange, LogState};
 use ladderstage::journal::replica_set::{self, SetRefusal};
 use ladderstage_wire::messages::mod_WriteReply::Outcome;
 use ladderstage_wire::messages::{
-    Append, ExportedLog, Install, LogEntry, ReplicaSet, Seal, SealReply, WriteReply,
+    Append, Epoch, ExportedLog, Install, LogEntry, ReplicaSet, Seal, SealReply, StageEntries,
+    WriteReply,
 };
 use redb::{ReadableTable, Table, WriteTransaction};
 
@@ -14,8 +16,9 @@
 use crate::open::Content;
 use crate::records::{LogRecord, write_number};
 use crate::retention::{Expired, SweepReport};
+use crate::staged::{self, StagedEntries, StagedTable};
 use crate::store::StoredBundle;
-use crate::tables::{ENTRIES, LOGS, LogRow, META, keys};
+use crate::tables::{ENTRIES, LOGS, LogRow, META, STAGED, keys};
 
 /// Result of one request in a batch. Outer error: the disk failed, and with it the complete batch.
 /// Inner error: only this request is refused.
@@ -26,6 +29,8 @@
 pub(crate) struct Staged {
     /// Changed logs by name; `None` if the log was deleted.
     pub logs: BTreeMap<String, Option<LogRecord>>,
+    /// Logs of which parts were staged, with the time; `None` if the parts were removed as outdated.
+    pub part_changes: BTreeMap<String, Option<u64>>,
     pub replica_set: Option<ReplicaSet>,
     pub bundle_revision: Option<u64>,
     /// True if the transaction has anything to commit.
@@ -39,9 +44,44 @@
     meta: Table<'a, &'static str, &'static [u8]>,
     logs: Table<'a, &'static str, LogRow<'static>>,
     entries: Table<'a, (&'static str, u64), &'static [u8]>,
+    parts: StagedTable<'a>,
     pub staged: Staged,
 }
 
+/// Entries of a write.
+struct WrittenEntries<'a> {
+    /// Entries in the message.
+    sent: &'a [LogEntry],
+    /// Staged entries that take their place.
+    staged: Option<StagedEnd>,
+}
+
+/// Epoch of the writer of staged entries, and the index after the last of them.
+struct StagedEnd {
+    epoch: WriterEpoch,
+    end: u64,
+}
+
+impl<'a> WrittenEntries<'a> {
+    const NONE: Self = Self {
+        sent: &[],
+        staged: None,
+    };
+
+    /// Creates the entries of a message that adds `staged_length` staged entries from index `first` on,
+    /// or else those in `sent`.
+    fn new(sent: &'a [LogEntry], first: u64, staged_length: u64, epoch: &Option<Epoch>) -> Self {
+        let staged = StagedEnd {
+            epoch: WriterEpoch::from(epoch),
+            end: first.saturating_add(staged_length),
+        };
+        Self {
+            sent,
+            staged: (staged_length > 0).then_some(staged),
+        }
+    }
+}
+
 impl<'a> Batch<'a> {
     pub fn new(
         transaction: &'a WriteTransaction,
@@ -54,6 +94,7 @@
             meta: transaction.open_table(META)?,
             logs: transaction.open_table(LOGS)?,
             entries: transaction.open_table(ENTRIES)?,
+            parts: transaction.open_table(STAGED)?,
             staged: Staged::default(),
         })
     }
@@ -72,7 +113,7 @@
         }
         let before = self.state(&request.log);
         let decision = replica::seal(&before, request);
-        self.store(&request.log, &before, &decision, &[])?;
+        self.store(&request.log, &before, &decision, &WrittenEntries::NONE)?;
         let accepted = decision.outcome == Outcome::STORED;
         let entries = if accepted && !request.without_entries {
             self.read_entries(&request.log)?
@@ -96,7 +137,13 @@
         }
         let before = self.state(&request.log);
         let decision = replica::install(&before, request);
-        self.store(&request.log, &before, &decision, &request.entries)?;
+        let written = WrittenEntries::new(
+            &request.entries,
+            request.kept_length,
+            request.staged_length,
+            &request.epoch,
+        );
+        let decision = self.store(&request.log, &before, &decision, &written)?;
         Ok(Ok(decision.write_reply(self.content.replica_id)))
     }
 
@@ -106,10 +153,35 @@
         }
         let before = self.state(&request.log);
         let decision = replica::append(&before, request);
-        self.store(&request.log, &before, &decision, &request.entries)?;
+        let written = WrittenEntries::new(
+            &request.entries,
+            request.first_index,
+            request.staged_length,
+            &request.epoch,
+        );
+        let decision = self.store(&request.log, &before, &decision, &written)?;
         Ok(Ok(decision.write_reply(self.content.replica_id)))
     }
 
+    /// Stores parts of entries, which a later write adds to the log.
+    pub fn stage(&mut self, request: &StageEntries) -> Applied<WriteReply> {
+        if let Err(refusal) = self.check_version(request.replica_set_version) {
+            return Ok(Err(refusal));
+        }
+        let epoch = WriterEpoch::from(&request.epoch);
+        staged::insert(&mut self.parts, &request.log, epoch, &request.parts)?;
+        let log = request.log.clone();
+        self.staged.part_changes.insert(log, Some(self.now_ms));
+        self.staged.changed = true;
+        let state = self.state(&request.log);
+        Ok(Ok(WriteReply {
+            replica_id: self.content.replica_id,
+            outcome: Outcome::STORED,
+            promised: state.promised.to_wire(),
+            length: state.length,
+        }))
+    }
+
     /// Stores logs copied from other replicas.
     pub fn import(&mut self, version: u64, logs: &[ExportedLog]) -> Applied<()> {
         if let Err(refusal) = self.check_version(version) {
@@ -118,7 +190,18 @@
         for exported in logs {
             let before = self.state(&exported.log);
             let decision = replica::import(&before, exported);
-            self.store(&exported.log, &before, &decision, &exported.entries)?;
+            let written = WrittenEntries::new(
+                &exported.entries,
+                0,
+                exported.staged_length,
+                &exported.log_epoch,
+            );
+            let decision = self.store(&exported.log, &before, &decision, &written)?;
+            if decision.outcome != Outcome::STORED {
+                return Ok(Err(StorageError::PartsMissing {
+                    log: exported.log.clone(),
+                }));
+            }
         }
         Ok(Ok(()))
     }
@@ -160,6 +243,10 @@
         for log in &expired.to_delete {
             report.dropped += usize::from(self.delete_log(log)?);
         }
+        for log in &expired.to_unstage {
+            staged::remove_all(&mut self.parts, log)?;
+            self.staged.part_changes.insert(log.clone(), None);
+        }
         Ok(Ok(report))
     }
 
@@ -170,6 +257,7 @@
             return Ok(false);
         }
         self.remove_entries(log, 0)?;
+        staged::remove_all(&mut self.parts, log)?;
         self.logs.remove(log)?;
         self.staged.logs.insert(log.to_owned(), None);
         Ok(true)
@@ -183,6 +271,7 @@
         }
         let mut state = self.state(log);
         self.remove_entries(log, 1)?;
+        staged::remove_all(&mut self.parts, log)?;
         state.retired = true;
         self.put_state(log, state)?;
         Ok(true)
@@ -213,31 +302,62 @@
             .unwrap_or_default()
     }
 
+    /// Stores the effect of a decision. If staged entries that it needs are missing, stores nothing and
+    /// returns `NEEDS_INSTALL`.
     fn store(
         &mut self,
         log: &str,
         before: &LogState,
         decision: &Decision,
-        entries: &[LogEntry],
-    ) -> Result<(), redb::Error> {
+        written: &WrittenEntries<'_>,
+    ) -> Result<Decision, redb::Error> {
         if decision.changes_nothing(before) {
-            return Ok(());
+            return Ok(decision.clone());
         }
-        match decision.entries {
-            EntryChange::Keep => {}
-            EntryChange::Replace => {
-                self.remove_entries(log, 0)?;
-                self.insert_entries(log, 0, entries)?;
+        if let Some(first) = decision.entries.first_added(before.length) {
+            let staged = written.staged.as_ref().map(|staged| StagedEntries {
+                epoch: staged.epoch,
+                range: first..staged.end,
+            });
+            if let Some(staged) = &staged
+                && !staged::is_complete(&self.parts, log, staged)?
+            {
+                return Ok(replica::missing_entries(before));
             }
-            EntryChange::ReplaceFrom { kept } => {
-                self.remove_entries(log, kept)?;
-                self.insert_entries(log, kept, entries)?;
-            }
-            EntryChange::Extend { skip } => {
-                self.insert_entries(log, before.length, &entries[skip..])?;
+            self.change_entries(log, first, decision.entries, written.sent, staged)?;
+            if !matches!(decision.entries, EntryChange::Extend { .. }) {
+                staged::remove_up_to(&mut self.parts, log, decision.state.log_epoch)?;
             }
         }
-        self.put_state(log, decision.state.clone())
+        self.put_state(log, decision.state.clone())?;
+        Ok(decision.clone())
+    }
+
+    /// Applies a change that adds entries from index `first` on.
+    fn change_entries(
+        &mut self,
+        log: &str,
+        first: u64,
+        change: EntryChange,
+        sent: &[LogEntry],
+        staged: Option<StagedEntries>,
+    ) -> Result<(), redb::Error> {
+        let skip = match change {
+            EntryChange::Extend { skip } => skip,
+            EntryChange::Keep | EntryChange::Replace | EntryChange::ReplaceFrom { .. } => {
+                self.remove_entries(log, first)?;
+                0
+            }
+        };
+        let Some(staged) = staged else {
+            return self.insert_entries(log, first, &sent[skip..]);
+        };
+        let entries = &mut self.entries;
+        staged::for_each(&self.parts, log, &staged, |index, entry| {
+            entries.insert((log, index), entry.payload.as_slice())?;
+            Ok(())
+        })?;
+        staged::remove_up_to(&mut self.parts, log, staged.epoch)
     }
 
     fn put_state(&mut self, log: &str, state: LogState) -> Result<(), redb::Error> {
--- a/crates/storage/src/committer.rs
+++ b/crates/storage/src/committer.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use ladderstage_wire::messages::{
-    Append, ExportedLog, Install, ReplicaSet, Seal, SealReply, WriteReply,
+    Append, ExportedLog, Install, ReplicaSet, Seal, SealReply, StageEntries, WriteReply,
 };
 use redb::Database;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
@@ -29,6 +29,7 @@
     Seal(Seal, Answer<SealReply>),
     Install(Install, Answer<WriteReply>),
     Append(Append, Answer<WriteReply>),
+    Stage(StageEntries, Answer<WriteReply>),
     Import(u64, Vec<ExportedLog>, Answer<()>),
     PutBundle(StoredBundle, Answer<()>),
     PutReplicaSet(ReplicaSet, Answer<()>),
@@ -219,6 +220,7 @@
             Command::Seal(request, answer) => defer_response(answer, batch.seal(&request)),
             Command::Install(request, answer) => defer_response(answer, batch.install(&request)),
             Command::Append(request, answer) => defer_response(answer, batch.append(&request)),
+            Command::Stage(request, answer) => defer_response(answer, batch.stage(&request)),
             Command::Import(version, logs, answer) => {
                 defer_response(answer, batch.import(version, &logs))
             }
@@ -228,7 +230,8 @@
             }
             Command::Sweep(answer) => {
                 let options = &self.shared.options;
-                let expired = retention::expired(&content.logs, options, self.now_ms());
+                let expired =
+                    retention::expired(&content.logs, &content.staged_at, options, self.now_ms());
                 defer_response(answer, batch.sweep(&expired))
             }
         }
@@ -247,6 +250,12 @@
         if let Some(revision) = staged.bundle_revision {
             content.bundle_revision = revision;
         }
+        for (log, at_ms) in staged.part_changes {
+            match at_ms {
+                Some(at_ms) => content.staged_at.insert(log, at_ms),
+                None => content.staged_at.remove(&log),
+            };
+        }
         for (log, record) in staged.logs {
             match record {
                 Some(record) => content.logs.insert(log, record),
--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -55,6 +55,12 @@
     /// is unknown.
     #[error("storage failed: {0}")]
     Failed(String),
+    /// Staged entries of a copied log are missing; the copy must be repeated.
+    #[error("staged entries of {log} are missing")]
+    PartsMissing {
+        /// Name of the log.
+        log: String,
+    },
     /// No replica set is stored yet.
     #[error("no replica set is known here yet")]
     NoReplicaSet,
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -12,6 +12,7 @@
 mod open;
 mod records;
 mod retention;
+mod staged;
 mod store;
 mod tables;
 mod watermark;
--- a/crates/storage/src/open.rs
+++ b/crates/storage/src/open.rs
@@ -13,7 +13,7 @@
 
 use crate::OpenError;
 use crate::records::{LogRecord, read_number, write_number};
-use crate::tables::{ENTRIES, LOGS, META, keys};
+use crate::tables::{ENTRIES, LOGS, META, STAGED, keys};
 use crate::watermark::{Slot, Watermark};
 
 const DATABASE_FILE: &str = "journal.redb";
@@ -107,6 +107,8 @@
     /// Revision of the stored bundle; 0 if there is none.
     pub bundle_revision: u64,
     pub logs: BTreeMap<String, LogRecord>,
+    /// Time at which parts of each log were last staged, in milliseconds on the store's clock.
+    pub staged_at: BTreeMap<String, u64>,
 }
 
 /// Opens the folder. If it contains no journal yet, creates one with a random replica id.
@@ -217,6 +219,7 @@
             log::warn!("event=database_repaired file={}", path.display());
         }
         let content = read_content(&database)?;
+        discard_staged(&database)?;
         log::info!(
             "event=database_opened was_closed={} logs={} elapsed_ms={}",
             !is_checked,
@@ -235,6 +238,17 @@
     }
 }
 
+/// Removes the staged parts of entries. Their writers send them again.
+fn discard_staged(database: &Database) -> Result<(), redb::Error> {
+    let transaction = database.begin_write()?;
+    if transaction.delete_table(STAGED)? {
+        transaction.commit()?;
+    } else {
+        transaction.abort()?;
+    }
+    Ok(())
+}
+
 fn read_content(database: &Database) -> Result<Content, redb::Error> {
     let transaction = database.begin_read()?;
     let meta = transaction.open_table(META)?;
--- a/crates/storage/src/retention.rs
+++ b/crates/storage/src/retention.rs
@@ -11,6 +11,10 @@
 /// Maximum number of logs handled in one sweep, so that writers do not wait long for it.
 const LOGS_PER_SWEEP: usize = 256;
 
+/// Time after which staged parts that no write has named are removed, in milliseconds. Their writer has
+/// stopped: it stages a log without pauses.
+const STAGED_RETENTION_MS: u64 = 10 * 60 * 1000;
+
 /// Result of one sweep.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct SweepReport {
@@ -25,18 +29,27 @@
 pub(crate) struct Expired {
     pub to_retire: Vec<String>,
     pub to_delete: Vec<String>,
+    /// Logs whose staged parts are outdated.
+    pub to_unstage: Vec<String>,
 }
 
-/// Finds logs whose retention has passed at `now_ms` on the store's clock.
+/// Finds logs whose retention has passed at `now_ms` on the store's clock. `staged_at` has the time at
+/// which parts of each log were last staged.
 pub(crate) fn expired(
     logs: &BTreeMap<String, LogRecord>,
+    staged_at: &BTreeMap<String, u64>,
     options: &StorageOptions,
     now_ms: u64,
 ) -> Expired {
     let is_expired = |record: &LogRecord, retention: std::time::Duration| {
         u128::from(now_ms.saturating_sub(record.changed_at_ms)) > retention.as_millis()
     };
-    let mut expired = Expired::default();
+    let is_outdated = |at: u64| now_ms.saturating_sub(at) > STAGED_RETENTION_MS;
+    let outdated = staged_at.iter().filter(|(_, at)| is_outdated(**at));
+    let mut expired = Expired {
+        to_unstage: outdated.map(|(log, _)| log.clone()).collect(),
+        ..Expired::default()
+    };
     for (log, record) in logs {
         if expired.to_retire.len() + expired.to_delete.len() >= LOGS_PER_SWEEP {
             break;
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -7,17 +7,16 @@
 use std::time::Instant;
 
 use ladderstage::ids::ProcessId;
-use ladderstage::journal::WriterEpoch;
 use ladderstage::journal::replica::LogState;
 use ladderstage_wire::messages::{
-    Append, DescribeLogsReply, ExportLogsReply, ExportedLog, Install, KnownLog, ReadLogReply,
-    ReplicaSet, Seal, SealReply, WriteReply,
+    Append, DescribeLogsReply, ExportLogsReply, ExportedLog, Install, KnownLog, ReadLog,
+    ReadLogReply, ReplicaSet, Seal, SealReply, StageEntries, WriteReply,
 };
 use redb::{Database, ReadableDatabase};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
 use crate::committer::{Answer, Command, Committer, Queued, Shared};
-use crate::export::{export, export_page, payload_bytes};
+use crate::export::{export_page, payload_bytes, read_log};
 use crate::open::{Content, StorageOptions, open_folder};
 use crate::records::LogRecord;
 use crate::retention::SweepReport;
@@ -149,6 +148,13 @@
             .await
     }
 
+    /// Stores parts of entries, which a later write adds to the log; durable on return.
+    pub async fn stage(&self, request: StageEntries) -> Result<WriteReply, StorageError> {
+        let size = request.parts.iter().map(|part| part.payload.len()).sum();
+        self.submit(size, |answer| Command::Stage(request, answer))
+            .await
+    }
+
     /// Stores logs copied from other replicas under replica set `version`; durable on return.
     pub async fn import_logs(
         &self,
@@ -267,36 +273,30 @@
 
     /// Reads a log as of the last commit.
     pub async fn read_log(&self, log: &str) -> Result<ReadLogReply, StorageError> {
-        let log = log.to_owned();
-        let replica_id = self.replica_id();
-        self.read(move |database| {
-            let transaction = database.begin_read()?;
-            let Some(exported) = export(&transaction, &log)? else {
-                return Ok(ReadLogReply {
-                    replica_id,
-                    ..ReadLogReply::default()
-                });
-            };
-            Ok(ReadLogReply {
-                replica_id,
-                found: !WriterEpoch::from(&exported.log_epoch).is_none(),
-                promised: exported.promised,
-                log_epoch: exported.log_epoch,
-                entries: exported.entries,
-                retired: exported.retired,
-            })
+        self.read_log_parts(ReadLog {
+            log: log.to_owned(),
+            ..ReadLog::default()
         })
         .await
     }
 
-    /// Reads at most `limit` logs whose names follow `after`, as of the last commit.
+    /// Reads a log or parts of it, as requested, as of the last commit.
+    pub async fn read_log_parts(&self, request: ReadLog) -> Result<ReadLogReply, StorageError> {
+        let replica_id = self.replica_id();
+        self.read(move |database| read_log(database, replica_id, &request))
+            .await
+    }
+
+    /// Reads at most `limit` logs whose names follow `after`, as of the last commit. With
+    /// `max_log_bytes` above 0, logs with more bytes of entries are marked as long and have none.
     pub async fn export_logs(
         &self,
         after: &str,
         limit: usize,
+        max_log_bytes: usize,
     ) -> Result<ExportLogsReply, StorageError> {
         let after = after.to_owned();
-        self.read(move |database| export_page(database, &after, limit))
+        self.read(move |database| export_page(database, &after, limit, max_log_bytes))
             .await
     }
 
--- a/crates/storage/tests/storage.rs
+++ b/crates/storage/tests/storage.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use ladderstage::journal::WriterEpoch;
+use ladderstage::journal::parts::{LogPosition, PartAssembler, split};
 use ladderstage_storage::{DropRule, OpenError, Storage, StorageError, StorageOptions};
 use ladderstage_wire::messages::mod_WriteReply::Outcome;
 use ladderstage_wire::messages::{
-    Append, Epoch, Install, LogEntry, ReplicaMember, ReplicaSet, Seal,
+    Append, Epoch, ExportedLog, Install, LogEntry, ReadLog, ReplicaMember, ReplicaSet, Seal,
+    StageEntries,
 };
 
 const LOG: &str = "shard/trainer/1/0";
@@ -82,6 +84,7 @@
         first_index,
         entries,
         closes,
+        ..Append::default()
     }
 }
 
@@ -149,7 +152,7 @@
     let mut exported: Vec<String> = Vec::new();
     loop {
         let after = exported.last().cloned().unwrap_or_default();
-        let page = storage.export_logs(&after, 64).await.unwrap();
+        let page = storage.export_logs(&after, 64, 0).await.unwrap();
         assert!(page.logs.iter().all(|log| log.entries == entries(0..3)));
         exported.extend(page.logs.into_iter().map(|log| log.log));
         if !page.more {
@@ -205,7 +208,7 @@
     let source = open_replica(from.path(), StorageOptions::default()).await;
     write_log(&source, LOG, true).await;
     source.seal(seal(LOG, 4)).await.unwrap();
-    let exported = source.export_logs("", 10).await.unwrap().logs;
+    let exported = source.export_logs("", 10, 0).await.unwrap().logs;
     let target = open_replica(to.path(), StorageOptions::default()).await;
     target.import_logs(1, exported.clone()).await.unwrap();
     assert_eq!(target.log_state(LOG), source.log_state(LOG));
@@ -463,6 +466,7 @@
                 payload: b"entry".to_vec(),
             }],
             closes,
+            ..Append::default()
         };
         storage.append(append).await.unwrap();
     }
@@ -493,3 +497,150 @@
     storage.seal(seal(LOG, 2)).await.unwrap();
     assert_ne!(watermark(), before, "a new promise is committed");
 }
+
+/// Maximum size of the parts in one message, in bytes; splits the entries of a test.
+const SMALL_PART_BYTES: usize = 4;
+
+/// Stages entries of a writer, the first of which has index 0.
+async fn stage(storage: &Storage, log: &str, round: u64, entries: &[LogEntry]) {
+    let end = entries.len() as u64;
+    let mut position = LogPosition::default();
+    while position.index < end {
+        let parts = split(entries, position, end, SMALL_PART_BYTES);
+        position = LogPosition::end_of(parts.last().unwrap());
+        let request = StageEntries {
+            replica_set_version: 1,
+            log: log.to_owned(),
+            epoch: epoch(round).to_wire(),
+            parts,
+        };
+        storage.stage(request).await.unwrap();
+    }
+}
+
+fn staged_install(log: &str, round: u64, length: u64) -> Install {
+    Install {
+        staged_length: length,
+        ..install(log, round, Vec::new())
+    }
+}
+
+/// Guards against committed entries that are lost when a takeover ends in the middle of a long install.
+#[tokio::test]
+async fn staged_entries_become_visible_with_the_write_that_names_them() {
+    let folder = tempfile::tempdir().unwrap();
+    let storage = open_replica(folder.path(), StorageOptions::default()).await;
+    write_log(&storage, LOG, false).await;
+    let before = storage.log_state(LOG);
+    stage(&storage, LOG, 2, &entries(0..6)).await;
+    assert_eq!(storage.log_state(LOG), before);
+    assert_eq!(storage.read_log(LOG).await.unwrap().entries, entries(0..3));
+    let reply = storage.install(staged_install(LOG, 2, 6)).await.unwrap();
+    assert_eq!((reply.outcome, reply.length), (Outcome::STORED, 6));
+    assert_eq!(storage.read_log(LOG).await.unwrap().entries, entries(0..6));
+    // Staged entries are used once, and an append takes the place of the following ones.
+    let append = Append {
+        staged_length: 8,
+        ..append(LOG, 2, 0, Vec::new(), true)
+    };
+    let reply = storage.append(append.clone()).await.unwrap();
+    assert_eq!(reply.outcome, Outcome::NEEDS_INSTALL);
+    stage(&storage, LOG, 2, &entries(0..8)).await;
+    let reply = storage.append(append).await.unwrap();
+    assert_eq!((reply.outcome, reply.length), (Outcome::STORED, 8));
+    assert_eq!(storage.read_log(LOG).await.unwrap().entries, entries(0..8));
+}
+
+/// Guards against logs with gaps: a write must not be stored unless all its staged entries are there.
+#[tokio::test]
+async fn a_write_with_missing_staged_entries_stores_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    let storage = open_replica(folder.path(), StorageOptions::default()).await;
+    write_log(&storage, LOG, false).await;
+    stage(&storage, LOG, 2, &entries(0..4)).await;
+    let missing = [
+        staged_install(LOG, 2, 5),
+        staged_install(LOG, 3, 4),
+        Install {
+            kept_length: 4,
+            kept_epoch: epoch(1).to_wire(),
+            ..staged_install(LOG, 2, 1)
+        },
+    ];
+    for install in missing {
+        let reply = storage.install(install).await.unwrap();
+        assert_eq!(reply.outcome, Outcome::NEEDS_INSTALL);
+    }
+    let import = ExportedLog {
+        log: LOG.to_owned(),
+        log_epoch: epoch(2).to_wire(),
+        length: 5,
+        staged_length: 5,
+        ..ExportedLog::default()
+    };
+    let missing = StorageError::PartsMissing {
+        log: LOG.to_owned(),
+    };
+    let imported = storage.import_logs(1, vec![import]).await;
+    assert_eq!(imported, Err(missing));
+    assert_eq!(storage.log_state(LOG).unwrap().log_epoch, epoch(1));
+    assert_eq!(storage.read_log(LOG).await.unwrap().entries, entries(0..3));
+}
+
+/// Guards against disks that fill up with the parts of writers that have stopped.
+#[tokio::test]
+async fn staged_parts_are_gone_after_a_restart_and_after_a_later_install() {
+    let folder = tempfile::tempdir().unwrap();
+    let storage = open_replica(folder.path(), StorageOptions::default()).await;
+    stage(&storage, LOG, 2, &entries(0..4)).await;
+    drop(storage);
+    let storage = open_replica(folder.path(), StorageOptions::default()).await;
+    let reply = storage.install(staged_install(LOG, 2, 4)).await.unwrap();
+    assert_eq!(reply.outcome, Outcome::NEEDS_INSTALL);
+    stage(&storage, LOG, 2, &entries(0..4)).await;
+    let later = storage.install(install(LOG, 3, entries(0..1))).await;
+    assert_eq!(later.unwrap().outcome, Outcome::STORED);
+    let import = ExportedLog {
+        log: "shard/other".to_owned(),
+        log_epoch: epoch(2).to_wire(),
+        length: 4,
+        staged_length: 4,
+        ..ExportedLog::default()
+    };
+    stage(&storage, "shard/other", 2, &entries(0..4)).await;
+    storage.import_logs(1, vec![import]).await.unwrap();
+    let reply = storage.read_log("shard/other").await.unwrap();
+    assert_eq!(reply.entries, entries(0..4));
+}
+
+/// Guards against exports and reads that exceed the frame limit because one log does.
+#[tokio::test]
+async fn long_logs_are_exported_without_entries_and_read_in_parts() {
+    let folder = tempfile::tempdir().unwrap();
+    let storage = open_replica(folder.path(), StorageOptions::default()).await;
+    storage
+        .install(install(LOG, 1, entries(0..5)))
+        .await
+        .unwrap();
+    write_log(&storage, "shard/short", true).await;
+    let page = storage.export_logs("", 10, 30).await.unwrap();
+    let sizes = page.logs.iter().map(|log| (log.is_long, log.entries.len()));
+    assert_eq!(sizes.collect::<Vec<_>>(), [(false, 3), (true, 0)]);
+    assert_eq!(page.logs[1].length, 5);
+    let mut assembler = PartAssembler::new(0);
+    let mut found = Vec::new();
+    while assembler.position().index < 5 {
+        let reply = storage.read_log_parts(ReadLog {
+            log: LOG.to_owned(),
+            max_bytes: SMALL_PART_BYTES as u64,
+            first_index: assembler.position().index,
+            first_offset: assembler.position().offset,
+        });
+        let reply = reply.await.unwrap();
+        assert_eq!((reply.length, reply.entries.len()), (5, 0));
+        for part in &reply.parts {
+            found.extend(assembler.push(part).unwrap());
+        }
+    }
+    assert_eq!(found, entries(0..5));
+}
--- a/crates/transport/tests/common/mod.rs
+++ b/crates/transport/tests/common/mod.rs
@@ -71,6 +71,7 @@
 pub fn read_log_request(log: &str) -> Request {
     let kind = mod_Request::OneOfkind::read_log(ReadLog {
         log: log.to_owned(),
+        ..ReadLog::default()
     });
     Request { kind }
 }
--- a/crates/wire/tests/formats/samples.rs
+++ b/crates/wire/tests/formats/samples.rs
@@ -75,6 +75,38 @@
                 ..install()
             }),
         ),
+        (
+            "install_staged",
+            RequestKind::install_staged(Install {
+                entries: Vec::new(),
+                kept_epoch: epoch(2),
+                kept_length: 11,
+                staged_length: 5,
+                ..install()
+            }),
+        ),
+        (
+            "append_staged",
+            RequestKind::append_staged(Append {
+                replica_set_version: 3,
+                log: log(),
+                epoch: epoch(4),
+                first_index: 12,
+                closes: true,
+                staged_length: 5,
+                ..Append::default()
+            }),
+        ),
+        (
+            "stage_entries",
+            RequestKind::stage_entries(StageEntries {
+                replica_set_version: 3,
+                log: log(),
+                epoch: epoch(4),
+                parts: entry_parts(),
+                ..StageEntries::default()
+            }),
+        ),
         (
             "append",
             RequestKind::append(Append {
@@ -94,6 +126,16 @@
                 ..ReadLog::default()
             }),
         ),
+        (
+            "read_log_parts",
+            RequestKind::read_log(ReadLog {
+                log: log(),
+                max_bytes: 4_096,
+                first_index: 12,
+                first_offset: 3,
+                ..ReadLog::default()
+            }),
+        ),
         (
             "describe_logs",
             RequestKind::describe_logs(DescribeLogs {
@@ -151,6 +193,16 @@
                 ..ExportLogs::default()
             }),
         ),
+        (
+            "export_short_logs",
+            RequestKind::export_logs(ExportLogs {
+                replica_set_version: 3,
+                after: log(),
+                limit: 20,
+                max_log_bytes: 4_096,
+                ..ExportLogs::default()
+            }),
+        ),
         (
             "fence_replica_set",
             RequestKind::fence_replica_set(FenceReplicaSet {
@@ -166,6 +218,18 @@
                 ..ImportLogs::default()
             }),
         ),
+        (
+            "import_staged",
+            RequestKind::import_staged(ImportLogs {
+                replica_set_version: 3,
+                logs: vec![ExportedLog {
+                    entries: Vec::new(),
+                    staged_length: 2,
+                    ..exported()
+                }],
+                ..ImportLogs::default()
+            }),
+        ),
         (
             "read_job",
             RequestKind::read_job(ReadJob {
@@ -315,6 +379,18 @@
                 ..ReadLogReply::default()
             }),
         ),
+        (
+            "read_log_parts_reply",
+            ResponseKind::read_log(ReadLogReply {
+                replica_id: 21,
+                found: true,
+                promised: epoch(4),
+                log_epoch: epoch(2),
+                parts: entry_parts(),
+                length: 13,
+                ..ReadLogReply::default()
+            }),
+        ),
         (
             "describe_logs_reply_with_silence",
             ResponseKind::describe_logs(DescribeLogsReply {
@@ -371,6 +447,17 @@
                 ..ExportLogsReply::default()
             }),
         ),
+        (
+            "export_short_logs_reply",
+            ResponseKind::export_logs(ExportLogsReply {
+                logs: vec![ExportedLog {
+                    entries: Vec::new(),
+                    is_long: true,
+                    ..exported()
+                }],
+                ..ExportLogsReply::default()
+            }),
+        ),
         (
             "refused",
             ResponseKind::refused(Refused {
@@ -492,6 +579,16 @@
     ]
 }
 
+fn entry_parts() -> Vec<EntryPart> {
+    vec![EntryPart {
+        index: 12,
+        offset: 3,
+        payload: b"part".to_vec(),
+        ends_entry: true,
+        ..EntryPart::default()
+    }]
+}
+
 fn install() -> Install {
     Install {
         replica_set_version: 3,
