jobs: log evictions of cached results, take the size of the cache as an option

The front logs `job_read job=… after=0 results=2 of=4`, the same line as for a read that is right: it does not tell whether the owner or the front's cache is at fault.

Change: `event=cached_results_evicted job=… results=… bytes=…`, one line per evicted job. The size of the cache is an option of the program, with the same value as before, so that a test can fill it with short texts.

Evidence: a read of job-a whose answer is held back while job-b is read, with a cache of 1,000 bytes:

event=cached_results_evicted job=job-a results=1 bytes=80 event=job_read job=job-a after=0 results=3 of=4

Conclusion: the read uses the cache twice, with a call between.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -291,6 +291,7 @@
             codec: Arc::clone(&inputs.codec),
             metrics: Arc::clone(self.metrics),
             retention: self.options.job_retention,
+            result_cache_bytes: self.options.result_cache_bytes,
             confirmation: QuorumConfirmation::default(),
             lengths: LongestTexts::default(),
             steps: LatestSteps::default(),
--- a/crates/front/src/job/context.rs
+++ b/crates/front/src/job/context.rs
@@ -39,6 +39,8 @@
     pub metrics: Arc<Metrics>,
     /// Time for which a job can be read after it was submitted.
     pub retention: Duration,
+    /// Maximum total size of the results that are cached for readers of other nodes' jobs, in bytes.
+    pub result_cache_bytes: usize,
     /// Time of the last majority confirmation of this node's logs.
     pub confirmation: QuorumConfirmation,
     /// Longest recent text of each model.
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -58,7 +58,6 @@
     pub(super) started_at: Instant,
 }
 
-#[derive(Default)]
 pub(super) struct SharedState {
     pub(super) jobs: Mutex<HashMap<String, Arc<Job>>>,
     /// Jobs whose logs are being taken over.
@@ -73,6 +72,19 @@
     pub(super) unfinished: Mutex<Vec<UnfinishedEntry>>,
 }
 
+impl SharedState {
+    fn new(result_cache_bytes: usize) -> Self {
+        Self {
+            jobs: Mutex::default(),
+            opening: Mutex::default(),
+            checking: Mutex::default(),
+            owners: Mutex::default(),
+            result_cache: Mutex::new(ResultCache::new(result_cache_bytes)),
+            unfinished: Mutex::default(),
+        }
+    }
+}
+
 /// Removes a job from `opening` when it is dropped.
 struct OpeningGuard {
     shared: Arc<SharedState>,
@@ -88,9 +100,10 @@
 impl JobRegistry {
     /// Creates an empty registry.
     pub fn new(context: JobContext) -> Self {
+        let shared = SharedState::new(context.result_cache_bytes);
         Self {
             context: Arc::new(context),
-            shared: Arc::default(),
+            shared: Arc::new(shared),
             started_at: Instant::now(),
         }
     }
--- a/crates/front/src/job/result_cache.rs
+++ b/crates/front/src/job/result_cache.rs
@@ -11,8 +11,8 @@
 
 use super::reading::results_page;
 
-/// Maximum total size of the cached texts of all jobs, in bytes.
-const MAX_BYTES: usize = 16 * 1024 * 1024;
+/// Default maximum total size of the cached texts of all jobs, in bytes.
+pub const DEFAULT_RESULT_CACHE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Cached results of one job, from the first one on without a gap.
 struct CachedJob {
@@ -23,13 +23,22 @@
 }
 
 /// Cached results, by job.
-#[derive(Default)]
 pub(super) struct ResultCache {
     jobs: HashMap<String, CachedJob>,
     bytes: usize,
+    max_bytes: usize,
 }
 
 impl ResultCache {
+    /// Creates an empty cache for texts of at most `max_bytes` in total.
+    pub fn new(max_bytes: usize) -> Self {
+        Self {
+            jobs: HashMap::new(),
+            bytes: 0,
+            max_bytes,
+        }
+    }
+
     /// Returns the number of cached results of a job.
     pub fn count(&self, job: &str) -> u64 {
         let cached = self.jobs.get(job);
@@ -77,14 +86,21 @@
 
     /// Evicts the least recently read jobs except `protected` until the cache is within its limit.
     fn evict_until_fits(&mut self, protected: &str) {
-        while self.bytes > MAX_BYTES {
+        while self.bytes > self.max_bytes {
             let others = self.jobs.iter().filter(|(job, _)| *job != protected);
             let oldest = others.min_by_key(|(_, cached)| cached.read_at);
             let Some(oldest) = oldest.map(|(job, _)| job.clone()) else {
                 return;
             };
-            let evicted = self.jobs.remove(&oldest);
-            self.bytes -= evicted.map_or(0, |cached| cached.bytes);
+            let Some(evicted) = self.jobs.remove(&oldest) else {
+                return;
+            };
+            self.bytes -= evicted.bytes;
+            log::info!(
+                "event=cached_results_evicted job={oldest} results={} bytes={}",
+                evicted.results.len(),
+                evicted.bytes
+            );
         }
     }
 }
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -64,6 +64,8 @@
     pub tolerated_failures: usize,
     /// Time after its submission for which a batch job stays readable.
     pub job_retention: Duration,
+    /// Maximum total size of the results that are cached for readers of other nodes' jobs, in bytes.
+    pub result_cache_bytes: usize,
     /// Minimum time between orders of two order leaders. Zero where instances reject the orders of
     /// an earlier one.
     pub order_quiet_period: Duration,
