jobs: keep the page of a read while the owner is asked

What callers saw: a read from position 0 at a front that isn't the job's owner returned the items of positions 2 and 3 and named 2 as the next position. A trainer that reads so trains on one group twice and never sees the other.

Cause: the front looked into its cache for what it had, asked the owner for the rest, and looked again when the answer came. Where the cache had dropped the job meanwhile, the answer was returned as if it began at the position that the client had asked for. The same gap gave an empty page for a position that holds results, or 503 although they were known.

Change: a read takes its page of cached results when it decides what to ask for, and completes that page with the answer. `total` never goes back to the one of an older answer.

Why it works: what is returned depends on the page taken before the call and on the answer to it, not on the cache after it.

--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -64,7 +64,7 @@
 pub use reading::JobError;
 pub use region_bounds::{RegionBoundsError, check_node_regions};
 pub use registry::JobRegistry;
-pub use result_cache::DEFAULT_RESULT_CACHE_BYTES;
+pub use result_cache::{CachedRead, DEFAULT_RESULT_CACHE_BYTES, ResultCache};
 pub use run_context::{exclusion_after_rejection, first_event_timeout};
 pub use state::{JobState, encode_entry};
 pub use text::ItemText;
--- a/crates/front/src/job/reading.rs
+++ b/crates/front/src/job/reading.rs
@@ -55,16 +55,24 @@
 /// Returns results from position `after` on, up to [`MAX_PAGE_BYTES`].
 pub(super) fn results_page(all: &[JobResult], total: u64, after: u64) -> JobResults {
     let start = usize::try_from(after).unwrap_or(usize::MAX).min(all.len());
-    let mut bytes = 0;
     let mut results = Vec::new();
-    for result in &all[start..] {
-        if !results.is_empty() && bytes + result.text.len() > MAX_PAGE_BYTES {
+    extend_page(&mut results, all[start..].iter().cloned());
+    JobResults { total, results }
+}
+
+/// Adds results to those of a page, up to [`MAX_PAGE_BYTES`].
+pub(super) fn extend_page(
+    page: &mut Vec<JobResult>,
+    following: impl IntoIterator<Item = JobResult>,
+) {
+    let mut bytes: usize = page.iter().map(|result| result.text.len()).sum();
+    for result in following {
+        if !page.is_empty() && bytes + result.text.len() > MAX_PAGE_BYTES {
             break;
         }
         bytes += result.text.len();
-        results.push(result.clone());
+        page.push(result);
     }
-    JobResults { total, results }
 }
 
 /// Returns the body of an item, or `None` if the item does not exist or the job has ended.
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -145,14 +145,13 @@
             let request = read_request(id, after, wait, relayed);
             return results_from(self.relay(id, &request, wait).await?);
         }
-        let known = lock(&self.shared.result_cache).count(id);
-        let has_some = after < known;
-        let (from, wait) = if has_some {
-            (known, Duration::ZERO)
+        let read = lock(&self.shared.result_cache).start_read(id, after);
+        let wait = if read.has_results() {
+            Duration::ZERO
         } else {
-            (after, wait)
+            wait
         };
-        let request = read_request(id, from, wait, relayed);
+        let request = read_request(id, read.next_position(), wait, relayed);
         let answered = if relayed {
             self.relay(id, &request, wait).await.and_then(results_from)
         } else {
@@ -162,17 +161,13 @@
                 Err(error) => Err(error),
             }
         };
-        let mut result_cache = lock(&self.shared.result_cache);
         match answered {
             Ok(results) => {
-                result_cache.insert(id, from, &results);
-                Ok(result_cache.page(id, after).unwrap_or(results))
+                let mut result_cache = lock(&self.shared.result_cache);
+                result_cache.insert(id, read.next_position(), &results);
+                Ok(read.complete(results))
             }
-            // Cached results stay valid if the owner cannot be reached.
-            Err(error) => result_cache
-                .page(id, after)
-                .filter(|_| has_some)
-                .ok_or(error),
+            Err(error) => read.into_cached().ok_or(error),
         }
     }
 
--- a/crates/front/src/job/result_cache.rs
+++ b/crates/front/src/job/result_cache.rs
@@ -9,7 +9,7 @@
 use ladderstage_clock::Instant;
 use ladderstage_wire::messages::{JobResult, JobResults};
 
-use super::reading::results_page;
+use super::reading::{extend_page, results_page};
 
 /// Default maximum total size of the cached texts of all jobs, in bytes.
 pub const DEFAULT_RESULT_CACHE_BYTES: usize = 16 * 1024 * 1024;
@@ -23,7 +23,7 @@
 }
 
 /// Cached results, by job.
-pub(super) struct ResultCache {
+pub struct ResultCache {
     jobs: HashMap<String, CachedJob>,
     bytes: usize,
     max_bytes: usize,
@@ -39,33 +39,36 @@
         }
     }
 
-    /// Returns the number of cached results of a job.
-    pub fn count(&self, job: &str) -> u64 {
-        let cached = self.jobs.get(job);
-        cached.map_or(0, |cached| cached.results.len() as u64)
-    }
-
-    /// Returns cached results of a job from position `after` on, or `None` if there are none.
-    pub fn page(&mut self, job: &str, after: u64) -> Option<JobResults> {
-        let cached = self.jobs.get_mut(job)?;
+    /// Starts a read of a job from position `after` on.
+    pub fn start_read(&mut self, job: &str, after: u64) -> CachedRead {
+        let cached = self.jobs.get_mut(job);
+        let known = cached.filter(|cached| after < cached.results.len() as u64);
+        let Some(cached) = known else {
+            return CachedRead {
+                page: JobResults::default(),
+                after,
+                next: after,
+            };
+        };
         cached.read_at = Instant::now();
-        let is_known = after < cached.results.len() as u64;
-        is_known.then(|| results_page(&cached.results, cached.total, after))
+        CachedRead {
+            page: results_page(&cached.results, cached.total, after),
+            after,
+            next: cached.results.len() as u64,
+        }
     }
 
     /// Adds the results that a job's owner returned for position `after`.
     pub fn insert(&mut self, job: &str, after: u64, answer: &JobResults) {
-        let now = Instant::now();
-        let cached = self
-            .jobs
-            .entry(job.to_owned())
-            .or_insert_with(|| CachedJob {
-                total: 0,
-                results: Vec::new(),
-                bytes: 0,
-                read_at: now,
-            });
-        cached.total = answer.total;
+        let cached = self.jobs.entry(job.to_owned());
+        let cached = cached.or_insert_with(|| CachedJob {
+            total: 0,
+            results: Vec::new(),
+            bytes: 0,
+            read_at: Instant::now(),
+        });
+        // Answers to concurrent reads arrive in any order.
+        cached.total = cached.total.max(answer.total);
         let known = (cached.results.len() as u64).saturating_sub(after);
         if after > cached.results.len() as u64 {
             return;
@@ -104,3 +107,42 @@
         }
     }
 }
+
+/// Read of a job that has cached results, with its own copy of them: the cache may evict the job before
+/// the owner has answered.
+#[derive(Debug, Clone)]
+pub struct CachedRead {
+    /// Cached results from position `after` on, as many as fit into one page.
+    page: JobResults,
+    after: u64,
+    next: u64,
+}
+
+impl CachedRead {
+    /// Returns the first position that was not cached, from which the owner is asked.
+    pub fn next_position(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns whether the position that is read was cached.
+    pub fn has_results(&self) -> bool {
+        !self.page.results.is_empty()
+    }
+
+    /// Returns the page for the position that is read, given the owner's answer for
+    /// [`CachedRead::next_position`].
+    pub fn complete(mut self, answer: JobResults) -> JobResults {
+        self.page.total = self.page.total.max(answer.total);
+        let page_end = self.after + self.page.results.len() as u64;
+        if page_end == self.next {
+            extend_page(&mut self.page.results, answer.results);
+        }
+        self.page
+    }
+
+    /// Returns the cached results, which stay valid if the owner does not answer; `None` if there are
+    /// none.
+    pub fn into_cached(self) -> Option<JobResults> {
+        self.has_results().then_some(self.page)
+    }
+}
