nodes: a late registration does not replace the newer one

Cause: a registration is a lease and an unconditional write of the node's record under it. The platform's store may apply a write whose answer was lost seconds later. Then it put the record back under the first lease after the node had registered again under a second one, and the record went with the first. The node renewed the second lease and never looked at its record, so no other node saw it any more and no lost disk could be replaced.

Change: the record is written in place of the newest one only. A node that reads the records as of a revision after its last write and does not find its own registers again (`node_record_lost`).

Why it works: a write that was answered changed the revision that every earlier one requires.

Looked at: the other writes to the platform's store have conditions, but for the learned load limit (is learned anew) and the state of a retirement (a late "running" may replace "completed": by reading, not changed).

--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -139,6 +139,11 @@
     store_contact: watch::Sender<Option<Instant>>,
     /// Number of changes of this node's record.
     own_changed: watch::Sender<u64>,
+    /// Revision of the last write of this node's record; 0 before the first one.
+    own_revision: watch::Sender<u64>,
+    /// Revision of the latest known records that were newer than this node's last write and did not
+    /// contain its record; 0 if there were none.
+    own_lost: watch::Sender<u64>,
     /// Number of calls that did not reach their node, after which the known records may be
     /// outdated.
     failed_calls: watch::Sender<u64>,
@@ -165,6 +170,8 @@
             reading: Arc::default(),
             store_contact: watch::Sender::new(None),
             own_changed: watch::Sender::new(0),
+            own_revision: watch::Sender::new(0),
+            own_lost: watch::Sender::new(0),
             failed_calls: watch::Sender::new(0),
             outdated_nodes: outdated_nodes.expect("valid name"),
             fronts: FrontCount::default(),
@@ -351,12 +358,39 @@
                 }
             }),
         }
+        self.check_own_record(&known);
         self.fronts.set(known.count_fronts());
         let outdated = known.update_outdated(own_formats);
         self.outdated_nodes
             .set(i64::try_from(outdated).unwrap_or(i64::MAX));
     }
 
+    fn own_key(&self) -> String {
+        format!("{NODE_PREFIX}{}", self.own().node)
+    }
+
+    /// Returns the revision of the last write of this node's record; 0 before the first one.
+    fn own_revision(&self) -> u64 {
+        *self.own_revision.borrow()
+    }
+
+    fn record_own_write(&self, revision: u64) {
+        self.own_revision.send_replace(revision);
+    }
+
+    /// Reports that this process's record was lost if the known records are newer than its last write
+    /// and do not contain it.
+    fn check_own_record(&self, known: &KnownNodes) {
+        let own = self.own();
+        let written_at = self.own_revision();
+        let record = known.records.get(&own.node);
+        let is_present = known.present.contains(&own.node)
+            && record.is_some_and(|record| record.process == own.process);
+        if written_at > 0 && known.at > written_at && !is_present {
+            self.own_lost.send_replace(known.at);
+        }
+    }
+
     /// Applies a stale read, which does not count as fresh.
     fn apply_stale(&self, records: Vec<Record>, at: u64) {
         let fresh_read_at = lock(&self.known).fresh_read_at;
--- a/crates/front/src/nodes/registration.rs
+++ b/crates/front/src/nodes/registration.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use ladderstage_clock::Instant;
+use tokio::sync::watch;
 
-use super::{NODE_PREFIX, NodeRole, Nodes};
+use super::{NodeRole, Nodes};
 use crate::activity::Activity;
-use crate::coordination::{Coordination, CoordinationError, LeaseId};
+use crate::coordination::{Coordination, CoordinationError, LeaseId, SwapResult};
 
 /// Lease duration of a node that other nodes depend on.
 const SHORT_LEASE: Duration = Duration::from_secs(3);
@@ -66,6 +67,8 @@
     Expired,
     /// The record requires the short lease.
     TooLong,
+    /// The record was removed, or replaced by one of another process, although the lease is renewed.
+    RecordLost,
 }
 
 /// Maintains the record until the future is dropped.
@@ -90,6 +93,7 @@
         match renew_until_ended(nodes, coordination, lease, kind, activity).await {
             LeaseEnd::Expired => log::warn!("event=node_lease_expired node={node} lease={lease}"),
             LeaseEnd::TooLong => log::info!("event=node_lease_too_long node={node} lease={lease}"),
+            LeaseEnd::RecordLost => log::warn!("event=node_record_lost node={node} lease={lease}"),
         }
     }
 }
@@ -106,6 +110,12 @@
     Ok(lease)
 }
 
+/// Number of attempts to write the record over one that was written meanwhile.
+const WRITE_ATTEMPTS: usize = 4;
+
+/// Writes this node's record in place of the newest one. A write that was not answered may be applied
+/// later; by then its condition no longer holds, so it cannot put the record back under the lease of
+/// an earlier attempt.
 async fn write_record(
     nodes: &Nodes,
     coordination: &Arc<dyn Coordination>,
@@ -113,11 +123,32 @@
 ) -> Result<(), CoordinationError> {
     let own = nodes.own();
     let value = serde_json::to_vec(&own).unwrap_or_default();
-    let key = format!("{NODE_PREFIX}{}", own.node);
-    coordination.put(&key, value, Some(lease)).await
+    let key = nodes.own_key();
+    let mut expected = nodes.own_revision();
+    for _ in 0..WRITE_ATTEMPTS {
+        let swapped = coordination.swap(&key, expected, value.clone(), Some(lease));
+        match swapped.await? {
+            SwapResult::Won { revision } => {
+                nodes.record_own_write(revision);
+                return Ok(());
+            }
+            SwapResult::Lost(current) => expected = current.map_or(0, |record| record.revision),
+        }
+    }
+    let cause = "the record of this node keeps changing".to_owned();
+    Err(CoordinationError::Refused(cause))
+}
+
+/// Waits until the known records are newer than the last write of this node's record and do not contain
+/// it.
+async fn wait_until_lost(nodes: &Nodes, own_lost: &mut watch::Receiver<u64>) {
+    // The sender is owned by `nodes`, so this does not fail.
+    let _ = own_lost
+        .wait_for(|lost_at| *lost_at > nodes.own_revision())
+        .await;
 }
 
-/// Renews the lease until it has expired or is too long.
+/// Renews the lease until it has expired or is too long, or the record is lost.
 async fn renew_until_ended(
     nodes: &Nodes,
     coordination: &Arc<dyn Coordination>,
@@ -126,12 +157,14 @@
     activity: &Activity,
 ) -> LeaseEnd {
     let mut own_changed = nodes.own_changed.subscribe();
+    let mut own_lost = nodes.own_lost.subscribe();
     let mut last_sent_at = Instant::now();
     loop {
         let renew_at = last_sent_at + kind.renewal();
         tokio::select! {
             () = tokio::time::sleep_until(renew_at.into()) => {}
             () = activity.wait_until_active(), if kind == LeaseKind::Long => return LeaseEnd::TooLong,
+            () = wait_until_lost(nodes, &mut own_lost) => return LeaseEnd::RecordLost,
             _ = own_changed.changed() => {
                 if write_record(nodes, coordination, lease).await.is_err() {
                     return LeaseEnd::Expired;
--- a/crates/front/tests/nodes.rs
+++ b/crates/front/tests/nodes.rs
@@ -237,3 +237,56 @@
     assert!(contact > registered_at, "the renewal was answered");
     assert!(contact.elapsed() >= SUSPENSION, "{:?}", contact.elapsed());
 }
+
+/// Key of the record of the node `other`.
+const OTHER_KEY: &str = "ladderstage/node/other";
+
+/// Longer than a lease, and than the time after which a node notices that its record is gone.
+const RECORD_RECOVERY: Duration = Duration::from_secs(6);
+
+fn store_record(node: &str, process: u64) -> NodeRecord {
+    NodeRecord {
+        role: NodeRole::Store,
+        ..record(node, process)
+    }
+}
+
+/// Guards against a store that is missing for good: a registration whose answer was lost and that is
+/// applied later must not put the record back under a lease that nobody renews.
+#[tokio::test(start_paused = true)]
+async fn a_late_registration_does_not_replace_the_newer_one() {
+    let store = MemoryStore::default();
+    let delay = Duration::from_millis(1_500);
+    let faults = NodeFaults {
+        delayed_put: Some(delay),
+        delayed_swap: Some(delay),
+        ..NodeFaults::default()
+    };
+    store.set_faults("other", faults);
+    let activity = Activity::default();
+    let _work = activity.start();
+    let _other = RunningNode::start(&store, store_record("other", 1), &activity);
+    sleep(delay * 2 + RECORD_RECOVERY).await;
+    assert!(store.read(OTHER_KEY).is_some());
+}
+
+/// Guards against a node that is missing for good after its record was removed while its lease is
+/// renewed, as an earlier version's late registration does.
+#[tokio::test(start_paused = true)]
+async fn a_node_whose_record_was_removed_or_replaced_registers_again() {
+    let store = MemoryStore::default();
+    let activity = Activity::default();
+    let _work = activity.start();
+    let _other = RunningNode::start(&store, store_record("other", 2), &activity);
+    sleep(STARTUP).await;
+    let registered = store.read(OTHER_KEY).expect("a record");
+    store.remove(OTHER_KEY);
+    sleep(RECORD_RECOVERY).await;
+    assert_eq!(store.read(OTHER_KEY).as_ref(), Some(&registered));
+    let outdated = serde_json::to_vec(&store_record("other", 1)).unwrap();
+    store.write(OTHER_KEY, outdated);
+    sleep(RECORD_RECOVERY).await;
+    assert_eq!(store.read(OTHER_KEY).as_ref(), Some(&registered));
+    let writes = store.calls("other", "swap", OTHER_KEY);
+    assert!(writes <= 5, "{writes} writes of the record");
+}
