nodes: leave a record of another process alone

Change: only a record that is gone is written again. A late write of an earlier process goes with the lease of that process, and is noticed then.

--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -378,14 +378,11 @@
         self.own_revision.send_replace(revision);
     }
 
-    /// Reports that this process's record was lost if the known records are newer than its last write
-    /// and do not contain it.
+    /// Reports that this node's record was lost if the known records are newer than its last write and
+    /// do not contain it.
     fn check_own_record(&self, known: &KnownNodes) {
-        let own = self.own();
         let written_at = self.own_revision();
-        let record = known.records.get(&own.node);
-        let is_present = known.present.contains(&own.node)
-            && record.is_some_and(|record| record.process == own.process);
+        let is_present = known.present.contains(&self.own().node);
         if written_at > 0 && known.at > written_at && !is_present {
             self.own_lost.send_replace(known.at);
         }
--- a/crates/front/src/nodes/registration.rs
+++ b/crates/front/src/nodes/registration.rs
@@ -67,7 +67,7 @@
     Expired,
     /// The record requires the short lease.
     TooLong,
-    /// The record was removed, or replaced by one of another process, although the lease is renewed.
+    /// The record was removed although the lease is renewed.
     RecordLost,
 }
 
