--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -95,6 +95,14 @@
     pub retired: bool,
 }
 
+/// Result of one attempt to read a log without fencing its writer.
+enum NewestRead {
+    /// The newest version known to a quorum; `None` if it does not know the log.
+    Complete(Option<LogSnapshot>),
+    /// The replica with the newest version did not return all of it, for this reason.
+    Interrupted(String),
+}
+
 /// Handle to the journal. Cheap to clone; its tasks end when the last clone is dropped.
 #[derive(Clone)]
 pub struct Journal {
@@ -275,22 +283,19 @@
     ///
     /// `NoQuorum` if no quorum responded.
     pub async fn read_snapshot(&self, log: &str) -> Result<Option<LogSnapshot>, JournalError> {
-        let mut failure = String::new();
+        let mut last_failure = String::new();
         for _ in 0..READ_ATTEMPTS {
             match self.read_newest(log).await? {
-                Ok(snapshot) => return Ok(snapshot),
-                Err(cause) => failure = cause,
+                NewestRead::Complete(snapshot) => return Ok(snapshot),
+                NewestRead::Interrupted(failure) => last_failure = failure,
             }
         }
-        Err(JournalError::NoQuorum(failure))
+        Err(JournalError::NoQuorum(last_failure))
     }
 
-    /// Tries once to read a log from a quorum. The inner error is the reason why the rest of a long log
-    /// could not be read from the replica with the newest version.
-    async fn read_newest(
-        &self,
-        log: &str,
-    ) -> Result<Result<Option<LogSnapshot>, String>, JournalError> {
+    /// Tries once to read a log: the first parts from a quorum, the others from a replica with the newest
+    /// version.
+    async fn read_newest(&self, log: &str) -> Result<NewestRead, JournalError> {
         let calls = &self.inner.calls;
         let set = calls.replica_set()?;
         let mut read = LogRead::new(ReplicaCalls::quorum(&set));
@@ -302,7 +307,7 @@
             })
             .await?;
         let Some(newest) = read.into_newest() else {
-            return Ok(Ok(None));
+            return Ok(NewestRead::Complete(None));
         };
         let retired = newest.retired;
         let members = quorum::members(&set);
@@ -310,15 +315,17 @@
             .iter()
             .find(|member| member.replica_id == newest.replica_id);
         let Some(source) = source else {
-            return Ok(Err("the replica has left the set".to_owned()));
+            let failure = "the replica has left the set".to_owned();
+            return Ok(NewestRead::Interrupted(failure));
         };
         let entries = match LogParts::new(newest) {
             Ok(parts) => calls.read_rest(source, log, parts, |_| true).await,
             Err(error) => Err(error.into()),
         };
-        Ok(entries
-            .map(|entries| Some(LogSnapshot { entries, retired }))
-            .map_err(|error| error.describe(source)))
+        Ok(match entries {
+            Ok(entries) => NewestRead::Complete(Some(LogSnapshot { entries, retired })),
+            Err(error) => NewestRead::Interrupted(error.describe(source)),
+        })
     }
 
     /// Returns the newest description, as known by a quorum, of each log whose name starts with
--- a/crates/journal/src/log_reader.rs
+++ b/crates/journal/src/log_reader.rs
@@ -58,16 +58,21 @@
     ///
     /// # Errors
     ///
-    /// If it is of another disk or of another version of the log, or adds nothing.
+    /// If it is of another disk or of another version of the log, or has no further parts.
     pub fn add(&mut self, reply: &ReadLogReply) -> Result<(), LogChanged> {
         // Entries that the same writer has appended meanwhile are left out.
         let is_same_log = reply.replica_id == self.first.replica_id
             && WriterEpoch::from(&reply.log_epoch) == WriterEpoch::from(&self.first.log_epoch)
             && reply.retired == self.first.retired;
-        if !is_same_log || reply.parts.is_empty() {
+        if !is_same_log {
             return Err(LogChanged);
         }
-        self.push(&reply.parts)
+        let position = self.assembler.position();
+        self.push(&reply.parts)?;
+        match self.assembler.position() > position {
+            true => Ok(()),
+            false => Err(LogChanged),
+        }
     }
 
     /// Returns the entries, once [`LogParts::next_request`] returns `None`.
--- a/crates/journal/src/replica_set/long_log.rs
+++ b/crates/journal/src/replica_set/long_log.rs
@@ -47,13 +47,19 @@
     ///
     /// # Errors
     ///
-    /// If the source has another disk or another version of the log than the exported one.
+    /// If the source has another disk or another version of the log than the exported one, or sends
+    /// other parts than requested.
     pub fn stage(&mut self, reply: ReadLogReply, version: u64) -> Result<StageEntries, LogChanged> {
         let is_same_log = reply.replica_id == self.source
             && WriterEpoch::from(&reply.log_epoch) == WriterEpoch::from(&self.log.log_epoch)
             && reply.retired == self.log.retired;
-        let last = reply.parts.last().filter(|_| is_same_log);
-        self.position = LogPosition::end_of(last.ok_or(LogChanged)?);
+        let (Some(first), Some(last)) = (reply.parts.first(), reply.parts.last()) else {
+            return Err(LogChanged);
+        };
+        if !is_same_log || LogPosition::start_of(first) != self.position {
+            return Err(LogChanged);
+        }
+        self.position = LogPosition::end_of(last);
         Ok(StageEntries {
             replica_set_version: version,
             log: self.log.log.clone(),
--- a/crates/ladderstage/src/journal/parts.rs
+++ b/crates/ladderstage/src/journal/parts.rs
@@ -38,11 +38,11 @@
     /// Returns the position after `part`.
     pub fn end_of(part: &EntryPart) -> Self {
         if part.ends_entry {
-            return Self::at(part.index + 1);
+            return Self::at(part.index.saturating_add(1));
         }
         Self {
             index: part.index,
-            offset: part.offset + part.payload.len() as u64,
+            offset: part.offset.saturating_add(part.payload.len() as u64),
         }
     }
 }
@@ -158,7 +158,8 @@
             return Ok(None);
         }
         let known = (self.position.offset - part.offset) as usize;
-        self.payload.extend_from_slice(&part.payload[known..]);
+        let added = part.payload.get(known..).unwrap_or_default();
+        self.payload.extend_from_slice(added);
         self.position = end;
         let is_complete = part.ends_entry;
         Ok(is_complete.then(|| LogEntry {
--- a/crates/ladderstage/src/journal/writer.rs
+++ b/crates/ladderstage/src/journal/writer.rs
@@ -188,11 +188,6 @@
         }
     }
 
-    /// Returns the number of entries of the newest log.
-    pub fn length(&self) -> u64 {
-        self.newest.length
-    }
-
     /// Continues with installing the log. `entries` are those of answers that
     /// [`SealedLog::is_newest`] accepted, or empty if the log is empty.
     pub fn into_writer(self, entries: Vec<LogEntry>) -> LogWriterState {
--- a/crates/ladderstage/tests/journal/rules.rs
+++ b/crates/ladderstage/tests/journal/rules.rs
@@ -12,8 +12,8 @@
 use ladderstage::journal::writer::{LogWriterState, ReplicaWrite, SealProgress, Sealing};
 use ladderstage::journal::{EpochSource, Quorum, RunningTime, WriterEpoch};
 use ladderstage_wire::messages::{
-    DescribeLogsReply, ExportedLog, KnownLog, LogDescription, LogEntry, OwnedLog, ReadLogReply,
-    ReplicaMember, ReplicaSet, Seal, SealReply,
+    DescribeLogsReply, EntryPart, ExportedLog, KnownLog, LogDescription, LogEntry, OwnedLog,
+    ReadLogReply, ReplicaMember, ReplicaSet, Seal, SealReply,
 };
 use proptest::prelude::*;
 
@@ -661,6 +661,21 @@
     assert!(staged_parts(&write_all(&mut writer, &mut replica)) > 0);
 }
 
+/// Guards against a panic on parts of one entry that contradict each other.
+#[test]
+fn a_part_that_ends_an_entry_too_early_adds_nothing() {
+    let part = |offset, payload: &str, ends_entry| EntryPart {
+        index: 0,
+        offset,
+        payload: payload.as_bytes().to_vec(),
+        ends_entry,
+    };
+    let mut assembler = PartAssembler::new(0);
+    assert_eq!(assembler.push(&part(0, "long entry", false)), Ok(None));
+    let completed = assembler.push(&part(0, "long", true));
+    assert_eq!(completed, Ok(Some(entry("long entry"))));
+}
+
 proptest! {
     /// Guards against entries that are damaged where parts of different sizes overlap.
     #[test]
