--- a/crates/ladderstage/src/journal/mod.rs
+++ b/crates/ladderstage/src/journal/mod.rs
@@ -9,6 +9,7 @@
 pub mod epoch;
 pub mod heartbeat;
 pub mod parts;
+mod progress;
 pub mod quorum;
 pub mod read;
 pub mod replica;
--- a/crates/ladderstage/src/journal/writer.rs
+++ b/crates/ladderstage/src/journal/writer.rs
@@ -10,7 +10,8 @@
 };
 
 use super::epoch::WriterEpoch;
-use super::parts::{self, DEFAULT_PART_BYTES, LogPosition};
+use super::parts::{self, DEFAULT_PART_BYTES};
+use super::progress::{ReplicaProgress, Staging};
 use super::quorum::{Quorum, ReplicaId};
 use super::{read, replica};
 
@@ -224,37 +225,6 @@
     }
 }
 
-/// The writer's view of one replica.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-struct ReplicaProgress {
-    /// Number of entries held under the writer's epoch; `None` if the log must be installed first.
-    held: Option<u64>,
-    /// Number of entries of the adopted log that the replica holds or is assumed to hold; an
-    /// install leaves them out.
-    kept: u64,
-    /// Entries of the next write that are being staged.
-    staging: Option<Staging>,
-    /// Whether the replica runs an earlier version, which takes no parts.
-    refuses_parts: bool,
-    closed: bool,
-    fenced: bool,
-}
-
-/// Entries that are staged at a replica for one write.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Staging {
-    first: u64,
-    end: u64,
-    /// Position of the first byte that the replica has not confirmed.
-    next: LogPosition,
-}
-
-impl Staging {
-    fn is_complete(&self) -> bool {
-        self.next >= LogPosition::at(self.end)
-    }
-}
-
 /// A writer with the promises of a quorum. Entries are only ever added, so an index of one epoch
 /// never has two contents. A write without a quorum is repeated unchanged, or the writer is
 /// abandoned.
@@ -478,11 +448,7 @@
             return started;
         }
         let is_long = self.size_of(first..self.length()) > self.part_bytes;
-        is_long.then(|| Staging {
-            first,
-            end: self.length(),
-            next: LogPosition::at(first),
-        })
+        is_long.then(|| Staging::new(first, self.length()))
     }
 
     fn stage(&self, staging: &Staging) -> StageEntries {
@@ -530,23 +496,3 @@
         })
     }
 }
-
-impl ReplicaProgress {
-    /// Applies the confirmation of staged parts; `length` is the number of entries of the complete
-    /// log. Confirmations that do not continue the staging are ignored.
-    fn on_staged(&mut self, stage: &StageEntries, length: u64) {
-        let (Some(start), Some(end)) = (stage.parts.first(), stage.parts.last()) else {
-            return;
-        };
-        let first = self.held.unwrap_or(self.kept);
-        let mut staging = self.staging.unwrap_or(Staging {
-            first,
-            end: length,
-            next: LogPosition::at(first),
-        });
-        if staging.first == first && staging.next == LogPosition::start_of(start) {
-            staging.next = LogPosition::end_of(end);
-            self.staging = Some(staging);
-        }
-    }
-}
--- a/crates/storage/src/batch.rs
+++ b/crates/storage/src/batch.rs
@@ -7,16 +7,15 @@
 use ladderstage::journal::replica_set::{self, SetRefusal};
 use ladderstage_wire::messages::mod_WriteReply::Outcome;
 use ladderstage_wire::messages::{
-    Append, Epoch, ExportedLog, Install, LogEntry, ReplicaSet, Seal, SealReply, StageEntries,
-    WriteReply,
+    Append, ExportedLog, Install, LogEntry, ReplicaSet, Seal, SealReply, StageEntries, WriteReply,
 };
 use redb::{ReadableTable, Table, WriteTransaction};
 
 use crate::StorageError;
 use crate::open::Content;
+use crate::parts::{self, PartTable, StagedEntries, WrittenEntries};
 use crate::records::{LogRecord, write_number};
 use crate::retention::{Expired, SweepReport};
-use crate::staged::{self, StagedEntries, StagedTable};
 use crate::store::StoredBundle;
 use crate::tables::{ENTRIES, LOGS, LogRow, META, STAGED, keys};
 
@@ -44,44 +43,11 @@
     meta: Table<'a, &'static str, &'static [u8]>,
     logs: Table<'a, &'static str, LogRow<'static>>,
     entries: Table<'a, (&'static str, u64), &'static [u8]>,
-    parts: StagedTable<'a>,
+    /// Parts of entries that are no part of their log yet.
+    parts: PartTable<'a>,
     pub staged: Staged,
 }
 
-/// Entries of a write.
-struct WrittenEntries<'a> {
-    /// Entries in the message.
-    sent: &'a [LogEntry],
-    /// Staged entries that take their place.
-    staged: Option<StagedEnd>,
-}
-
-/// Epoch of the writer of staged entries, and the index after the last of them.
-struct StagedEnd {
-    epoch: WriterEpoch,
-    end: u64,
-}
-
-impl<'a> WrittenEntries<'a> {
-    const NONE: Self = Self {
-        sent: &[],
-        staged: None,
-    };
-
-    /// Creates the entries of a message that adds `staged_length` staged entries from index `first` on,
-    /// or else those in `sent`.
-    fn new(sent: &'a [LogEntry], first: u64, staged_length: u64, epoch: &Option<Epoch>) -> Self {
-        let staged = StagedEnd {
-            epoch: WriterEpoch::from(epoch),
-            end: first.saturating_add(staged_length),
-        };
-        Self {
-            sent,
-            staged: (staged_length > 0).then_some(staged),
-        }
-    }
-}
-
 impl<'a> Batch<'a> {
     pub fn new(
         transaction: &'a WriteTransaction,
@@ -169,7 +135,7 @@
             return Ok(Err(refusal));
         }
         let epoch = WriterEpoch::from(&request.epoch);
-        staged::insert(&mut self.parts, &request.log, epoch, &request.parts)?;
+        parts::insert(&mut self.parts, &request.log, epoch, &request.parts)?;
         let log = request.log.clone();
         self.staged.part_changes.insert(log, Some(self.now_ms));
         self.staged.changed = true;
@@ -244,7 +210,7 @@
             report.dropped += usize::from(self.delete_log(log)?);
         }
         for log in &expired.to_unstage {
-            staged::remove_all(&mut self.parts, log)?;
+            parts::remove_all(&mut self.parts, log)?;
             self.staged.part_changes.insert(log.clone(), None);
         }
         Ok(Ok(report))
@@ -257,7 +223,7 @@
             return Ok(false);
         }
         self.remove_entries(log, 0)?;
-        staged::remove_all(&mut self.parts, log)?;
+        parts::remove_all(&mut self.parts, log)?;
         self.logs.remove(log)?;
         self.staged.logs.insert(log.to_owned(), None);
         Ok(true)
@@ -271,7 +237,7 @@
         }
         let mut state = self.state(log);
         self.remove_entries(log, 1)?;
-        staged::remove_all(&mut self.parts, log)?;
+        parts::remove_all(&mut self.parts, log)?;
         state.retired = true;
         self.put_state(log, state)?;
         Ok(true)
@@ -315,18 +281,15 @@
             return Ok(decision.clone());
         }
         if let Some(first) = decision.entries.first_added(before.length) {
-            let staged = written.staged.as_ref().map(|staged| StagedEntries {
-                epoch: staged.epoch,
-                range: first..staged.end,
-            });
+            let staged = written.staged_from(first);
             if let Some(staged) = &staged
-                && !staged::is_complete(&self.parts, log, staged)?
+                && !parts::is_complete(&self.parts, log, staged)?
             {
                 return Ok(replica::missing_entries(before));
             }
             self.change_entries(log, first, decision.entries, written.sent, staged)?;
             if !matches!(decision.entries, EntryChange::Extend { .. }) {
-                staged::remove_up_to(&mut self.parts, log, decision.state.log_epoch)?;
+                parts::remove_up_to(&mut self.parts, log, decision.state.log_epoch)?;
             }
         }
         self.put_state(log, decision.state.clone())?;
@@ -353,11 +316,11 @@
             return self.insert_entries(log, first, &sent[skip..]);
         };
         let entries = &mut self.entries;
-        staged::for_each(&self.parts, log, &staged, |index, entry| {
+        parts::for_each(&self.parts, log, &staged, |index, entry| {
             entries.insert((log, index), entry.payload.as_slice())?;
             Ok(())
         })?;
-        staged::remove_up_to(&mut self.parts, log, staged.epoch)
+        parts::remove_up_to(&mut self.parts, log, staged.epoch)
     }
 
     fn put_state(&mut self, log: &str, state: LogState) -> Result<(), redb::Error> {
--- a/crates/storage/src/tables.rs
+++ b/crates/storage/src/tables.rs
@@ -15,11 +15,11 @@
 
 /// Staged parts of entries by log name, round and owner of their writer's epoch, index of the entry and
 /// offset in its payload. A row has the payload of the part and whether it ends the entry.
-pub(crate) const STAGED: TableDefinition<'static, StagedKey<'static>, (bool, &[u8])> =
+pub(crate) const STAGED: TableDefinition<'static, PartKey<'static>, (bool, &[u8])> =
     TableDefinition::new("staged");
 
 /// Key in [`STAGED`].
-pub(crate) type StagedKey<'a> = (&'a str, u64, u64, u64, u64);
+pub(crate) type PartKey<'a> = (&'a str, u64, u64, u64, u64);
 
 /// Row of a log: promised round and owner, log round and owner, owner's node, length, flags, and
 /// the time of the last change in milliseconds on the store's clock.
