--- a/crates/front/tests/nodes.rs
+++ b/crates/front/tests/nodes.rs
@@ -273,6 +273,8 @@
         assert!(store.read(OTHER_KEY).is_some(), "the record is gone");
         sleep(Duration::from_millis(100)).await;
     }
+    let registrations = store.calls("other", "grant", "");
+    assert_eq!(registrations, 2, "the first one and its repetition");
 }
 
 /// Guards against a node that is missing for good after its record was removed while its lease is
