jobs: a read at the end of the cached results counts as a read

Cause: since a read takes its page before the call, a read that found no cached result did not count for the order of eviction. A client that follows a job reads mostly at its end, so its job would have been dropped before one that nobody reads.

Change: each read of a cached job counts, as before.

Test: `a_job_whose_end_is_read_counts_as_read`; result_cache 3 passed. It was not run on the code before.

--- a/crates/front/src/job/result_cache.rs
+++ b/crates/front/src/job/result_cache.rs
@@ -41,21 +41,22 @@
 
     /// Starts a read of a job from position `after` on.
     pub fn start_read(&mut self, job: &str, after: u64) -> CachedRead {
-        let cached = self.jobs.get_mut(job);
-        let known = cached.filter(|cached| after < cached.results.len() as u64);
-        let Some(cached) = known else {
-            return CachedRead {
-                page: JobResults::default(),
-                after,
-                next: after,
-            };
+        let mut read = CachedRead {
+            page: JobResults::default(),
+            after,
+            next: after,
         };
+        let Some(cached) = self.jobs.get_mut(job) else {
+            return read;
+        };
+        // Also if the client has all cached results and waits for the next one.
         cached.read_at = Instant::now();
-        CachedRead {
-            page: results_page(&cached.results, cached.total, after),
-            after,
-            next: cached.results.len() as u64,
+        let known = cached.results.len() as u64;
+        if after < known {
+            read.page = results_page(&cached.results, cached.total, after);
+            read.next = known;
         }
+        read
     }
 
     /// Adds the results that a job's owner returned for position `after`.
--- a/crates/front/tests/result_cache.rs
+++ b/crates/front/tests/result_cache.rs
@@ -155,3 +155,15 @@
     let read = cache.start_read("job", 1);
     assert_eq!(read.complete(answer(2..3)).results, [result(1), result(2)]);
 }
+
+/// Guards against the eviction of a job that a client follows, in place of one that nobody reads.
+#[test]
+fn a_job_whose_end_is_read_counts_as_read() {
+    let mut cache = ResultCache::new(2 * TEXT_BYTES);
+    cache.insert("followed", 0, &owner_page(0, 1, 0));
+    cache.insert("unread", 0, &owner_page(1, 1, 0));
+    assert!(!cache.start_read("followed", 1).has_results());
+    cache.insert("new", 0, &owner_page(2, 1, 0));
+    assert!(cache.start_read("followed", 0).has_results());
+    assert!(!cache.start_read("unread", 0).has_results());
+}
