jobs: run items again after crashes of their instances

Callers saw: after a burst of crashes an item was never placed again, though all instances were back and idle; its step, and the later ones that brought it back, ran out of time.

Cause: items and reward calls were suspects like live requests. After three crashes their content was held back for 600 s, doubling, at all fronts, and over owners and jobs. A crash counts against every run of its instance, so that a burst that takes a third of the instances several times within seconds holds back items that caused none of it. The users state that items never crash instances by themselves.

Change: items and reward calls leave the suspects. The count of their crashes, the hold, the limit of concurrent runs, the records of suspected runs in a job's log, the wait for the crash of an instance that an item has left, and the probe after each broken run go. Records of earlier builds in logs are read and skipped; holds that they announce apply to live requests of the same content only. Nothing that is written changes its form.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -163,7 +163,7 @@
     metrics.add_nodes(&nodes);
     metrics.add_discovery(inputs.backends.counters());
     let (suspects, updates, abandoned_checks) = Suspects::new(Arc::clone(&metrics));
-    let jobs = JobRegistry::new(shared.job_context(&parts, &suspects));
+    let jobs = JobRegistry::new(shared.job_context(&parts));
     let permits = PermitIssuer::new(inputs.backends.gates().cold.clone());
     let hooks = JobHooks {
         jobs: Some(jobs.clone()),
@@ -279,7 +279,7 @@
 }
 
 impl SharedParts<'_> {
-    fn job_context(&self, parts: &JournalParts, suspects: &Suspects) -> JobContext {
+    fn job_context(&self, parts: &JournalParts) -> JobContext {
         let inputs = self.inputs;
         JobContext {
             journal: parts.journal.clone(),
@@ -298,7 +298,6 @@
             learned_load_limit: LearnedLoadLimit::default(),
             former_leaders: FormerLeaders::default(),
             activity: inputs.activities.instance_work.clone(),
-            suspects: suspects.clone(),
         }
     }
 
--- a/crates/front/src/job/context.rs
+++ b/crates/front/src/job/context.rs
@@ -17,7 +17,6 @@
 use crate::nodes::Nodes;
 use crate::orders::{FormerLeaders, LearnedLoadLimit};
 use crate::roster::DiscoveryView;
-use crate::suspects::Suspects;
 
 /// Dependencies that all jobs of this node share.
 pub struct JobContext {
@@ -53,6 +52,4 @@
     pub former_leaders: FormerLeaders,
     /// Counts the jobs that run at this node.
     pub activity: Activity,
-    /// Requests that are suspected of crashing instances.
-    pub suspects: Suspects,
 }
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -10,7 +10,7 @@
 use futures_util::future::BoxFuture;
 use ladderstage_clock::Instant;
 use ladderstage_journal::{JournalError, LogWriter};
-use ladderstage_wire::messages::{JobSpec, KeptText, LogEntry};
+use ladderstage_wire::messages::{JobProgress, JobSpec, KeptText, LogEntry};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, JoinSet};
 
@@ -24,12 +24,9 @@
 use super::queue::EntryQueue;
 use super::run::RunOutcome;
 use super::run_context::{FirstVersions, SendWindow};
-use super::run_record::RunRecord;
 use super::state::JobState;
-use super::suspect_runs::CommitWaiters;
 use super::text::ItemText;
 use super::unfinished::{ListingHistory, UnfinishedItems};
-use crate::suspects::ContentDigest;
 
 /// Shortest interval between two appends; results within it share one append.
 const MIN_APPEND_INTERVAL: Duration = Duration::from_millis(20);
@@ -78,8 +75,6 @@
     pub(super) listing_history: ListingHistory,
     /// Weight version that generated the first event of each item.
     pub(super) first_versions: FirstVersions,
-    /// Content digests of items, computed on demand.
-    pub(super) content_digests: HashMap<usize, ContentDigest>,
     /// Texts from earlier jobs for items that this job repeats.
     pub(super) earlier_texts: HashMap<String, KeptText>,
     /// Request for the earlier texts, while it is in progress.
@@ -98,13 +93,11 @@
     pub(super) end_requested_at: Option<Instant>,
     pub(super) has_waiting_items: bool,
     pub(super) last_append: Instant,
-    /// Channel for the records of runs.
-    pub(super) records: (
-        mpsc::UnboundedSender<RunRecord>,
-        mpsc::UnboundedReceiver<RunRecord>,
+    /// Channel for the partial texts of runs.
+    pub(super) progress: (
+        mpsc::UnboundedSender<JobProgress>,
+        mpsc::UnboundedReceiver<JobProgress>,
     ),
-    /// Runs that wait for the commit of their records.
-    pub(super) commit_waiters: CommitWaiters,
 }
 
 impl Owner {
@@ -137,7 +130,6 @@
             window: SendWindow::default(),
             listing_history: ListingHistory::default(),
             first_versions: FirstVersions::default(),
-            content_digests: HashMap::new(),
             earlier_texts: HashMap::new(),
             earlier_texts_request: None,
             late_texts: HashMap::new(),
@@ -148,8 +140,7 @@
             end_requested_at: None,
             has_waiting_items: false,
             last_append: Instant::now() - MIN_APPEND_INTERVAL,
-            records: mpsc::unbounded_channel(),
-            commit_waiters: CommitWaiters::default(),
+            progress: mpsc::unbounded_channel(),
         };
         if is_ended {
             owner.queue_end();
@@ -191,7 +182,7 @@
                     self.earlier_texts = texts.into_iter().map(|text| (text.item.clone(), text)).collect();
                 }
                 Some(ended) = self.runs.join_next() => self.on_run_end(ended),
-                Some(record) = self.records.1.recv() => self.on_record(record),
+                Some(progress) = self.progress.1.recv() => self.queue.push_progress(progress),
                 done = wait_for_append(&mut appending) => {
                     appending = None;
                     if let Some(cause) = self.on_append(done).await {
@@ -226,7 +217,7 @@
     /// Marks the job as ready for handover once all runs have stopped and nothing is left to
     /// append.
     fn mark_released_if_idle(&mut self) {
-        let is_idle = self.runs.is_empty() && self.records.1.is_empty();
+        let is_idle = self.runs.is_empty() && self.progress.1.is_empty();
         if *self.stop.borrow() && is_idle {
             self.job.set_released();
         }
@@ -237,8 +228,8 @@
             return;
         };
         // The result must follow the progress that its run sent before.
-        while let Ok(record) = self.records.1.try_recv() {
-            self.on_record(record);
+        while let Ok(progress) = self.progress.1.try_recv() {
+            self.queue.push_progress(progress);
         }
         self.running.remove(&index);
         match outcome {
@@ -248,16 +239,6 @@
         }
     }
 
-    fn on_record(&mut self, record: RunRecord) {
-        match record {
-            RunRecord::Progress(progress) => self.queue.push_progress(progress),
-            RunRecord::Suspect(run, committed) => {
-                self.queue.push_suspect_run(run);
-                self.commit_waiters.add(committed);
-            }
-        }
-    }
-
     /// Appends all queued entries after the minimum interval between appends.
     fn next_append(&mut self) -> Option<BoxFuture<'static, AppendDone>> {
         if self.queue.is_empty() {
@@ -265,7 +246,6 @@
         }
         let writer = self.writer.take()?;
         self.in_flight = self.queue.drain();
-        self.commit_waiters.start_append();
         let entries = self.in_flight.clone();
         let closes_log = self.queue.has_end();
         let is_first = self.job.state().spec().is_none();
@@ -321,7 +301,6 @@
         );
         let results = state.results().len();
         drop(state);
-        self.commit_waiters.notify_committed();
         self.listing_history.record(results);
         self.job.notify();
     }
@@ -375,10 +354,7 @@
         let found = self.digest.compare(entries, &pending);
         log::info!("event=job_log_found job={} found={found:?}", self.job.id);
         match found {
-            FoundLog::WithoutAppend => {
-                self.queue.requeue(pending);
-                self.commit_waiters.requeue();
-            }
+            FoundLog::WithoutAppend => self.queue.requeue(pending),
             FoundLog::WithAppend => self.apply_committed(&pending),
             FoundLog::Other => {
                 let Ok(state) = JobState::replay(entries) else {
@@ -402,8 +378,7 @@
         self.finished.clear();
         self.unlisted.clear();
         self.groups = None;
-        self.records = mpsc::unbounded_channel();
-        self.commit_waiters = CommitWaiters::default();
+        self.progress = mpsc::unbounded_channel();
         let is_accepted = self.job.state().spec().is_some();
         let is_ended = self.queue.has_end() || self.job.state().is_ended();
         if !is_accepted {
--- a/crates/front/src/job/queue.rs
+++ b/crates/front/src/job/queue.rs
@@ -1,7 +1,7 @@
 //! Queue of entries for the next append to a job's log.
 
 use ladderstage_wire::messages::mod_JobEntry::OneOfkind as EntryKind;
-use ladderstage_wire::messages::{JobEnded, JobProgress, JobResult, JobSpec, LogEntry, SuspectRun};
+use ladderstage_wire::messages::{JobEnded, JobProgress, JobResult, JobSpec, LogEntry};
 
 use super::state::encode_entry;
 
@@ -27,13 +27,6 @@
         }
     }
 
-    /// Queues a run of an item that may crash its instance.
-    pub fn push_suspect_run(&mut self, run: SuspectRun) {
-        if !self.has_end {
-            self.entries.push(encode_entry(EntryKind::suspect_run(run)));
-        }
-    }
-
     /// Queues an item's result, which must follow its progress.
     pub fn push_result(&mut self, result: JobResult) {
         if !self.has_end {
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -26,7 +26,6 @@
 };
 use super::result_cache::ResultCache;
 use super::state::JobState;
-use super::suspect_runs::suspect_recorded_crashes;
 use super::text_reuse::UnfinishedEntry;
 use super::{LOG_PREFIX, log_name};
 use crate::orders::{FormerLeaders, LearnedLoadLimit};
@@ -377,7 +376,6 @@
             state.results().len(),
             state.is_ended()
         );
-        suspect_recorded_crashes(&self.context, &state).await;
         let (job, commands) = Job::new(id, state, writer.epoch());
         lock(&self.shared.jobs).insert(id.to_owned(), Arc::clone(&job));
         lock(&self.shared.owners).remove(id);
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -8,10 +8,8 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
 use ladderstage_clock::Instant;
 
-use super::lost_runs::LostRuns;
 use super::run_context::{RunContext, exclusion_after_rejection};
 use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE, can_continue};
-use super::run_record::RunRecord;
 use super::scoring::{ScoreEnd, score};
 use super::stall_timeout::StallTimeout;
 use super::stalled_run::Awaited;
@@ -85,7 +83,7 @@
 /// Sends the partial text to be saved.
 fn stop_run(context: &RunContext, item: &str, mut partial: ItemText) -> RunOutcome {
     if let Some(progress) = partial.drain_progress(item) {
-        let _ = context.records.send(RunRecord::Progress(progress));
+        let _ = context.progress.send(progress);
     }
     RunOutcome::Stopped(partial)
 }
@@ -138,7 +136,7 @@
     if !partial.is_complete()
         && let Some(progress) = partial.finish(&item.id)
     {
-        let _ = context.records.send(RunRecord::Progress(progress));
+        let _ = context.progress.send(progress);
     }
     match score(context, index, reward).await {
         ScoreEnd::Scored(score) => Some(ItemEnd::Completed { score }),
@@ -165,14 +163,12 @@
     partial: &mut ItemText,
 ) -> Option<TextEnd> {
     let mut failures = 0;
-    let mut lost_runs = LostRuns::default();
     let mut instance = first;
     loop {
-        let run = run_admitted(context, index, &instance, partial, &mut lost_runs);
-        let Some(end) = run.await else {
+        if !context.window.is_open() {
             return Some(TextEnd::Closed);
-        };
-        match end {
+        }
+        match run_until_ended(context, index, &instance, partial).await {
             RunEnd::Complete => return Some(TextEnd::Complete),
             RunEnd::Unprocessable => return Some(TextEnd::Unprocessable),
             RunEnd::Failed => {
@@ -187,7 +183,6 @@
             | RunEnd::TimedOut(_)
             | RunEnd::Broken(_) => {}
         }
-        lost_runs.wait_for_crashes(context, index).await;
         let Some(next) = next_instance(context, &instance, partial).await else {
             return Some(TextEnd::Closed);
         };
@@ -195,22 +190,13 @@
     }
 }
 
-/// Waits until the item is admitted, runs it at one instance, and records whether the instance
-/// crashed or answered. Returns `None` once no more requests may be sent.
-async fn run_admitted(
+/// Runs the item at one instance until the run ends or the instance restarts.
+async fn run_until_ended(
     context: &RunContext,
     index: usize,
     instance: &Arc<Instance>,
     partial: &mut ItemText,
-    lost_runs: &mut LostRuns,
-) -> Option<RunEnd> {
-    let content = || context.item_content(index);
-    let permit = context.wait_admitted(index, content).await?;
-    if permit.is_tracked() {
-        context
-            .record_suspect_start(index, content(), instance)
-            .await;
-    }
+) -> RunEnd {
     let started = Instant::now();
     let end = tokio::select! {
         end = run_once(context, index, instance, partial) => end,
@@ -219,19 +205,7 @@
     };
     log_run(context, index, instance, partial, started, &end);
     context.metrics.record_sent("item", instance.distance());
-    match end {
-        RunEnd::TimedOut(_) | RunEnd::Broken(_) => {
-            let is_given_up = matches!(end, RunEnd::TimedOut(_));
-            lost_runs
-                .check(context, index, content(), instance, started, is_given_up)
-                .await;
-        }
-        RunEnd::Complete | RunEnd::Unprocessable | RunEnd::Failed => {
-            context.suspects.record_completion(content);
-        }
-        RunEnd::NotStarted(_) | RunEnd::Migrate(_) => {}
-    }
-    Some(end)
+    end
 }
 
 fn log_run(
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -4,22 +4,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
-use http::{HeaderValue, Method};
+use http::HeaderValue;
 use ladderstage::region::AllowedRegions;
 use ladderstage_clock::Instant;
-use ladderstage_wire::messages::JobSpec;
+use ladderstage_wire::messages::{JobProgress, JobSpec};
 use tokio::sync::{mpsc, watch};
 
-use super::run_record::RunRecord;
-use crate::backend::{BackendTable, Instance, LOADING_PAUSE, RequiredWeights};
+use crate::backend::{BackendTable, LOADING_PAUSE, RequiredWeights};
 use crate::config::CurrentConfig;
 use crate::dialect::SharedCodec;
 use crate::metrics::Metrics;
 use crate::orders::LearnedLoadLimit;
-use crate::suspects::{
-    BrokenRun, ContentDigest, HeldBack, InstanceStatus, RequestContent, RunPermit, RunSubject,
-    Suspects,
-};
 
 /// Maximum timeout for the first event of a run; also used while event intervals are unknown.
 const MAX_FIRST_EVENT_WAIT: Duration = Duration::from_millis(2_500);
@@ -31,9 +26,6 @@
 /// Minimum timeout for the first event of a run.
 const MIN_FIRST_EVENT_WAIT: Duration = Duration::from_millis(1_100);
 
-/// Interval between checks of an item that is held back.
-const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Context that the runs of one job share.
 #[derive(Clone)]
 pub struct RunContext {
@@ -62,8 +54,8 @@
     pub single_version: bool,
     /// Time at which unfinished items are terminated.
     pub item_deadline: Option<Instant>,
-    /// Receives records to be saved in the log.
-    pub records: mpsc::UnboundedSender<RunRecord>,
+    /// Receives partial texts to be saved in the log.
+    pub progress: mpsc::UnboundedSender<JobProgress>,
     /// Stops the runs, so that another node or a later job can continue them.
     pub stop: watch::Receiver<bool>,
     /// Limits when requests may be sent for the items.
@@ -74,8 +66,6 @@
     pub tokens_per_event: u64,
     /// Limit on concurrent weight loads, as learned so far.
     pub learned_load_limit: LearnedLoadLimit,
-    /// Requests that are suspected of crashing instances.
-    pub suspects: Suspects,
 }
 
 impl RunContext {
@@ -87,13 +77,6 @@
         }
     }
 
-    /// Returns the content digest of the item at `index`. It is the same if a later job repeats the
-    /// item.
-    pub(super) fn item_content(&self, index: usize) -> ContentDigest {
-        let item = &self.spec.items[index];
-        self.content(&self.spec.host, &item.path, &item.body)
-    }
-
     /// Returns the regions in which the items may run, by the current configuration or, if no route
     /// matches any more, by the one at the start of the runs.
     pub(super) fn allowed_regions(&self) -> AllowedRegions {
@@ -103,92 +86,6 @@
             .unwrap_or_else(|| self.initial_allowed_regions.clone())
     }
 
-    /// Returns the content digest of a request that is sent for this job.
-    pub(super) fn content(&self, host: &str, path: &str, body: &[u8]) -> ContentDigest {
-        ContentDigest::of(&RequestContent {
-            host,
-            method: Method::POST.as_str(),
-            path,
-            tenant: &self.spec.tenant,
-            body,
-        })
-    }
-
-    /// Admits a request with `content` for the item at `index`.
-    ///
-    /// # Errors
-    /// Returns [`HeldBack`] if requests with the same content are suspected of crashing instances.
-    pub(super) fn admit(
-        &self,
-        index: usize,
-        content: impl Fn() -> ContentDigest,
-    ) -> Result<RunPermit, HeldBack> {
-        self.suspects.admit(self.subject(index), content)
-    }
-
-    /// Waits until a request with `content` is admitted for the item at `index`; returns `None`
-    /// once no more requests may be sent.
-    pub(super) async fn wait_admitted(
-        &self,
-        index: usize,
-        content: impl Fn() -> ContentDigest,
-    ) -> Option<RunPermit> {
-        while self.window.is_open() {
-            match self.admit(index, &content) {
-                Ok(permit) => return Some(permit),
-                Err(_) => self.wait_while_held(index, &content).await,
-            }
-        }
-        None
-    }
-
-    /// Returns the current hold on a request with `content` for the item at `index`, or `None` if
-    /// the request may be sent.
-    pub(super) fn held_back(
-        &self,
-        index: usize,
-        content: impl FnOnce() -> ContentDigest,
-    ) -> Option<HeldBack> {
-        self.suspects.current_hold(self.subject(index), content)
-    }
-
-    async fn wait_while_held(&self, index: usize, content: &impl Fn() -> ContentDigest) {
-        while self.window.is_open() && self.held_back(index, content).is_some() {
-            tokio::time::sleep(HOLD_POLL_INTERVAL).await;
-        }
-    }
-
-    fn subject(&self, index: usize) -> RunSubject<'_> {
-        RunSubject::Item {
-            id: &self.spec.items[index].id,
-            job: &self.spec.job,
-        }
-    }
-
-    /// Checks whether the instance crashed in a run of the item at `index` whose connection broke.
-    /// Records the result, also in the job's log, and announces the item's content to other fronts
-    /// after its second crash. Returns the state of the instance.
-    pub(super) async fn check_broken_run(
-        &self,
-        index: usize,
-        instance: &Arc<Instance>,
-        content: ContentDigest,
-        started_at: Instant,
-    ) -> InstanceStatus {
-        let run = BrokenRun {
-            subject: self.subject(index),
-            instance,
-            content,
-            started_at,
-        };
-        let status = self.suspects.check_broken_run(&run).await;
-        if status == InstanceStatus::Exited {
-            self.record_suspect_crash(index, content, instance);
-        }
-        self.suspects.announce_item(content);
-        status
-    }
-
     /// Returns the maximum number of events of the item at `index`, or `None` if it is unknown.
     pub(super) fn max_events(&self, index: usize) -> Option<u64> {
         self.spec.items[index]
--- a/crates/front/src/job/scheduling.rs
+++ b/crates/front/src/job/scheduling.rs
@@ -58,9 +58,6 @@
                 self.spawn_run(&run, index, None, saved);
                 continue;
             }
-            if self.is_held_back(&run, index) {
-                continue;
-            }
             let is_long = spec.items[index].expected_tokens >= long_item_threshold;
             let demand = if is_long {
                 WorkKind::LongBatch
@@ -83,21 +80,6 @@
         }
     }
 
-    /// Returns whether an item is held back because its content is suspected of crashing instances.
-    /// It stays open until its deadline or the end of the job.
-    fn is_held_back(&mut self, run: &RunContext, index: usize) -> bool {
-        let content_digests = &mut self.content_digests;
-        let content = || {
-            *content_digests
-                .entry(index)
-                .or_insert_with(|| run.item_content(index))
-        };
-        let held = run.held_back(index, content);
-        // Other runs of this content are in progress, and the next one to end decides.
-        self.has_waiting_items |= held.is_some_and(|held| held.is_concurrency_hold());
-        held.is_some()
-    }
-
     fn spawn_run(
         &mut self,
         run: &Arc<RunContext>,
@@ -184,13 +166,12 @@
             initial_allowed_regions: route.allowed_regions_for(tenant.map(AsRef::as_ref)),
             max_attempts: route.max_attempts,
             single_version: route.single_version,
-            records: self.records.0.clone(),
+            progress: self.progress.0.clone(),
             stop: self.stop.subscribe(),
             window: self.window.clone(),
             first_versions: self.first_versions.clone(),
             tokens_per_event,
             learned_load_limit: self.context.learned_load_limit.clone(),
-            suspects: self.context.suspects.clone(),
             item_deadline: route.max_queue_time.map(|age| self.job.opened_at + age),
         }))
     }
--- a/crates/front/src/job/scoring.rs
+++ b/crates/front/src/job/scoring.rs
@@ -16,7 +16,6 @@
     AnswerIdPolicy, ExchangeError, Instance, RequestHead, RequiredWeights, WorkKind, send,
 };
 use crate::config::Route;
-use crate::suspects::{ContentDigest, RunPermit};
 use crate::tenant::set_tenant;
 
 /// Pause before a route and an instance are chosen again.
@@ -111,12 +110,9 @@
         loop {
             let is_due = in_flight.len() < MAX_CONCURRENT_CALLS && Instant::now() >= hedge_at;
             let may_start = is_due && self.context.window.is_open();
-            if may_start
-                && let Some(instance) = self.next_instance(service, &tried)
-                && let Some(permit) = self.admit(index)
-            {
+            if may_start && let Some(instance) = self.next_instance(service, &tried) {
                 tried.push(Arc::clone(&instance));
-                in_flight.push(self.attempt(instance, permit));
+                in_flight.push(self.attempt(instance));
             }
             if in_flight.is_empty() {
                 return None;
@@ -125,7 +121,6 @@
             tokio::select! {
                 Some(ended) = in_flight.next() => {
                     hedge_at = Instant::now();
-                    self.check_if_broken(index, &ended).await;
                     if let Some(end) = self.apply_result(index, ended, failures) {
                         return Some(end);
                     }
@@ -164,23 +159,7 @@
             })
     }
 
-    /// Admits the call unless it is suspected of crashing instances.
-    fn admit(&self, index: usize) -> Option<RunPermit> {
-        // Checked first, because each rejection by `admit` is logged and the call is retried
-        // shortly.
-        if self.context.held_back(index, || self.content()).is_some() {
-            return None;
-        }
-        self.context.admit(index, || self.content()).ok()
-    }
-
-    fn content(&self) -> ContentDigest {
-        let reward = self.reward;
-        self.context
-            .content(&reward.host, &reward.path, &reward.body)
-    }
-
-    async fn attempt(&self, instance: Arc<Instance>, _permit: RunPermit) -> Attempt {
+    async fn attempt(&self, instance: Arc<Instance>) -> Attempt {
         let started = Instant::now();
         let _guard = instance.track_request();
         let answered = tokio::time::timeout(self.route.timeout, self.send_call(&instance)).await;
@@ -232,20 +211,6 @@
         })
     }
 
-    /// Checks whether the instance crashed, if the connection broke.
-    async fn check_if_broken(&self, index: usize, ended: &Attempt) {
-        if let Err(ExchangeError::Broken(_)) = &ended.result {
-            let reward = self.reward;
-            let content = self
-                .context
-                .content(&reward.host, &reward.path, &reward.body);
-            let context = self.context;
-            context
-                .check_broken_run(index, &ended.instance, content, ended.started)
-                .await;
-        }
-    }
-
     /// Returns the priority of the call: that of the job's tenant if it has one, otherwise that of
     /// the route.
     fn priority_header(&self) -> HeaderValue {
--- a/crates/front/src/job/state.rs
+++ b/crates/front/src/job/state.rs
@@ -5,9 +5,7 @@
 
 use ladderstage_wire::compression::{compress, decompress};
 use ladderstage_wire::messages::mod_JobEntry::OneOfkind as EntryKind;
-use ladderstage_wire::messages::{
-    JobEntry, JobItem, JobProgress, JobResult, JobSpec, LogEntry, SuspectRun,
-};
+use ladderstage_wire::messages::{JobEntry, JobItem, JobProgress, JobResult, JobSpec, LogEntry};
 use ladderstage_wire::{DecodeError, decode, encode};
 
 use super::text::ItemText;
@@ -22,8 +20,6 @@
     listed: HashSet<String>,
     /// Partial texts of items without a result.
     partial_texts: HashMap<String, ItemText>,
-    /// Runs that crashed their instances or may have, of items without a result.
-    suspect_runs: HashMap<String, Vec<SuspectRun>>,
     is_ended: bool,
 }
 
@@ -78,7 +74,6 @@
             EntryKind::accepted(spec) => self.accept(spec),
             EntryKind::result(result) => self.add_result(result),
             EntryKind::progress(progress) => self.add_progress(&progress),
-            EntryKind::suspect_run(run) => self.add_suspect_run(run),
             EntryKind::ended(_) => self.is_ended = true,
             EntryKind::compressed(_) => {
                 return Err(DecodeError {
@@ -86,7 +81,8 @@
                     detail: "entry is compressed twice".to_owned(),
                 });
             }
-            EntryKind::None => {}
+            // Earlier builds record crashes under items, which this one does not hold back.
+            EntryKind::suspect_run(_) | EntryKind::None => {}
         }
         Ok(())
     }
@@ -128,11 +124,6 @@
         self.partial_texts.get(item).cloned().unwrap_or_default()
     }
 
-    /// Returns the runs of items without a result that crashed their instances or may have.
-    pub fn suspect_runs(&self) -> impl Iterator<Item = &SuspectRun> {
-        self.suspect_runs.values().flatten()
-    }
-
     /// Drops the bodies and headers of items, which an ended job no longer needs.
     pub fn drop_bodies(&mut self) {
         if let Some(spec) = &self.spec {
@@ -159,7 +150,6 @@
     fn add_result(&mut self, result: JobResult) {
         let is_known = self.indexes.contains_key(&result.item);
         if is_known && self.listed.insert(result.item.clone()) {
-            self.suspect_runs.remove(&result.item);
             let kept = self.partial_texts.remove(&result.item).unwrap_or_default();
             self.results.push(kept.complete_result(result));
         }
@@ -169,13 +159,6 @@
         self.indexes.contains_key(item) && !self.is_listed(item)
     }
 
-    fn add_suspect_run(&mut self, run: SuspectRun) {
-        if self.is_open(&run.item) {
-            let runs = self.suspect_runs.entry(run.item.clone()).or_default();
-            runs.push(run);
-        }
-    }
-
     fn add_progress(&mut self, progress: &JobProgress) {
         if self.is_open(&progress.item) {
             self.partial_texts
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -12,7 +12,6 @@
 use super::migration::EventIntervals;
 use super::run_context::RunContext;
 use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE};
-use super::run_record::RunRecord;
 use super::stall_timeout::StallTimeout;
 use super::stalled_run::Awaited;
 use super::text::ItemText;
@@ -86,7 +85,7 @@
         if partial.unsaved_events() >= EVENTS_PER_PROGRESS {
             let item = &context.spec.items[index].id;
             if let Some(progress) = partial.drain_progress(item) {
-                let _ = context.records.send(RunRecord::Progress(progress));
+                let _ = context.progress.send(progress);
             }
         }
         if let Some(cause) = intervals.reason_to_migrate(context, instance, partial, max_events) {
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -161,7 +161,7 @@
     /// Checks the instance after its connection broke, and announces the content if suspected.
     pub async fn check_broken_run(self) {
         let run = BrokenRun {
-            subject: RunSubject::Request {
+            subject: RunSubject {
                 id: self.id.to_str().unwrap_or("?"),
                 route: &self.route,
             },
@@ -474,7 +474,7 @@
     }
 
     fn admit(&self, route: &Route, request: &LiveRequest) -> Result<RunPermit, HeldBack> {
-        let subject = RunSubject::Request {
+        let subject = RunSubject {
             id: request.id(),
             route: &route.name,
         };
@@ -551,7 +551,7 @@
         started_at: Instant,
     ) {
         let run = BrokenRun {
-            subject: RunSubject::Request {
+            subject: RunSubject {
                 id: request.id(),
                 route: &route.name,
             },
--- a/crates/front/src/suspects/abandoned.rs
+++ b/crates/front/src/suspects/abandoned.rs
@@ -191,7 +191,7 @@
 
 fn record_crash(run: &AbandonedRun, suspects: &Suspects) {
     let broken = BrokenRun {
-        subject: RunSubject::Request {
+        subject: RunSubject {
             id: &run.id,
             route: &run.route,
         },
--- a/crates/front/src/suspects/ledger.rs
+++ b/crates/front/src/suspects/ledger.rs
@@ -18,10 +18,6 @@
 /// for the effect of other limits. With two of three instances down, the third one still serves.
 pub const LIVE_MAX_CRASHES: usize = 2;
 
-/// Number of crashes after which an item's content is held back. Items run longer than live
-/// requests and meet more crashes with other causes.
-pub const ITEM_MAX_CRASHES: usize = 3;
-
 /// Time that a content is held back after its last crash; doubles with each further one. One trial
 /// run afterwards shows whether instances survive it by now.
 pub const FIRST_HOLD: Duration = Duration::from_secs(600);
@@ -169,7 +165,7 @@
     }
 
     /// Returns how long a run of a content would be held back now; `None` if it would not.
-    pub fn current_hold(
+    fn current_hold(
         &self,
         content: ContentDigest,
         max_crashes: usize,
@@ -213,22 +209,6 @@
         true
     }
 
-    /// Records a crash that an earlier owner of the item has recorded; returns whether it is new
-    /// here.
-    pub fn record_earlier_crash(
-        &mut self,
-        content: ContentDigest,
-        incarnation: &str,
-        now: Instant,
-    ) -> bool {
-        let suspect = self.suspect_mut(content, now);
-        let is_new = suspect.crashes.insert(incarnation.into());
-        if is_new {
-            suspect.last_crash = now;
-        }
-        is_new
-    }
-
     /// Merges crashes known to other nodes; returns whether any is new here.
     pub fn merge<'a>(
         &mut self,
--- a/crates/front/src/suspects/mod.rs
+++ b/crates/front/src/suspects/mod.rs
@@ -1,5 +1,8 @@
-//! Requests that crash instances. They are recognized by their content at any front and held back
-//! after a few crashes.
+//! Live requests that crash instances. They are recognized by their content at any front and held
+//! back after a few crashes.
+//!
+//! Items of batch jobs and their reward calls are no suspects: they run again whatever happened to
+//! the instances that ran them before.
 
 mod abandoned;
 mod content;
@@ -20,8 +23,8 @@
 pub use abandoned::{AbandonedChecks, AbandonedRun};
 pub use content::{ContentDigest, RequestContent};
 pub use ledger::{
-    Admission, Cleared, FIRST_HOLD, ITEM_MAX_CRASHES, LIVE_MAX_CRASHES, MAX_HOLD, MAX_SUSPECTS,
-    SUSPICION_LIFETIME, SuspectLedger,
+    Admission, Cleared, FIRST_HOLD, LIVE_MAX_CRASHES, MAX_HOLD, MAX_SUSPECTS, SUSPICION_LIFETIME,
+    SuspectLedger,
 };
 pub use probe::{InstanceStatus, probe};
 pub use record::SuspectRecord;
@@ -31,56 +34,25 @@
 use crate::backend::Instance;
 use crate::metrics::Metrics;
 
-/// A live request or an item, by the ids in the log.
+/// A live request, by the ids in the log.
 #[derive(Debug, Clone, Copy)]
-pub enum RunSubject<'a> {
-    /// A live request.
-    Request {
-        /// Id of the client's attempt.
-        id: &'a str,
-        /// Name of its route.
-        route: &'a str,
-    },
-    /// An item of a batch job.
-    Item {
-        /// Id of the item.
-        id: &'a str,
-        /// Id of its job.
-        job: &'a str,
-    },
-}
-
-impl RunSubject<'_> {
-    /// Returns the number of crashes after which its content is held back.
-    fn max_crashes(&self) -> usize {
-        match self {
-            Self::Request { .. } => LIVE_MAX_CRASHES,
-            Self::Item { .. } => ITEM_MAX_CRASHES,
-        }
-    }
-
-    /// Returns the label in metrics.
-    fn label(&self) -> &'static str {
-        match self {
-            Self::Request { .. } => "request",
-            Self::Item { .. } => "item",
-        }
-    }
+pub struct RunSubject<'a> {
+    /// Id of the client's attempt.
+    pub id: &'a str,
+    /// Name of its route.
+    pub route: &'a str,
 }
 
 impl fmt::Display for RunSubject<'_> {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Request { id, route } => write!(formatter, "request={id} route={route}"),
-            Self::Item { id, job } => write!(formatter, "item={id} job={job}"),
-        }
+        write!(formatter, "request={} route={}", self.id, self.route)
     }
 }
 
 /// A run whose connection broke, possibly while the instance was executing it.
 #[derive(Debug, Clone, Copy)]
 pub struct BrokenRun<'a> {
-    /// Request or item that ran.
+    /// Request that ran.
     pub subject: RunSubject<'a>,
     /// Instance that ran it.
     pub instance: &'a Arc<Instance>,
@@ -93,10 +65,6 @@
 /// Maximum number of changed contents waiting to be shared; more are dropped with a log line.
 const MAX_UNSHARED: usize = 256;
 
-/// Minimum number of crashes for which an item is announced to all fronts; few items meet two
-/// crashes with other causes.
-const ITEM_MIN_CRASHES_TO_ANNOUNCE: usize = 2;
-
 /// Retry delay of a request that is refused while runs of the same content are in progress, most of
 /// which have ended by then.
 const BUSY_RETRY: Duration = Duration::from_millis(500);
@@ -157,20 +125,6 @@
     pub retry_after: Duration,
 }
 
-impl RunPermit {
-    /// Returns whether the content of the run is suspected.
-    pub fn is_tracked(&self) -> bool {
-        self.tracked.is_some()
-    }
-}
-
-impl HeldBack {
-    /// Returns whether the run waits only for runs in progress.
-    pub fn is_concurrency_hold(self) -> bool {
-        self.retry_after <= BUSY_RETRY
-    }
-}
-
 impl Suspects {
     /// Creates an empty set; the receiver gets the contents whose changes are to be shared.
     pub fn new(metrics: Arc<Metrics>) -> (Self, mpsc::Receiver<ContentDigest>, AbandonedChecks) {
@@ -200,7 +154,7 @@
         }
         let content = content();
         let admission =
-            self.update(|ledger| ledger.admit(content, subject.max_crashes(), Instant::now()));
+            self.update(|ledger| ledger.admit(content, LIVE_MAX_CRASHES, Instant::now()));
         match admission {
             Admission::Free => Ok(RunPermit::default()),
             Admission::Tracked => Ok(RunPermit {
@@ -213,29 +167,12 @@
                     retry_after.as_millis()
                 );
                 let held = &self.metrics.held_back_runs;
-                held.with_label_values(&[subject.label()]).inc();
+                held.with_label_values(&["request"]).inc();
                 Err(HeldBack { retry_after })
             }
         }
     }
 
-    /// Returns the hold that a run would meet now. `content` is computed only while there are
-    /// suspects.
-    pub fn current_hold(
-        &self,
-        subject: RunSubject<'_>,
-        content: impl FnOnce() -> ContentDigest,
-    ) -> Option<HeldBack> {
-        if self.count.load(Ordering::Relaxed) == 0 {
-            return None;
-        }
-        let content = content();
-        let held = self
-            .lock()
-            .current_hold(content, subject.max_crashes(), Instant::now());
-        held.map(|retry_after| HeldBack { retry_after })
-    }
-
     /// Checks the instance of a broken run, and suspects the run's content at this node if the
     /// instance crashed.
     pub async fn check_broken_run(&self, run: &BrokenRun<'_>) -> InstanceStatus {
@@ -275,38 +212,15 @@
         counter.with_label_values(&[status.label()]).inc();
     }
 
-    /// Suspects a content of a crash that another node has recorded in a job's log.
-    pub fn record_earlier_crash(&self, content: ContentDigest, incarnation: &str) {
-        if self.update(|ledger| ledger.record_earlier_crash(content, incarnation, Instant::now())) {
-            log::info!(
-                "event=suspect_heard content={content} ends={:?}",
-                self.crashes(content)
-            );
-        }
-    }
-
-    /// Returns whether a content is suspected of crashes.
-    pub fn is_suspected(&self, content: ContentDigest) -> bool {
-        self.count.load(Ordering::Relaxed) > 0 && !self.lock().crashes(content).is_empty()
-    }
-
-    /// Announces a content to all fronts if it is suspected. A crash makes every run on the
+    /// Announces a content to all fronts if it is suspected. A crash makes every request on the
     /// instance a suspect, most of which are soon cleared, so announcing all of them would cost
-    /// more than the crash: a live request is announced when its attempts have failed, an item
-    /// after its second crash.
+    /// more than the crash: a request is announced once its attempts have failed.
     pub fn announce(&self, content: ContentDigest) {
         if self.update(|ledger| ledger.mark_shared(content)) {
             self.share(content);
         }
     }
 
-    /// Announces an item, which only its owner repeats, after its second crash.
-    pub fn announce_item(&self, content: ContentDigest) {
-        if self.lock().crashes(content).len() >= ITEM_MIN_CRASHES_TO_ANNOUNCE {
-            self.announce(content);
-        }
-    }
-
     /// Clears the content of a run that an instance completed. `content` is computed only while
     /// there are suspects.
     pub fn record_completion(&self, content: impl FnOnce() -> ContentDigest) {
