--- a/crates/daemon/tests/journal/long_logs.rs
+++ b/crates/daemon/tests/journal/long_logs.rs
@@ -110,3 +110,20 @@
     let (_, found) = network.journal("n4").take_over(LOG).await.unwrap();
     assert!(found == entries, "found {} entries", found.len());
 }
+
+/// Guards against a log that counts as orphaned while a node takes it over, so that nodes take it from
+/// each other without end.
+#[tokio::test]
+async fn a_log_is_not_orphaned_while_it_is_read_for_a_takeover() {
+    // Five parts take longer than the owner timeout of 3 s.
+    const READ_DELAY: Duration = Duration::from_secs(1);
+    let network = Network::start(5, 3).await;
+    let entries = write_long_log(&network, "n3").await;
+    network.set_read_delay(READ_DELAY);
+    let (_writer, found) = network.journal("n4").take_over(LOG).await.unwrap();
+    assert!(found == entries, "found {} entries", found.len());
+    for name in ["n0", "n1", "n2", "n3", "n4"] {
+        let is_orphaned = network.with_hook_calls(name, |calls| calls.orphaned.contains(LOG));
+        assert!(!is_orphaned, "{name} is to take the log over");
+    }
+}
--- a/crates/daemon/tests/journal/network.rs
+++ b/crates/daemon/tests/journal/network.rs
@@ -100,6 +100,8 @@
     frozen: watch::Sender<BTreeSet<String>>,
     /// Time that each write to a disk takes.
     write_delay: Mutex<Duration>,
+    /// Time that each read of a part of a log takes.
+    read_delay: Mutex<Duration>,
     folders: TempDir,
     /// Total size of all requests and answers between nodes, in bytes.
     carried: AtomicUsize,
@@ -118,6 +120,7 @@
             write_losing: Mutex::default(),
             frozen: watch::Sender::default(),
             write_delay: Mutex::default(),
+            read_delay: Mutex::default(),
             folders: tempfile::tempdir().unwrap(),
             carried: AtomicUsize::new(0),
             writes: Mutex::default(),
@@ -306,6 +309,11 @@
         *self.write_delay.lock().unwrap() = delay;
     }
 
+    /// Makes each read of a part of a log take this long.
+    pub fn set_read_delay(&self, delay: Duration) {
+        *self.read_delay.lock().unwrap() = delay;
+    }
+
     /// Freezes exactly these nodes: calls to them are executed once they are no longer frozen.
     pub fn freeze(&self, names: &[&str]) {
         self.frozen
@@ -336,6 +344,10 @@
         if is_write || matches!(request.kind, RequestKind::seal(_)) {
             tokio::time::sleep(write_delay).await;
         }
+        if matches!(request.kind, RequestKind::read_log(_)) {
+            let read_delay = *self.read_delay.lock().unwrap();
+            tokio::time::sleep(read_delay).await;
+        }
         if let Some(kind) = write_kind(&request.kind) {
             let mut writes = self.writes.lock().unwrap();
             writes.entry(to.to_owned()).or_default().push(kind);
--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -124,6 +124,11 @@
         self.shared.epoch
     }
 
+    /// Returns whether no quorum accepts appends of this writer any more.
+    pub fn is_fenced(&self) -> bool {
+        self.shared.lock().state.is_fenced()
+    }
+
     /// Returns the highest epoch for which a replica refused this writer; the default if none did.
     pub(crate) fn highest_refusal(&self) -> WriterEpoch {
         self.shared.lock().highest_refusal
