jobs: replay long logs in slices

Cause, second part: the log of a job that was taken over was decompressed, decoded and hashed in one piece, on the only thread of the process. No heartbeat, no answer and no renewal of the lease of its record went out meanwhile.

Change: the log is replayed in slices of 64 KiB, between which other tasks run; so is the digest of a log that its owner takes over again. As other tasks run now, a fence that is reported during the replay ends the takeover (LogWriter::is_fenced), and the job counts as confirmed from the takeover on, not from the end of the replay. job_log_taken says how long the replay took.

Ruled out: the frame limit (no peer_response_refused), the number of replicas (each takeover sealed a majority), the disks.

--- a/crates/front/src/job/digest.rs
+++ b/crates/front/src/job/digest.rs
@@ -29,10 +29,9 @@
         self.entries += entries.len();
     }
 
-    /// Compares a log that was read back with this digest, given that the outcome of appending
-    /// `pending` is unknown.
-    pub fn compare(&self, found: &[LogEntry], pending: &[LogEntry]) -> FoundLog {
-        let found = Self::of(found);
+    /// Compares the digest of a log that was read back with this one, given that the outcome of
+    /// appending `pending` is unknown.
+    pub fn compare(&self, found: Self, pending: &[LogEntry]) -> FoundLog {
         if found == *self {
             return FoundLog::WithoutAppend;
         }
--- a/crates/front/src/job/local_job.rs
+++ b/crates/front/src/job/local_job.rs
@@ -50,11 +50,12 @@
         id: &str,
         state: JobState,
         epoch: WriterEpoch,
+        opened_at: Instant,
     ) -> (Arc<Self>, mpsc::UnboundedReceiver<Command>) {
         let (commands, receiver) = mpsc::unbounded_channel();
         let job = Self {
             id: id.to_owned(),
-            opened_at: Instant::now(),
+            opened_at,
             epoch: Mutex::new(epoch),
             state: Mutex::new(state),
             changed: watch::Sender::new(0),
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -22,9 +22,9 @@
 use super::local_job::{Command, Job};
 use super::log_name;
 use super::queue::EntryQueue;
+use super::replay::{digest_log, replay_log};
 use super::run::RunOutcome;
 use super::run_context::{FirstVersions, SendWindow};
-use super::state::JobState;
 use super::text::ItemText;
 use super::unfinished::{ListingHistory, UnfinishedItems};
 
@@ -332,7 +332,7 @@
                 Ok((writer, entries)) => {
                     self.job.set_epoch(writer.epoch());
                     self.writer = Some(writer);
-                    return self.resume_from(&entries);
+                    return self.resume_from(&entries).await;
                 }
                 Err(JournalError::Fenced | JournalError::Retired) => return Some(StopCause::Lost),
                 Err(error) => {
@@ -349,19 +349,19 @@
 
     /// Resumes from the content of the log. Runs continue unless another owner has written to the
     /// log.
-    fn resume_from(&mut self, entries: &[LogEntry]) -> Option<StopCause> {
+    async fn resume_from(&mut self, entries: &[LogEntry]) -> Option<StopCause> {
         let pending = std::mem::take(&mut self.in_flight);
-        let found = self.digest.compare(entries, &pending);
+        let found = self.digest.compare(digest_log(entries).await, &pending);
         log::info!("event=job_log_found job={} found={found:?}", self.job.id);
         match found {
             FoundLog::WithoutAppend => self.queue.requeue(pending),
             FoundLog::WithAppend => self.apply_committed(&pending),
             FoundLog::Other => {
-                let Ok(state) = JobState::replay(entries) else {
+                let Ok(replayed) = replay_log(entries).await else {
                     return Some(StopCause::Lost);
                 };
-                *self.job.state() = state;
-                self.digest = LogDigest::of(entries);
+                *self.job.state() = replayed.state;
+                self.digest = replayed.digest;
                 self.job.notify();
                 self.reset_runs(pending);
             }
--- a/crates/front/src/job/registry.rs
+++ b/crates/front/src/job/registry.rs
@@ -13,7 +13,6 @@
 
 use super::appending::RETRY_PAUSE;
 use super::context::JobContext;
-use super::digest::LogDigest;
 use super::local_job::{Command, Job};
 use super::locating::JobOwner;
 use super::lock::lock;
@@ -24,8 +23,8 @@
 use super::reading::{
     COMMIT_TIMEOUT, JobError, end_local_job, local_item_body, read_local_job, unavailable,
 };
+use super::replay::{ReplayedLog, replay_log};
 use super::result_cache::ResultCache;
-use super::state::JobState;
 use super::text_reuse::UnfinishedEntry;
 use super::{LOG_PREFIX, log_name};
 use crate::orders::{FormerLeaders, LearnedLoadLimit};
@@ -364,20 +363,27 @@
         spec: Option<JobSpec>,
     ) -> Result<Arc<Job>, JournalError> {
         let id = opening.id.as_str();
-        let state = JobState::replay(&entries).map_err(|error| {
+        let taken_at = Instant::now();
+        let ReplayedLog { state, digest } = replay_log(&entries).await.map_err(|error| {
             log::error!("event=job_log_unreadable job={id} cause=\"{error}\"");
             JournalError::Retired
         })?;
         let is_known = state.spec().is_some();
         log::info!(
-            "event=job_log_taken job={id} epoch={:?} entries={} results={} ended={}",
+            "event=job_log_taken job={id} epoch={:?} entries={} results={} ended={} replay_ms={}",
             writer.epoch(),
             entries.len(),
             state.results().len(),
-            state.is_ended()
+            state.is_ended(),
+            taken_at.elapsed().as_millis()
         );
-        let (job, commands) = Job::new(id, state, writer.epoch());
+        let (job, commands) = Job::new(id, state, writer.epoch(), taken_at);
         lock(&self.shared.jobs).insert(id.to_owned(), Arc::clone(&job));
+        // A fence that was reported during the replay found no job to stop.
+        if writer.is_fenced() {
+            self.remove(&job);
+            return Err(JournalError::Fenced);
+        }
         lock(&self.shared.owners).remove(id);
         drop(opening);
         let spec = spec.filter(|_| !is_known);
@@ -385,7 +391,6 @@
             return Ok(job);
         }
         let context = Arc::clone(&self.context);
-        let digest = LogDigest::of(&entries);
         let trainer_spec = spec.as_ref().filter(|spec| spec.desired_groups > 0);
         let collection = trainer_spec.map(|spec| self.collect_kept_texts(spec));
         let mut owner = Owner::new(context, Arc::clone(&job), writer, digest, spec);
--- a/crates/front/tests/log_digest.rs
+++ b/crates/front/tests/log_digest.rs
@@ -14,12 +14,24 @@
     let known = entries(&[b"accepted".to_vec(), b"progress".to_vec()]);
     let pending = entries(&[b"result".to_vec(), b"more".to_vec()]);
     let digest = LogDigest::of(&known);
-    assert_eq!(digest.compare(&known, &pending), FoundLog::WithoutAppend);
+    assert_eq!(
+        digest.compare(LogDigest::of(&known), &pending),
+        FoundLog::WithoutAppend
+    );
     let both = [known.clone(), pending.clone()].concat();
-    assert_eq!(digest.compare(&both, &pending), FoundLog::WithAppend);
+    assert_eq!(
+        digest.compare(LogDigest::of(&both), &pending),
+        FoundLog::WithAppend
+    );
     let half = [known.clone(), pending[..1].to_vec()].concat();
-    assert_eq!(digest.compare(&half, &pending), FoundLog::Other);
-    assert_eq!(digest.compare(&known[..1], &pending), FoundLog::Other);
+    assert_eq!(
+        digest.compare(LogDigest::of(&half), &pending),
+        FoundLog::Other
+    );
+    assert_eq!(
+        digest.compare(LogDigest::of(&known[..1]), &pending),
+        FoundLog::Other
+    );
 }
 
 proptest! {
@@ -39,6 +51,6 @@
         } else {
             FoundLog::Other
         };
-        prop_assert_eq!(digest.compare(&entries(&found), &entries(&pending)), expected);
+        prop_assert_eq!(digest.compare(LogDigest::of(&entries(&found)), &entries(&pending)), expected);
     }
 }
