jobs: remember over jobs how often an item failed

Cause: failures were counted in one run of one owner. Each step that brings an item back began anew, and so did the runs that go on after the end of a job for a later one. Texts passed from job to job, the reason why there was none did not.

Change: an item's text carries its failures (answers of failure, and whether one said that the item can never be processed). Terminated results keep them in the job's log, texts handed to a later job have them too. An item that is unprocessable, or has failed three times as often as its route allows per job, is terminated at once in the later job (item_not_repeated, a line for each) and is not run after the end of a job.

Formats: JobResult and KeptText have two new fields each (failed_runs, unprocessable), with their defaults where an earlier build wrote them; earlier builds skip them and send such items again, as before. Sample entry_terminated_result.

--- a/crates/front/src/job/done.rs
+++ b/crates/front/src/job/done.rs
@@ -5,6 +5,7 @@
 use ladderstage_wire::messages::mod_JobResult::State as ResultState;
 use ladderstage_wire::messages::{JobResult, JobSpec};
 
+use super::failures::ItemFailures;
 use super::group_listing::GroupListing;
 use super::owner::Owner;
 use super::text::ItemText;
@@ -14,16 +15,18 @@
     /// The text is complete; `score` is empty for an item without a reward call.
     Completed { text: ItemText, score: String },
     /// The item was terminated without a complete text.
-    Terminated,
+    Terminated(ItemFailures),
 }
 
 impl DoneItem {
     fn into_result(self, item: &str) -> JobResult {
         match self {
             Self::Completed { text, score } => text.into_result(item, score),
-            Self::Terminated => JobResult {
+            Self::Terminated(failures) => JobResult {
                 item: item.to_owned(),
                 state: ResultState::TERMINATED,
+                failed_runs: failures.failed_runs,
+                unprocessable: failures.is_unprocessable,
                 ..JobResult::default()
             },
         }
@@ -97,9 +100,15 @@
         self.hold_result(index, DoneItem::Completed { text, score });
     }
 
-    pub(super) fn terminate(&mut self, index: usize) {
+    /// Accepts the end of an item without a complete text.
+    pub(super) fn terminate(&mut self, index: usize, failures: ItemFailures) {
+        if self.queue.has_end() {
+            let text = ItemText::with_failures(failures);
+            self.late_texts.insert(index, (text, String::new()));
+            return;
+        }
         self.count_run("terminated");
-        self.hold_result(index, DoneItem::Terminated);
+        self.hold_result(index, DoneItem::Terminated(failures));
     }
 
     fn count_run(&self, outcome: &str) {
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -12,6 +12,7 @@
 mod digest;
 mod done;
 mod events;
+mod failures;
 mod group_listing;
 mod handover;
 mod lengths;
@@ -51,6 +52,7 @@
 pub use context::JobContext;
 pub use digest::{FoundLog, LogDigest};
 pub use events::{Event, EventParser};
+pub use failures::ItemFailures;
 pub use group_listing::GroupListing;
 pub use lengths::LongestTexts;
 pub use migration::{
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -18,6 +18,7 @@
 use super::context::JobContext;
 use super::digest::{FoundLog, LogDigest};
 use super::done::DoneItem;
+use super::failures::ItemFailures;
 use super::group_listing::GroupListing;
 use super::local_job::{Command, Job};
 use super::log_name;
@@ -79,7 +80,9 @@
     pub(super) earlier_texts: HashMap<String, KeptText>,
     /// Request for the earlier texts, while it is in progress.
     pub(super) earlier_texts_request: Option<BoxFuture<'static, Vec<KeptText>>>,
-    /// Texts that were completed after the end of the job was queued, with their scores.
+    /// Failures of the items' runs in earlier jobs.
+    pub(super) earlier_failures: HashMap<String, ItemFailures>,
+    /// Texts and failures of items that finished after the end of the job was queued, with the scores.
     pub(super) late_texts: HashMap<usize, (ItemText, String)>,
     /// Schedule for listing results; `None` until the first result.
     pub(super) groups: Option<GroupListing>,
@@ -132,6 +135,7 @@
             first_versions: FirstVersions::default(),
             earlier_texts: HashMap::new(),
             earlier_texts_request: None,
+            earlier_failures: HashMap::new(),
             late_texts: HashMap::new(),
             groups: None,
             unlisted: HashMap::new(),
@@ -179,7 +183,7 @@
                 },
                 texts = requested_texts(&mut self.earlier_texts_request) => {
                     self.earlier_texts_request = None;
-                    self.earlier_texts = texts.into_iter().map(|text| (text.item.clone(), text)).collect();
+                    self.accept_earlier_texts(texts);
                 }
                 Some(ended) = self.runs.join_next() => self.on_run_end(ended),
                 Some(progress) = self.progress.1.recv() => self.queue.push_progress(progress),
@@ -206,9 +210,13 @@
     /// repeat their items.
     fn queue_end(&mut self) {
         for (index, done) in std::mem::take(&mut self.unlisted) {
-            if let DoneItem::Completed { text, score } = done {
-                self.late_texts.insert(index, (text, score));
-            }
+            let late = match done {
+                DoneItem::Completed { text, score } => (text, score),
+                DoneItem::Terminated(failures) => {
+                    (ItemText::with_failures(failures), String::new())
+                }
+            };
+            self.late_texts.insert(index, late);
         }
         self.groups = None;
         self.queue.push_end();
@@ -234,7 +242,7 @@
         self.running.remove(&index);
         match outcome {
             RunOutcome::Completed { text, score } => self.finish(index, text, score),
-            RunOutcome::Terminated => self.terminate(index),
+            RunOutcome::Terminated(failures) => self.terminate(index, failures),
             RunOutcome::NotStarted | RunOutcome::Stopped(_) => {}
         }
     }
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
 use ladderstage_clock::Instant;
 
+use super::failures::ItemFailures;
 use super::run_context::{RunContext, exclusion_after_rejection};
 use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE, can_continue};
 use super::scoring::{ScoreEnd, score};
@@ -35,7 +36,7 @@
         score: String,
     },
     /// The item was terminated without a complete text.
-    Terminated,
+    Terminated(ItemFailures),
     /// The instance did not start the item; the job's owner schedules it again.
     NotStarted,
     /// The run was stopped or may send no more requests. Its partial text was sent to be saved.
@@ -75,7 +76,7 @@
             text: partial,
             score,
         },
-        Some(ItemEnd::Terminated) => RunOutcome::Terminated,
+        Some(ItemEnd::Terminated) => RunOutcome::Terminated(partial.failures()),
         Some(ItemEnd::Closed) => stop_run(&context, &item, partial),
     }
 }
@@ -170,10 +171,15 @@
         }
         match run_until_ended(context, index, &instance, partial).await {
             RunEnd::Complete => return Some(TextEnd::Complete),
-            RunEnd::Unprocessable => return Some(TextEnd::Unprocessable),
+            RunEnd::Unprocessable => {
+                partial.mark_unprocessable();
+                return Some(TextEnd::Unprocessable);
+            }
             RunEnd::Failed => {
                 failures += 1;
-                if failures >= context.max_attempts.max(1) {
+                partial.record_failed_run();
+                let max_attempts = context.max_attempts.max(1);
+                if failures >= max_attempts || !partial.failures().may_run(max_attempts) {
                     return Some(TextEnd::Unprocessable);
                 }
             }
--- a/crates/front/src/job/scheduling.rs
+++ b/crates/front/src/job/scheduling.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ladderstage_wire::messages::JobSpec;
+use ladderstage_wire::messages::{JobSpec, KeptText};
 
+use super::failures::ItemFailures;
 use super::migration::remaining_demand;
 use super::owner::Owner;
 use super::run::run_item;
@@ -58,6 +59,10 @@
                 self.spawn_run(&run, index, None, saved);
                 continue;
             }
+            if !saved.failures().may_run(run.max_attempts) {
+                self.terminate_known_failure(&run, index, saved.failures());
+                continue;
+            }
             let is_long = spec.items[index].expected_tokens >= long_item_threshold;
             let demand = if is_long {
                 WorkKind::LongBatch
@@ -80,6 +85,18 @@
         }
     }
 
+    /// Terminates an item that failed too often in earlier jobs to run again.
+    fn terminate_known_failure(&mut self, run: &RunContext, index: usize, failures: ItemFailures) {
+        log::warn!(
+            "event=item_not_repeated item={} job={} failed_runs={} unprocessable={}",
+            run.spec.items[index].id,
+            run.spec.job,
+            failures.failed_runs,
+            failures.is_unprocessable
+        );
+        self.terminate(index, failures);
+    }
+
     fn spawn_run(
         &mut self,
         run: &Arc<RunContext>,
@@ -103,15 +120,12 @@
     /// `None` if the text completes the item.
     fn saved_text(&mut self, spec: &JobSpec, index: usize) -> Option<ItemText> {
         let item = &spec.items[index];
-        let saved = self.job.state().partial_text(&item.id);
+        let mut saved = self.job.state().partial_text(&item.id);
+        saved.merge_failures(self.failures_before(&item.id));
         if saved.events() > 0 {
             return Some(saved);
         }
-        let earlier = self
-            .earlier_texts
-            .get(&item.id)
-            .filter(|text| text.events > 0);
-        let Some(earlier) = earlier.cloned() else {
+        let Some(earlier) = self.earlier_texts.get(&item.id).cloned() else {
             return Some(saved);
         };
         let reward_call = item.reward_call.as_ref().map_or("", |call| &call.id);
@@ -133,6 +147,22 @@
         None
     }
 
+    /// Returns the failures of an item's runs in earlier jobs.
+    pub(super) fn failures_before(&self, item: &str) -> ItemFailures {
+        self.earlier_failures.get(item).copied().unwrap_or_default()
+    }
+
+    /// Keeps the texts and failures that earlier jobs have for the items of this one.
+    pub(super) fn accept_earlier_texts(&mut self, texts: Vec<KeptText>) {
+        for text in texts {
+            let failures = self.earlier_failures.entry(text.item.clone()).or_default();
+            failures.merge(ItemFailures::from(&text));
+            if text.events > 0 {
+                self.earlier_texts.insert(text.item.clone(), text);
+            }
+        }
+    }
+
     fn startable(&self, spec: &JobSpec) -> Vec<usize> {
         let state = self.job.state();
         let mut startable: Vec<usize> = (0..spec.items.len())
--- a/crates/front/src/job/text.rs
+++ b/crates/front/src/job/text.rs
@@ -4,6 +4,7 @@
 use ladderstage_wire::messages::{JobItem, JobProgress, JobResult, KeptText};
 
 use super::events::Event;
+use super::failures::ItemFailures;
 
 /// Text generated so far, with the part of it that has not been passed to the journal yet.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -20,6 +21,8 @@
     has_saved: bool,
     /// Whether the last event ended the text.
     is_complete: bool,
+    /// Failures of the item's runs so far.
+    failures: ItemFailures,
 }
 
 /// Events that have not been passed to the journal yet.
@@ -62,6 +65,34 @@
         self.is_complete
     }
 
+    /// Returns an empty text of an item whose runs have failed before.
+    pub fn with_failures(failures: ItemFailures) -> Self {
+        Self {
+            failures,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the failures of the item's runs so far.
+    pub fn failures(&self) -> ItemFailures {
+        self.failures
+    }
+
+    /// Adds the failures of earlier runs, which may be known already.
+    pub fn merge_failures(&mut self, failures: ItemFailures) {
+        self.failures.merge(failures);
+    }
+
+    /// Counts a run that an instance answered with a failure.
+    pub fn record_failed_run(&mut self) {
+        self.failures.failed_runs += 1;
+    }
+
+    /// Records that the item can never be processed.
+    pub fn mark_unprocessable(&mut self) {
+        self.failures.is_unprocessable = true;
+    }
+
     /// Marks the text as complete and returns its unsaved part for the journal, or only the
     /// completion if everything is saved. Returns `None` for a text without events.
     pub fn finish(&mut self, item: &str) -> Option<JobProgress> {
@@ -96,6 +127,7 @@
 
     /// Restores a text that an earlier job generated; none of it is in this job's journal.
     pub fn from_earlier_job(kept: KeptText) -> Self {
+        let failures = ItemFailures::from(&kept);
         let unsaved = Unsaved {
             text_start: 0,
             first_event: Some(1),
@@ -111,23 +143,28 @@
             starts_over: false,
             has_saved: false,
             is_complete: kept.is_whole,
+            failures,
         }
     }
 
-    /// Returns the text for a later job that repeats the item, or `None` if there are no events.
-    /// `score` is empty for a text without a score.
+    /// Returns the text and the failures for a later job that repeats the item, or `None` if there
+    /// are neither events nor failures. `score` is empty for a text without a score.
     pub fn for_later_job(&self, item: &JobItem, score: &str) -> Option<KeptText> {
-        let last_event = self.last_event?;
+        if self.last_event.is_none() && !self.failures.is_any() {
+            return None;
+        }
         let reward_call = item.reward_call.as_ref().map(|call| call.id.clone());
         Some(KeptText {
             item: item.id.clone(),
             text: self.text.clone(),
             events: self.events,
-            last_event,
+            last_event: self.last_event.unwrap_or_default(),
             weight_versions: self.versions.clone(),
             is_whole: self.is_complete,
             reward_call: reward_call.unwrap_or_default(),
             score: score.to_owned(),
+            failed_runs: self.failures.failed_runs,
+            unprocessable: self.failures.is_unprocessable,
         })
     }
 
@@ -141,6 +178,7 @@
         let starts_over = self.starts_over || self.has_saved;
         *self = Self {
             starts_over,
+            failures: self.failures,
             ..Self::default()
         };
     }
@@ -186,6 +224,8 @@
             weight_versions,
             follows_progress,
             score,
+            failed_runs: self.failures.failed_runs,
+            unprocessable: self.failures.is_unprocessable,
         }
     }
 
--- a/crates/front/src/job/unfinished.rs
+++ b/crates/front/src/job/unfinished.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, JoinSet};
 
+use super::failures::ItemFailures;
 use super::local_job::Job;
 use super::owner::Owner;
 use super::run::{RunOutcome, run_item};
@@ -155,15 +156,19 @@
         groups.into_values().filter(is_unread).flatten().collect()
     }
 
-    /// Returns the texts of items without a result. They were either completed too late to be
-    /// listed, or are partial texts from the log.
+    /// Returns the texts and failures of items without a result. They were either completed too late
+    /// to be listed, or are partial texts from the log.
     fn unlisted_texts(&self, spec: &JobSpec, items: &[usize]) -> HashMap<String, Vec<KeptText>> {
         let state = self.job.state();
         let text_of = |index: &usize| {
             let item = &spec.items[*index];
             match self.late_texts.get(index) {
                 Some((text, score)) => text.for_later_job(item, score),
-                None => state.partial_text(&item.id).for_later_job(item, ""),
+                None => {
+                    let mut text = state.partial_text(&item.id);
+                    text.merge_failures(self.failures_before(&item.id));
+                    text.for_later_job(item, "")
+                }
             }
         };
         let texts = items.iter().filter_map(text_of);
@@ -192,11 +197,11 @@
     }
 }
 
-/// Returns the text of a listed result. Its lines are counted as events, which suffices because
-/// nothing continues the text.
+/// Returns the text of a listed result, or the failures of a terminated item. The lines of a text
+/// are counted as events, which suffices because nothing continues the text.
 fn kept_text_from_result(item: &JobItem, result: &JobResult) -> Option<KeptText> {
     if result.state != ResultState::COMPLETED {
-        return None;
+        return ItemText::with_failures(ItemFailures::from(result)).for_later_job(item, "");
     }
     let lines = result.text.split('\n').count() as u64;
     Some(KeptText {
@@ -212,6 +217,7 @@
             .map(|call| call.id.clone())
             .unwrap_or_default(),
         score: result.score.clone(),
+        ..KeptText::default()
     })
 }
 
@@ -224,12 +230,28 @@
     versions.iter().all(|version| *version >= min_version)
 }
 
-/// Returns the most advanced of the allowed texts.
-fn best_allowed_text(texts: Vec<KeptText>, min_version: u64) -> Option<KeptText> {
+/// Returns the most advanced of the allowed texts of an item, with the failures of all of them.
+fn best_allowed_text(item: &JobItem, texts: Vec<KeptText>, min_version: u64) -> Option<KeptText> {
+    let failures = failures_of(&texts);
     let allowed = texts
         .into_iter()
         .filter(|text| is_allowed(text, min_version));
-    allowed.max_by_key(|text| (!text.score.is_empty(), text.is_whole, text.events))
+    let best = allowed.max_by_key(|text| (!text.score.is_empty(), text.is_whole, text.events));
+    let failures_only = || ItemText::with_failures(failures).for_later_job(item, "");
+    best.or_else(failures_only).map(|text| KeptText {
+        failed_runs: failures.failed_runs,
+        unprocessable: failures.is_unprocessable,
+        ..text
+    })
+}
+
+/// Returns the failures of an item that any of its texts names.
+fn failures_of(texts: &[KeptText]) -> ItemFailures {
+    let mut failures = ItemFailures::default();
+    texts
+        .iter()
+        .for_each(|text| failures.merge(ItemFailures::from(text)));
+    failures
 }
 
 impl UnfinishedItems {
@@ -269,8 +291,13 @@
         let candidates = self.candidates.iter();
         let outdated: Vec<JobItem> = candidates
             .filter(|item| !self.has_usable_text(&item.id, min_version))
+            .filter(|item| self.failures_of(&item.id).may_run(context.max_attempts))
             .cloned()
             .collect();
+        let failures: Vec<ItemFailures> = outdated
+            .iter()
+            .map(|item| self.failures_of(&item.id))
+            .collect();
         log::info!(
             "event=unfinished_items_kept job={} step={} items={} anew={} min_version={min_version}",
             context.spec.job,
@@ -298,7 +325,8 @@
             self.abort_run(&item.id);
             let context = Arc::clone(&context);
             let number = first + index;
-            let run = async move { (number, run_when_available(context, index).await) };
+            let text = ItemText::with_failures(failures[index]);
+            let run = async move { (number, run_when_available(context, index, text).await) };
             let handle = self.runs.spawn(run);
             let id = item.id.clone();
             let first_version = None;
@@ -313,6 +341,18 @@
         }
     }
 
+    /// Returns the known failures of an item's runs, without those of a run in progress.
+    fn failures_of(&self, item: &str) -> ItemFailures {
+        let mut failures = self
+            .texts
+            .get(item)
+            .map_or_else(ItemFailures::default, |texts| failures_of(texts));
+        let state = self.job.state();
+        let listed = state.results().iter().find(|result| result.item == item);
+        failures.merge(listed.map_or_else(ItemFailures::default, ItemFailures::from));
+        failures
+    }
+
     fn has_usable_text(&self, item: &str, min_version: u64) -> bool {
         let mut runs = self.runs_by_number.values();
         if let Some(run) = runs.find(|run| run.id == item) {
@@ -326,7 +366,8 @@
             return true;
         }
         let texts = self.texts.get(item);
-        texts.is_some_and(|texts| texts.iter().any(|text| is_allowed(text, min_version)))
+        let is_usable = |text: &KeptText| text.events > 0 && is_allowed(text, min_version);
+        texts.is_some_and(|texts| texts.iter().any(is_usable))
     }
 
     fn abort_run(&mut self, item: &str) {
@@ -349,7 +390,10 @@
         let kept = match &outcome {
             RunOutcome::Completed { text, score } => text.for_later_job(item, score),
             RunOutcome::Stopped(text) => text.for_later_job(item, ""),
-            RunOutcome::Terminated | RunOutcome::NotStarted => None,
+            RunOutcome::Terminated(failures) => {
+                ItemText::with_failures(*failures).for_later_job(item, "")
+            }
+            RunOutcome::NotStarted => None,
         };
         if let Some(kept) = kept {
             self.texts.entry(id).or_default().push(kept);
@@ -392,7 +436,7 @@
                 let mut texts = self.texts.remove(&item.id).unwrap_or_default();
                 let result = results.get(item.id.as_str());
                 texts.extend(result.and_then(|result| kept_text_from_result(item, result)));
-                best_allowed_text(texts, request.min_version)
+                best_allowed_text(item, texts, request.min_version)
             })
             .collect()
     }
@@ -415,7 +459,7 @@
 
 /// Runs an item on the first instance with free capacity and weights that are new enough. Retries
 /// until the send window closes or the runs are stopped.
-async fn run_when_available(context: Arc<RunContext>, index: usize) -> RunOutcome {
+async fn run_when_available(context: Arc<RunContext>, index: usize, text: ItemText) -> RunOutcome {
     let mut stop = context.stop.clone();
     while context.window.is_open() && !*stop.borrow() {
         let backends = &context.backends;
@@ -427,7 +471,7 @@
             |_| true,
         );
         if let Some(instance) = chosen {
-            let text = ItemText::default();
+            let text = text.clone();
             match run_item(Arc::clone(&context), index, Some(instance), text).await {
                 RunOutcome::NotStarted => {}
                 outcome => return outcome,
--- a/crates/front/tests/explain.rs
+++ b/crates/front/tests/explain.rs
@@ -200,3 +200,20 @@
     let text = timeline.to_string();
     assert!(text.contains("held_back=cold:3,zone_drained:15"), "{text}");
 }
+
+#[test]
+fn the_timeline_of_an_item_that_is_not_repeated_shows_it_as_the_first_failure() {
+    let log = r#"
+time=100.000 level=info node=a module=m event=job_accepted job=j2 model=m step=4 oldest_version=2 desired_groups=1 items=2
+time=100.020 level=warn node=a module=m event=item_not_repeated item=i1 job=j2 failed_runs=0 unprocessable=true
+"#;
+    let lines: Vec<LogLine> = log.lines().filter_map(LogLine::parse).collect();
+    let timeline = Timeline::build("i1", &lines);
+    let failures: Vec<&str> = timeline
+        .steps
+        .iter()
+        .filter(|step| step.is_first_wrong)
+        .map(|step| step.event.as_str())
+        .collect();
+    assert_eq!(failures, ["item_not_repeated"]);
+}
--- a/crates/wire/tests/formats/samples.rs
+++ b/crates/wire/tests/formats/samples.rs
@@ -523,6 +523,16 @@
     vec![
         ("entry_accepted", EntryKind::accepted(spec())),
         ("entry_result", EntryKind::result(result())),
+        (
+            "entry_terminated_result",
+            EntryKind::result(JobResult {
+                item: "i-2".into(),
+                state: mod_JobResult::State::TERMINATED,
+                failed_runs: 4,
+                unprocessable: true,
+                ..JobResult::default()
+            }),
+        ),
         ("entry_ended", EntryKind::ended(JobEnded::default())),
         (
             "entry_progress",
