--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -17,12 +17,13 @@
 use samples::{Message, samples};
 
 /// Samples encoded by earlier builds, by commit.
-const EARLIER: [(&str, &str); 5] = [
+const EARLIER: [(&str, &str); 6] = [
     ("b6915e3", include_str!("formats/b6915e3.txt")),
     ("c0c1299", include_str!("formats/c0c1299.txt")),
     ("6acf4f4", include_str!("formats/6acf4f4.txt")),
     ("e3862ae", include_str!("formats/e3862ae.txt")),
     ("2316edf", include_str!("formats/2316edf.txt")),
+    ("4e6b332", include_str!("formats/4e6b332.txt")),
 ];
 
 /// Environment variable that names the file to which this build's samples are written.
