jobs: keep the partial text of an item that is terminated at the end of its job

Cause: the failures of an item that ended without being listed were kept as a text of their own, which hid the partial text that the job's log has of it (an item that ran out of time, or failed in the middle), so that a later job would have generated it anew.

Change: the owner keeps failures beside the texts, for items of earlier jobs and for those that it terminates itself.

Run: jobs 28, listing 2, homes 6, scoring, repeated_failures 2, crashes_under_items 7, all passed.

--- a/crates/front/src/job/done.rs
+++ b/crates/front/src/job/done.rs
@@ -102,15 +102,20 @@
 
     /// Accepts the end of an item without a complete text.
     pub(super) fn terminate(&mut self, index: usize, failures: ItemFailures) {
-        if self.queue.has_end() {
-            let text = ItemText::with_failures(failures);
-            self.late_texts.insert(index, (text, String::new()));
-            return;
-        }
         self.count_run("terminated");
+        self.record_failures(index, failures);
         self.hold_result(index, DoneItem::Terminated(failures));
     }
 
+    /// Keeps the failures of an item's runs for a later job.
+    fn record_failures(&mut self, index: usize, failures: ItemFailures) {
+        let spec = self.job.state().spec().cloned();
+        if let Some(spec) = spec {
+            let item = spec.items[index].id.clone();
+            self.failures.entry(item).or_default().merge(failures);
+        }
+    }
+
     fn count_run(&self, outcome: &str) {
         let runs = &self.context.metrics.item_runs;
         runs.with_label_values(&[outcome]).inc();
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -80,9 +80,10 @@
     pub(super) earlier_texts: HashMap<String, KeptText>,
     /// Request for the earlier texts, while it is in progress.
     pub(super) earlier_texts_request: Option<BoxFuture<'static, Vec<KeptText>>>,
-    /// Failures of the items' runs in earlier jobs.
-    pub(super) earlier_failures: HashMap<String, ItemFailures>,
-    /// Texts and failures of items that finished after the end of the job was queued, with the scores.
+    /// Failures of items whose runs failed in earlier jobs, and of those that were terminated in this
+    /// one.
+    pub(super) failures: HashMap<String, ItemFailures>,
+    /// Texts that were completed after the end of the job was queued, with their scores.
     pub(super) late_texts: HashMap<usize, (ItemText, String)>,
     /// Schedule for listing results; `None` until the first result.
     pub(super) groups: Option<GroupListing>,
@@ -135,7 +136,7 @@
             first_versions: FirstVersions::default(),
             earlier_texts: HashMap::new(),
             earlier_texts_request: None,
-            earlier_failures: HashMap::new(),
+            failures: HashMap::new(),
             late_texts: HashMap::new(),
             groups: None,
             unlisted: HashMap::new(),
@@ -210,13 +211,9 @@
     /// repeat their items.
     fn queue_end(&mut self) {
         for (index, done) in std::mem::take(&mut self.unlisted) {
-            let late = match done {
-                DoneItem::Completed { text, score } => (text, score),
-                DoneItem::Terminated(failures) => {
-                    (ItemText::with_failures(failures), String::new())
-                }
-            };
-            self.late_texts.insert(index, late);
+            if let DoneItem::Completed { text, score } = done {
+                self.late_texts.insert(index, (text, score));
+            }
         }
         self.groups = None;
         self.queue.push_end();
--- a/crates/front/src/job/scheduling.rs
+++ b/crates/front/src/job/scheduling.rs
@@ -121,7 +121,7 @@
     fn saved_text(&mut self, spec: &JobSpec, index: usize) -> Option<ItemText> {
         let item = &spec.items[index];
         let mut saved = self.job.state().partial_text(&item.id);
-        saved.merge_failures(self.failures_before(&item.id));
+        saved.merge_failures(self.failures_of(&item.id));
         if saved.events() > 0 {
             return Some(saved);
         }
@@ -147,15 +147,15 @@
         None
     }
 
-    /// Returns the failures of an item's runs in earlier jobs.
-    pub(super) fn failures_before(&self, item: &str) -> ItemFailures {
-        self.earlier_failures.get(item).copied().unwrap_or_default()
+    /// Returns the known failures of an item's runs, without those of a run in progress.
+    pub(super) fn failures_of(&self, item: &str) -> ItemFailures {
+        self.failures.get(item).copied().unwrap_or_default()
     }
 
     /// Keeps the texts and failures that earlier jobs have for the items of this one.
     pub(super) fn accept_earlier_texts(&mut self, texts: Vec<KeptText>) {
         for text in texts {
-            let failures = self.earlier_failures.entry(text.item.clone()).or_default();
+            let failures = self.failures.entry(text.item.clone()).or_default();
             failures.merge(ItemFailures::from(&text));
             if text.events > 0 {
                 self.earlier_texts.insert(text.item.clone(), text);
--- a/crates/front/src/job/unfinished.rs
+++ b/crates/front/src/job/unfinished.rs
@@ -166,7 +166,7 @@
                 Some((text, score)) => text.for_later_job(item, score),
                 None => {
                     let mut text = state.partial_text(&item.id);
-                    text.merge_failures(self.failures_before(&item.id));
+                    text.merge_failures(self.failures_of(&item.id));
                     text.for_later_job(item, "")
                 }
             }
