--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -15,6 +15,7 @@
 mod failures;
 mod group_listing;
 mod handover;
+mod kept_texts;
 mod lengths;
 mod local_job;
 mod locating;
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -237,7 +237,7 @@
             let Some(sealed) = self.seal(log, &set, epoch, last_promised).await? else {
                 continue;
             };
-            let _take_over = self.inner.registry.start_take_over(log, epoch);
+            let _take_over = self.inner.registry.insert_take_over(log, epoch);
             let writer = self.writer_of(log, &set, sealed).await?;
             writer.install().await?;
             return Ok(self.open_writer(writer));
--- a/crates/journal/src/registry.rs
+++ b/crates/journal/src/registry.rs
@@ -44,7 +44,7 @@
 
     /// Adds a log that was sealed with `epoch` to those that heartbeats name. Returns `None` if the
     /// log is not monitored.
-    pub fn start_take_over(
+    pub fn insert_take_over(
         self: &Arc<Self>,
         log: &str,
         epoch: WriterEpoch,
--- a/crates/journal/src/take_over.rs
+++ b/crates/journal/src/take_over.rs
@@ -54,7 +54,7 @@
             let Some(sealed) = sealed? else {
                 continue;
             };
-            let _take_over = journal.inner.registry.start_take_over(&self.log, epoch);
+            let _take_over = journal.inner.registry.insert_take_over(&self.log, epoch);
             let writer = journal.writer_of(&self.log, &set, sealed).await?;
             if !writer.entries().is_empty() {
                 writer.install().await?;
