--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,99 +1,68 @@
-"""Clients ask for the bodies of a job's items, many at once; the owner goes over the memory of its machine."""
+"""A route moves to another service, and the sampler of the service before is emptied; items that it breaks off are never taken up."""
 
 import asyncio
-import base64
 import collections
-import json
-import os
 import pathlib
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'standins-2'))
-from standins import TROUBLE, CannotRun, call, main
+from standins import BOUNDS, TROUBLE, call, configuration, job_body, main, route
 
-ITEMS = 8
-ITEM_BYTES = 2_900_000
-# Clients that ask for a body, at all fronts: all at once, or, without the disruption, six at a time.
-CLIENTS = 180
-ROUNDS = 5
-PAUSE_S = 4
-CHECK_S = 0.01
+ITEMS = 12
+EVENTS = 120
+INTERVAL_S = 0.05
+DEADLINE_S = 25.0
 
 
-def job_of(job):
-    rows = [{'id': f'{job}i{index}', 'path': f'/rollout/{job}/{index}', 'token_counts': 100,
-             'headers': {'X-Ladderstage-Model': 'model'}, 'body': base64.b64encode(os.urandom(ITEM_BYTES)).decode(),
-             'group_id': f'{job}g{index // 4}'} for index in range(ITEMS)]
-    return json.dumps({'train_step': 0, 'model_id': 'model', 'min_version': 1, 'desired': 2, 'requests': rows}).encode()
+def routes(service):
+    return [route('safe', 'safe', 'other'),
+            route('rollout', 'rollout', service, max_attempts=3, max_queue_s=60.0, result_deadline_ms=DEADLINE_S * 1e3)]
 
 
-def memory_of(node):
-    """Returns the resident memory of a process that its machine counts, in bytes: without files and shared memory."""
-    fields = pathlib.Path(f'/proc/{node.process.pid}/statm').read_text().split()
-    return (int(fields[1]) - int(fields[2])) * os.sysconf('SC_PAGE_SIZE')
-
-
-class Machines:
-    """Ends a process that goes over the memory of its machine, and starts it again."""
-
-    def __init__(self, deployment, record):
-        self.deployment, self.record = deployment, record
-        self.ends = []
-        self.peaks = collections.Counter()
-
-    async def watch(self):
-        while True:
-            for front in self.deployment.fronts:
-                if front.process.returncode is not None:
-                    self.ends.append(front.name)
-                    self.record.say(f'{front.name}: ended by itself')
-                else:
-                    used, limit = memory_of(front), front.settings['limits']['memory_mb'] * 1024 * 1024
-                    self.peaks[front.name] = max(self.peaks[front.name], used)
-                    if used <= limit:
-                        continue
-                    self.ends.append(front.name)
-                    self.record.say(f'{front.name}: {used / 1e6:.0f} MB, over its memory of {limit / 1e6:.0f} MB')
-                    await front.kill()
-                await asyncio.sleep(0.5)
-                front.settings['bootstrap'] = False
-                await front.start()
-            await asyncio.sleep(CHECK_S)
+async def take_away(deployment, record, sampler):
+    """A planned end: the sampler says draining, serves on for `drain_ms` and a little, and ends."""
+    sampler.drain()
+    await asyncio.sleep(BOUNDS['drain_ms'] / 1e3 + 0.5)
+    sampler.server.close()
+    for writer in list(sampler.writers):
+        writer.transport.abort()
+    deployment.platform.remove(f'servers/{sampler.id}')
+    record.say(f'{sampler.id} has ended, its entry is gone')
 
 
 async def play(deployment, record):
-    await deployment.start(fronts=3, samplers=0)
-    for index, zone in enumerate(('zone-a', 'zone-b', 'zone-c')):
-        await deployment.add_sampler(f's-{index}', zone=zone, interval=0.6)
+    await deployment.start(fronts=2, samplers=0, config=configuration(1, routes('service')))
+    old = await deployment.add_sampler('s-0', events=EVENTS, interval=INTERVAL_S)
+    newer = [await deployment.add_sampler(f'n-{index}', service='newer', zone=zone, events=EVENTS, interval=INTERVAL_S)
+             for index, zone in enumerate(('zone-a', 'zone-b', 'zone-c'))]
     await deployment.wait_ready()
     await asyncio.sleep(3)
-    machines = Machines(deployment, record)
-    watching = asyncio.create_task(machines.watch())
-    await deployment.submit(deployment.fronts[0], 'aa', job_of('aa'))
-
-    answers = collections.Counter()
-
-    async def ask(number):
-        front = deployment.fronts[number % len(deployment.fronts)]
-        status, _, body = await call(front.address, 'GET', f'/items/aa?id=aai{number % ITEMS}', timeout=5)
-        answers[status] += 1
-        record.say(f'client {number}: GET the body of aai{number % ITEMS} at {front.name}: {status}, {len(body)} bytes')
-
-    for _ in range(ROUNDS):
-        if TROUBLE:
-            await asyncio.gather(*(ask(number) for number in range(CLIENTS)))
-        else:
-            for number in range(0, CLIENTS, 6):
-                await asyncio.gather(*(ask(one) for one in range(number, number + 6)))
-        await asyncio.sleep(PAUSE_S)
-    watching.cancel()
-    for name, used in sorted(machines.peaks.items()):
-        record.say(f'{name}: {used / 1e6:.0f} MB at most')
-    record.say(f'answers: {dict(answers)}; processes ended: {machines.ends}')
-    if not answers[200]:
-        raise CannotRun('no body was answered')
-    return not machines.ends
+    front, other = deployment.fronts
+    await deployment.submit(front, 'aa', job_body('aa', ITEMS))
+    submitted = time.monotonic()
+    await asyncio.sleep(1)
+    if TROUBLE:
+        deployment.platform.write('op/config', configuration(4, routes('newer')))
+        record.say('operator: configuration 4 is acknowledged; it moves the route to the service `newer`')
+        await asyncio.sleep(2)
+        await take_away(deployment, record, old)
+    await asyncio.sleep(3)
+    await deployment.submit(other, 'bb', job_body('bb', 4))
+    listed = {}
+    while time.monotonic() - submitted < DEADLINE_S:
+        for job in ('aa', 'bb'):
+            status, answer = await deployment.read(other, job)
+            if answer:
+                listed[job] = [one['id'] for one in answer['results']]
+        await asyncio.sleep(1)
+    runs = collections.Counter(arrival['id'] for sampler in deployment.samplers for arrival in sampler.arrivals)
+    missing = [f'aai{index:03}' for index in range(ITEMS) if f'aai{index:03}' not in listed.get('aa', [])]
+    record.say(f'after {DEADLINE_S} s: job aa lists {len(listed.get("aa", []))} of {ITEMS}, job bb {len(listed.get("bb", []))} of 4')
+    for item in missing:
+        record.say(f'{item}: sent to a sampler {runs[item]} times, not listed')
+    return not missing
 
 
 main(FOLDER, play)
