--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -619,12 +619,16 @@
     record = Record(folder)
 
     async def run():
+        # Also a script that is ended from outside ends its processes.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         deployment = Deployment(record)
         try:
             held = await asyncio.wait_for(play(deployment, record), limit_s)
             record.say('the rule held' if held else 'THE RULE WAS BROKEN')
             return HELD if held else BROKEN
-        except (CannotRun, asyncio.TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             record.say(f'the case could not run: {error!r}')
             return NOT_RUN
         finally:
