review: addresses of its own for each node of a script

Two scripts at once could choose the same port; one run of case 8 ended with 2 (no replica set, as a store could not listen). Each node has a loopback address of its own now.

--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -13,6 +13,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -39,12 +40,19 @@
 HOST = 'host.example'
 
 
-def free_port():
+def free_port(host):
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
+        probe.bind((host, 0))
         return probe.getsockname()[1]
 
 
+def loopback_hosts():
+    """Yields loopback addresses of a deployment of its own, so that nobody else takes a port between its choice and its use."""
+    start = random.randrange(64 << 8, 126 << 8)
+    for number in range(1, 200):
+        yield f'127.{start >> 8}.{start & 255}.{number}'
+
+
 class Record:
     """The file `record.txt` of a case: what was sent, answered and run."""
 
@@ -437,15 +445,16 @@
 
     def __init__(self, deployment, role, name, zone, platform_address, limits):
         self.deployment, self.role, self.name = deployment, role, name
-        self.peer, self.front, self.ready, self.metrics = (free_port() for _ in range(4))
+        self.host = next(deployment.hosts)
+        self.peer, self.front, self.ready, self.metrics = (free_port(self.host) for _ in range(4))
         self.folder = deployment.folder / name
         self.folder.mkdir()
         self.data = self.folder / 'data'
         self.process = None
         self.settings = {
-            'node_name': name, 'role': role, 'machine_class': role, 'serves': [role], 'bind_ip': '127.0.0.1',
+            'node_name': name, 'role': role, 'machine_class': role, 'serves': [role], 'bind_ip': self.host,
             'zone': zone, 'region': ZONES[zone], 'zones': ZONES,
-            'listen_addrs': {'front': f'127.0.0.1:{self.front}', 'ready': f'127.0.0.1:{self.ready}'}
+            'listen_addrs': {'front': self.address, 'ready': self.ready_address}
             if role == 'front' else {},
             'internal_ports': [self.peer, self.peer], 'seed_nodes': [], 'bootstrap': True,
             'loss_counts': role == 'store', 'limits': limits, 'data_dir': str(self.data) if role == 'store' else None,
@@ -459,11 +468,11 @@
 
     @property
     def address(self):
-        return f'127.0.0.1:{self.front}'
+        return f'{self.host}:{self.front}'
 
     @property
     def ready_address(self):
-        return f'127.0.0.1:{self.ready}'
+        return f'{self.host}:{self.ready}'
 
     async def start(self):
         file = self.folder / 'node.json'
@@ -518,6 +527,7 @@
             roles = tomllib.load(file)['roles']
         self.commands = {name: role['run'].split() for name, role in roles.items()}
         self.platform = Platform(record)
+        self.hosts = loopback_hosts()
         self.nodes, self.samplers = [], []
 
     async def start(self, fronts=2, stores=3, samplers=4, config=None, platform_address=None):
