--- a/review/7/play.py
+++ b/review/7/play.py
@@ -36,7 +36,7 @@
     await deployment.start(fronts=2, samplers=0, config=configuration(1, routes('service')))
     old = await deployment.add_sampler('s-0', events=EVENTS, interval=INTERVAL_S)
     newer = [await deployment.add_sampler(f'n-{index}', service='newer', zone=zone, events=EVENTS, interval=INTERVAL_S)
-             for index, zone in enumerate(('zone-a', 'zone-b', 'zone-c'))]
+             for index, zone in enumerate(('zone-a', 'zone-b', 'zone-c') * 2)]
     await deployment.wait_ready()
     await asyncio.sleep(3)
     front, other = deployment.fronts
