jobs: a run follows its job's route through changes of the configuration

What callers saw: a route moved to another service and the only instance of the service before ended as planned.

Cause: a run picked the service, the attempts, the priority, the single version, the tokens per event and the time limit when it started and kept them. An interrupted item with events waits inside its run for an instance of that service; only items without events go back to the owner, which looks the route up again.

Change: RunRoute is the job's route under one configuration; JobRoute looks it up once for each. Each further run, each migration and the time limit use the one in force. The service stays while the route gives it a share. While no route matches, the item waits. item_waiting is a new log line, item_run names the service.

--- a/crates/front/src/job/migration.rs
+++ b/crates/front/src/job/migration.rs
@@ -88,7 +88,10 @@
         }
         let elapsed = self.last_at?.saturating_duration_since(self.first_at?);
         let mean_ms = elapsed.as_secs_f64() * 1e3 / f64::from(self.events - 1);
-        let typical = context.backends.typical_unit_time(&context.service)?;
+        let service = instance.service();
+        let route = context.route.current()?;
+        let service = route.service_after(&service);
+        let typical = context.backends.typical_unit_time(service)?;
         let remaining = expected_remaining_events(partial.events(), max_events);
         let instance_ms = instance.recent_unit_time_ms()?;
         let expected_ms = |other_ms| {
@@ -100,7 +103,7 @@
         }
         let demand = remaining_demand(partial.events());
         let other = context.backends.best_in_regions(
-            &context.service,
+            service,
             context.required_weights(),
             demand,
             &context.allowed_regions(),
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -39,6 +39,7 @@
 mod run;
 mod run_context;
 mod run_end;
+mod run_route;
 mod scheduling;
 mod scoring;
 mod stall_timeout;
--- a/crates/front/src/job/owner.rs
+++ b/crates/front/src/job/owner.rs
@@ -26,7 +26,7 @@
 use super::queue::EntryQueue;
 use super::replay::{digest_writer, replay_writer};
 use super::run::RunOutcome;
-use super::run_context::{FirstVersions, SendWindow};
+use super::run_context::{FirstVersions, SendWindow, sleep_until};
 use super::text::ItemText;
 use super::unfinished::{ListingHistory, UnfinishedItems};
 
@@ -453,11 +453,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Sleeps until `at`; never completes if it is `None`.
-async fn sleep_until(at: Option<Instant>) {
-    match at {
-        Some(at) => tokio::time::sleep_until(at.into()).await,
-        None => std::future::pending().await,
-    }
-}
--- a/crates/front/src/job/run.rs
+++ b/crates/front/src/job/run.rs
@@ -1,6 +1,7 @@
 //! Runs one item of a batch job until its text is complete and scored. Migrates the item to another
 //! instance when its event stream breaks or is slow.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,8 +10,9 @@
 use ladderstage_clock::Instant;
 
 use super::failures::ItemFailures;
-use super::run_context::{RunContext, exclusion_after_rejection};
+use super::run_context::{RunContext, exclusion_after_rejection, sleep_until};
 use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE, can_continue};
+use super::run_route::RunRoute;
 use super::scoring::{ScoreEnd, score};
 use super::stall_timeout::StallTimeout;
 use super::stalled_run::Awaited;
@@ -26,6 +28,9 @@
 /// that version before it restarts.
 const VERSION_WAIT: Duration = Duration::from_millis(500);
 
+/// Time without an instance after which the wait of an interrupted item is logged.
+const LOGGED_WAIT: Duration = Duration::from_secs(1);
+
 /// Outcome of running an item.
 pub enum RunOutcome {
     /// The text is complete.
@@ -96,19 +101,24 @@
     first: Option<Arc<Instance>>,
     partial: &mut ItemText,
 ) -> Option<ItemEnd> {
-    let run = run_until_done(context, index, first, partial);
-    let Some(at) = context.item_deadline else {
-        return run.await;
-    };
-    let ended = tokio::time::timeout_at(at.into(), run).await;
-    ended.unwrap_or_else(|_| {
-        log::warn!(
-            "event=item_abandoned item={} job={} reason=age",
-            context.spec.items[index].id,
-            context.spec.job
-        );
-        Some(ItemEnd::Terminated)
-    })
+    let mut config_changed = context.config.watch();
+    let mut run = pin!(run_until_done(context, index, first, partial));
+    loop {
+        let deadline = context.item_deadline();
+        tokio::select! {
+            ended = &mut run => return ended,
+            () = sleep_until(deadline) => {
+                log::warn!(
+                    "event=item_abandoned item={} job={} reason=age",
+                    context.spec.items[index].id,
+                    context.spec.job
+                );
+                return Some(ItemEnd::Terminated);
+            }
+            // The change may have moved the deadline.
+            _ = config_changed.changed() => {}
+        }
+    }
 }
 
 /// Generates the text and has it scored; returns `None` if the first instance did not start the
@@ -178,7 +188,7 @@
             RunEnd::Failed => {
                 failures += 1;
                 partial.record_failed_run();
-                let max_attempts = context.max_attempts.max(1);
+                let max_attempts = context.route.last_known().max_attempts().max(1);
                 if failures >= max_attempts || !partial.failures().may_run(max_attempts) {
                     return Some(TextEnd::Unprocessable);
                 }
@@ -189,7 +199,7 @@
             | RunEnd::TimedOut(_)
             | RunEnd::Broken(_) => {}
         }
-        let Some(next) = next_instance(context, &instance, partial).await else {
+        let Some(next) = next_instance(context, index, &instance, partial).await else {
             return Some(TextEnd::Closed);
         };
         instance = next;
@@ -231,11 +241,12 @@
         RunEnd::TimedOut(stalled) => format!("moved {stalled}"),
     };
     log::info!(
-        "event=item_run item={} job={} group={} instance={} distance={} started={} tokens={} guess={} events={} versions={:?} epoch={} elapsed_ms={} outcome={outcome}",
+        "event=item_run item={} job={} group={} instance={} service={} distance={} started={} tokens={} guess={} events={} versions={:?} epoch={} elapsed_ms={} outcome={outcome}",
         context.spec.items[index].id,
         context.spec.job,
         context.spec.items[index].group,
         instance.id(),
+        instance.service(),
         instance.distance(),
         instance.started_unix_ms(),
         context.spec.items[index].tokens,
@@ -248,30 +259,57 @@
 }
 
 /// Waits for an instance with free capacity and suitable weights, preferring one other than `last`.
+/// The instance belongs to a service of the route in force, which may have left the service of `last`;
+/// without a route, the item waits for one.
+///
 /// Restarts a text that requires a single weight version if no instance has that version any more.
 /// Returns `None` once no more requests may be sent.
 async fn next_instance(
     context: &RunContext,
+    index: usize,
     last: &Arc<Instance>,
     partial: &mut ItemText,
 ) -> Option<Arc<Instance>> {
     let mut table_changed = context.backends.watch();
+    let last_service = last.service();
     let started = Instant::now();
+    let mut is_logged = false;
     while context.window.is_open() {
-        if let Some(instance) = choose_instance(context, last, partial) {
-            return Some(instance);
+        let route = context.route.current();
+        if let Some(route) = &route {
+            let service = route.service_after(&last_service);
+            if let Some(instance) = choose_instance(context, service, last, partial) {
+                return Some(instance);
+            }
+            let has_waited = started.elapsed() > VERSION_WAIT;
+            if route.is_single_version() && partial.events() > 0 && has_waited {
+                partial.start_over();
+            }
         }
-        if context.single_version && partial.events() > 0 && started.elapsed() > VERSION_WAIT {
-            partial.start_over();
+        if !is_logged && started.elapsed() > LOGGED_WAIT {
+            is_logged = true;
+            log_wait(context, index, &last_service, route.as_deref());
         }
         let _ = tokio::time::timeout(NO_CAPACITY_PAUSE, table_changed.changed()).await;
     }
     None
 }
 
+/// Logs an item that has been at no instance for [`LOGGED_WAIT`].
+fn log_wait(context: &RunContext, index: usize, last_service: &str, route: Option<&RunRoute>) {
+    log::info!(
+        "event=item_waiting item={} job={} last_service={last_service} service={} waited_ms={}",
+        context.spec.items[index].id,
+        context.spec.job,
+        route.map_or("none", |route| route.service_after(last_service)),
+        LOGGED_WAIT.as_millis()
+    );
+}
+
 /// Prefers instances that answer, then any other than `last`.
 fn choose_instance(
     context: &RunContext,
+    service: &str,
     last: &Arc<Instance>,
     partial: &ItemText,
 ) -> Option<Arc<Instance>> {
@@ -279,7 +317,7 @@
     let now = Instant::now();
     let choose = |fits: fn(&Instance, &Instance, Instant) -> bool| {
         backends.choose_in_regions(
-            &context.service,
+            service,
             context.required_weights(),
             WorkKind::InterruptedBatch,
             &context.allowed_regions(),
@@ -315,7 +353,7 @@
         &attempt_id,
         AnswerIdPolicy::Required,
     );
-    let limit = context.first_event_timeout();
+    let limit = context.first_event_timeout(instance);
     let stall_timeout = StallTimeout { context, instance };
     let sent = stall_timeout.wait(Awaited::Response, limit, partial, sending);
     let reply = match sent.await {
@@ -393,7 +431,7 @@
     headers.insert(names.attempt_id.clone(), attempt_id.clone());
     headers.insert(
         names.request_priority.clone(),
-        context.priority_header.clone(),
+        context.route.last_known().priority_header.clone(),
     );
     let expected = HeaderValue::from_str(instance.id()).ok()?;
     headers.insert(names.expect_instance.clone(), expected);
--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -4,13 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
-use http::HeaderValue;
 use ladderstage::region::AllowedRegions;
 use ladderstage_clock::Instant;
 use ladderstage_wire::messages::{JobProgress, JobSpec};
 use tokio::sync::{mpsc, watch};
 
-use crate::backend::{BackendTable, LOADING_PAUSE, RequiredWeights};
+use super::run_route::JobRoute;
+use crate::backend::{BackendTable, Instance, LOADING_PAUSE, RequiredWeights};
 use crate::config::CurrentConfig;
 use crate::dialect::SharedCodec;
 use crate::metrics::Metrics;
@@ -42,18 +42,12 @@
     /// Round of the owner's epoch when the runs were started. Tells runs of successive owners
     /// apart in the log.
     pub owner_round: u64,
-    /// Service that runs the items.
-    pub service: String,
-    /// Priority of the items at instances.
-    pub priority_header: HeaderValue,
+    /// Route of the job, which may change while its items run.
+    pub(super) route: JobRoute,
+    /// Time of the job's submission, as far as this owner knows it.
+    pub opened_at: Instant,
     /// Allowed regions when these runs started, used if no route matches any more.
     pub initial_allowed_regions: AllowedRegions,
-    /// Number of failed attempts after which an item is terminated.
-    pub max_attempts: u32,
-    /// Whether every text must come from a single weight version.
-    pub single_version: bool,
-    /// Time at which unfinished items are terminated.
-    pub item_deadline: Option<Instant>,
     /// Receives partial texts to be saved in the log.
     pub progress: mpsc::UnboundedSender<JobProgress>,
     /// Stops the runs, so that another node or a later job can continue them.
@@ -62,8 +56,6 @@
     pub window: SendWindow,
     /// Weight version that generated the first event of each item.
     pub first_versions: FirstVersions,
-    /// Number of tokens per event, or 0 if it is unknown.
-    pub tokens_per_event: u64,
     /// Limit on concurrent weight loads, as learned so far.
     pub learned_load_limit: LearnedLoadLimit,
 }
@@ -86,16 +78,23 @@
             .unwrap_or_else(|| self.initial_allowed_regions.clone())
     }
 
-    /// Returns the maximum number of events of the item at `index`, or `None` if it is unknown.
-    pub(super) fn max_events(&self, index: usize) -> Option<u64> {
-        self.spec.items[index]
-            .tokens
-            .checked_div(self.tokens_per_event)
+    /// Returns the time at which unfinished items are terminated, or `None` if there is none.
+    pub(super) fn item_deadline(&self) -> Option<Instant> {
+        let max_queue_time = self.route.last_known().max_queue_time()?;
+        Some(self.opened_at + max_queue_time)
     }
 
-    /// Returns the timeout for the first event of a run.
-    pub(super) fn first_event_timeout(&self) -> Duration {
-        let typical_ms = self.backends.typical_unit_time(&self.service);
+    /// Returns the maximum number of events of the item at `index` in a run at `instance`, or `None`
+    /// if it is unknown.
+    pub(super) fn max_events(&self, index: usize, instance: &Instance) -> Option<u64> {
+        let route = self.route.last_known();
+        let tokens_per_event = route.tokens_per_event(&instance.service());
+        self.spec.items[index].tokens.checked_div(tokens_per_event)
+    }
+
+    /// Returns the timeout for the first event of a run at `instance`.
+    pub(super) fn first_event_timeout(&self, instance: &Instance) -> Duration {
+        let typical_ms = self.backends.typical_unit_time(&instance.service());
         first_event_timeout(typical_ms)
     }
 }
@@ -111,6 +110,14 @@
     }
 }
 
+/// Sleeps until `at`; never completes if it is `None`.
+pub(super) async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Returns the timeout for the first event of a run, given the typical event interval in
 /// milliseconds.
 pub fn first_event_timeout(typical_ms: Option<f64>) -> Duration {
--- a/crates/front/src/job/run_end.rs
+++ b/crates/front/src/job/run_end.rs
@@ -32,10 +32,9 @@
 /// Returns whether an instance has weights that can continue the text.
 pub(super) fn can_continue(context: &RunContext, partial: &ItemText, instance: &Instance) -> bool {
     let version = instance.version(&context.spec.model);
-    if context.single_version
-        && let Some(first_version) = partial.versions().first()
-    {
-        return version == *first_version;
+    let is_recent = version >= context.spec.min_version;
+    if context.route.last_known().is_single_version() {
+        return is_recent && partial.versions().iter().all(|made| *made == version);
     }
-    version >= context.spec.min_version
+    is_recent
 }
--- a/crates/front/src/job/scheduling.rs
+++ b/crates/front/src/job/scheduling.rs
@@ -10,9 +10,9 @@
 use super::owner::Owner;
 use super::run::run_item;
 use super::run_context::RunContext;
+use super::run_route::JobRoute;
 use super::text::ItemText;
 use crate::backend::{Instance, WorkKind};
-use crate::config::Route;
 
 /// Maximum age of the last majority confirmation at which items are started. With an older one,
 /// another owner may run the job, or the job may have ended.
@@ -44,10 +44,14 @@
         let Some(spec) = self.job.state().spec().cloned() else {
             return;
         };
-        let Some(run) = self.run_context(&spec) else {
+        let Some((run, route)) = self
+            .run_context(&spec)
+            .and_then(|run| Some((Arc::clone(&run), run.route.current()?)))
+        else {
             self.has_waiting_items = true;
             return;
         };
+        let service = route.pick_service();
         let allowed = run.allowed_regions();
         let startable = self.startable(&spec);
         let long_item_threshold = long_item_threshold(&spec);
@@ -59,7 +63,7 @@
                 self.spawn_run(&run, index, None, saved);
                 continue;
             }
-            if !saved.failures().may_run(run.max_attempts) {
+            if !saved.failures().may_run(route.max_attempts()) {
                 self.terminate_known_failure(&run, index, saved.failures());
                 continue;
             }
@@ -71,7 +75,7 @@
             };
             let backends = &self.context.backends;
             let chosen = backends.choose_in_regions(
-                &run.service,
+                service,
                 run.required_weights(),
                 demand,
                 &allowed,
@@ -176,14 +180,11 @@
     /// Builds the context of runs from the current configuration; returns `None` while no route
     /// matches.
     pub(super) fn run_context(&self, spec: &Arc<JobSpec>) -> Option<Arc<RunContext>> {
-        let config = self.context.config.current()?;
-        let route: &Route = config.route(&spec.host, &spec.path)?;
-        let tenant = config.tenant(&spec.tenant);
-        let service = route.pick_service(rand::random());
-        let tokens_per_event = config
-            .services
-            .get(service)
-            .map_or(0, |service_config| service_config.tokens_per_event);
+        let config = &self.context.config;
+        let route = JobRoute::new(config, spec)?;
+        let initial_allowed_regions = config
+            .allowed_regions(&spec.host, &spec.path, &spec.tenant)
+            .unwrap_or_default();
         Some(Arc::new(RunContext {
             backends: self.context.backends.clone(),
             codec: Arc::clone(&self.context.codec),
@@ -191,18 +192,14 @@
             metrics: Arc::clone(&self.context.metrics),
             spec: Arc::clone(spec),
             owner_round: self.job.epoch().round,
-            service: service.to_owned(),
-            priority_header: route.priority_header(tenant.map(AsRef::as_ref)),
-            initial_allowed_regions: route.allowed_regions_for(tenant.map(AsRef::as_ref)),
-            max_attempts: route.max_attempts,
-            single_version: route.single_version,
+            route,
+            opened_at: self.job.opened_at,
+            initial_allowed_regions,
             progress: self.progress.0.clone(),
             stop: self.stop.subscribe(),
             window: self.window.clone(),
             first_versions: self.first_versions.clone(),
-            tokens_per_event,
             learned_load_limit: self.context.learned_load_limit.clone(),
-            item_deadline: route.max_queue_time.map(|age| self.job.opened_at + age),
         }))
     }
 }
--- a/crates/front/src/job/stall_timeout.rs
+++ b/crates/front/src/job/stall_timeout.rs
@@ -107,8 +107,10 @@
     fn find_alternative(&self, partial: &ItemText) -> Option<Alternative> {
         let context = self.context;
         let now = Instant::now();
+        let service = self.instance.service();
+        let route = context.route.current()?;
         let other = context.backends.best_in_regions(
-            &context.service,
+            route.service_after(&service),
             context.required_weights(),
             WorkKind::InterruptedBatch,
             &context.allowed_regions(),
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -39,11 +39,11 @@
         || headers.contains_key(http::header::TRANSFER_ENCODING);
     let mut parser = EventParser::new(names.weight_version.as_str());
     let mut intervals = EventIntervals::default();
-    let max_events = context.max_events(index);
+    let max_events = context.max_events(index, instance);
     let stall_timeout = StallTimeout { context, instance };
     loop {
         let limit = match intervals.events {
-            0 => context.first_event_timeout(),
+            0 => context.first_event_timeout(instance),
             _ => MAX_EVENT_INTERVAL,
         };
         let frame = stall_timeout.wait(Awaited::Event, limit, partial, body.frame());
@@ -121,7 +121,7 @@
             "weight version {version} is too old"
         )));
     }
-    if context.single_version
+    if context.route.last_known().is_single_version()
         && partial
             .versions()
             .first()
--- a/crates/front/src/job/unfinished.rs
+++ b/crates/front/src/job/unfinished.rs
@@ -246,10 +246,11 @@
         let Some(context) = &self.context else {
             return;
         };
+        let max_attempts = context.route.last_known().max_attempts();
         let outdated: Vec<&JobItem> = self
             .candidates()
             .filter(|item| !self.has_usable_text(&item.id, min_version))
-            .filter(|item| self.failures_of(&item.id).may_run(context.max_attempts))
+            .filter(|item| self.failures_of(&item.id).may_run(max_attempts))
             .collect();
         let bytes = outdated.iter().map(|item| item_bytes(item)).sum();
         let reserved = self.content.as_ref().map(|content| content.grow(bytes));
@@ -415,14 +416,16 @@
 async fn run_when_available(context: Arc<RunContext>, index: usize, text: ItemText) -> RunOutcome {
     let mut stop = context.stop.clone();
     while context.window.is_open() && !*stop.borrow() {
-        let backends = &context.backends;
-        let chosen = backends.choose_in_regions(
-            &context.service,
-            context.required_weights(),
-            WorkKind::LongBatch,
-            &context.allowed_regions(),
-            |_| true,
-        );
+        let route = context.route.current();
+        let chosen = route.and_then(|route| {
+            context.backends.choose_in_regions(
+                route.pick_service(),
+                context.required_weights(),
+                WorkKind::LongBatch,
+                &context.allowed_regions(),
+                |_| true,
+            )
+        });
         if let Some(instance) = chosen {
             let text = text.clone();
             match run_item(Arc::clone(&context), index, Some(instance), text).await {
