instances: a status that no final response has is no answer

What callers saw: nothing yet; an operator of another system reported that clients received status 000. Here 000 and 099 end the attempt, as the HTTP client refuses codes below 100; the report is refuted for them. Codes of 600 and above, and 101, were passed on to clients with the sampler's signature.

Cause: the HTTP client accepts 100 to 999, and exchange::send passed on what it got.

Change: outside 200 to 599 the exchange is broken. Safe requests are retried, unsafe ones and streams get 502 and are sent once; items and reward calls go on at another instance, as before.

Evidence: a_response_with_an_odd_status_is_never_passed_on fails before (101 instead of 502) and passes after; the other two tests pass before and after.

--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -173,6 +173,12 @@
             "response to another request".to_owned(),
         ));
     }
+    if !is_final(parts.status) {
+        return Err(ExchangeError::Broken(format!(
+            "status {} of no final response",
+            parts.status.as_u16()
+        )));
+    }
     let now = Instant::now();
     instance.record_response(now);
     if let Some(load) = read_load(&parts.headers, names) {
@@ -187,6 +193,12 @@
     check_refusal(instance, names, reply).await
 }
 
+/// Returns whether a status is one of a final response. The HTTP client accepts any three digits that
+/// do not begin with a zero, and a switch of protocols, for which no request asks.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns an error if the instance itself refused the request.
 async fn check_refusal(
     instance: &Instance,
