instances: a refusal does not wait for the end of its body

What callers saw: a sampler in trouble refused a request and sent the body of the refusal without end. The request waited until its time limit and got 504, although it had not run and another instance could have served it.

Cause: check_refusal read the body, up to 16 KiB and without a time limit, to reuse the connection, before it returned the refusal that the head had told.

Change: the body is read for 200 ms at most, then the connection is closed.

Evidence: live_requests_leave_a_sampler_whose_response_has_no_end fails before (504 for safe and unsafe) and passes after, as do heads, interim responses and bodies without end, which passed before. The same function serves items, reward calls, reports and orders.

--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -26,6 +26,9 @@
 /// Maximum size of a refusal's body that is read to reuse the connection, in bytes.
 const MAX_REFUSAL_BODY_BYTES: usize = 16 * 1024;
 
+/// Maximum time in which the body of a refusal is read. The refusal is known without it.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Head of a request to an instance.
 #[derive(Debug, Clone)]
 pub struct RequestHead {
@@ -133,6 +136,18 @@
         Ok((status, headers, memory.attach_to(body)))
     }
 
+    /// Reads the body of a refusal, so that its connection can be reused; closes the connection if
+    /// the body is long or does not end in time.
+    async fn discard_refusal_body(self) {
+        let reading = self.read_body(MAX_REFUSAL_BODY_BYTES);
+        let outcome = match tokio::time::timeout(REFUSAL_BODY_TIMEOUT, reading).await {
+            Ok(Ok(_)) => return,
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "not complete in time".to_owned(),
+        };
+        log::debug!("event=refusal_body_not_read cause=\"{outcome}\"");
+    }
+
     /// Separates the connection, which the caller returns to the pool after reading the complete
     /// body.
     pub fn into_parts(self) -> (HeaderMap, Incoming, PooledConnection) {
@@ -210,11 +225,11 @@
         let at_address = reply.headers.get(&names.instance_id);
         let is_other_instance =
             at_address.is_some_and(|id| id.as_bytes() != instance.id().as_bytes());
-        let _ = reply.read_body(MAX_REFUSAL_BODY_BYTES).await;
+        reply.discard_refusal_body().await;
         return Err(ExchangeError::Misdirected { is_other_instance });
     }
     if reply.headers.contains_key(&names.not_executed) {
-        let _ = reply.read_body(MAX_REFUSAL_BODY_BYTES).await;
+        reply.discard_refusal_body().await;
         return Err(ExchangeError::NotRun(status));
     }
     Ok(reply)
