jobs: a run leaves an instance whose stream has no end

What callers saw: a sampler in trouble sent bytes without end for an item. The item stayed there for ever and its job was never complete; valid events without end filled the memory of the owner and the job's log.

Cause: the time limit of an event began anew with each piece of the body, whether or not it completed an event. The parser buffered up to 4 MiB of an incomplete event for each run and searched all of it with each piece. A text had no limit.

Change: next_events reads until an event is complete, under one time limit. An incomplete event has 256 KiB at most, and only new bytes are searched. A text over 2 MiB starts over at another instance, and the instance is paused as after other failures.

Evidence: items_leave_a_sampler_whose_response_has_no_end fails before (not complete after 30 s) and passes after, for heads, interim responses, bodies fast and slow, events and refusals. an_event_without_end_is_rejected is new and was not run on the code before.

--- a/crates/front/src/job/events.rs
+++ b/crates/front/src/job/events.rs
@@ -17,6 +17,8 @@
     /// Lower-case name of the field that carries the weight version.
     version_field: String,
     buffer: Vec<u8>,
+    /// Number of buffered bytes that contain no end of an event.
+    searched: usize,
 }
 
 /// Error for bytes that form no valid event.
@@ -24,8 +26,11 @@
 #[error("invalid event: {0}")]
 pub struct EventError(String);
 
-/// Maximum size of an incomplete event that is buffered, in bytes.
-const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum size of an incomplete event that is buffered, in bytes. Each run may buffer one.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// Length of the longest end of an event, in bytes.
+const MAX_END_BYTES: usize = 4;
 
 impl EventParser {
     /// Creates a parser for streams that carry weight versions in `version_field`.
@@ -33,6 +38,7 @@
         Self {
             version_field: version_field.to_ascii_lowercase(),
             buffer: Vec::new(),
+            searched: 0,
         }
     }
 
@@ -44,14 +50,19 @@
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
         let mut start = 0;
-        while let Some(end) = find_blank_line(&self.buffer[start..]) {
-            let block = &self.buffer[start..start + end.0];
+        let mut search_from = self.searched;
+        while let Some((at, length)) = find_blank_line(&self.buffer[search_from..]) {
+            let end = search_from + at;
+            let block = &self.buffer[start..end];
             if !block.is_empty() {
                 events.push(self.parse(block)?);
             }
-            start += end.0 + end.1;
+            start = end + length;
+            search_from = start;
         }
         self.buffer.drain(..start);
+        // The end of the event may have arrived in part.
+        self.searched = self.buffer.len().saturating_sub(MAX_END_BYTES - 1);
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(EventError("event exceeds the size limit".to_owned()));
         }
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -6,9 +6,10 @@
 
 use http::{HeaderMap, HeaderName};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use ladderstage_clock::Instant;
 
-use super::events::{Event, EventParser};
+use super::events::{Event, EventError, EventParser};
 use super::migration::EventIntervals;
 use super::run_context::RunContext;
 use super::run_end::{RunEnd, STALE_WEIGHTS_PAUSE};
@@ -20,6 +21,10 @@
 /// Timeout for each event after the first one.
 const MAX_EVENT_INTERVAL: Duration = Duration::from_millis(1_200);
 
+/// Maximum size of a text, in bytes. A longer one is no text of an item, but that of a stream without
+/// end, and would exhaust the memory of its job's owner.
+const MAX_TEXT_BYTES: usize = 2 * 1024 * 1024;
+
 /// Number of events after which partial text is saved in the journal. Half as many are lost on
 /// average when an owner dies.
 const EVENTS_PER_PROGRESS: u64 = 8;
@@ -46,31 +51,25 @@
             0 => context.first_event_timeout(instance),
             _ => MAX_EVENT_INTERVAL,
         };
-        let frame = stall_timeout.wait(Awaited::Event, limit, partial, body.frame());
-        let frame = match frame.await {
+        let arrival = next_events(instance, &mut body, &mut parser);
+        let arrival = stall_timeout.wait(Awaited::Event, limit, partial, arrival);
+        let events = match arrival.await {
             Err(stalled) => return RunEnd::TimedOut(stalled),
-            Ok(Some(Err(error))) => {
+            Ok(Err(StreamError::Broken(error))) => {
                 instance.record_failure(Instant::now());
                 return RunEnd::Broken(format!("connection broken: {error}"));
             }
-            Ok(Some(Ok(frame))) => frame,
-            Ok(None) if is_framed && parser.is_at_boundary() => {
+            Ok(Err(StreamError::Malformed(error))) => {
+                instance.record_failure(Instant::now());
+                return RunEnd::Migrate(error.to_string());
+            }
+            Ok(Ok(None)) if is_framed && parser.is_at_boundary() => {
                 instance.record_success();
                 lease.return_to_pool(keep_alive(&headers));
                 return RunEnd::Complete;
             }
-            Ok(None) => return RunEnd::Broken("stream ended without an end marker".to_owned()),
-        };
-        instance.record_activity(Instant::now());
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        let events = match parser.push(&data) {
-            Ok(events) => events,
-            Err(error) => {
-                instance.record_failure(Instant::now());
-                return RunEnd::Migrate(error.to_string());
-            }
+            Ok(Ok(None)) => return RunEnd::Broken("stream ended without an end marker".to_owned()),
+            Ok(Ok(Some(events))) => events,
         };
         for event in events {
             version = event.version.or(version);
@@ -94,8 +93,37 @@
     }
 }
 
-/// Appends one event to the text; ends the run if the event is out of sequence or its weights are
-/// unsuitable.
+/// Error of reading a stream.
+enum StreamError {
+    /// The connection broke.
+    Broken(hyper::Error),
+    /// The bytes form no valid event.
+    Malformed(EventError),
+}
+
+/// Reads on until at least one event is complete; returns `None` at the end of the stream. Bytes that
+/// complete no event are no progress, so that the caller's time limit covers all of them.
+async fn next_events(
+    instance: &Instance,
+    body: &mut Incoming,
+    parser: &mut EventParser,
+) -> Result<Option<Vec<Event>>, StreamError> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(StreamError::Broken)?;
+        instance.record_activity(Instant::now());
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let events = parser.push(&data).map_err(StreamError::Malformed)?;
+        if !events.is_empty() {
+            return Ok(Some(events));
+        }
+    }
+    Ok(None)
+}
+
+/// Appends one event to the text; ends the run if the event is out of sequence, the text gets too long,
+/// or its weights are unsuitable.
 fn append_event(
     context: &RunContext,
     instance: &Instance,
@@ -112,6 +140,13 @@
             event.id
         )));
     }
+    if partial.text().len() + event.data.len() > MAX_TEXT_BYTES {
+        partial.start_over();
+        instance.record_failure(Instant::now());
+        return Err(RunEnd::Migrate(format!(
+            "text longer than {MAX_TEXT_BYTES} bytes"
+        )));
+    }
     let version = version.unwrap_or(0);
     let model = &context.spec.model;
     instance.record_version(model, version);
--- a/crates/front/tests/events.rs
+++ b/crates/front/tests/events.rs
@@ -67,3 +67,14 @@
         );
     }
 }
+
+/// Guards against a stream of bytes without an event that fills the memory.
+#[test]
+fn an_event_without_end_is_rejected() {
+    const PIECE: &[u8] = &[b'x'; 16 * 1024];
+    const MAX_PIECES: usize = 32;
+    let mut parser = EventParser::new(FIELD);
+    parser.push(b"id: 1\ndata: ").unwrap();
+    let accepted = (0..=MAX_PIECES).take_while(|_| parser.push(PIECE).is_ok());
+    assert!(accepted.count() < MAX_PIECES);
+}
