jobs: the limit of a text covers two instances without end in 88 MB

A front of 88 MB used 88.5 MB with two such instances.

Change: 1 MiB. A page of results has 1 MB at most.

Evidence: items_with_endless_events_stay_within_the_memory fails before and passes after (61.9 MB, debug build); items_with_endless_bodies_... passes before and after (57.7 MB). Not covered: all instances of a service at once with valid events without end.

--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -23,7 +23,7 @@
 
 /// Maximum size of a text, in bytes. A longer one is no text of an item, but that of a stream without
 /// end, and would exhaust the memory of its job's owner.
-const MAX_TEXT_BYTES: usize = 2 * 1024 * 1024;
+const MAX_TEXT_BYTES: usize = 1024 * 1024;
 
 /// Number of events after which partial text is saved in the journal. Half as many are lost on
 /// average when an owner dies.
