jobs: answers to reward calls are read within the memory budget

What callers saw: a front whose scoring instances sent bytes without end ended for lack of memory (90.6 MB of 88, twelve instances, 96 items).

Cause: each answer was read up to 1 MiB without a reservation. Reports and answers to orders had the same limit at the order leader.

Change: the answers to reward calls are reserved, as those to live requests; reading waits while the budget is exhausted, and the call's time limit ends it. Reports and answers to orders have 64 KiB at most.

The limit of reports is by reading, not shown by a test.

--- a/crates/front/src/job/run_context.rs
+++ b/crates/front/src/job/run_context.rs
@@ -13,6 +13,7 @@
 use crate::backend::{BackendTable, Instance, LOADING_PAUSE, RequiredWeights};
 use crate::config::CurrentConfig;
 use crate::dialect::SharedCodec;
+use crate::memory::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::orders::LearnedLoadLimit;
 
@@ -37,6 +38,8 @@
     pub config: CurrentConfig,
     /// Metrics of this front.
     pub metrics: Arc<Metrics>,
+    /// Memory for the answers to reward calls.
+    pub memory: MemoryBudget,
     /// Specification of the job.
     pub spec: Arc<JobSpec>,
     /// Round of the owner's epoch when the runs were started. Tells runs of successive owners
--- a/crates/front/src/job/scheduling.rs
+++ b/crates/front/src/job/scheduling.rs
@@ -190,6 +190,7 @@
             codec: Arc::clone(&self.context.codec),
             config: self.context.config.clone(),
             metrics: Arc::clone(&self.context.metrics),
+            memory: self.context.memory.clone(),
             spec: Arc::clone(spec),
             owner_round: self.job.epoch().round,
             route,
--- a/crates/front/src/job/scoring.rs
+++ b/crates/front/src/job/scoring.rs
@@ -177,7 +177,8 @@
         let body = Bytes::copy_from_slice(&self.reward.body);
         let id = &self.attempt_id;
         let reply = send(instance, names, &head, &body, id, AnswerIdPolicy::Required).await?;
-        let (status, headers, _) = reply.read_body(MAX_ANSWER_BYTES).await?;
+        let memory = self.context.memory.reservation("score");
+        let (status, headers, _) = reply.read_reserved_body(MAX_ANSWER_BYTES, memory).await?;
         if !status.is_success() {
             return Ok(Answer::Failed(status));
         }
--- a/crates/front/src/orders/calls.rs
+++ b/crates/front/src/orders/calls.rs
@@ -13,8 +13,8 @@
 /// Timeout of one call, including its answer.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Maximum size of an answer in bytes.
-const MAX_ANSWER_BYTES: usize = 1 << 20;
+/// Maximum size of an answer in bytes. A report has a few hundred bytes for each model and run.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
 /// Client for calls to instances.
 pub(crate) struct InstanceCalls {
