ingress: a stopping front refuses requests that cannot end before its exit

What callers saw: in a planned stop, a request that was complete only after idle connections were closed was passed on and cut at the exit without an answer, also one that must not be repeated. A job was accepted just before the exit. Requests in progress at the exit got no answer.

Cause: connections with a partial request stay open, and the drain did not compare a request's time limit with its own end.

Change: IngressState knows when the drain ends. Once idle connections are closed, a request whose time limit (the route's, the client's, or that of a commit for job calls) is later is refused as not run, with Retry-After 0. At the end of the drain, requests in progress get 503 if they were sent to no instance, else 504.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -434,7 +434,7 @@
         state.requests()
     );
     let deadline = Instant::now() + options.shutdown_grace.saturating_sub(SHUTDOWN_MARGIN);
-    state.drain();
+    state.drain(deadline);
     nodes.set_leaving(true);
     let answered = async {
         tokio::time::sleep(NEW_CONNECTION_GRACE).await;
@@ -448,6 +448,7 @@
         () = answered => {}
         () = jobs.hand_over() => {}
     }
+    state.end_requests();
     log::info!(
         "event=drained node={} requests={} jobs={}",
         options.node,
--- a/crates/front/src/ingress/answers.rs
+++ b/crates/front/src/ingress/answers.rs
@@ -19,6 +19,10 @@
 /// about this time.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Retry delay sent to a client whose request comes too late before this process exits. New connections
+/// go to other fronts by then.
+const STOPPING_RETRY_AFTER: Duration = Duration::ZERO;
+
 /// Time after the time limit of a stream in which its instance ends it. Past that, the instance sends
 /// without end.
 const STREAM_END_MARGIN: Duration = Duration::from_millis(200);
@@ -208,6 +212,11 @@
     not_run_until(NO_MEMORY_RETRY_AFTER)
 }
 
+/// Builds the response to a request that was not run because this process exits.
+pub(super) fn stopping() -> Response<AnswerBody> {
+    not_run_until(STOPPING_RETRY_AFTER)
+}
+
 /// Builds the response to a request that was not run, with the given retry delay.
 fn not_run_until(retry_after: Duration) -> Response<AnswerBody> {
     let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/front/src/ingress/mod.rs
+++ b/crates/front/src/ingress/mod.rs
@@ -31,7 +31,8 @@
 use tokio::sync::Semaphore;
 
 use self::answers::{
-    AnswerBody, count_until_read, empty, is_large, no_memory, not_run, to_response, unauthorized,
+    AnswerBody, count_until_read, empty, is_large, no_memory, not_run, stopping, to_response,
+    unauthorized,
 };
 use self::body::{ReadBodyError, discard, read_body};
 use self::caller::identify_caller;
@@ -40,7 +41,7 @@
 use self::state::RequestGuard;
 use crate::config::{CurrentConfig, Route, RouteKind, ServingConfig};
 use crate::dialect::SharedCodec;
-use crate::job::JobRegistry;
+use crate::job::{COMMIT_TIMEOUT, JobRegistry};
 use crate::live::{LiveRequest, LiveService};
 use crate::memory::{MemoryBudget, Reservation};
 use crate::metrics::Metrics;
@@ -54,6 +55,9 @@
 /// replicas.
 pub const MAX_JOB_SEARCHES: usize = 64;
 
+/// Maximum time of a job call apart from its wait for results: until a change is committed.
+const MAX_JOB_CALL_TIME: Duration = COMMIT_TIMEOUT;
+
 /// Memory of a request in progress apart from its fields and its body, in bytes: its tasks, and the
 /// buffers of its connections to the client and to two instances.
 const REQUEST_BYTES: usize = 64 * 1024;
@@ -235,7 +239,18 @@
                 progress.complete();
                 let read_wait = self.read_wait(request.headers());
                 discard(request.into_body());
-                self.job_call(call, &caller, read_wait).await
+                if !self
+                    .state
+                    .may_start(received + read_wait + MAX_JOB_CALL_TIME)
+                {
+                    log_late(call.job(), &outcome.route);
+                    outcome.response = stopping();
+                    return outcome;
+                }
+                tokio::select! {
+                    response = self.job_call(call, &caller, read_wait) => response,
+                    () = self.state.drained() => stopping(),
+                }
             }
             (None, None) => self.no_route(),
         };
@@ -301,6 +316,16 @@
             .and_then(|left| received.checked_add(Duration::from_millis(left)));
         let route_deadline = received + route.timeout;
         let read_until = deadline.map_or(route_deadline, |deadline| deadline.min(route_deadline));
+        // The time limit of a batch route does not apply to the acceptance of a job.
+        let ends_by = || match is_submission {
+            true => Instant::now() + MAX_JOB_CALL_TIME,
+            false => read_until,
+        };
+        if !self.state.may_start(ends_by()) {
+            log_late(attempt_id.to_str().unwrap_or("?"), &route.name);
+            discard(body);
+            return stopping();
+        }
         let reading = read_body(&mut body, limits.max_body_bytes, read_until, &mut memory);
         let read = match reading.await {
             Ok(read) => read,
@@ -315,8 +340,16 @@
             }
         };
         progress.complete();
+        // Idle connections may have been closed while the body was read.
+        if !self.state.may_start(ends_by()) {
+            log_late(attempt_id.to_str().unwrap_or("?"), &route.name);
+            return stopping();
+        }
         if is_submission {
-            return self.submit_job(submission, read, memory).await;
+            return tokio::select! {
+                response = self.submit_job(submission, read, memory) => response,
+                () = self.state.drained() => empty(StatusCode::GATEWAY_TIMEOUT),
+            };
         }
         let request = LiveRequest {
             attempt_id,
@@ -328,7 +361,7 @@
             received,
             deadline,
         };
-        let answer = self.live.serve(route, &request).await;
+        let answer = self.live.serve(route, &request, self.state.drained()).await;
         to_response(answer)
     }
 
@@ -378,6 +411,11 @@
     memory: Reservation,
 }
 
+/// Logs a request that comes too late to end before this process exits.
+fn log_late(id: &str, route: &str) {
+    log::info!("event=request_refused_stopping request={id} route={route}");
+}
+
 /// Returns the memory of a request without its body.
 fn head_bytes(headers: &HeaderMap) -> usize {
     REQUEST_BYTES + headers.len() * FIELD_BYTES
--- a/crates/front/src/job/mod.rs
+++ b/crates/front/src/job/mod.rs
@@ -67,7 +67,7 @@
 pub use new_job::LARGE_JOB_BYTES;
 pub use preferred_owner::{preferred_owner, preferred_owner_in_region};
 pub use queue::EntryQueue;
-pub use reading::{JobError, text_bytes};
+pub use reading::{COMMIT_TIMEOUT, JobError, text_bytes};
 pub use region_bounds::{RegionBoundsError, check_node_regions};
 pub use registry::JobRegistry;
 pub use replay::{ReplayedLog, replay_log};
--- a/crates/front/src/job/reading.rs
+++ b/crates/front/src/job/reading.rs
@@ -17,7 +17,7 @@
 const MAX_PAGE_BYTES: usize = 768 * 1024;
 
 /// Time limit for committing the acceptance or the end of a job.
-pub(super) const COMMIT_TIMEOUT: Duration = Duration::from_millis(3_500);
+pub const COMMIT_TIMEOUT: Duration = Duration::from_millis(3_500);
 
 /// Error of reading or ending a job.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -278,13 +278,24 @@
 }
 
 impl LiveService {
-    /// Serves a request on `route`. Dropping the future cancels it.
-    pub async fn serve(&self, route: &Route, request: &LiveRequest) -> LiveAnswer {
+    /// Serves a request on `route` until `stopped` completes, as this process exits then. Dropping the
+    /// future cancels it.
+    pub async fn serve(
+        &self,
+        route: &Route,
+        request: &LiveRequest,
+        stopped: impl Future<Output = ()>,
+    ) -> LiveAnswer {
         let overall_deadline = self.overall_deadline(route, request);
         let mut progress = Progress::default();
         let run_attempts = self.run_attempts(route, request, overall_deadline, &mut progress);
-        let ended = tokio::time::timeout_at(overall_deadline.into(), run_attempts).await;
-        ended.unwrap_or_else(|_| result_after_timeout(&progress))
+        let ended = tokio::select! {
+            biased;
+            answer = run_attempts => Some(answer),
+            () = tokio::time::sleep_until(overall_deadline.into()) => None,
+            () = stopped => None,
+        };
+        ended.unwrap_or_else(|| result_after_timeout(&progress))
     }
 
     fn overall_deadline(&self, route: &Route, request: &LiveRequest) -> Instant {
