discovery: an id that no header can carry names no instance

What callers saw: with one entry of another writer among the samplers' under an id with a tab or a line break, items were listed as terminated that no instance had run, and log lines were broken.

Cause: the head of a run could not be built with the id, which the run took for an item that can never be processed. Live requests were sent without the id.

--- a/crates/front/src/backend/table.rs
+++ b/crates/front/src/backend/table.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use http::HeaderValue;
 use ladderstage::region::{AllowedRegions, RegionMap};
 use ladderstage_clock::Instant;
 use tokio::sync::watch;
@@ -141,8 +142,16 @@
     }
 
     /// Applies a discovery record. A later incarnation replaces the earlier one with all its state;
-    /// a late record about an earlier incarnation is ignored.
+    /// a late record about an earlier incarnation is ignored, and so is an id that no header can carry:
+    /// requests name the instance that may run them.
     pub fn upsert(&self, mut discovered: DiscoveredInstance) {
+        if HeaderValue::from_str(&discovered.id).is_err() {
+            log::error!(
+                "event=instance_id_invalid instance={}",
+                discovered.id.escape_debug()
+            );
+            return;
+        }
         let mut instances = self.lock();
         let known = instances.get(&discovered.id);
         if let Some(known) = known {
