--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -275,7 +275,7 @@
         let progress = self.lock();
         if progress.state.is_committed() {
             Some(Ok(()))
-        } else if progress.is_set_stale {
+        } else if progress.is_set_stale || self.knows_newer_set() {
             Some(Err(JournalError::StaleReplicaSet))
         } else if progress.state.is_fenced() {
             Some(Err(JournalError::Fenced))
@@ -287,6 +287,13 @@
         }
     }
 
+    /// Returns whether this node knows a newer set than the one under which the log was taken over. A
+    /// replica that holds all entries is sent nothing more, and one that is gone refuses nothing, so
+    /// that no refusal tells of the newer set.
+    fn knows_newer_set(&self) -> bool {
+        self.calls.service.replica_sets.version() > self.set.version
+    }
+
     fn start_task(self: &Arc<Self>, member: ReplicaMember) {
         if self.lock().running_tasks.insert(member.replica_id) {
             tokio::spawn(Arc::clone(self).write_to(member));
