--- a/crates/journal/src/replica_set/copy.rs
+++ b/crates/journal/src/replica_set/copy.rs
@@ -102,11 +102,17 @@
             next: Vec::new(),
             ..set.clone()
         });
-        let mut copied = BTreeSet::new();
+        let own_id = self.storage.replica_id();
+        // If this disk is one of the current replicas, its logs are here already.
+        let is_own = |member: &&ReplicaMember| member.replica_id == own_id;
+        let own = set.current.iter().find(is_own);
+        let mut copied: BTreeSet<u64> = own.map(|member| member.replica_id).into_iter().collect();
         let mut failures = Vec::new();
         let mut logs = 0;
         let mut needed = 0;
-        for member in &self.nearest_first(&set.current) {
+        let mut sources = self.nearest_first(&set.current);
+        sources.retain(|member| member.replica_id != own_id);
+        for member in &sources {
             if quorum.is_intersected_by(&copied) {
                 break;
             }
@@ -146,7 +152,10 @@
             needed: set.next.len(),
             failures: format!("{node}: {error}"),
         };
-        for member in &set.next {
+        let own_id = self.storage.replica_id();
+        let mut receivers = set.next.clone();
+        receivers.retain(|member| member.replica_id != own_id);
+        for member in &receivers {
             let fenced = self.call(member, fence(set).kind).await;
             fenced.map_err(|error| failed(&member.node, error))?;
         }
@@ -160,7 +169,7 @@
             let last = page.logs.last().map(|log| log.log.clone());
             let (long, short): (Vec<_>, Vec<_>) =
                 page.logs.into_iter().partition(|log| log.is_long);
-            for member in &set.next {
+            for member in &receivers {
                 let request = RequestKind::import_logs(ImportLogs {
                     replica_set_version: set.version,
                     logs: short.clone(),
@@ -178,7 +187,7 @@
             }
         }
         // Checked last, to detect a disk that was replaced during the copy.
-        for member in &set.next {
+        for member in &receivers {
             let checked = self.check_disk(member).await;
             checked.map_err(|error| failed(&member.node, error))?;
         }
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -34,6 +34,10 @@
 /// shrunk.
 const SPARE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which a replica must be missing before the set is shrunk without it, if there is no spare.
+/// Longer than most outages of a machine, as a replica that comes back after that has to copy all logs.
+const LOST_REPLICA_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Minimum size of a shrunk set.
 const MIN_REPLICAS: usize = 2;
 
@@ -108,6 +112,9 @@
         if self.should_leave(set, &alive) && self.missing_since.is_empty() {
             return self.leave(set, &spares).await;
         }
+        if replica_set::is_shrinking_without(set, &lost) && self.completes_shrink(set, &alive) {
+            return self.complete_shrink(set).await;
+        }
         if !self.is_coordinator(set, &alive) || !can_copy(set, &alive) {
             return Ok(());
         }
@@ -116,6 +123,7 @@
         } else {
             // While a replica is missing, spares are reserved for its replacement.
             replica_set::propose_replacement(set, &lost, &spares)
+                .or_else(|| self.propose_removal_of_lost(set, &lost, &alive))
         };
         match proposal {
             Some(proposal) => Ok(self.swap(set, proposal).await?),
@@ -170,6 +178,59 @@
         }
     }
 
+    /// Returns the set without a lost replica for which there is no spare, if the remaining ones are
+    /// enough. A set that keeps a dead replica tolerates one loss less for as long as no spare comes.
+    fn propose_removal_of_lost(
+        &self,
+        set: &ReplicaSet,
+        lost: &BTreeSet<u64>,
+        alive: &[Member],
+    ) -> Option<ReplicaSet> {
+        let is_overdue = |member: &&ReplicaMember| {
+            let since = self.missing_since.get(&member.replica_id);
+            since.is_some_and(|since| since.elapsed() >= LOST_REPLICA_TIMEOUT)
+                || has_other_disk(member, alive)
+        };
+        let mut lost_members = set
+            .current
+            .iter()
+            .filter(|member| lost.contains(&member.replica_id));
+        let overdue = lost_members.find(is_overdue)?;
+        let proposal = replica_set::propose_removal(set, overdue.replica_id, self.min_replicas())?;
+        log::info!(
+            "event=lost_replica_removed node={} replica_id={} version={}",
+            overdue.node,
+            overdue.replica_id,
+            proposal.version
+        );
+        Some(proposal)
+    }
+
+    /// Returns whether this node copies the logs in place of the replicas that a shrink removes: one of
+    /// the remaining replicas.
+    fn completes_shrink(&self, set: &ReplicaSet, alive: &[Member]) -> bool {
+        let is_next = |member: &&Member| {
+            let mut next = set.next.iter();
+            next.any(|other| other.replica_id == member.replica_id)
+        };
+        let names = alive.iter().filter(is_next);
+        let names = names.map(|member| member.node.as_str());
+        let key = format!("replica-set-shrink/{}", set.version);
+        rendezvous_first(key.as_bytes(), names) == Some(self.node.as_str())
+    }
+
+    /// Copies all logs to the remaining replicas of a shrink whose removed replicas are lost, then
+    /// makes the next set current.
+    async fn complete_shrink(&self, set: &ReplicaSet) -> Result<(), ReplacementError> {
+        self.copy(set).await?;
+        let copied = self.copy_to_next_members(set).await?;
+        log::info!("event=logs_shared version={} logs={copied}", set.version);
+        match replica_set::complete(set) {
+            Some(complete) => Ok(self.swap(set, complete).await?),
+            None => Ok(()),
+        }
+    }
+
     /// Returns the minimum size to which the set may shrink. For a target of 2f + 1 it is 2f, of
     /// which a majority is still more than f.
     fn min_replicas(&self) -> usize {
--- a/crates/ladderstage/src/journal/replica_set.rs
+++ b/crates/ladderstage/src/journal/replica_set.rs
@@ -74,8 +74,8 @@
 
 /// Returns the set after `set` that brings in a spare for a replica in `lost`; `None` if no replica
 /// is lost or no spare is available. If `set` is joint, only a lost joining replica is replaced;
-/// without a spare for it, the change is rolled back. A removal is rolled back if a replica is
-/// lost.
+/// without a spare for it, the change is rolled back. A removal is rolled back if a replica that
+/// stays is lost.
 pub fn propose_replacement(
     set: &ReplicaSet,
     lost: &BTreeSet<ReplicaId>,
@@ -97,9 +97,9 @@
         });
     }
     if is_shrinking(set) {
-        // The leaving replica copies its logs to all others. If one of them is lost meanwhile, the
-        // leaving replica stays in the set.
-        return is_any_lost(set, lost).then(|| ReplicaSet {
+        // The logs are copied to all replicas that stay. If one of them is lost meanwhile, the removed
+        // replica stays in the set.
+        return is_any_lost(&set.next, lost).then(|| ReplicaSet {
             version,
             current,
             next: Vec::new(),
@@ -185,8 +185,15 @@
             .any(|member| member.replica_id == own)
 }
 
-fn is_any_lost(set: &ReplicaSet, lost: &BTreeSet<ReplicaId>) -> bool {
-    let mut members = set.current.iter().chain(&set.next);
+/// Returns whether `set` is a joint set that only removes replicas, all of which are lost. One of the
+/// remaining replicas then copies the logs in their place.
+pub fn is_shrinking_without(set: &ReplicaSet, lost: &BTreeSet<ReplicaId>) -> bool {
+    let mut leaving_replicas = leaving_replicas(set).into_iter();
+    is_shrinking(set) && leaving_replicas.all(|member| lost.contains(&member.replica_id))
+}
+
+fn is_any_lost(members: &[ReplicaMember], lost: &BTreeSet<ReplicaId>) -> bool {
+    let mut members = members.iter();
     members.any(|member| lost.contains(&member.replica_id))
 }
 
