store: a retirement is completed only when the replica set is whole

What callers saw: a store that was to be emptied reported completed although other replicas were lost and not replaced yet, or its own lost disk was still in the set.

Cause: completed meant that this process's replica id was in no set. That is true of a spare, and of the new disk of a store that has lost the old one.

--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use ladderstage::journal::quorum;
-use ladderstage_journal::replica_set::ReplicaSets;
 use ladderstage_storage::{DropRule, Storage, StorageOptions};
 use ladderstage_transport::Server;
 use ladderstage_wire::messages::ReplicaSet;
@@ -35,6 +34,9 @@
 /// Interval between checks of the disk.
 const DISK_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval between checks whether the replica set is whole without this node.
+const RETIREMENT_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Progress of a retirement, in which a disk leaves the replica set.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetirementState {
@@ -146,7 +148,7 @@
             Ok(())
         }
         () = watch_disk(&storage) => Ok(()),
-        () = retire(inputs, &nodes, &parts.replica_sets, storage.replica_id()) => Ok(()),
+        () = retire(inputs, &nodes, &parts, storage.replica_id()) => Ok(()),
     }
 }
 
@@ -186,13 +188,10 @@
     }
 }
 
-/// Leaves the replica set when requested, and reports the progress.
-async fn retire(
-    mut inputs: StoreInputs,
-    nodes: &Nodes,
-    replica_sets: &ReplicaSets,
-    replica_id: u64,
-) {
+/// Leaves the replica set when requested, and reports the progress. The retirement is completed once no
+/// disk of this node, not even a lost one, is in the set, and the set is whole: this node is taken away
+/// then, and others may lose their disks right after.
+async fn retire(mut inputs: StoreInputs, nodes: &Nodes, parts: &JournalParts, replica_id: u64) {
     if inputs
         .is_retired
         .wait_for(|is_retired| *is_retired)
@@ -204,18 +203,30 @@
     log::info!("event=retirement_started replica_id={replica_id}");
     nodes.set_leaving(true);
     let _ = inputs.retirement.send(RetirementState::Running);
-    let mut set = replica_sets.watch();
-    let has_left = |set: &Option<Arc<ReplicaSet>>| {
-        set.as_ref().is_some_and(|set| {
-            let is_member = quorum::members(set)
-                .iter()
-                .any(|member| member.replica_id == replica_id);
-            !is_member && set.next.is_empty()
-        })
-    };
-    if set.wait_for(has_left).await.is_ok() {
-        log::info!("event=retirement_completed replica_id={replica_id}");
-        let _ = inputs.retirement.send(RetirementState::Completed);
+    let node = nodes.own().node;
+    let mut set = parts.replica_sets.watch();
+    let mut logged_cause = String::new();
+    loop {
+        let has_left = |set: &Option<Arc<ReplicaSet>>| {
+            set.as_ref().is_some_and(|set| {
+                let members = quorum::members(set);
+                members.iter().all(|member| member.node != node)
+            })
+        };
+        if set.wait_for(has_left).await.is_err() {
+            return std::future::pending().await;
+        }
+        let Err(incomplete) = parts.journal.check_set_is_whole().await else {
+            break;
+        };
+        let cause = incomplete.to_string();
+        if cause != logged_cause {
+            log::info!("event=retirement_waiting replica_id={replica_id} cause=\"{cause}\"");
+            logged_cause = cause;
+        }
+        tokio::time::sleep(RETIREMENT_POLL_INTERVAL).await;
     }
+    log::info!("event=retirement_completed replica_id={replica_id}");
+    let _ = inputs.retirement.send(RetirementState::Completed);
     std::future::pending().await
 }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -34,7 +34,7 @@
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
-    DescribeLogs, LogDescription, LogEntry, ReadLogReply, ReplicaMember, ReplicaSet,
+    DescribeLogs, LogDescription, LogEntry, OwnerHeartbeat, ReadLogReply, ReplicaMember, ReplicaSet,
 };
 
 use rand::seq::SliceRandom;
@@ -88,6 +88,26 @@
     NotAdmitted,
 }
 
+/// Reason why a replica set is not whole.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SetIncomplete {
+    /// This node knows no set.
+    #[error("no replica set is known")]
+    Unknown,
+    /// A member is replaced, added or removed.
+    #[error("replica set {version} is being changed")]
+    Changing {
+        /// Version of the set.
+        version: u64,
+    },
+    /// A member does not answer, has lost its disk, or knows another set.
+    #[error("replica {node} is missing or knows another set")]
+    Missing {
+        /// Node of the member.
+        node: String,
+    },
+}
+
 /// Content of a log as read from a quorum.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct LogSnapshot {
@@ -386,6 +406,43 @@
         self.observe(writer.highest_refusal());
     }
 
+    /// Checks that the replica set is whole: no change is in progress, and all members answer with their
+    /// disks and know no newer set. Only then can it lose as many further replicas as it tolerates.
+    ///
+    /// # Errors
+    ///
+    /// Says what is missing.
+    pub async fn check_set_is_whole(&self) -> Result<(), SetIncomplete> {
+        let calls = &self.inner.calls;
+        let set = calls.service.replica_sets.current();
+        let set = set.ok_or(SetIncomplete::Unknown)?;
+        if !set.next.is_empty() {
+            return Err(SetIncomplete::Changing {
+                version: set.version,
+            });
+        }
+        // An empty heartbeat asks for the replica's id and the version of its set.
+        let request = RequestKind::owner_heartbeat(OwnerHeartbeat::default());
+        let answers = set.current.iter().map(|member| {
+            let request = request.clone();
+            async move { (member, calls.call(member, request).await) }
+        });
+        for (member, answer) in futures_util::future::join_all(answers).await {
+            let is_member = matches!(
+                answer,
+                Ok(ResponseKind::owner_heartbeat(reply))
+                    if reply.replica_id == member.replica_id
+                        && reply.replica_set_version == set.version
+            );
+            if !is_member {
+                return Err(SetIncomplete::Missing {
+                    node: member.node.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+
     fn service(&self) -> &ReplicaService {
         &self.inner.calls.service
     }
