jobs: bodies for other fronts are reserved until they are written

Cause: handle_body copied the body for each request without a reservation; up to 64 copies waited in the queue of each connection.

Change: HeldResponse lets a handler attach a reservation to a response; the session drops it once the response is written. Bodies reserve two copies, pages of results their texts, until then. What does not fit is refused.

--- a/crates/front/src/job/peer_handler.rs
+++ b/crates/front/src/job/peer_handler.rs
@@ -6,6 +6,7 @@
 
 use ladderstage::journal::WriterEpoch;
 use ladderstage_clock::Instant;
+use ladderstage_transport::HeldResponse;
 use ladderstage_wire::compression::compress;
 use ladderstage_wire::encode;
 use ladderstage_wire::messages::mod_Refused::Reason;
@@ -24,7 +25,7 @@
 };
 use super::registry::JobRegistry;
 use super::{LOG_PREFIX, log_name};
-use crate::memory::LARGE_CONTENT_BYTES;
+use crate::memory::{LARGE_CONTENT_BYTES, Reservation};
 use crate::orders::LoadLimit;
 
 /// Jobs accepted within this time count towards the demand.
@@ -33,6 +34,9 @@
 /// Copies of the texts of a page while its answer is built: as texts, encoded and compressed.
 const RESULT_COPIES: usize = 3;
 
+/// Copies of an item's body while its answer is written: as a message and encoded.
+const BODY_COPIES: usize = 2;
+
 /// Expected tokens of an item whose client gave no estimate.
 const DEFAULT_TOKENS: u64 = 1_000;
 
@@ -83,10 +87,11 @@
     }
 
     /// Answers another node's request about jobs.
-    pub async fn handle(&self, request: RequestKind) -> Response {
+    pub async fn handle(&self, request: RequestKind) -> HeldResponse {
+        let mut memory = self.context.memory.reservation("peer_results");
         let kind = match request {
-            RequestKind::read_job(request) => self.handle_read(request).await,
-            RequestKind::read_job_body(request) => self.handle_body(request).await,
+            RequestKind::read_job(request) => self.handle_read(request, &mut memory).await,
+            RequestKind::read_job_body(request) => self.handle_body(request, &mut memory).await,
             RequestKind::end_job(request) => self.handle_end(request).await,
             RequestKind::take_kept_texts(request) => {
                 let texts = self.take_kept_texts(request).await;
@@ -112,7 +117,7 @@
             }
             _ => refused(Reason::MALFORMED, "request does not concern jobs"),
         };
-        Response { kind }
+        HeldResponse::new(Response { kind }, memory)
     }
 
     /// Applies the order leader's update on the weights of instances.
@@ -141,7 +146,7 @@
         self.context.backends.notify();
     }
 
-    async fn handle_read(&self, request: ReadJob) -> ResponseKind {
+    async fn handle_read(&self, request: ReadJob, memory: &mut Reservation) -> ResponseKind {
         let ReadJob { job, after, .. } = &request;
         let wait = Duration::from_millis(request.wait_ms);
         let read = if request.anywhere {
@@ -154,25 +159,37 @@
             }
         };
         match read {
-            Ok(results) => self.results_answer(results, request.takes_compressed).await,
+            Ok(results) => {
+                let takes_compressed = request.takes_compressed;
+                self.results_answer(results, takes_compressed, memory).await
+            }
             Err(error) => refusal_from(error),
         }
     }
 
-    /// Encodes the answer to a read while memory for its copies is reserved.
-    async fn results_answer(&self, results: JobResults, takes_compressed: bool) -> ResponseKind {
+    /// Encodes the answer to a read in `memory`, which keeps the answer's own bytes reserved until it is
+    /// written.
+    async fn results_answer(
+        &self,
+        results: JobResults,
+        takes_compressed: bool,
+        memory: &mut Reservation,
+    ) -> ResponseKind {
         let texts = text_bytes(&results);
-        let mut memory = self.context.memory.reservation("peer_results");
         if let Err(error) = memory.grow(texts * RESULT_COPIES) {
             return refusal_from(unavailable(&error.to_string()));
         }
         if texts >= LARGE_CONTENT_BYTES {
             self.context.memory.take_turn().await;
         }
-        results_answer(results, takes_compressed)
+        let answer = results_answer(results, takes_compressed);
+        memory.shrink_to(texts);
+        answer
     }
 
-    async fn handle_body(&self, request: ReadJobBody) -> ResponseKind {
+    /// Answers a request for the body of an item, whose copies are reserved in `memory` until the answer
+    /// is written.
+    async fn handle_body(&self, request: ReadJobBody, memory: &mut Reservation) -> ResponseKind {
         let ReadJobBody { job, item, .. } = &request;
         let body = if request.anywhere {
             match self.body_here_or_at_owner(job, item).await {
@@ -186,6 +203,10 @@
                 Err(refused) => return ResponseKind::refused(refused),
             }
         };
+        let bytes = body.as_ref().map_or(0, Vec::len);
+        if let Err(error) = memory.grow(bytes * BODY_COPIES) {
+            return refusal_from(unavailable(&error.to_string()));
+        }
         ResponseKind::job_body(JobBody {
             found: body.is_some(),
             body: body.unwrap_or_default(),
--- a/crates/front/src/program.rs
+++ b/crates/front/src/program.rs
@@ -13,7 +13,7 @@
 use ladderstage_journal::replica_set::{ReplicaSetTask, ReplicaSets};
 use ladderstage_journal::{InitialReplicas, Journal, JournalHooks, JournalOptions};
 use ladderstage_storage::Storage;
-use ladderstage_transport::Handler;
+use ladderstage_transport::{Handler, HeldResponse};
 use ladderstage_wire::messages::mod_Refused::Reason;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
@@ -195,11 +195,18 @@
 
 impl Handler for PeerHandler {
     fn handle(&self, request: Request) -> Pin<Box<dyn Future<Output = Response> + Send + '_>> {
+        Box::pin(async move { self.handle_held(request).await.response })
+    }
+
+    fn handle_held(
+        &self,
+        request: Request,
+    ) -> Pin<Box<dyn Future<Output = HeldResponse> + Send + '_>> {
         Box::pin(async move {
             let Some(services) = self.services.get() else {
-                return refuse(Reason::NOT_READY, "starting");
+                return refuse(Reason::NOT_READY, "starting").into();
             };
-            match request.kind {
+            let response = match request.kind {
                 RequestKind::fetch_replica_set(_) => {
                     services.replica_sets.handle_fetch_replica_set()
                 }
@@ -212,7 +219,7 @@
                 | RequestKind::giver_end(_)
                 | RequestKind::accept_job(_)
                 | RequestKind::shard_notice(_)) => match &services.jobs {
-                    Some(jobs) => jobs.handle(kind).await,
+                    Some(jobs) => return jobs.handle(kind).await,
                     None => refuse(Reason::MALFORMED, "no jobs at this node"),
                 },
                 kind @ (RequestKind::usage_note(_) | RequestKind::read_usage(_)) => {
@@ -246,7 +253,8 @@
                 }
                 RequestKind::None => refuse(Reason::MALFORMED, "no known request"),
                 kind => services.journal.handle(kind).await,
-            }
+            };
+            response.into()
         })
     }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -17,5 +17,5 @@
 pub use client::Client;
 pub use error::CallError;
 pub use newcomers::NewcomerLimits;
-pub use server::{Handler, Server};
+pub use server::{Handler, HeldResponse, Server};
 pub use traffic::{Traffic, TrafficSnapshot};
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -25,6 +25,55 @@
     /// The handler runs to completion even if the connection closes. If it panics, the response is
     /// `INTERNAL`, which the client reports as [`CallError::Unknown`](crate::CallError::Unknown).
     fn handle(&self, request: Request) -> Pin<Box<dyn Future<Output = Response> + Send + '_>>;
+
+    /// As [`Handler::handle`], with what the response occupies until it is written or dropped.
+    fn handle_held(
+        &self,
+        request: Request,
+    ) -> Pin<Box<dyn Future<Output = HeldResponse> + Send + '_>> {
+        Box::pin(async move { self.handle(request).await.into() })
+    }
+}
+
+/// Response with what it occupies, such as a share of a memory budget, until it is written or dropped.
+#[derive(Debug)]
+pub struct HeldResponse {
+    /// The response.
+    pub response: Response,
+    hold: ResponseHold,
+}
+
+impl HeldResponse {
+    /// Attaches `resource` to a response.
+    pub fn new(response: Response, resource: impl Send + Sync + 'static) -> Self {
+        Self {
+            response,
+            hold: ResponseHold(Some(Box::new(resource))),
+        }
+    }
+
+    pub(crate) fn into_parts(self) -> (Response, ResponseHold) {
+        (self.response, self.hold)
+    }
+}
+
+impl From<Response> for HeldResponse {
+    fn from(response: Response) -> Self {
+        Self {
+            response,
+            hold: ResponseHold::default(),
+        }
+    }
+}
+
+/// What a response occupies; given back on drop.
+#[derive(Default)]
+pub(crate) struct ResponseHold(Option<Box<dyn Send + Sync>>);
+
+impl std::fmt::Debug for ResponseHold {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "ResponseHold({})", self.0.is_some())
+    }
 }
 
 /// Server that accepts calls from peers. Dropping it closes the listener and all connections.
--- a/crates/transport/src/session.rs
+++ b/crates/transport/src/session.rs
@@ -21,9 +21,26 @@
     SERVER_IDLE_TIMEOUT, WRITE_TIMEOUT,
 };
 use crate::newcomers::Newcomer;
+use crate::server::ResponseHold;
 use crate::{Handler, Traffic};
 
-type Responses = mpsc::Sender<Frame>;
+type Responses = mpsc::Sender<QueuedResponse>;
+
+/// Response that waits to be written.
+struct QueuedResponse {
+    frame: Frame,
+    /// What the response occupies until it is written.
+    _hold: ResponseHold,
+}
+
+impl From<Frame> for QueuedResponse {
+    fn from(frame: Frame) -> Self {
+        Self {
+            frame,
+            _hold: ResponseHold::default(),
+        }
+    }
+}
 
 /// State of one server connection.
 pub(crate) struct Session {
@@ -85,7 +102,7 @@
         let mut frame = first;
         loop {
             if let Some(refusal) = self.on_request(frame, &responses)
-                && responses.send(refusal).await.is_err()
+                && responses.send(refusal.into()).await.is_err()
             {
                 return "writer stopped".to_owned();
             }
@@ -147,9 +164,9 @@
     async fn write_responses(
         &self,
         mut writer: OwnedWriteHalf,
-        mut queue: mpsc::Receiver<Frame>,
+        mut queue: mpsc::Receiver<QueuedResponse>,
     ) -> String {
-        while let Some(frame) = queue.recv().await {
+        while let Some(QueuedResponse { frame, _hold }) = queue.recv().await {
             let encoded = match encode_response(&frame) {
                 Ok(encoded) => encoded,
                 Err(reason) => return reason,
@@ -182,18 +199,24 @@
     responses: Responses,
     _permit: OwnedSemaphorePermit,
 ) {
-    let handling = async { handler.handle(request).await };
-    let frame = match AssertUnwindSafe(handling).catch_unwind().await {
-        Ok(response) => Frame {
-            call_id,
-            body: OneOfbody::response(response),
-        },
+    let handling = async { handler.handle_held(request).await };
+    let queued = match AssertUnwindSafe(handling).catch_unwind().await {
+        Ok(handled) => {
+            let (response, hold) = handled.into_parts();
+            QueuedResponse {
+                frame: Frame {
+                    call_id,
+                    body: OneOfbody::response(response),
+                },
+                _hold: hold,
+            }
+        }
         Err(_) => {
             log::error!("event=peer_request_panicked call={call_id}");
-            refusal(call_id, Reason::INTERNAL, "handler panicked")
+            refusal(call_id, Reason::INTERNAL, "handler panicked").into()
         }
     };
-    let _ = responses.send(frame).await;
+    let _ = responses.send(queued).await;
 }
 
 /// Encodes a response. One that exceeds the frame limit is replaced by `INTERNAL`, so that the
