--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -161,6 +161,7 @@
     ) -> Self {
         let options = options.into();
         let hooks = HookSlot::default();
+        let metrics = JournalMetrics::new(replica_sets.incomplete_seconds());
         let calls = Arc::new(ReplicaCalls {
             service: Arc::new(ReplicaService::new(storage, replica_sets, hooks.clone())),
             peers,
@@ -168,7 +169,7 @@
             part_bytes: options.part_bytes,
             write_timeout: Mutex::new(WriteTimeout::new(options.round_timeout)),
             majority_heard_at: Mutex::default(),
-            metrics: JournalMetrics::new(),
+            metrics,
         });
         let registry = Arc::new(WriterRegistry::new(options.monitored_prefix));
         let heartbeats = Arc::new(Heartbeats {
--- a/crates/journal/src/metrics.rs
+++ b/crates/journal/src/metrics.rs
@@ -1,8 +1,8 @@
-//! Metrics of the journal's writers.
+//! Metrics of the journal's writers and replica set.
 
 use std::time::Duration;
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, Opts, Registry};
+use prometheus::{Gauge, Histogram, HistogramOpts, IntCounterVec, Opts, Registry};
 
 use super::JournalError;
 
@@ -11,16 +11,17 @@
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5,
 ];
 
-/// Metrics of the journal's writers. Cheap to clone; clones share the values.
+/// Metrics of the journal's writers and replica set. Cheap to clone; clones share the values.
 #[derive(Debug, Clone)]
 pub struct JournalMetrics {
     commits: Histogram,
     failures: IntCounterVec,
+    set_incomplete_seconds: Gauge,
 }
 
 impl JournalMetrics {
-    /// Creates the metrics with all values at zero.
-    pub fn new() -> Self {
+    /// Creates the metrics of the writers with all values at zero, beside the gauge of the replica set.
+    pub(crate) fn new(set_incomplete_seconds: Gauge) -> Self {
         let commits = HistogramOpts::new(
             "ladderstage_journal_commit_seconds",
             "Time from an append or a take-over's installation until a majority of replicas held it",
@@ -33,6 +34,7 @@
             commits: Histogram::with_opts(commits.buckets(COMMIT_BUCKETS.to_vec()))
                 .expect("ascending buckets"),
             failures: IntCounterVec::new(failures, &["reason"]).expect("valid name"),
+            set_incomplete_seconds,
         }
     }
 
@@ -43,7 +45,8 @@
     /// If metrics of these names are already registered.
     pub fn register(&self, registry: &Registry) -> prometheus::Result<()> {
         registry.register(Box::new(self.commits.clone()))?;
-        registry.register(Box::new(self.failures.clone()))
+        registry.register(Box::new(self.failures.clone()))?;
+        registry.register(Box::new(self.set_incomplete_seconds.clone()))
     }
 
     /// Records the result and duration of one round of a writer.
@@ -57,9 +60,3 @@
         self.failures.with_label_values(&[reason]).inc();
     }
 }
-
-impl Default for JournalMetrics {
-    fn default() -> Self {
-        Self::new()
-    }
-}
--- a/crates/journal/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -5,6 +5,7 @@
 
 mod bootstrap;
 mod copy;
+mod health;
 mod key_value_records;
 mod long_log;
 mod records;
@@ -20,11 +21,13 @@
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{FetchReplicaSet, ReplicaMember, ReplicaSet, Request, Response};
+use prometheus::Gauge;
 use tokio::sync::watch;
 
 use crate::JournalOptions;
 use crate::Peers;
 use bootstrap::Bootstrap;
+use health::SetHealth;
 use replacement::Replacement;
 
 pub use records::{RecordError, RecordedSet, SetRecords};
@@ -43,6 +46,7 @@
     storage: Option<Storage>,
     current: watch::Sender<Option<Arc<ReplicaSet>>>,
     is_fetching: AtomicBool,
+    incomplete_seconds: Gauge,
 }
 
 /// Handle of the task that creates, learns and changes the set. Dropping it stops the task.
@@ -94,6 +98,7 @@
             record_read_at: None,
             leaving_since: None,
             copied_version: 0,
+            health: SetHealth::new(self.incomplete_seconds()),
         };
         let replica_sets = self.clone();
         let handle = tokio::spawn(async move {
@@ -110,6 +115,7 @@
             storage,
             current: watch::Sender::new(stored.map(Arc::new)),
             is_fetching: AtomicBool::new(false),
+            incomplete_seconds: incomplete_seconds(),
         };
         Self {
             inner: Arc::new(inner),
@@ -160,6 +166,11 @@
         Ok(is_newer)
     }
 
+    /// Returns the gauge of the seconds for which the set was not whole; it is set on nodes with a disk.
+    pub(crate) fn incomplete_seconds(&self) -> Gauge {
+        self.inner.incomplete_seconds.clone()
+    }
+
     /// Returns the replica id of this node's disk, if it has one.
     pub fn own_replica_id(&self) -> Option<u64> {
         self.inner.storage.as_ref().map(Storage::replica_id)
@@ -220,3 +231,9 @@
         self.learn_or_log(set).await;
     }
 }
+
+fn incomplete_seconds() -> Gauge {
+    let help = "Time for which the replica set was not whole; 0 while it is";
+    let name = "ladderstage_journal_replica_set_incomplete_seconds";
+    Gauge::new(name, help).expect("valid name")
+}
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -19,6 +19,7 @@
 
 use super::ReplicaSets;
 use super::copy::{CopyError, LogCopier};
+use super::health::SetHealth;
 use super::zones::spares_by_need;
 use super::{RecordError, SetRecords};
 use crate::Peers;
@@ -72,6 +73,7 @@
     pub leaving_since: Option<Instant>,
     /// Version of the joint set whose logs this node has copied completely.
     pub copied_version: u64,
+    pub health: SetHealth,
 }
 
 impl Replacement {
@@ -94,10 +96,13 @@
     }
 
     async fn check(&mut self, set: &ReplicaSet) -> Result<(), ReplacementError> {
+        let alive = self.peers.alive();
+        if self.replica_sets.own_replica_id().is_some() {
+            self.health.observe(set, &alive, self.target_count);
+        }
         if self.is_newcomer(set) {
             return self.join(set).await;
         }
-        let alive = self.peers.alive();
         let spares = self.spares(set, &alive);
         let lost = self.lost(set, &alive);
         let is_due = self
@@ -407,7 +412,8 @@
     }
 }
 
-fn is_present(member: &ReplicaMember, alive: &[Member]) -> bool {
+/// Returns whether the replica's node is present with the replica's disk.
+pub(super) fn is_present(member: &ReplicaMember, alive: &[Member]) -> bool {
     alive.iter().any(|known| {
         known.node == member.node
             && known.replica_id == member.replica_id
