--- a/crates/daemon/tests/journal/main.rs
+++ b/crates/daemon/tests/journal/main.rs
@@ -7,4 +7,5 @@
 mod network;
 mod owners;
 mod replica_sets;
+mod several_lost_replicas;
 mod writers;
--- a/crates/daemon/tests/journal/network.rs
+++ b/crates/daemon/tests/journal/network.rs
@@ -23,6 +23,9 @@
 use tempfile::TempDir;
 use tokio::sync::watch;
 
+/// Number of initial replicas of a network unless a test names another.
+const INITIAL_REPLICAS: usize = 3;
+
 /// Maximum wait for a condition before a test fails.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -107,12 +110,21 @@
     carried: AtomicUsize,
     /// Kinds of the requests that make a node write to its disk, by node.
     writes: Mutex<BTreeMap<String, Vec<&'static str>>>,
-    /// If set, the nodes create and change the replica set themselves, with the first three as initial replicas.
+    /// If set, the nodes create and change the replica set themselves.
     key_value_url: Option<String>,
+    /// Number of nodes, from the first on, that form the first replica set.
+    initial_replicas: usize,
 }
 
 impl Network {
     pub fn empty(key_value_url: Option<String>) -> Arc<Self> {
+        Self::with_initial_replicas(key_value_url, INITIAL_REPLICAS)
+    }
+
+    pub fn with_initial_replicas(
+        key_value_url: Option<String>,
+        initial_replicas: usize,
+    ) -> Arc<Self> {
         Arc::new(Self {
             nodes: Mutex::default(),
             disconnected: Mutex::default(),
@@ -125,6 +137,7 @@
             carried: AtomicUsize::new(0),
             writes: Mutex::default(),
             key_value_url,
+            initial_replicas,
         })
     }
 
@@ -156,7 +169,7 @@
             own: name.to_owned(),
         });
         let process = rand::random_range(1..=u64::MAX);
-        let settings = settings(name);
+        let settings = settings(name, self.initial_replicas);
         let task = self.key_value_url.clone().map(|url| {
             let key_value = KeyValue::new(vec![url], Duration::from_secs(2));
             replica_sets.run(&settings, peers.clone(), key_value)
@@ -420,7 +433,11 @@
     }
 }
 
-pub fn settings(name: &str) -> Settings {
+pub fn settings(name: &str, initial_replicas: usize) -> Settings {
+    let replicas: Vec<_> = (0..initial_replicas)
+        .map(|index| format!("\"n{index}\""))
+        .collect();
+    let replicas = replicas.join(", ");
     let text = format!(
         r#"
         node = "{name}"
@@ -429,7 +446,7 @@
         http_listen = "127.0.0.1:0"
         peer_listen = "127.0.0.1:0"
         key_value = []
-        initial_replicas = ["n0", "n1", "n2"]
+        initial_replicas = [{replicas}]
         machine_list = "http://127.0.0.1:1"
         [timing]
         owner_heartbeat_ms = 50
