--- a/crates/daemon/tests/journal/network.rs
+++ b/crates/daemon/tests/journal/network.rs
@@ -413,6 +413,10 @@
         members.collect()
     }
 
+    fn replicas_join_together(&self) -> bool {
+        true
+    }
+
     fn call<'a>(
         &'a self,
         node: &'a str,
--- a/crates/front/src/nodes/formats.rs
+++ b/crates/front/src/nodes/formats.rs
@@ -27,8 +27,11 @@
     /// Adds the compressed roster.
     pub const PACKED_ROSTER: Self = Self(2);
 
+    /// Adds replicas that join the replica set together.
+    pub const JOINT_COPIES: Self = Self(3);
+
     /// Level of this build.
-    pub const OWN: Self = Self::PACKED_ROSTER;
+    pub const OWN: Self = Self::JOINT_COPIES;
 }
 
 /// Returns the lowest level among the records with a role, or this build's own level if there are
--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -556,6 +556,10 @@
             .collect()
     }
 
+    fn replicas_join_together(&self) -> bool {
+        self.shared_level(NodeRole::Store) >= FormatLevel::JOINT_COPIES
+    }
+
     fn has_exited(&self, process: ProcessId) -> bool {
         let is_own = self.own().process == process;
         let known = lock(&self.known);
--- a/crates/journal/src/peers.rs
+++ b/crates/journal/src/peers.rs
@@ -22,6 +22,13 @@
         self.successors()
     }
 
+    /// Returns whether all nodes with a disk wait for each other when several replicas join at once.
+    /// Earlier builds complete a change as soon as they have copied the logs themselves; beside them
+    /// replicas join one at a time.
+    fn replicas_join_together(&self) -> bool {
+        false
+    }
+
     /// Returns whether a process is known to have exited. This is a hint that only speeds up the
     /// take-over of its logs.
     fn has_exited(&self, _process: ProcessId) -> bool {
--- a/crates/journal/src/replica.rs
+++ b/crates/journal/src/replica.rs
@@ -199,6 +199,7 @@
             evidence: Some(evidence),
             replica_set_version: self.replica_sets.version(),
             fenced_logs,
+            copied_set_version: self.replica_sets.copied_version(),
         }))
     }
 
--- a/crates/journal/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -14,7 +14,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use ladderstage_storage::{Storage, StorageError};
@@ -46,6 +46,8 @@
     storage: Option<Storage>,
     current: watch::Sender<Option<Arc<ReplicaSet>>>,
     is_fetching: AtomicBool,
+    /// Version of the joint set under which this node has copied all logs; 0 if none.
+    copied_version: AtomicU64,
     incomplete_seconds: Gauge,
 }
 
@@ -97,7 +99,6 @@
             missing_since: BTreeMap::new(),
             record_read_at: None,
             leaving_since: None,
-            copied_version: 0,
             health: SetHealth::new(self.incomplete_seconds()),
         };
         let replica_sets = self.clone();
@@ -115,6 +116,7 @@
             storage,
             current: watch::Sender::new(stored.map(Arc::new)),
             is_fetching: AtomicBool::new(false),
+            copied_version: AtomicU64::new(0),
             incomplete_seconds: incomplete_seconds(),
         };
         Self {
@@ -166,6 +168,17 @@
         Ok(is_newer)
     }
 
+    /// Returns the version of the joint set under which this process has copied all logs; 0 if it has
+    /// copied none. The other joining replicas ask for it.
+    pub(crate) fn copied_version(&self) -> u64 {
+        self.inner.copied_version.load(Ordering::Acquire)
+    }
+
+    /// Records that this process has copied all logs under a joint set.
+    pub(crate) fn set_copied_version(&self, version: u64) {
+        self.inner.copied_version.store(version, Ordering::Release);
+    }
+
     /// Returns the gauge of the seconds for which the set was not whole; it is set on nodes with a disk.
     pub(crate) fn incomplete_seconds(&self) -> Gauge {
         self.inner.incomplete_seconds.clone()
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -1,5 +1,5 @@
-//! Replaces lost replicas one at a time: through a joint set (in which a quorum needs a majority of
-//! both the current and the next members), a copy of the logs, and a final set.
+//! Replaces lost replicas through a joint set (in which a quorum needs a majority of both the current and
+//! the next members), copies of the logs to all joining replicas side by side, and a final set.
 
 #![expect(
     clippy::disallowed_methods,
@@ -13,8 +13,10 @@
 use ladderstage::journal::{Quorum, quorum, replica_set};
 use ladderstage::routing::rendezvous_first;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
+use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
-    FenceReplicaSet, Member, MemberState, ReplicaMember, ReplicaSet, Request,
+    FenceReplicaSet, Member, MemberState, OwnerHeartbeat, ReplicaMember, ReplicaSet, Request,
+    Response,
 };
 
 use super::ReplicaSets;
@@ -71,8 +73,6 @@
     pub record_read_at: Option<Instant>,
     /// Time at which this node first tried to leave the set.
     pub leaving_since: Option<Instant>,
-    /// Version of the joint set whose logs this node has copied completely.
-    pub copied_version: u64,
     pub health: SetHealth,
 }
 
@@ -80,11 +80,20 @@
     /// Checks the set every `poll_interval`, with jitter, until the task is aborted.
     pub async fn run(mut self, poll_interval: Duration) {
         let mut pause = poll_interval;
+        let mut known = self.replica_sets.watch();
+        let mut checked_version = 0;
         loop {
-            tokio::time::sleep(crate::jitter::jittered(pause)).await;
+            // A new set that this node joins ends the pause.
+            let is_joining = |set: &Option<Arc<ReplicaSet>>| {
+                let set = set.as_deref();
+                set.is_some_and(|set| set.version > checked_version && self.is_newcomer(set))
+            };
+            let pausing = crate::jitter::jittered(pause);
+            let _ = tokio::time::timeout(pausing, known.wait_for(is_joining)).await;
             let Some(set) = self.replica_sets.current() else {
                 continue;
             };
+            checked_version = set.version;
             match self.check(&set).await {
                 Ok(()) => pause = poll_interval,
                 Err(error) => {
@@ -100,8 +109,8 @@
         if self.replica_sets.own_replica_id().is_some() {
             self.health.observe(set, &alive, self.target_count);
         }
-        if self.is_newcomer(set) {
-            return self.join(set).await;
+        if self.is_newcomer(set) && self.join(set).await? {
+            return Ok(());
         }
         let spares = self.spares(set, &alive);
         let lost = self.lost(set, &alive);
@@ -127,7 +136,7 @@
             replica_set::propose_addition(set, self.target_count, &spares)
         } else {
             // While a replica is missing, spares are reserved for its replacement.
-            replica_set::propose_replacement(set, &lost, &spares)
+            self.propose_replacement(set, &lost, &spares)
                 .or_else(|| self.propose_removal_of_lost(set, &lost, &alive))
         };
         match proposal {
@@ -136,6 +145,21 @@
         }
     }
 
+    /// Returns the set in which spares take the places of all lost replicas, or of one while not all nodes
+    /// know that a change waits for every joining replica.
+    fn propose_replacement(
+        &self,
+        set: &ReplicaSet,
+        lost: &BTreeSet<u64>,
+        spares: &[ReplicaMember],
+    ) -> Option<ReplicaSet> {
+        if self.peers.replicas_join_together() {
+            replica_set::propose_replacement(set, lost, spares)
+        } else {
+            replica_set::propose_single_replacement(set, lost, spares)
+        }
+    }
+
     /// Returns whether this node is leaving and its disk is a member of the set.
     fn should_leave(&self, set: &ReplicaSet, alive: &[Member]) -> bool {
         let own_id = self.replica_sets.own_replica_id();
@@ -284,15 +308,63 @@
         Ok(())
     }
 
-    /// Copies all logs to this node, then makes the next set current.
-    async fn join(&mut self, set: &ReplicaSet) -> Result<(), ReplacementError> {
-        if self.copied_version != set.version {
+    /// Copies all logs to this node, then makes the next set current if all other joining replicas have
+    /// copied them too. Returns whether the set was changed.
+    async fn join(&self, set: &ReplicaSet) -> Result<bool, ReplacementError> {
+        if self.replica_sets.copied_version() != set.version {
             self.copy(set).await?;
-            self.copied_version = set.version;
+            self.replica_sets.set_copied_version(set.version);
         }
-        match replica_set::complete(set) {
-            Some(complete) => Ok(self.swap(set, complete).await?),
-            None => Ok(()),
+        let copied = self.copied_versions(set).await;
+        if !replica_set::have_all_joined(set, &copied) {
+            log::info!(
+                "event=replica_set_change_waits version={} joining={} copied={}",
+                set.version,
+                replica_set::joining_replicas(set).len(),
+                copied.len()
+            );
+            return Ok(false);
+        }
+        let Some(complete) = replica_set::complete(set) else {
+            return Ok(false);
+        };
+        self.swap(set, complete).await?;
+        Ok(true)
+    }
+
+    /// Returns the joining replicas, by their ids, that have copied all logs under a joint set, with the
+    /// version of that set. Those that do not answer are left out.
+    async fn copied_versions(&self, set: &ReplicaSet) -> BTreeMap<u64, u64> {
+        let joining = replica_set::joining_replicas(set).into_iter();
+        let answers = joining.map(|member| async move {
+            let version = match Some(member.replica_id) == self.replica_sets.own_replica_id() {
+                true => self.replica_sets.copied_version(),
+                false => self.fetch_copied_version(member).await,
+            };
+            (member.replica_id, version)
+        });
+        let versions = futures_util::future::join_all(answers).await;
+        let versions = versions.into_iter();
+        versions.filter(|(_, version)| *version > 0).collect()
+    }
+
+    /// Asks a joining replica for the version of the joint set under which it has copied all logs; 0 if it
+    /// has not, or does not answer.
+    async fn fetch_copied_version(&self, member: &ReplicaMember) -> u64 {
+        // The reply to an empty heartbeat contains the replica id and the version of the copy.
+        let request = Request {
+            kind: RequestKind::owner_heartbeat(OwnerHeartbeat::default()),
+        };
+        match self.peers.call(&member.node, request, FENCE_TIMEOUT).await {
+            Ok(Response {
+                kind: ResponseKind::owner_heartbeat(reply),
+            }) if reply.replica_id == member.replica_id => reply.copied_set_version,
+            Ok(_) => 0,
+            Err(error) => {
+                let node = &member.node;
+                log::info!("event=joining_replica_silent node={node} cause=\"{error}\"");
+                0
+            }
         }
     }
 
@@ -340,13 +412,23 @@
 
     /// Returns whether this node changes the set. Rendezvous hashing selects one node, to limit
     /// calls to the key-value service; if nodes disagree, the compare-and-swap decides. Nodes with
-    /// a disk are preferred, as their view of the membership is more recent.
+    /// a disk are preferred, as their view of the membership is more recent, and among them those
+    /// that are not busy with a copy.
     fn is_coordinator(&self, set: &ReplicaSet, alive: &[Member]) -> bool {
-        let has_disks = alive.iter().any(|member| member.replica_id != 0);
-        let eligible = alive
-            .iter()
-            .filter(|member| !has_disks || member.replica_id != 0);
-        let names = eligible.map(|member| member.node.as_str());
+        let joining = replica_set::joining_replicas(set);
+        let has_disk = |member: &&Member| member.replica_id != 0;
+        let is_idle = |member: &&Member| {
+            let mut joining = joining.iter();
+            has_disk(member) && joining.all(|other| other.replica_id != member.replica_id)
+        };
+        let mut eligible: Vec<&Member> = alive.iter().filter(is_idle).collect();
+        if eligible.is_empty() {
+            eligible = alive.iter().filter(has_disk).collect();
+        }
+        if eligible.is_empty() {
+            eligible = alive.iter().collect();
+        }
+        let names = eligible.iter().map(|member| member.node.as_str());
         let key = format!("replica-set/{}", set.version);
         rendezvous_first(key.as_bytes(), names) == Some(self.node.as_str())
     }
--- a/crates/ladderstage/src/journal/replica_set.rs
+++ b/crates/ladderstage/src/journal/replica_set.rs
@@ -91,9 +91,9 @@
 /// the set and of `spares`; lost replicas without a spare stay. `None` if no replica is lost or no
 /// spare is available.
 ///
-/// If `set` is joint, only lost joining replicas are replaced. Without a spare, the place goes back
-/// to the current replica, and the change is rolled back if no other replica joins. A removal is
-/// rolled back if a replica that stays is lost.
+/// If `set` is joint, the lost replicas of `next` are replaced, so that one lost during a change
+/// becomes part of it. Without a spare, the place goes back to the current replica, and the change is
+/// rolled back if no other replica joins. A removal is rolled back if a replica that stays is lost.
 pub fn propose_replacement(
     set: &ReplicaSet,
     lost: &BTreeSet<ReplicaId>,
@@ -109,16 +109,33 @@
         let next = with_replacements(&set.current, &set.current, lost, spares);
         return (next != set.current).then(|| with_next(set, next));
     }
-    let joining = ids(joining_replicas(set));
-    let lost_joining: BTreeSet<ReplicaId> = joining.intersection(lost).copied().collect();
-    if lost_joining.is_empty() {
+    let next = with_replacements(&set.next, &set.current, lost, spares);
+    if next == set.next {
         return None;
     }
-    let next = with_replacements(&set.next, &set.current, &lost_joining, spares);
     let joins = next != set.current;
     Some(with_next(set, if joins { next } else { Vec::new() }))
 }
 
+/// As [`propose_replacement`], but at most one replica joins: the one that replaces the first lost
+/// member, or the lost joining one.
+pub fn propose_single_replacement(
+    set: &ReplicaSet,
+    lost: &BTreeSet<ReplicaId>,
+    spares: &[ReplicaMember],
+) -> Option<ReplicaSet> {
+    if is_shrinking(set) {
+        return propose_replacement(set, lost, spares);
+    }
+    let replaceable = match set.next.is_empty() {
+        true => set.current.iter().collect(),
+        false => joining_replicas(set),
+    };
+    let mut ids = replaceable.into_iter().map(|member| member.replica_id);
+    let first_lost = ids.find(|id| lost.contains(id));
+    propose_replacement(set, &first_lost.into_iter().collect(), spares)
+}
+
 /// Returns the set after `set` that removes a replica without a replacement; `None` if `set` is
 /// joint or fewer than `min_count` replicas would remain.
 pub fn propose_removal(
@@ -246,10 +263,6 @@
     }
 }
 
-fn ids(members: Vec<&ReplicaMember>) -> BTreeSet<ReplicaId> {
-    members.iter().map(|member| member.replica_id).collect()
-}
-
 fn contains(members: &[ReplicaMember], id: ReplicaId) -> bool {
     members.iter().any(|member| member.replica_id == id)
 }
