--- a/crates/journal/src/replica_set/copy.rs
+++ b/crates/journal/src/replica_set/copy.rs
@@ -1,18 +1,20 @@
 //! Copies logs between replicas when the replica set changes.
 
 use std::collections::BTreeSet;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use ladderstage::journal::Quorum;
 use ladderstage::region::Distance;
+use ladderstage_clock::Instant;
 use ladderstage_storage::{Storage, StorageError};
 use ladderstage_transport::CallError;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
-    ExportLogs, ExportLogsReply, ExportedLog, ImportLogs, OwnerHeartbeat, ReplicaMember,
-    ReplicaSet, Request,
+    ExportLogs, ExportLogsReply, ExportedLog, ImportLogs, LogEntry, OwnerHeartbeat, ReplicaMember,
+    ReplicaSet, Request, StageEntries,
 };
 
 use super::long_log::LongLog;
@@ -69,10 +71,56 @@
     Storage(#[from] StorageError),
 }
 
-/// Result of the copy from one replica.
+/// Amount and duration of a copy to this node. Its text is the value of the field `logs` in a log
+/// line, with the fields after it.
+#[derive(Debug)]
+pub(crate) struct CopyReport {
+    /// Number of copied logs; a log that several replicas sent is counted each time.
+    logs: usize,
+    /// Size of the received entries, in bytes.
+    bytes: usize,
+    elapsed: Duration,
+}
+
+impl fmt::Display for CopyReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let elapsed_ms = self.elapsed.as_millis();
+        write!(
+            formatter,
+            "{} bytes={} elapsed_ms={elapsed_ms}",
+            self.logs, self.bytes
+        )
+    }
+}
+
+/// Amount and duration of the copy from one replica.
+#[derive(Debug, Default)]
 struct CopiedReplica {
     logs: usize,
+    /// Number of received entries; one that came in parts is counted by its last part.
+    entries: usize,
+    /// Size of the received entries, in bytes.
+    bytes: usize,
     bundle_revision: u64,
+    fencing: Duration,
+    fetching: Duration,
+    importing: Duration,
+}
+
+impl CopiedReplica {
+    fn count_entries(&mut self, entries: &[LogEntry]) {
+        self.entries += entries.len();
+        self.bytes += entries
+            .iter()
+            .map(|entry| entry.payload.len())
+            .sum::<usize>();
+    }
+
+    fn count_parts(&mut self, staged: &StageEntries) {
+        let parts = &staged.parts;
+        self.entries += parts.iter().filter(|part| part.ends_entry).count();
+        self.bytes += parts.iter().map(|part| part.payload.len()).sum::<usize>();
+    }
 }
 
 /// Copies logs to or from this node's data folder.
@@ -87,8 +135,7 @@
 
 impl LogCopier {
     /// Copies to this node the logs of enough current replicas of a joint set to intersect every
-    /// quorum. Each replica is fenced against older sets before its logs are copied. Returns the number of
-    /// copied logs; a log that several replicas sent is counted each time.
+    /// quorum. Each replica is fenced against older sets before its logs are copied.
     ///
     /// The bundle is not copied, as every node receives it by other means, but it must have arrived
     /// before this node may replace a replica.
@@ -97,7 +144,8 @@
     ///
     /// `NoQuorum` if too few replicas could be copied, `BundleBehind` if the bundle has not
     /// arrived, or `Storage`.
-    pub async fn copy_from_replicas(&self, set: &ReplicaSet) -> Result<usize, CopyError> {
+    pub async fn copy_from_replicas(&self, set: &ReplicaSet) -> Result<CopyReport, CopyError> {
+        let started = Instant::now();
         let quorum = Quorum::new(&ReplicaSet {
             next: Vec::new(),
             ..set.clone()
@@ -108,7 +156,7 @@
         let own = set.current.iter().find(is_own);
         let mut copied: BTreeSet<u64> = own.map(|member| member.replica_id).into_iter().collect();
         let mut failures = Vec::new();
-        let mut logs = 0;
+        let (mut logs, mut bytes) = (0, 0);
         let mut needed = 0;
         let mut sources = self.nearest_first(&set.current);
         sources.retain(|member| member.replica_id != own_id);
@@ -119,6 +167,7 @@
             match self.copy_replica(set, member).await {
                 Ok(source) => {
                     logs += source.logs;
+                    bytes += source.bytes;
                     needed = needed.max(source.bundle_revision);
                     copied.insert(member.replica_id);
                 }
@@ -137,7 +186,11 @@
         if stored < needed {
             return Err(CopyError::StaleBundle { needed, stored });
         }
-        Ok(logs)
+        Ok(CopyReport {
+            logs,
+            bytes,
+            elapsed: started.elapsed(),
+        })
     }
 
     /// Sends all logs of this node to the members of the next set, after fencing them against older
@@ -213,17 +266,23 @@
         set: &ReplicaSet,
         member: &ReplicaMember,
     ) -> Result<CopiedReplica, ReplicaError> {
-        self.call(member, fence(set).kind).await?;
+        let started = Instant::now();
+        let mut copied = CopiedReplica::default();
+        timed(&mut copied.fencing, self.call(member, fence(set).kind)).await?;
         let mut after = String::new();
-        let mut logs = 0;
         loop {
-            let page = self.fetch_page(set, member, &after).await?;
-            logs += page.logs.len();
+            let fetching = self.fetch_page(set, member, &after);
+            let page = timed(&mut copied.fetching, fetching).await?;
+            copied.logs += page.logs.len();
+            for log in &page.logs {
+                copied.count_entries(&log.entries);
+            }
             let last = page.logs.last().map(|log| log.log.clone());
             let (long, short) = page.logs.into_iter().partition(|log| log.is_long);
-            self.storage.import_logs(set.version, short).await?;
+            let importing = self.storage.import_logs(set.version, short);
+            timed(&mut copied.importing, importing).await?;
             for log in long {
-                self.copy_long_log(set, member, log).await?;
+                self.copy_long_log(set, member, log, &mut copied).await?;
             }
             match last {
                 Some(last) if page.more => after = last,
@@ -231,11 +290,9 @@
             }
         }
         // Checked last, to detect a disk that was replaced during the copy.
-        let bundle_revision = self.check_disk(member).await?;
-        Ok(CopiedReplica {
-            logs,
-            bundle_revision,
-        })
+        copied.bundle_revision = self.check_disk(member).await?;
+        log_copied_replica(set, member, &copied, started.elapsed());
+        Ok(copied)
     }
 
     /// Copies a log that is too long for one message to this node.
@@ -244,20 +301,23 @@
         set: &ReplicaSet,
         member: &ReplicaMember,
         exported: ExportedLog,
+        copied: &mut CopiedReplica,
     ) -> Result<(), ReplicaError> {
+        let storage = &self.storage;
         let mut log = LongLog::new(exported, member.replica_id);
         while let Some(request) = log.next_request(self.part_bytes) {
-            let ResponseKind::read_log(reply) =
-                self.call(member, RequestKind::read_log(request)).await?
-            else {
+            let reading = self.call(member, RequestKind::read_log(request));
+            let reply = timed(&mut copied.fetching, reading).await?;
+            let ResponseKind::read_log(reply) = reply else {
                 return Err(ReplicaError::UnexpectedResponse);
             };
             let parts = log.stage(reply, set.version)?;
-            self.storage.stage(parts).await?;
+            copied.count_parts(&parts);
+            timed(&mut copied.importing, storage.stage(parts)).await?;
         }
         let log = log.into_import();
-        let storage = &self.storage;
-        storage.import_logs(set.version, vec![log.clone()]).await?;
+        let importing = storage.import_logs(set.version, vec![log.clone()]);
+        timed(&mut copied.importing, importing).await?;
         log_long_copy(&log, &member.node, &self.node);
         Ok(())
     }
@@ -334,6 +394,35 @@
     }
 }
 
+/// Adds the time until `future` is ready to `total`.
+async fn timed<T>(total: &mut Duration, future: impl Future<Output = T>) -> T {
+    let started = Instant::now();
+    let output = future.await;
+    *total += started.elapsed();
+    output
+}
+
+fn log_copied_replica(
+    set: &ReplicaSet,
+    member: &ReplicaMember,
+    copied: &CopiedReplica,
+    elapsed: Duration,
+) {
+    log::info!(
+        "event=replica_copied from={} version={} logs={} entries={} bytes={} fence_ms={} \
+         fetch_ms={} import_ms={} elapsed_ms={}",
+        member.node,
+        set.version,
+        copied.logs,
+        copied.entries,
+        copied.bytes,
+        copied.fencing.as_millis(),
+        copied.fetching.as_millis(),
+        copied.importing.as_millis(),
+        elapsed.as_millis()
+    );
+}
+
 fn log_long_copy(log: &ExportedLog, from: &str, to: &str) {
     log::info!(
         "event=log_copied_in_parts log={} from={from} to={to} entries={}",
