--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -133,7 +133,7 @@
             return Ok(());
         }
         let proposal = if self.missing_since.is_empty() {
-            replica_set::propose_addition(set, self.target_count, &spares)
+            self.propose_addition(set, &spares)
         } else {
             // While a replica is missing, spares are reserved for its replacement.
             self.propose_replacement(set, &lost, &spares)
@@ -160,6 +160,16 @@
         }
     }
 
+    /// Returns the set with so many spares more that it has its target size, or with one while not all
+    /// nodes know that a change waits for every joining replica.
+    fn propose_addition(&self, set: &ReplicaSet, spares: &[ReplicaMember]) -> Option<ReplicaSet> {
+        let target_count = match self.peers.replicas_join_together() {
+            true => self.target_count,
+            false => self.target_count.min(set.current.len() + 1),
+        };
+        replica_set::propose_addition(set, target_count, spares)
+    }
+
     /// Returns whether this node is leaving and its disk is a member of the set.
     fn should_leave(&self, set: &ReplicaSet, alive: &[Member]) -> bool {
         let own_id = self.replica_sets.own_replica_id();
--- a/crates/ladderstage/src/journal/replica_set.rs
+++ b/crates/ladderstage/src/journal/replica_set.rs
@@ -154,21 +154,20 @@
     is_possible.then(|| with_next(set, next))
 }
 
-/// Returns the set after `set` that adds a spare; `None` if `set` is joint, already has
-/// `target_count` replicas, or there is no spare.
+/// Returns the set after `set` that adds spares up to `target_count` replicas, as many as there are;
+/// `None` if `set` is joint, already has that many replicas, or there is no spare.
 pub fn propose_addition(
     set: &ReplicaSet,
     target_count: usize,
     spares: &[ReplicaMember],
 ) -> Option<ReplicaSet> {
-    if !set.next.is_empty() || set.current.len() >= target_count {
+    let missing_count = target_count.saturating_sub(set.current.len());
+    let added = usable_spares(set, &BTreeSet::new(), spares);
+    let mut added = added.into_iter().take(missing_count).peekable();
+    if !set.next.is_empty() || added.peek().is_none() {
         return None;
     }
-    let spare = spares
-        .iter()
-        .find(|spare| is_spare(set, &BTreeSet::new(), spare))?;
-    let mut next = set.current.clone();
-    next.push(spare.clone());
+    let next = set.current.iter().chain(added).cloned().collect();
     Some(with_next(set, next))
 }
 
--- a/crates/ladderstage/tests/journal/rules.rs
+++ b/crates/ladderstage/tests/journal/rules.rs
@@ -162,6 +162,24 @@
     assert_eq!(single(&joint, &[2, 5, 6]), Some(again));
 }
 
+#[test]
+fn spares_are_added_at_once_up_to_the_target_size() {
+    let added = |set: &ReplicaSet, spares: &[u64]| {
+        replica_set::propose_addition(set, 5, &members_of(spares))
+    };
+    let set = replica_set_of(4, &[1, 2, 3], &[]);
+    let two = replica_set_of(5, &[1, 2, 3], &[1, 2, 3, 7, 8]);
+    assert_eq!(added(&set, &[3, 7, 7, 8, 9]), Some(two));
+    let one = replica_set_of(5, &[1, 2, 3], &[1, 2, 3, 7]);
+    assert_eq!(added(&set, &[7]), Some(one));
+    assert_eq!(added(&set, &[]), None);
+    assert_eq!(added(&replica_set_of(4, &[1, 2, 3, 4, 5], &[]), &[7]), None);
+    assert_eq!(
+        added(&replica_set_of(4, &[1, 2, 3], &[1, 2, 6]), &[7]),
+        None
+    );
+}
+
 #[test]
 fn a_lost_joining_replica_without_a_spare_gives_its_place_back() {
     let set = replica_set_of(2, &[1, 2, 3, 4, 5], &[1, 6, 3, 7, 8]);
