--- a/crates/journal/src/replica_set/health.rs
+++ b/crates/journal/src/replica_set/health.rs
@@ -64,6 +64,12 @@
         }
     }
 
+    /// Returns whether replicas were missing or joining when the set was last observed.
+    pub fn is_under_repair(&self) -> bool {
+        let deficit = self.incomplete.as_ref().map(|known| &known.deficit);
+        deficit.is_some_and(|deficit| !deficit.missing.is_empty() || !deficit.joining.is_empty())
+    }
+
     fn report(&mut self, deficit: Deficit) {
         let now = Instant::now();
         let since = self.incomplete.as_ref().map_or(now, |known| known.since);
--- a/crates/journal/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -100,6 +100,7 @@
             record_read_at: None,
             leaving_since: None,
             health: SetHealth::new(self.incomplete_seconds()),
+            logged_wait: None,
         };
         let replica_sets = self.clone();
         let handle = tokio::spawn(async move {
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -41,6 +41,10 @@
 /// Longer than most outages of a machine, as a replica that comes back after that has to copy all logs.
 const LOST_REPLICA_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Number of checks in a poll interval while replicas are missing or joining, as each step of a repair
+/// waits for a check.
+const REPAIR_CHECKS: u32 = 4;
+
 /// Minimum size of a shrunk set.
 const MIN_REPLICAS: usize = 2;
 
@@ -74,6 +78,8 @@
     /// Time at which this node first tried to leave the set.
     pub leaving_since: Option<Instant>,
     pub health: SetHealth,
+    /// Version of the joint set and number of copies for which this node last logged that it waits.
+    pub logged_wait: Option<(u64, usize)>,
 }
 
 impl Replacement {
@@ -95,6 +101,7 @@
             };
             checked_version = set.version;
             match self.check(&set).await {
+                Ok(()) if self.health.is_under_repair() => pause = poll_interval / REPAIR_CHECKS,
                 Ok(()) => pause = poll_interval,
                 Err(error) => {
                     log::warn!("event=replica_replacement_failed cause=\"{error}\"");
@@ -320,19 +327,14 @@
 
     /// Copies all logs to this node, then makes the next set current if all other joining replicas have
     /// copied them too. Returns whether the set was changed.
-    async fn join(&self, set: &ReplicaSet) -> Result<bool, ReplacementError> {
+    async fn join(&mut self, set: &ReplicaSet) -> Result<bool, ReplacementError> {
         if self.replica_sets.copied_version() != set.version {
             self.copy(set).await?;
             self.replica_sets.set_copied_version(set.version);
         }
         let copied = self.copied_versions(set).await;
         if !replica_set::have_all_joined(set, &copied) {
-            log::info!(
-                "event=replica_set_change_waits version={} joining={} copied={}",
-                set.version,
-                replica_set::joining_replicas(set).len(),
-                copied.len()
-            );
+            self.log_waiting(set, copied.len());
             return Ok(false);
         }
         let Some(complete) = replica_set::complete(set) else {
@@ -342,6 +344,20 @@
         Ok(true)
     }
 
+    /// Logs that this node waits for other joining replicas, once for each number of copies.
+    fn log_waiting(&mut self, set: &ReplicaSet, copied: usize) {
+        let waits = Some((set.version, copied));
+        if self.logged_wait == waits {
+            return;
+        }
+        self.logged_wait = waits;
+        let joining = replica_set::joining_replicas(set).len();
+        let version = set.version;
+        log::info!(
+            "event=replica_set_change_waits version={version} joining={joining} copied={copied}"
+        );
+    }
+
     /// Returns the joining replicas, by their ids, that have copied all logs under a joint set, with the
     /// version of that set. Those that do not answer are left out.
     async fn copied_versions(&self, set: &ReplicaSet) -> BTreeMap<u64, u64> {
