--- a/crates/ladderstage/src/journal/replica_set.rs
+++ b/crates/ladderstage/src/journal/replica_set.rs
@@ -1,13 +1,19 @@
-//! Changes of the replica set: one member at a time, through a joint set in which both halves must
-//! agree. A replica is a node that stores copies of the journal's logs.
+//! Changes of the replica set, through a joint set in which both halves must agree. A replica is a
+//! node that stores copies of the journal's logs.
 //!
 //! For a replacement, the first update creates the joint set: `current` is unchanged, and `next`
-//! has the new replica in place of the lost one. Writers then need majorities of both. The new
-//! replica fences the current replicas against older sets and copies the logs of a majority of
-//! them; the second update makes `next` the current set. Because the sets differ by one replica,
-//! everything held by a majority of the old set is then held by a majority of the new one.
+//! has a new replica in place of each lost one. Writers then need majorities of both. Each new
+//! replica fences current replicas against older sets and copies their logs, from as many as
+//! intersect every quorum of the current set, so that it holds all that any quorum holds. Once
+//! every new replica has copied under this version of the joint set, the second update makes `next`
+//! the current set.
+//!
+//! A quorum of the old set leaves out fewer than half of the places of the set. All others are held
+//! by its replicas that stay or by new ones, so everything held by a majority of the old set is then
+//! held by a majority of the new one. A new replica without its copy may have taken the place of one
+//! of that quorum, so no new replica may complete the set for the others.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ladderstage_wire::messages::{ReplicaMember, ReplicaSet};
 
@@ -72,52 +78,45 @@
     next.filter(|member| !is_current(member)).collect()
 }
 
-/// Returns the set after `set` that brings in a spare for a replica in `lost`; `None` if no replica
-/// is lost or no spare is available. If `set` is joint, only a lost joining replica is replaced;
-/// without a spare for it, the change is rolled back. A removal is rolled back if a replica that
-/// stays is lost.
+/// Returns whether every joining replica has copied the logs under exactly this version of the
+/// joint set, so that `next` can become current. `copied` holds the version under which each
+/// replica, by the id of its disk, last finished its copy. Always `false` if no replica joins.
+pub fn have_all_joined(set: &ReplicaSet, copied: &BTreeMap<ReplicaId, u64>) -> bool {
+    let joining_replicas = joining_replicas(set);
+    let has_copied = |member: &&ReplicaMember| copied.get(&member.replica_id) == Some(&set.version);
+    !joining_replicas.is_empty() && joining_replicas.iter().all(has_copied)
+}
+
+/// Returns the set after `set` that brings in a spare for each replica in `lost`, in the order of
+/// the set and of `spares`; lost replicas without a spare stay. `None` if no replica is lost or no
+/// spare is available.
+///
+/// If `set` is joint, only lost joining replicas are replaced. Without a spare, the place goes back
+/// to the current replica, and the change is rolled back if no other replica joins. A removal is
+/// rolled back if a replica that stays is lost.
 pub fn propose_replacement(
     set: &ReplicaSet,
     lost: &BTreeSet<ReplicaId>,
     spares: &[ReplicaMember],
 ) -> Option<ReplicaSet> {
-    let spare = spares.iter().find(|spare| is_spare(set, lost, spare));
-    let version = set.version + 1;
-    let current = set.current.clone();
-    if set.next.is_empty() {
-        let replaced = set
-            .current
-            .iter()
-            .find(|member| lost.contains(&member.replica_id))?;
-        let next = with_replacement(&set.current, replaced.replica_id, spare?);
-        return Some(ReplicaSet {
-            version,
-            current,
-            next,
-        });
-    }
     if is_shrinking(set) {
         // The logs are copied to all replicas that stay. If one of them is lost meanwhile, the removed
         // replica stays in the set.
-        return is_any_lost(&set.next, lost).then(|| ReplicaSet {
-            version,
-            current,
-            next: Vec::new(),
-        });
+        return is_any_lost(&set.next, lost).then(|| with_next(set, Vec::new()));
     }
-    let joining_replicas = joining_replicas(set);
-    let lost_replica = joining_replicas
-        .iter()
-        .find(|member| lost.contains(&member.replica_id))?;
-    let next = match spare {
-        Some(spare) => with_replacement(&set.next, lost_replica.replica_id, spare),
-        None => Vec::new(),
-    };
-    Some(ReplicaSet {
-        version,
-        current,
-        next,
-    })
+    let spares = usable_spares(set, lost, spares);
+    if set.next.is_empty() {
+        let next = with_replacements(&set.current, &set.current, lost, spares);
+        return (next != set.current).then(|| with_next(set, next));
+    }
+    let joining = ids(joining_replicas(set));
+    let lost_joining: BTreeSet<ReplicaId> = joining.intersection(lost).copied().collect();
+    if lost_joining.is_empty() {
+        return None;
+    }
+    let next = with_replacements(&set.next, &set.current, &lost_joining, spares);
+    let joins = next != set.current;
+    Some(with_next(set, if joins { next } else { Vec::new() }))
 }
 
 /// Returns the set after `set` that removes a replica without a replacement; `None` if `set` is
@@ -135,11 +134,7 @@
         .collect();
     let is_possible =
         set.next.is_empty() && next.len() >= min_count && next.len() < set.current.len();
-    is_possible.then(|| ReplicaSet {
-        version: set.version + 1,
-        current: set.current.clone(),
-        next,
-    })
+    is_possible.then(|| with_next(set, next))
 }
 
 /// Returns the set after `set` that adds a spare; `None` if `set` is joint, already has
@@ -157,11 +152,7 @@
         .find(|spare| is_spare(set, &BTreeSet::new(), spare))?;
     let mut next = set.current.clone();
     next.push(spare.clone());
-    Some(ReplicaSet {
-        version: set.version + 1,
-        current: set.current.clone(),
-        next,
-    })
+    Some(with_next(set, next))
 }
 
 /// Returns whether `set` is a joint set that only removes replicas. The leaving replicas then copy
@@ -213,20 +204,50 @@
     id != 0 && !is_member && !lost.contains(&id)
 }
 
-fn with_replacement(
-    members: &[ReplicaMember],
-    replaced: ReplicaId,
-    spare: &ReplicaMember,
+/// Returns the spares that may join, each disk once.
+fn usable_spares<'a>(
+    set: &ReplicaSet,
+    lost: &BTreeSet<ReplicaId>,
+    spares: &'a [ReplicaMember],
+) -> Vec<&'a ReplicaMember> {
+    let mut seen = BTreeSet::new();
+    let spares = spares.iter();
+    spares
+        .filter(|spare| is_spare(set, lost, spare) && seen.insert(spare.replica_id))
+        .collect()
+}
+
+/// Returns `members` with a spare in the place of each replica in `replaced`. Without a spare, the
+/// place goes to the replica that has it in `current`, and is removed if there is none.
+fn with_replacements<'a>(
+    members: &'a [ReplicaMember],
+    current: &'a [ReplicaMember],
+    replaced: &BTreeSet<ReplicaId>,
+    spares: Vec<&'a ReplicaMember>,
 ) -> Vec<ReplicaMember> {
-    let members = members.iter();
-    let replace = |member: &ReplicaMember| {
-        if member.replica_id == replaced {
-            spare.clone()
+    let mut spares = spares.into_iter();
+    let places = members.iter().enumerate();
+    let occupant = |(place, member): (usize, &'a ReplicaMember)| {
+        if replaced.contains(&member.replica_id) {
+            spares.next().or_else(|| current.get(place))
         } else {
-            member.clone()
+            Some(member)
         }
     };
-    members.map(replace).collect()
+    places.filter_map(occupant).cloned().collect()
+}
+
+/// Returns the set after `set` with the same current replicas.
+fn with_next(set: &ReplicaSet, next: Vec<ReplicaMember>) -> ReplicaSet {
+    ReplicaSet {
+        version: set.version + 1,
+        current: set.current.clone(),
+        next,
+    }
+}
+
+fn ids(members: Vec<&ReplicaMember>) -> BTreeSet<ReplicaId> {
+    members.iter().map(|member| member.replica_id).collect()
 }
 
 fn contains(members: &[ReplicaMember], id: ReplicaId) -> bool {
--- a/crates/ladderstage/tests/journal/rules.rs
+++ b/crates/ladderstage/tests/journal/rules.rs
@@ -3,14 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::simulated_replica::{Outcome, SimulatedReplica, new_replica};
+use crate::simulated_replica::{Outcome, SimulatedReplica, member_of, new_replica};
 use crate::support::{LOG, identity, quorum_of};
 use ladderstage::journal::heartbeat::HeartbeatTable;
 use ladderstage::journal::parts::{LogPosition, PartAssembler, split};
 use ladderstage::journal::read::{LogListing, LogRead};
 use ladderstage::journal::replica::{self, EntryChange, LogState, import, omit_known};
 use ladderstage::journal::writer::{LogWriterState, ReplicaWrite, SealProgress, Sealing};
-use ladderstage::journal::{EpochSource, Quorum, RunningTime, WriterEpoch};
+use ladderstage::journal::{EpochSource, Quorum, RunningTime, WriterEpoch, replica_set};
 use ladderstage_wire::messages::{
     DescribeLogsReply, EntryPart, ExportedLog, KnownLog, LogDescription, LogEntry, OwnedLog,
     ReadLogReply, ReplicaMember, ReplicaSet, Seal, SealReply,
@@ -81,6 +81,101 @@
     assert!(!Quorum::new(&ReplicaSet::default()).is_met_by(&BTreeSet::from([0, 1])));
 }
 
+fn members_of(ids: &[u64]) -> Vec<ReplicaMember> {
+    let ids = ids.iter();
+    ids.map(|id| member_of(&new_replica(*id))).collect()
+}
+
+fn replica_set_of(version: u64, current: &[u64], next: &[u64]) -> ReplicaSet {
+    ReplicaSet {
+        version,
+        current: members_of(current),
+        next: members_of(next),
+    }
+}
+
+fn proposed(set: &ReplicaSet, lost: &[u64], spares: &[u64]) -> Option<ReplicaSet> {
+    let lost = lost.iter().copied().collect();
+    replica_set::propose_replacement(set, &lost, &members_of(spares))
+}
+
+#[test]
+fn all_lost_replicas_are_replaced_in_one_change_in_the_order_of_the_set() {
+    let set = replica_set_of(4, &[5, 1, 3, 2, 4], &[]);
+    let expected = Some(replica_set_of(5, &[5, 1, 3, 2, 4], &[9, 1, 7, 2, 4]));
+    assert_eq!(proposed(&set, &[3, 5], &[9, 7, 8]), expected);
+    assert_eq!(
+        proposed(&set, &[3, 5, 6], &[0, 1, 6, 9, 9, 7]),
+        expected,
+        "no disk, a member, a lost disk and one listed twice are no spares"
+    );
+}
+
+#[test]
+fn with_fewer_spares_than_lost_replicas_the_first_are_replaced() {
+    let set = replica_set_of(1, &[1, 2, 3, 4, 5], &[]);
+    let one = replica_set_of(2, &[1, 2, 3, 4, 5], &[1, 8, 3, 4, 5]);
+    assert_eq!(proposed(&set, &[5, 2], &[8]), Some(one));
+    assert_eq!(proposed(&set, &[5, 2], &[]), None);
+    assert_eq!(proposed(&set, &[], &[8]), None);
+    assert_eq!(proposed(&set, &[7], &[8]), None, "not a member");
+}
+
+#[test]
+fn all_lost_joining_replicas_are_replaced_in_one_change() {
+    let set = replica_set_of(2, &[1, 2, 3, 4, 5], &[1, 6, 3, 7, 8]);
+    let expected = replica_set_of(3, &[1, 2, 3, 4, 5], &[1, 9, 3, 7, 10]);
+    assert_eq!(proposed(&set, &[8, 6], &[9, 10, 11]), Some(expected));
+    assert_eq!(
+        proposed(&set, &[2, 4, 5], &[9, 10, 11]),
+        None,
+        "lost current replicas wait for the end of the change"
+    );
+    let only_joining = replica_set_of(3, &[1, 2, 3, 4, 5], &[1, 6, 3, 9, 8]);
+    assert_eq!(proposed(&set, &[1, 2, 7], &[9, 10]), Some(only_joining));
+}
+
+#[test]
+fn a_lost_joining_replica_without_a_spare_gives_its_place_back() {
+    let set = replica_set_of(2, &[1, 2, 3, 4, 5], &[1, 6, 3, 7, 8]);
+    let two_stay = replica_set_of(3, &[1, 2, 3, 4, 5], &[1, 6, 3, 4, 8]);
+    assert_eq!(proposed(&set, &[7, 2, 4, 5], &[]), Some(two_stay));
+    let one_spare = replica_set_of(3, &[1, 2, 3, 4, 5], &[1, 9, 3, 7, 5]);
+    assert_eq!(proposed(&set, &[8, 6], &[9]), Some(one_spare));
+    let rolled_back = replica_set_of(3, &[1, 2, 3, 4, 5], &[]);
+    assert_eq!(proposed(&set, &[6, 7, 8], &[]), Some(rolled_back));
+}
+
+#[test]
+fn an_addition_or_removal_is_rolled_back_if_it_loses_a_replica_without_a_spare() {
+    let addition = replica_set_of(7, &[1, 2, 3, 4], &[1, 2, 3, 4, 5]);
+    let rolled_back = replica_set_of(8, &[1, 2, 3, 4], &[]);
+    assert_eq!(proposed(&addition, &[5], &[]), Some(rolled_back));
+    let other = replica_set_of(8, &[1, 2, 3, 4], &[1, 2, 3, 4, 6]);
+    assert_eq!(proposed(&addition, &[5], &[6]), Some(other));
+    let removal = replica_set_of(7, &[1, 2, 3, 4, 5], &[1, 2, 3, 4]);
+    assert_eq!(proposed(&removal, &[5], &[6]), None);
+    let rolled_back = replica_set_of(8, &[1, 2, 3, 4, 5], &[]);
+    assert_eq!(proposed(&removal, &[4], &[6]), Some(rolled_back));
+}
+
+/// Guards against a set that is completed with a replica without its copy.
+#[test]
+fn a_joint_set_waits_for_the_copies_of_all_joining_replicas_under_its_version() {
+    let joined = |set: &ReplicaSet, copied: &[(u64, u64)]| {
+        replica_set::have_all_joined(set, &copied.iter().copied().collect())
+    };
+    let joint = replica_set_of(5, &[1, 2, 3, 4, 5], &[1, 2, 3, 6, 7]);
+    assert!(joined(&joint, &[(6, 5), (7, 5)]));
+    assert!(!joined(&joint, &[(6, 5)]));
+    assert!(!joined(&joint, &[(6, 5), (7, 4)]), "an earlier joint set");
+    assert!(!joined(&joint, &[(6, 5), (7, 6)]), "a later joint set");
+    assert!(!joined(&joint, &[(6, 5), (8, 5), (1, 5)]), "another disk");
+    let removal = replica_set_of(5, &[1, 2, 3], &[1, 2]);
+    assert!(!joined(&removal, &[(1, 5), (2, 5)]), "none joins");
+    assert!(!joined(&replica_set_of(5, &[1, 2, 3], &[]), &[(1, 5)]));
+}
+
 #[test]
 fn a_delayed_install_does_not_remove_later_entries() {
     let mut replica = new_replica(1);
