tests: the model of the replica set replaces several replicas at once

Change: two coordinators with views that may be out of date, of which the compare-and-swap decides; copies of all joining replicas side by side, in parts, with restarts that forget them; reports that arrive late, twice or not at all; losses of several disks at once, of members and joining replicas, as many as the set bears since it was last whole, with or without a new disk at the node; members that are only missing for a coordinator; removals, additions and rollbacks at any time; isolated replicas; logs that end and are retired; sets of 3, 5 and 7. Checked at each completed change and at the end: a writer that seals any quorum finds every committed entry, in order and once, and no promise of a quorum is below the highest that a writer has been given.

--- a/crates/ladderstage/tests/journal/main.rs
+++ b/crates/ladderstage/tests/journal/main.rs
@@ -2,6 +2,7 @@
 
 mod interleavings;
 mod rules;
+mod set_changes;
 mod simulated_replica;
 mod support;
 mod write_timeout;
--- a/crates/ladderstage/tests/journal/rules.rs
+++ b/crates/ladderstage/tests/journal/rules.rs
@@ -176,6 +176,46 @@
     assert!(!joined(&replica_set_of(5, &[1, 2, 3], &[]), &[(1, 5)]));
 }
 
+/// Guards against a new replica that joins with its copy for a joint set that was rolled back since.
+#[test]
+fn a_copy_under_an_earlier_joint_set_lacks_later_entries() {
+    let mut replicas = [1, 2, 3, 4].map(new_replica);
+    let copy = |replicas: &mut [SimulatedReplica; 4]| {
+        for source in 0..2 {
+            let exported = replicas[source].export();
+            assert!(replicas[3].import(&exported));
+        }
+    };
+    let find = |replicas: &mut [SimulatedReplica; 4]| {
+        let mut sealing = Sealing::new(identity(epoch(2, 2)), quorum_of([1, 2, 4].into_iter()));
+        let request = sealing.request();
+        sealing.on_reply(&replicas[0].seal(&request));
+        assert_eq!(
+            sealing.on_reply(&replicas[3].seal(&request)),
+            SealProgress::Sealed
+        );
+        sealing.into_sealed().sources()
+    };
+    let joint = replica_set_of(2, &[1, 2, 3], &[1, 2, 4]);
+    copy(&mut replicas);
+    let copied = BTreeMap::from([(4, joint.version)]);
+    // After a rollback, replicas 2 and 3 commit an entry.
+    let mut writer = writer_over_three(epoch(1, 1), &mut replicas[..3]);
+    writer.add(vec![entry("a")], false);
+    for replica in &mut replicas[1..3] {
+        write_all(&mut writer, replica);
+    }
+    assert!(writer.is_committed());
+    let again = replica_set_of(4, &[1, 2, 3], &[1, 2, 4]);
+    assert!(replica_set::have_all_joined(&joint, &copied));
+    assert!(!replica_set::have_all_joined(&again, &copied));
+    let without_copy = find(&mut replicas.clone());
+    assert_eq!(without_copy, BTreeSet::from([1, 4]), "none holds the entry");
+    copy(&mut replicas);
+    assert_eq!(find(&mut replicas), BTreeSet::from([4]));
+    assert_eq!(replicas[3].entries, [entry("a")]);
+}
+
 #[test]
 fn a_delayed_install_does_not_remove_later_entries() {
     let mut replica = new_replica(1);
--- a/crates/ladderstage/tests/journal/simulated_replica.rs
+++ b/crates/ladderstage/tests/journal/simulated_replica.rs
@@ -9,8 +9,8 @@
 use ladderstage::journal::writer::ReplicaWrite;
 pub use ladderstage_wire::messages::mod_WriteReply::Outcome;
 use ladderstage_wire::messages::{
-    EntryPart, Epoch, ExportedLog, LogEntry, ReadLogReply, ReplicaMember, ReplicaSet, Seal,
-    SealReply, StageEntries, WriteReply,
+    EntryPart, Epoch, ExportedLog, KnownLog, LogEntry, ReadLogReply, ReplicaMember, ReplicaSet,
+    Seal, SealReply, StageEntries, WriteReply,
 };
 
 /// The durable state of a replica. A restart therefore only affects messages in transit.
@@ -47,11 +47,34 @@
             promised: self.state.promised.to_wire(),
             log_epoch: self.state.log_epoch.to_wire(),
             length: self.state.length,
+            closed: self.state.closed,
+            retired: self.state.retired,
             entries: self.entries.clone(),
             ..ExportedLog::default()
         }
     }
 
+    /// Returns what it tells a replica from which it copies, so that known entries are left out.
+    pub fn known(&self) -> KnownLog {
+        KnownLog {
+            log_epoch: self.state.log_epoch.to_wire(),
+            length: self.state.length,
+            retired: self.state.retired,
+            ..KnownLog::default()
+        }
+    }
+
+    /// Deletes all entries of a closed log but the first; returns whether it did.
+    pub fn retire(&mut self) -> bool {
+        if self.lost || !self.state.closed || self.state.retired {
+            return false;
+        }
+        self.entries.truncate(1);
+        self.staged.clear();
+        self.state.retired = true;
+        true
+    }
+
     /// Imports a copy; returns whether all its staged entries were present.
     pub fn import(&mut self, exported: &ExportedLog) -> bool {
         let decision = replica::import(&self.state, exported);
@@ -83,6 +106,7 @@
             promised: self.state.promised.to_wire(),
             log_epoch: self.state.log_epoch.to_wire(),
             length: self.state.length,
+            retired: self.state.retired,
             ..SealReply::default()
         }
     }
@@ -94,6 +118,7 @@
             promised: self.state.promised.to_wire(),
             log_epoch: self.state.log_epoch.to_wire(),
             entries: self.entries.clone(),
+            retired: self.state.retired,
             ..ReadLogReply::default()
         }
     }
--- a/crates/ladderstage/tests/journal/support.rs
+++ b/crates/ladderstage/tests/journal/support.rs
@@ -2,20 +2,17 @@
 
 use std::collections::BTreeSet;
 
-use ladderstage::journal::parts::{self, LogPosition};
-use ladderstage::journal::replica_set;
 use ladderstage::journal::writer::{
     LogWriterState, ReplicaWrite, SealProgress, SealedLog, Sealing, WriterIdentity,
 };
-use ladderstage::journal::{EpochSource, Quorum, WriterEpoch};
-use ladderstage_wire::messages::{
-    ExportedLog, LogEntry, ReadLogReply, ReplicaSet, Seal, SealReply, StageEntries, WriteReply,
-};
+use ladderstage::journal::{EpochSource, Quorum, WriterEpoch, quorum};
+use ladderstage_wire::messages::{LogEntry, ReadLogReply, ReplicaSet, Seal, SealReply, WriteReply};
 
+use crate::set_changes::{ChangeStep, CompletionRule, SetChanges};
 use crate::simulated_replica::{SimulatedReplica, member_of, new_replica};
 
 /// Number of spare replicas that may replace others.
-const SPARES: u64 = 2;
+const SPARES: u64 = 4;
 
 pub const LOG: &str = "shard/trainer/1/0";
 
@@ -33,6 +30,8 @@
     epochs: EpochSource,
     generation: usize,
     appended: u64,
+    /// Whether it has finished the log.
+    closed: bool,
     phase: Phase,
     set: ReplicaSet,
 }
@@ -87,19 +86,22 @@
     DeliverCopy {
         message: usize,
     },
+    /// Delivers several messages in an order that `seed` determines.
+    DeliverMany {
+        count: usize,
+        seed: u64,
+    },
     Lose {
         message: usize,
     },
+    /// From now on, messages to and from the replicas in a bit mask are lost, and no others.
+    Isolate {
+        replicas: usize,
+    },
     /// Drops the messages in transit from and to a replica, as its restart does.
     DropMessagesOfReplica {
         replica: usize,
     },
-    /// Starts the replacement of a replica; `is_lost` says whether its disk is lost or it still
-    /// runs.
-    Replace {
-        member: usize,
-        is_lost: bool,
-    },
     /// Gives a writer the current replica set.
     UpdateWriterSet {
         writer: usize,
@@ -108,23 +110,12 @@
     UpdateReplicaSet {
         replica: usize,
     },
-    /// The joining replica fences a current replica and copies its log.
-    Copy {
-        source: usize,
+    /// The writer finishes the log.
+    Close {
+        writer: usize,
     },
-    /// The joining replica stages the next parts of the log that it copies, or imports them if it has all.
-    CopyParts,
-    CompleteReplacement,
-}
-
-/// Log that the joining replica copies under set `version`.
-#[derive(Debug)]
-struct CopiedLog {
-    version: u64,
-    source: usize,
-    joining: usize,
-    log: ExportedLog,
-    position: LogPosition,
+    /// Changes the replica set.
+    Change(ChangeStep),
 }
 
 /// Simulated replicas, writers and network.
@@ -135,13 +126,17 @@
     pub committed: Vec<LogEntry>,
     /// Replica set stored in the key-value service.
     pub set: ReplicaSet,
-    /// Replicas that the joining replica has copied under `set`.
-    copied: BTreeSet<u64>,
-    copying: Option<CopiedLog>,
+    pub changes: SetChanges,
+    /// First rule found broken.
+    pub violation: Option<String>,
+    /// Highest epoch that a quorum is known to have promised.
+    sealed: WriterEpoch,
     /// Maximum size of the entries in one message, in bytes.
-    part_bytes: usize,
+    pub part_bytes: usize,
     writers: Vec<SimulatedWriter>,
     network: Vec<Envelope>,
+    /// Replicas whose messages are lost, as a bit mask.
+    pub isolated: usize,
 }
 
 impl Simulation {
@@ -151,13 +146,15 @@
         let mut simulation = Self {
             replicas: (1..=replicas as u64 + SPARES).map(new_replica).collect(),
             committed: Vec::new(),
-            copied: BTreeSet::new(),
-            copying: None,
+            changes: SetChanges::new(&set, CompletionRule::EveryJoiner),
+            violation: None,
+            sealed: WriterEpoch::default(),
             part_bytes,
             writers: (1..=writers as u64)
                 .map(|id| new_writer(id, &set))
                 .collect(),
             network: Vec::new(),
+            isolated: 0,
             set,
         };
         for replica in &mut simulation.replicas[..replicas] {
@@ -179,6 +176,12 @@
                     self.deliver(envelope);
                 }
             }
+            Step::DeliverMany { count, seed } => {
+                for number in numbers(seed).take(count) {
+                    self.apply(&Step::Deliver { message: number });
+                }
+            }
+            Step::Isolate { replicas } => self.isolated = replicas,
             Step::DeliverCopy { message } => {
                 if let Some(index) = self.pick(message) {
                     self.deliver(self.network[index].clone());
@@ -190,10 +193,8 @@
                 }
             }
             Step::DropMessagesOfReplica { replica } => {
-                let replica = replica % self.replicas.len();
-                self.network.retain(|envelope| envelope.replica != replica);
+                self.drop_messages_of(replica % self.replicas.len());
             }
-            Step::Replace { member, is_lost } => self.replace(member, is_lost),
             Step::UpdateWriterSet { writer } => {
                 let index = writer % self.writers.len();
                 self.writers[index].set = self.set.clone();
@@ -202,121 +203,85 @@
                 let index = replica % self.replicas.len();
                 self.replicas[index].apply_replica_set(&self.set);
             }
-            Step::Copy { source } => self.copy(source),
-            Step::CopyParts => self.copy_parts(),
-            Step::CompleteReplacement => self.complete_replacement(),
+            Step::Close { writer } => self.close(writer % self.writers.len()),
+            Step::Change(ref step) => self.change(step),
         }
     }
 
-    /// Starts the replacement of a replica unless one is in progress or no spare is left.
-    fn replace(&mut self, member: usize, is_lost: bool) {
-        if !self.set.next.is_empty() {
-            return;
-        }
-        let replaced = self.set.current[member % self.set.current.len()].replica_id;
-        let candidates: Vec<_> = self
-            .replicas
-            .iter()
-            .filter(|replica| !replica.lost)
-            .map(member_of)
-            .collect();
-        let lost = BTreeSet::from([replaced]);
-        let Some(joint) = replica_set::propose_replacement(&self.set, &lost, &candidates) else {
-            return;
-        };
-        self.replicas[index_of(replaced)].lost |= is_lost;
-        self.set = joint;
-        self.copied.clear();
+    /// Completes joint sets by `rule`.
+    pub fn with_completion_rule(mut self, rule: CompletionRule) -> Self {
+        self.changes = SetChanges::new(&self.set, rule);
+        self
     }
 
-    fn copy(&mut self, source: usize) {
-        let joining_replicas = replica_set::joining_replicas(&self.set);
-        let Some(joining) = joining_replicas
-            .first()
-            .map(|member| index_of(member.replica_id))
-        else {
-            return;
-        };
-        let source = self.set.current[source % self.set.current.len()].replica_id;
-        if self.replicas[index_of(source)].lost {
-            return;
-        }
-        self.replicas[joining].apply_replica_set(&self.set);
-        self.replicas[index_of(source)].apply_replica_set(&self.set);
-        let mut log = self.replicas[index_of(source)].export();
-        log.entries.clear();
-        self.copying = Some(CopiedLog {
-            version: self.set.version,
-            source: index_of(source),
-            joining,
-            log,
-            position: LogPosition::default(),
-        });
-        self.copy_parts();
+    pub fn drop_messages_of(&mut self, replica: usize) {
+        self.network.retain(|envelope| envelope.replica != replica);
     }
 
-    /// Continues a copy; abandons it if the source was lost or its log has a new writer.
-    fn copy_parts(&mut self) {
-        let Some(mut copying) = self.copying.take() else {
-            return;
-        };
-        let source = &self.replicas[copying.source];
-        let log_epoch = WriterEpoch::from(&copying.log.log_epoch);
-        let is_current = copying.version == self.set.version && !source.lost;
-        if !is_current || source.state.log_epoch != log_epoch {
-            return;
-        }
-        if copying.position.index >= copying.log.length {
-            copying.log.staged_length = copying.log.length;
-            if self.replicas[copying.joining].import(&copying.log) {
-                self.copied.insert(replica_id(copying.source));
-            }
-            return;
-        }
-        let end = copying.log.length;
-        let parts = parts::split(&source.entries, copying.position, end, self.part_bytes);
-        copying.position = LogPosition::end_of(parts.last().expect("progress"));
-        self.replicas[copying.joining].stage(&StageEntries {
-            epoch: copying.log.log_epoch.clone(),
-            parts,
-            ..StageEntries::default()
-        });
-        self.copying = Some(copying);
+    /// Checks that a writer sealing any quorum finds every committed entry and every promise.
+    pub fn check_every_quorum(&mut self) {
+        self.check_quorums(|_, _| true);
+        assert_eq!(self.violation, None);
     }
 
-    fn complete_replacement(&mut self) {
-        let current = ReplicaSet {
-            next: Vec::new(),
-            ..self.set.clone()
-        };
-        if let Some(complete) = replica_set::complete(&self.set)
-            && Quorum::new(&current).is_met_by(&self.copied)
-        {
-            self.set = complete;
-        }
+    /// Checks the quorums that are none without any one of their replicas, and records what is wrong.
+    pub fn check_smallest_quorums(&mut self) {
+        self.check_quorums(|quorum, ids| {
+            let without = |id: &u64| {
+                let mut rest = ids.clone();
+                rest.remove(id);
+                rest
+            };
+            ids.iter().all(|id| !quorum.is_met_by(&without(id)))
+        });
     }
 
-    /// Checks that a writer sealing any quorum finds every committed entry.
-    pub fn check_every_quorum(&self) {
+    fn check_quorums(&mut self, is_checked: impl Fn(&Quorum, &BTreeSet<u64>) -> bool) {
         let quorum = Quorum::new(&self.set);
-        for subset in 0u32..1 << self.replicas.len() {
-            let is_in = |replica: &&SimulatedReplica| subset & (1 << index_of(replica.id)) != 0;
-            let participants: Vec<_> = self.replicas.iter().filter(is_in).collect();
+        let members = quorum::members(&self.set);
+        let members: Vec<&SimulatedReplica> = members
+            .iter()
+            .map(|member| &self.replicas[index_of(member.replica_id)])
+            .filter(|replica| !replica.lost)
+            .collect();
+        let violation = (0u32..1 << members.len()).find_map(|subset| {
+            let numbered = members.iter().enumerate();
+            let participants: Vec<&SimulatedReplica> = numbered
+                .filter(|(bit, _)| subset & (1 << bit) != 0)
+                .map(|(_, replica)| *replica)
+                .collect();
             let ids = participants.iter().map(|replica| replica.id).collect();
-            if participants.iter().any(|replica| replica.lost) || !quorum.is_met_by(&ids) {
-                continue;
-            }
-            let found = self.entries_adopted_from(&participants);
-            assert!(
-                found.starts_with(&self.committed),
-                "lost entries: replicas {ids:?} hold {} of {} committed entries",
-                common_prefix(&found, &self.committed),
-                self.committed.len()
-            );
+            let is_quorum = quorum.is_met_by(&ids) && is_checked(&quorum, &ids);
+            is_quorum
+                .then(|| self.find_missing(&participants))
+                .flatten()
+        });
+        self.violation = self.violation.take().or(violation);
+    }
+
+    /// Returns what a writer that seals `participants` does not find.
+    fn find_missing(&self, participants: &[&SimulatedReplica]) -> Option<String> {
+        let ids: Vec<u64> = participants.iter().map(|replica| replica.id).collect();
+        let promises = participants.iter().map(|replica| replica.state.promised);
+        if promises.max() < Some(self.sealed) {
+            return Some(format!("replicas {ids:?} forgot promise {:?}", self.sealed));
         }
+        let found = self.adopted_from(participants);
+        let kept = match found.state.retired {
+            // The first entry stays.
+            true => self.committed.len().min(1),
+            false => self.committed.len(),
+        };
+        let is_found = found.state.length >= self.committed.len() as u64
+            && found.entries.starts_with(&self.committed[..kept]);
+        let held = common_prefix(&found.entries, &self.committed);
+        let total = self.committed.len();
+        (!is_found)
+            .then(|| format!("lost entries: replicas {ids:?} hold {held} of {total} committed"))
     }
 
-    fn entries_adopted_from(&self, participants: &[&SimulatedReplica]) -> Vec<LogEntry> {
+    /// Returns the replica whose log a writer adopts that seals `participants`.
+    fn adopted_from<'a>(&self, participants: &[&'a SimulatedReplica]) -> &'a SimulatedReplica {
         let epoch = WriterEpoch {
             round: u64::MAX,
             owner: 99,
@@ -328,21 +293,28 @@
             progress = sealing.on_reply(&(*replica).clone().seal(&request));
         }
         assert_eq!(progress, SealProgress::Sealed);
-        let sealed = sealing.into_sealed();
-        let sources = sealed.sources();
+        let sources = sealing.into_sealed().sources();
         let source = participants
             .iter()
             .find(|replica| sources.contains(&replica.id));
-        source
-            .expect("a replica holds the newest log")
-            .entries
-            .clone()
+        source.expect("a replica holds the newest log")
+    }
+
+    fn close(&mut self, index: usize) {
+        let writer = &mut self.writers[index];
+        let Phase::Writing(state) = &mut writer.phase else {
+            return;
+        };
+        writer.closed = true;
+        state.add(Vec::new(), true);
+        (0..self.replicas.len()).for_each(|replica| self.send(index, replica));
     }
 
     fn take_over(&mut self, index: usize) {
         let writer = &mut self.writers[index];
         let epoch = writer.epochs.next_epoch().expect("an epoch is left");
         writer.generation += 1;
+        writer.closed = false;
         let quorum = Quorum::new(&writer.set);
         let replicas = quorum.replicas();
         let sealing = Sealing::new(identity(epoch), quorum);
@@ -364,6 +336,9 @@
         let Phase::Writing(state) = &mut writer.phase else {
             return;
         };
+        if writer.closed {
+            return;
+        }
         writer.appended += 1;
         let payload = format!("{index}/{}/{}", writer.generation, writer.appended);
         let entry = LogEntry {
@@ -393,6 +368,9 @@
     }
 
     fn deliver(&mut self, envelope: Envelope) {
+        if self.is_isolated(envelope.replica) {
+            return;
+        }
         let replica = &mut self.replicas[envelope.replica];
         if envelope
             .message
@@ -415,6 +393,10 @@
         });
     }
 
+    pub fn is_isolated(&self, replica: usize) -> bool {
+        self.isolated & (1 << replica) != 0
+    }
+
     fn handle_reply(&mut self, envelope: Envelope) {
         let writer = &mut self.writers[envelope.writer];
         if writer.generation != envelope.generation {
@@ -422,6 +404,12 @@
         }
         let phase = std::mem::replace(&mut writer.phase, Phase::Idle);
         let mut sources = BTreeSet::new();
+        if let Phase::Sealing(sealing) = &phase
+            && let Message::SealReply(reply) = &envelope.message
+            && sealing.clone().on_reply(reply) == SealProgress::Sealed
+        {
+            self.sealed = self.sealed.max(WriterEpoch::from(&sealing.request().epoch));
+        }
         writer.phase = match (phase, envelope.message) {
             (Phase::Sealing(sealing), Message::SealReply(reply)) => {
                 let phase = on_seal_reply(sealing, &reply, writer, self.part_bytes);
@@ -460,11 +448,11 @@
         }
         let entries = state.entries();
         let common_len = entries.len().min(self.committed.len());
-        assert_eq!(
-            entries[..common_len],
-            self.committed[..common_len],
-            "different entries committed at the same index"
-        );
+        if entries[..common_len] != self.committed[..common_len] {
+            let violation = "different entries committed at the same index".to_owned();
+            self.violation.get_or_insert(violation);
+            return;
+        }
         self.committed.extend_from_slice(&entries[common_len..]);
     }
 }
@@ -477,6 +465,7 @@
 ) -> Phase {
     match sealing.on_reply(reply) {
         SealProgress::Waiting => Phase::Sealing(sealing),
+        SealProgress::Sealed if sealing.is_retired() => Phase::Idle,
         SealProgress::Sealed => {
             let sealed = sealing.into_sealed();
             if sealed.is_empty() {
@@ -493,11 +482,20 @@
     }
 }
 
-fn replica_id(index: usize) -> u64 {
+/// Returns numbers that `seed` determines.
+pub fn numbers(seed: u64) -> impl Iterator<Item = usize> {
+    (1u64..).map(move |count| {
+        let mixed = seed.wrapping_add(count.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        (mixed ^ (mixed >> 31)) as usize >> 8
+    })
+}
+
+pub fn replica_id(index: usize) -> u64 {
     index as u64 + 1
 }
 
-fn index_of(replica: u64) -> usize {
+pub fn index_of(replica: u64) -> usize {
     replica as usize - 1
 }
 
@@ -507,6 +505,7 @@
         epochs: EpochSource::new(process),
         generation: 0,
         appended: 0,
+        closed: false,
         phase: Phase::Idle,
     }
 }
