streams: a stream without a length that was cut does not look whole

What callers saw: 200 with an empty or short body and a last chunk, as if it were whole, where the connection of a sampler closed right after the head of a stream without a length or chunks, or within one of its events.

Cause: such a body ends with its connection, so that the HTTP client reports a close as its regular end. StreamedBody passed the end on, and the server framed it with a last chunk. Runs of items already told the two apart.

Change: a successful stream without a length or chunks is whole only if its last bytes are the blank line of an event. Otherwise the client's connection is aborted, and the instance is checked as after a reset. is_framed moves to exchange, with the same meaning.

A stream that ends with an event and its connection is still whole.

Left: a close right after an event cannot be told from the end.

--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HOST};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -322,6 +322,12 @@
     ))
 }
 
+/// Returns whether a response marks the end of its body. Otherwise its connection ends it, so that a body
+/// that was cut looks complete.
+pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns whether a header is not passed on: a hop-by-hop header, or the content length, which is
 /// set from the body.
 pub fn is_hop_by_hop(name: &http::HeaderName) -> bool {
--- a/crates/front/src/backend/mod.rs
+++ b/crates/front/src/backend/mod.rs
@@ -19,8 +19,8 @@
 };
 pub use connection::{ConnectError, ConnectionPool, PooledConnection};
 pub use counters::DiscoveryCounters;
-pub(crate) use exchange::keep_alive;
 pub use exchange::{AnswerIdPolicy, ExchangeError, Reply, RequestHead, end_to_end_headers, send};
+pub(crate) use exchange::{is_framed, keep_alive};
 pub use gate::{DrainedZones, HoldReason, Locality, SendGates};
 pub use index::{RequiredWeights, WeightChanges};
 pub use instance::{DiscoveredInstance, InFlightGuard, Instance, LOADING_PAUSE, Load};
--- a/crates/front/src/ingress/answers.rs
+++ b/crates/front/src/ingress/answers.rs
@@ -12,7 +12,8 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 
-use crate::backend::{HoldReason, PooledConnection, end_to_end_headers, keep_alive};
+use super::stream_tail::StreamTail;
+use crate::backend::{HoldReason, PooledConnection, end_to_end_headers, is_framed, keep_alive};
 use crate::live::{DRAINED_RETRY_AFTER, LiveAnswer, RETRY_AFTER, StreamRun};
 
 /// Retry delay sent to a client whose request did not fit the memory. Other bodies are read within
@@ -52,8 +53,10 @@
             let status = reply.status;
             let (headers, body, pooled) = reply.into_parts();
             let idle_timeout = keep_alive(&headers);
+            let is_unframed = status.is_success() && !is_framed(&headers);
             let body = StreamedBody {
                 body,
+                unframed_end: is_unframed.then(StreamTail::default),
                 pooled: Some(pooled),
                 idle_timeout,
                 run: Some(run),
@@ -77,10 +80,17 @@
 #[error("the stream has not ended within its time limit")]
 struct StreamOverdue;
 
+/// Error of a stream whose connection ended before its first event or within one.
+#[derive(Debug, thiserror::Error)]
+#[error("the connection of the stream ended within an event")]
+struct StreamCut;
+
 /// Body that passes on a stream. If its source fails or does not end it in time, the client's
 /// connection is aborted.
 struct StreamedBody {
     body: Incoming,
+    /// Last bytes of a stream that ends with its connection, so that only they show whether it was cut.
+    unframed_end: Option<StreamTail>,
     pooled: Option<PooledConnection>,
     idle_timeout: Option<Duration>,
     run: Option<Box<StreamRun>>,
@@ -103,6 +113,7 @@
             return Poll::Ready(Some(Err(StreamOverdue.into())));
         }
         let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(context));
+        let frame = self.check_end(frame);
         if frame.is_none() {
             let idle_timeout = self.idle_timeout;
             if let Some(pooled) = self.pooled.take() {
@@ -118,7 +129,7 @@
             // The check runs while the client's connection is aborted.
             tokio::spawn(run.check_broken_run());
         }
-        Poll::Ready(frame.map(|frame| frame.map_err(Into::into)))
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -130,6 +141,24 @@
     }
 }
 
+impl StreamedBody {
+    /// Replaces the end of a stream that was cut by an error.
+    fn check_end(
+        &mut self,
+        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+    ) -> Option<Result<Frame<Bytes>, BodyError>> {
+        let Some(tail) = &mut self.unframed_end else {
+            return frame.map(|frame| frame.map_err(Into::into));
+        };
+        match &frame {
+            Some(Ok(frame)) => tail.push(frame.data_ref().map_or(&[], |data| data)),
+            None if !tail.ends_an_event() => return Some(Err(StreamCut.into())),
+            _ => {}
+        }
+        frame.map(|frame| frame.map_err(Into::into))
+    }
+}
+
 /// Returns whether a complete body occupies more memory than its connection has.
 pub(super) fn is_large(body: &AnswerBody) -> bool {
     let length = body.size_hint().exact();
--- a/crates/front/src/ingress/mod.rs
+++ b/crates/front/src/ingress/mod.rs
@@ -13,6 +13,7 @@
 mod job_calls;
 mod listeners;
 mod state;
+mod stream_tail;
 
 pub use accept::listen;
 pub use clients::serve;
--- a/crates/front/src/job/stream.rs
+++ b/crates/front/src/job/stream.rs
@@ -16,7 +16,7 @@
 use super::stall_timeout::StallTimeout;
 use super::stalled_run::Awaited;
 use super::text::ItemText;
-use crate::backend::{Instance, Reply, keep_alive};
+use crate::backend::{Instance, Reply, is_framed, keep_alive};
 
 /// Timeout for each event after the first one.
 const MAX_EVENT_INTERVAL: Duration = Duration::from_millis(1_200);
@@ -40,8 +40,7 @@
     let names = context.codec.headers();
     let (headers, mut body, lease) = reply.into_parts();
     let mut version = parse_number(&headers, &names.weight_version);
-    let is_framed = headers.contains_key(http::header::CONTENT_LENGTH)
-        || headers.contains_key(http::header::TRANSFER_ENCODING);
+    let is_framed = is_framed(&headers);
     let mut parser = EventParser::new(names.weight_version.as_str());
     let mut intervals = EventIntervals::default();
     let max_events = context.max_events(index, instance);
