--- a/crates/journal/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -5,6 +5,7 @@
 
 mod bootstrap;
 mod copy;
+mod health;
 mod key_value_records;
 mod long_log;
 mod records;
@@ -13,18 +14,20 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use ladderstage_storage::{Storage, StorageError};
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{FetchReplicaSet, ReplicaMember, ReplicaSet, Request, Response};
+use prometheus::Gauge;
 use tokio::sync::watch;
 
 use crate::JournalOptions;
 use crate::Peers;
 use bootstrap::Bootstrap;
+use health::SetHealth;
 use replacement::Replacement;
 
 pub use records::{RecordError, RecordedSet, SetRecords};
@@ -43,6 +46,9 @@
     storage: Option<Storage>,
     current: watch::Sender<Option<Arc<ReplicaSet>>>,
     is_fetching: AtomicBool,
+    /// Version of the joint set under which this node has copied all logs; 0 if none.
+    copied_version: AtomicU64,
+    incomplete_seconds: Gauge,
 }
 
 /// Handle of the task that creates, learns and changes the set. Dropping it stops the task.
@@ -93,7 +99,7 @@
             missing_since: BTreeMap::new(),
             record_read_at: None,
             leaving_since: None,
-            copied_version: 0,
+            health: SetHealth::new(self.incomplete_seconds()),
         };
         let replica_sets = self.clone();
         let handle = tokio::spawn(async move {
@@ -110,6 +116,8 @@
             storage,
             current: watch::Sender::new(stored.map(Arc::new)),
             is_fetching: AtomicBool::new(false),
+            copied_version: AtomicU64::new(0),
+            incomplete_seconds: incomplete_seconds(),
         };
         Self {
             inner: Arc::new(inner),
@@ -160,6 +168,22 @@
         Ok(is_newer)
     }
 
+    /// Returns the version of the joint set under which this process has copied all logs; 0 if it has
+    /// copied none. The other joining replicas ask for it.
+    pub(crate) fn copied_version(&self) -> u64 {
+        self.inner.copied_version.load(Ordering::Acquire)
+    }
+
+    /// Records that this process has copied all logs under a joint set.
+    pub(crate) fn set_copied_version(&self, version: u64) {
+        self.inner.copied_version.store(version, Ordering::Release);
+    }
+
+    /// Returns the gauge of the seconds for which the set was not whole; it is set on nodes with a disk.
+    pub(crate) fn incomplete_seconds(&self) -> Gauge {
+        self.inner.incomplete_seconds.clone()
+    }
+
     /// Returns the replica id of this node's disk, if it has one.
     pub fn own_replica_id(&self) -> Option<u64> {
         self.inner.storage.as_ref().map(Storage::replica_id)
@@ -220,3 +244,9 @@
         self.learn_or_log(set).await;
     }
 }
+
+fn incomplete_seconds() -> Gauge {
+    let help = "Time for which the replica set was not whole; 0 while it is";
+    let name = "ladderstage_journal_replica_set_incomplete_seconds";
+    Gauge::new(name, help).expect("valid name")
+}
