--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -466,12 +466,11 @@
             .iter()
             .filter(|member| is_member(set, member.replica_id))
             .collect();
-        let staying: Vec<Member> = alive
-            .iter()
-            .filter(|member| member.state != MemberState::LEAVING)
-            .cloned()
-            .collect();
-        spares_by_need(&staying, &present)
+        let is_spare = |member: &&Member| {
+            member.state != MemberState::LEAVING && !is_member(set, member.replica_id)
+        };
+        let spares: Vec<Member> = alive.iter().filter(is_spare).cloned().collect();
+        spares_by_need(&spares, &present)
     }
 
     /// Replaces the recorded set `from` by `to` and announces the result. If another set is
--- a/crates/journal/src/replica_set/zones.rs
+++ b/crates/journal/src/replica_set/zones.rs
@@ -1,7 +1,7 @@
 //! Placement of replicas over regions and zones, so that the loss of one affects as few replicas as
 //! possible.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use ladderstage::region::Place;
 use ladderstage_wire::messages::{Member, ReplicaMember};
@@ -30,26 +30,64 @@
     Some(chosen)
 }
 
-/// Returns the candidates among the `alive` nodes, sorted by the number of `present` replicas in their
-/// region, then by the number in their zone.
+/// Returns the candidates among the `alive` nodes in the order in which they should join the `present`
+/// replicas: each from a region, then a zone, with the fewest replicas, those before it included.
 pub fn spares_by_need(alive: &[Member], present: &[&Member]) -> Vec<ReplicaMember> {
-    let in_zone = |zone: &str| present.iter().filter(|member| member.zone == zone).count();
-    let in_region = |region: &str| {
-        let replicas = present.iter().filter(|member| member.region == region);
-        replicas.count()
-    };
-    let mut disks: Vec<&Member> = alive
-        .iter()
-        .filter(|member| member.replica_id != 0)
-        .collect();
-    disks.sort_by_key(|member| (in_region(&member.region), in_zone(&member.zone)));
-    let disks = disks.into_iter();
-    disks
-        .map(|member| ReplicaMember {
-            node: member.node.clone(),
-            replica_id: member.replica_id,
-        })
-        .collect()
+    let mut zones: Vec<ZoneSpares<'_>> = Vec::new();
+    for disk in alive.iter().filter(|member| member.replica_id != 0) {
+        match zones.iter_mut().find(|zone| zone.contains(disk)) {
+            Some(zone) => zone.spares.push_back(disk),
+            None => zones.push(ZoneSpares::new(disk, present)),
+        }
+    }
+    let mut in_region = BTreeMap::<&str, usize>::new();
+    for member in present {
+        *in_region.entry(&member.region).or_insert(0) += 1;
+    }
+    let mut ordered = Vec::new();
+    while let Some(zone) = zones
+        .iter_mut()
+        .filter(|zone| !zone.spares.is_empty())
+        .min_by_key(|zone| (in_region.get(zone.region).copied(), zone.replicas))
+    {
+        zone.replicas += 1;
+        *in_region.entry(zone.region).or_insert(0) += 1;
+        ordered.extend(zone.spares.pop_front().map(replica_member));
+    }
+    ordered
+}
+
+/// Spares of one zone.
+struct ZoneSpares<'a> {
+    region: &'a str,
+    zone: &'a str,
+    /// Number of replicas in the zone, the spares selected so far included.
+    replicas: usize,
+    spares: VecDeque<&'a Member>,
+}
+
+impl<'a> ZoneSpares<'a> {
+    fn new(first: &'a Member, present: &[&Member]) -> Self {
+        let present = present.iter();
+        let replicas = present.filter(|member| member.zone == first.zone).count();
+        Self {
+            region: &first.region,
+            zone: &first.zone,
+            replicas,
+            spares: VecDeque::from([first]),
+        }
+    }
+
+    fn contains(&self, member: &Member) -> bool {
+        self.region == member.region && self.zone == member.zone
+    }
+}
+
+fn replica_member(member: &Member) -> ReplicaMember {
+    ReplicaMember {
+        node: member.node.clone(),
+        replica_id: member.replica_id,
+    }
 }
 
 /// Returns the location of a member.
--- a/crates/journal/tests/zones.rs
+++ b/crates/journal/tests/zones.rs
@@ -67,7 +67,7 @@
         .iter()
         .map(|disk| disk.node.split('-').nth(1).unwrap())
         .collect();
-    assert_eq!(zones, ["c", "c", "c", "b", "b", "b", "a", "a", "a"]);
+    assert_eq!(zones, ["c", "b", "c", "a", "b", "c", "a", "b", "a"]);
 }
 
 /// Like [`fleet`]; the part of a zone's name before the dash is its region.
@@ -110,10 +110,31 @@
         nodes,
         [
             "store-b-1-1",
-            "store-b-1-2",
             "store-a-2-1",
+            "store-b-1-2",
             "store-a-1-1",
             "store-a-1-2"
         ]
     );
 }
+
+#[test]
+fn two_spares_that_join_at_once_come_from_different_zones() {
+    let fleet = fleet(&[("a", 4), ("b", 4), ("c", 3)]);
+    let at = |zone: &str, number: u64| {
+        let node = format!("store-{zone}-{number}");
+        fleet.iter().find(|member| member.node == node).unwrap()
+    };
+    let present = [at("a", 1), at("b", 1), at("c", 1)];
+    let is_spare = |member: &&Member| !present.contains(member);
+    let spares: Vec<Member> = fleet.iter().filter(is_spare).cloned().collect();
+    let ordered = spares_by_need(&spares, &present);
+    assert_eq!(ordered.len(), spares.len());
+    for joining in 1..=6 {
+        let mut replicas = disks(&present.map(Member::clone));
+        replicas.extend_from_slice(&ordered[..joining]);
+        let count = by_zone(&replicas, &fleet);
+        let (least, most) = (count.values().min(), count.values().max());
+        assert!(most.unwrap() - least.unwrap() <= 1, "{count:?}");
+    }
+}
