--- a/crates/front/src/set_records.rs
+++ b/crates/front/src/set_records.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 
 use futures_util::future::BoxFuture;
-use ladderstage_journal::replica_set::{RecordError, RecordedSet, SetRecords};
+use ladderstage_journal::replica_set::{
+    RecordError, RecordedSet, SetRecords, decode_record, encode_record,
+};
 use ladderstage_wire::messages::{ReplicaMember, ReplicaSet};
-use ladderstage_wire::{decode, encode};
 
 use crate::coordination::{Coordination, CoordinationError, Record, SwapResult};
 use crate::nodes::{NodeRole, Nodes};
@@ -34,7 +35,7 @@
         return Ok(None);
     };
     Ok(Some(RecordedSet {
-        set: decode(&record.value)?,
+        set: decode_record(&record.value)?,
         mod_revision: record.revision,
     }))
 }
@@ -54,14 +55,14 @@
         set: ReplicaSet,
     ) -> BoxFuture<'_, Result<Option<ReplicaSet>, RecordError>> {
         Box::pin(async move {
-            let value = encode(&set);
+            let value = encode_record(set.clone());
             let swapped = self
                 .coordination
                 .swap(REPLICA_SET_KEY, expected, value, None)
                 .await;
             match swapped.map_err(to_record_error)? {
                 SwapResult::Won { .. } => Ok(Some(set)),
-                SwapResult::Lost(Some(record)) => Ok(Some(decode(&record.value)?)),
+                SwapResult::Lost(Some(record)) => Ok(Some(decode_record(&record.value)?)),
                 SwapResult::Lost(None) => Ok(None),
             }
         })
--- a/crates/journal/src/replica_set/key_value_records.rs
+++ b/crates/journal/src/replica_set/key_value_records.rs
@@ -5,7 +5,7 @@
 use ladderstage_wire::messages::{ReplicaMember, ReplicaSet};
 use ladderstage_wire::{decode, encode};
 
-use super::records::{RecordError, RecordedSet, SetRecords};
+use super::records::{RecordError, RecordedSet, SetRecords, decode_record, encode_record};
 
 /// Key of the record of the current set.
 const SET_KEY: &str = "ladderstage/replicas/set";
@@ -26,7 +26,7 @@
                 return Ok(None);
             };
             Ok(Some(RecordedSet {
-                set: decode(&entry.value)?,
+                set: decode_record(&entry.value)?,
                 mod_revision: entry.mod_revision,
             }))
         })
@@ -38,10 +38,10 @@
         set: ReplicaSet,
     ) -> BoxFuture<'_, Result<Option<ReplicaSet>, RecordError>> {
         Box::pin(async move {
-            let value = encode(&set);
+            let value = encode_record(set.clone());
             match self.compare_and_swap(SET_KEY, expected, value).await? {
                 SwapOutcome::Won { .. } => Ok(Some(set)),
-                SwapOutcome::Lost(Some(entry)) => Ok(Some(decode(&entry.value)?)),
+                SwapOutcome::Lost(Some(entry)) => Ok(Some(decode_record(&entry.value)?)),
                 SwapOutcome::Lost(None) => Ok(None),
             }
         })
--- a/crates/journal/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -30,7 +30,7 @@
 use health::SetHealth;
 use replacement::Replacement;
 
-pub use records::{RecordError, RecordedSet, SetRecords};
+pub use records::{RecordError, RecordedSet, SetRecords, decode_record, encode_record};
 
 /// Timeout of a request for a peer's replica set.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/journal/src/replica_set/records.rs
+++ b/crates/journal/src/replica_set/records.rs
@@ -2,8 +2,9 @@
 //! one for each candidate, a disk that may become a replica.
 
 use futures_util::future::BoxFuture;
-use ladderstage_wire::DecodeError;
-use ladderstage_wire::messages::{ReplicaMember, ReplicaSet};
+use ladderstage::journal::replica_set::joining_replicas;
+use ladderstage_wire::messages::{ReplicaMember, ReplicaSet, ReplicaSetRecord};
+use ladderstage_wire::{DecodeError, decode, encode};
 
 /// Error of an access to the records.
 #[derive(Debug, thiserror::Error)]
@@ -53,3 +54,27 @@
     /// Returns the candidates; records that cannot be decoded are skipped.
     fn candidates(&self) -> BoxFuture<'_, Result<Vec<ReplicaMember>, RecordError>>;
 }
+
+/// Encodes a set for its record. Earlier builds read a set in which several replicas join as one of
+/// version 0, which they neither complete nor change.
+pub fn encode_record(set: ReplicaSet) -> Vec<u8> {
+    if joining_replicas(&set).len() <= 1 {
+        return encode(&set);
+    }
+    encode(&ReplicaSetRecord {
+        several_joining: Some(set),
+    })
+}
+
+/// Decodes the set of a record.
+///
+/// # Errors
+///
+/// If the bytes are no record of a set.
+pub fn decode_record(record: &[u8]) -> Result<ReplicaSet, DecodeError> {
+    let several: ReplicaSetRecord = decode(record)?;
+    match several.several_joining {
+        Some(set) => Ok(set),
+        None => decode(record),
+    }
+}
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -119,6 +119,11 @@
         if self.is_newcomer(set) && self.join(set).await? {
             return Ok(());
         }
+        if let Some(rolled_back) = self.roll_back_beside_earlier_builds(set) {
+            return Ok(self.swap(set, rolled_back).await?);
+        }
+        // A copy takes seconds.
+        let alive = self.peers.alive();
         let spares = self.spares(set, &alive);
         let lost = self.lost(set, &alive);
         let is_due = self
@@ -167,6 +172,14 @@
         }
     }
 
+    /// Returns the set without a change in which several replicas join, if a node has come that may be one
+    /// of them and would complete the change alone.
+    fn roll_back_beside_earlier_builds(&self, set: &ReplicaSet) -> Option<ReplicaSet> {
+        let has_disk = self.replica_sets.own_replica_id().is_some();
+        let rolled_back = replica_set::roll_back_several(set)?;
+        (has_disk && !self.peers.replicas_join_together()).then_some(rolled_back)
+    }
+
     /// Returns the set with so many spares more that it has its target size, or with one while not all
     /// nodes know that a change waits for every joining replica.
     fn propose_addition(&self, set: &ReplicaSet, spares: &[ReplicaMember]) -> Option<ReplicaSet> {
--- a/crates/ladderstage/src/journal/replica_set.rs
+++ b/crates/ladderstage/src/journal/replica_set.rs
@@ -136,6 +136,12 @@
     propose_replacement(set, &first_lost.into_iter().collect(), spares)
 }
 
+/// Returns the set after `set` that rolls back a change in which several replicas join; `None` if no
+/// more than one joins.
+pub fn roll_back_several(set: &ReplicaSet) -> Option<ReplicaSet> {
+    (joining_replicas(set).len() > 1).then(|| with_next(set, Vec::new()))
+}
+
 /// Returns the set after `set` that removes a replica without a replacement; `None` if `set` is
 /// joint or fewer than `min_count` replicas would remain.
 pub fn propose_removal(
--- a/crates/ladderstage/tests/journal/rules.rs
+++ b/crates/ladderstage/tests/journal/rules.rs
@@ -200,6 +200,10 @@
     assert_eq!(single(&joint, &[2, 5]), None, "one change at a time");
     let again = replica_set_of(3, &[1, 2, 3, 4, 5], &[1, 8, 3, 4, 5]);
     assert_eq!(single(&joint, &[2, 5, 6]), Some(again));
+    let several = replica_set_of(2, &[1, 2, 3, 4, 5], &[1, 6, 3, 4, 7]);
+    let rolled_back = replica_set_of(3, &[1, 2, 3, 4, 5], &[]);
+    assert_eq!(replica_set::roll_back_several(&several), Some(rolled_back));
+    assert_eq!(replica_set::roll_back_several(&joint), None);
 }
 
 #[test]
