--- a/crates/daemon/tests/journal/network.rs
+++ b/crates/daemon/tests/journal/network.rs
@@ -99,6 +99,8 @@
     nodes: Mutex<BTreeMap<String, Arc<Node>>>,
     disconnected: Mutex<BTreeSet<String>>,
     refusing: Mutex<BTreeSet<String>>,
+    /// Nodes that do not reach each other.
+    separated: Mutex<BTreeSet<String>>,
     write_losing: Mutex<BTreeSet<String>>,
     frozen: watch::Sender<BTreeSet<String>>,
     /// Time that each write to a disk takes.
@@ -129,6 +131,7 @@
             nodes: Mutex::default(),
             disconnected: Mutex::default(),
             refusing: Mutex::default(),
+            separated: Mutex::default(),
             write_losing: Mutex::default(),
             frozen: watch::Sender::default(),
             write_delay: Mutex::default(),
@@ -313,6 +316,11 @@
     }
 
     /// Drops installs and appends to exactly these nodes.
+    /// Cuts the connections between these nodes; all others reach them and are reached.
+    pub fn separate(&self, names: &[&str]) {
+        *self.separated.lock().unwrap() = names.iter().map(|name| (*name).to_owned()).collect();
+    }
+
     pub fn lose_writes(&self, names: &[&str]) {
         *self.write_losing.lock().unwrap() = names.iter().map(|name| (*name).to_owned()).collect();
     }
@@ -427,6 +435,13 @@
             let gone = || CallError::NotSent("the network was dropped".to_owned());
             let network = self.network.upgrade().ok_or_else(gone)?;
             let to = node.to_owned();
+            let is_cut = {
+                let separated = network.separated.lock().unwrap();
+                to != self.own && separated.contains(&to) && separated.contains(&self.own)
+            };
+            if is_cut {
+                return Err(CallError::NotSent("connection refused".to_owned()));
+            }
             // As over TCP, the receiver executes the request even if the caller stops waiting.
             let delivery = tokio::spawn(async move { network.deliver(&to, request).await });
             match tokio::time::timeout(timeout, delivery).await {
--- a/crates/daemon/tests/journal/several_lost_replicas.rs
+++ b/crates/daemon/tests/journal/several_lost_replicas.rs
@@ -143,3 +143,15 @@
     stop_both(&network, ["n0", "n1"]).await;
     assert_readable(&network, &written).await;
 }
+
+#[tokio::test]
+async fn joining_replicas_that_do_not_reach_each_other_join() {
+    let server = KeyValueServer::start().await;
+    let network = start(&server, &DISKS).await;
+    let written = write_logs(&network, &["n0", "n1"], 10).await;
+    network.separate(&["n5", "n6"]);
+    stop_both(&network, ["n3", "n4"]).await;
+    let set = until_members(&network, &["n0", "n1", "n2", "n5", "n6"]).await;
+    assert_eq!(set.version, 3);
+    assert_readable(&network, &written).await;
+}
--- a/crates/journal/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -100,7 +100,7 @@
             record_read_at: None,
             leaving_since: None,
             health: SetHealth::new(self.incomplete_seconds()),
-            logged_wait: None,
+            logged_wait: String::new(),
         };
         let replica_sets = self.clone();
         let handle = tokio::spawn(async move {
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -7,16 +7,17 @@
 )]
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use ladderstage::journal::{Quorum, quorum, replica_set};
 use ladderstage::routing::rendezvous_first;
+use ladderstage_transport::CallError;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
 use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
     FenceReplicaSet, Member, MemberState, OwnerHeartbeat, ReplicaMember, ReplicaSet, Request,
-    Response,
 };
 
 use super::ReplicaSets;
@@ -57,6 +58,47 @@
     Copy(#[from] CopyError),
 }
 
+/// Reason why it is unknown whether a joining replica has copied the logs.
+#[derive(Debug, thiserror::Error)]
+enum CopyUnknown {
+    #[error(transparent)]
+    Call(#[from] CallError),
+    #[error("the node's disk was replaced")]
+    DiskReplaced,
+    #[error("unexpected response kind")]
+    UnexpectedResponse,
+}
+
+/// Copy of a joining replica, as it reports it.
+#[derive(Debug)]
+struct JoiningCopy {
+    member: ReplicaMember,
+    /// Version of the joint set under which it has copied all logs; 0 if it has copied none.
+    answer: Result<u64, CopyUnknown>,
+}
+
+impl JoiningCopy {
+    /// Returns the replica's id and the version of its copy, if known.
+    fn version(&self) -> Option<(u64, u64)> {
+        let version = self.answer.as_ref().ok()?;
+        Some((self.member.replica_id, *version))
+    }
+
+    fn is_done(&self, version: u64) -> bool {
+        matches!(self.answer, Ok(copied) if copied == version)
+    }
+}
+
+impl fmt::Display for JoiningCopy {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let node = &self.member.node;
+        match &self.answer {
+            Ok(_) => write!(formatter, "{node}"),
+            Err(error) => write!(formatter, "{node}: {error}"),
+        }
+    }
+}
+
 /// Task that monitors the replicas and changes the set when one is lost or leaves.
 pub(crate) struct Replacement {
     pub node: String,
@@ -78,8 +120,8 @@
     /// Time at which this node first tried to leave the set.
     pub leaving_since: Option<Instant>,
     pub health: SetHealth,
-    /// Version of the joint set and number of copies for which this node last logged that it waits.
-    pub logged_wait: Option<(u64, usize)>,
+    /// Last logged wait for joining replicas.
+    pub logged_wait: String,
 }
 
 impl Replacement {
@@ -144,6 +186,11 @@
         if !self.is_coordinator(set, &alive) || !can_copy(set, &alive) {
             return Ok(());
         }
+        // Joining replicas that cannot reach each other depend on it.
+        let has_joining = !replica_set::joining_replicas(set).is_empty();
+        if has_joining && self.complete_if_copied(set).await? {
+            return Ok(());
+        }
         let proposal = if self.missing_since.is_empty() {
             self.propose_addition(set, &spares)
         } else {
@@ -338,72 +385,78 @@
         Ok(())
     }
 
-    /// Copies all logs to this node, then makes the next set current if all other joining replicas have
-    /// copied them too. Returns whether the set was changed.
+    /// Copies all logs to this node, then completes the change if all other joining replicas have copied
+    /// them too. Returns whether the change was complete.
     async fn join(&mut self, set: &ReplicaSet) -> Result<bool, ReplacementError> {
         if self.replica_sets.copied_version() != set.version {
             self.copy(set).await?;
             self.replica_sets.set_copied_version(set.version);
         }
-        let copied = self.copied_versions(set).await;
-        if !replica_set::have_all_joined(set, &copied) {
-            self.log_waiting(set, copied.len());
+        self.complete_if_copied(set).await
+    }
+
+    /// Makes the next set current if all joining replicas have copied the logs. Returns whether they have.
+    async fn complete_if_copied(&mut self, set: &ReplicaSet) -> Result<bool, ReplacementError> {
+        let joining = self.joining_copies(set).await;
+        let copied = joining.iter().filter_map(JoiningCopy::version);
+        if !replica_set::have_all_joined(set, &copied.collect()) {
+            self.log_waiting(set, &joining);
             return Ok(false);
         }
-        let Some(complete) = replica_set::complete(set) else {
-            return Ok(false);
-        };
-        self.swap(set, complete).await?;
+        if let Some(complete) = replica_set::complete(set) {
+            self.swap(set, complete).await?;
+        }
         Ok(true)
     }
 
-    /// Logs that this node waits for other joining replicas, once for each number of copies.
-    fn log_waiting(&mut self, set: &ReplicaSet, copied: usize) {
-        let waits = Some((set.version, copied));
-        if self.logged_wait == waits {
-            return;
-        }
-        self.logged_wait = waits;
-        let joining = replica_set::joining_replicas(set).len();
-        let version = set.version;
-        log::info!(
-            "event=replica_set_change_waits version={version} joining={joining} copied={copied}"
+    /// Logs for which joining replicas this node waits, once until that changes.
+    fn log_waiting(&mut self, set: &ReplicaSet, joining: &[JoiningCopy]) {
+        let waiting = joining.iter().filter(|copy| !copy.is_done(set.version));
+        let waiting: Vec<String> = waiting.map(ToString::to_string).collect();
+        let line = format!(
+            "version={} waiting_for=\"{}\"",
+            set.version,
+            waiting.join("; ")
         );
+        if line != self.logged_wait {
+            log::info!("event=replica_set_change_waits {line}");
+            self.logged_wait = line;
+        }
     }
 
-    /// Returns the joining replicas, by their ids, that have copied all logs under a joint set, with the
-    /// version of that set. Those that do not answer are left out.
-    async fn copied_versions(&self, set: &ReplicaSet) -> BTreeMap<u64, u64> {
+    /// Asks all joining replicas under which joint set they have copied the logs.
+    async fn joining_copies(&self, set: &ReplicaSet) -> Vec<JoiningCopy> {
         let joining = replica_set::joining_replicas(set).into_iter();
-        let answers = joining.map(|member| async move {
-            let version = match Some(member.replica_id) == self.replica_sets.own_replica_id() {
-                true => self.replica_sets.copied_version(),
-                false => self.fetch_copied_version(member).await,
-            };
-            (member.replica_id, version)
+        let copies = joining.map(|member| async move {
+            JoiningCopy {
+                member: member.clone(),
+                answer: self.copied_version_of(member).await,
+            }
         });
-        let versions = futures_util::future::join_all(answers).await;
-        let versions = versions.into_iter();
-        versions.filter(|(_, version)| *version > 0).collect()
+        futures_util::future::join_all(copies).await
     }
 
-    /// Asks a joining replica for the version of the joint set under which it has copied all logs; 0 if it
-    /// has not, or does not answer.
-    async fn fetch_copied_version(&self, member: &ReplicaMember) -> u64 {
+    /// Returns the version of the joint set under which a joining replica has copied all logs; 0 if it has
+    /// copied none.
+    async fn copied_version_of(&self, member: &ReplicaMember) -> Result<u64, CopyUnknown> {
+        if Some(member.replica_id) == self.replica_sets.own_replica_id() {
+            return Ok(self.replica_sets.copied_version());
+        }
         // The reply to an empty heartbeat contains the replica id and the version of the copy.
         let request = Request {
             kind: RequestKind::owner_heartbeat(OwnerHeartbeat::default()),
         };
-        match self.peers.call(&member.node, request, FENCE_TIMEOUT).await {
-            Ok(Response {
-                kind: ResponseKind::owner_heartbeat(reply),
-            }) if reply.replica_id == member.replica_id => reply.copied_set_version,
-            Ok(_) => 0,
-            Err(error) => {
-                let node = &member.node;
-                log::info!("event=joining_replica_silent node={node} cause=\"{error}\"");
-                0
+        let answer = self
+            .peers
+            .call(&member.node, request, FENCE_TIMEOUT)
+            .await?;
+        match answer.kind {
+            ResponseKind::owner_heartbeat(reply) if reply.replica_id == member.replica_id => {
+                Ok(reply.copied_set_version)
             }
+            ResponseKind::owner_heartbeat(_) => Err(CopyUnknown::DiskReplaced),
+            ResponseKind::refused(refused) => Err(CallError::Refused(refused).into()),
+            _ => Err(CopyUnknown::UnexpectedResponse),
         }
     }
 
