items: only a length or chunks mark the end of a stream

What callers saw: a text that is not whole listed as completed, where the connection of a sampler closed right after an event of a response that names an encoding of its transfer other than chunked.

Cause: is_framed took any Transfer-Encoding for an end mark. Only chunked as the last encoding is one; the HTTP client reads the body of any other one to the end of the connection, and reports a close as its regular end.

Change: is_framed looks at the last encoding. Items go on at another instance after their last event, and live streams that stop within an event are broken off with such an encoding too.

--- a/crates/front/src/backend/exchange.rs
+++ b/crates/front/src/backend/exchange.rs
@@ -325,7 +325,14 @@
 /// Returns whether a response marks the end of its body. Otherwise its connection ends it, so that a body
 /// that was cut looks complete.
 pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    let Some(encodings) = headers.get_all(TRANSFER_ENCODING).iter().next_back() else {
+        return headers.contains_key(CONTENT_LENGTH);
+    };
+    let last = encodings
+        .to_str()
+        .ok()
+        .and_then(|text| text.rsplit(',').next());
+    last.is_some_and(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
 }
 
 /// Returns whether a header is not passed on: a hop-by-hop header, or the content length, which is
