live: a stream without a signature is not passed on as a success

What callers saw: 200 without the instance's signature on a streaming route, where the response of an instance lacked it. Other routes answer 502.

Cause: apply checked the signature of complete responses only.

Change: the check is one function for both kinds of responses; a stream that fails it gets 502, as it may have run, and counts as a failure of the instance. Both log unsigned_success.

--- a/crates/front/src/live.rs
+++ b/crates/front/src/live.rs
@@ -635,6 +635,13 @@
             self.count_usage(request, ended.started);
         }
         match ended.result {
+            Ok(AttemptAnswer::Stream(reply))
+                if self.is_unsigned_success(reply.status, &reply.headers) =>
+            {
+                log_unsigned(route, request, &ended.instance);
+                ended.instance.record_failure(now);
+                self.result_after_failure(route)
+            }
             Ok(AttemptAnswer::Stream(reply)) => {
                 ended.instance.record_success();
                 let run = StreamRun {
@@ -654,8 +661,8 @@
             }
             Ok(AttemptAnswer::Complete(status, headers, body)) => {
                 self.suspects.record_completion(|| request.content(route));
-                let is_signed = headers.contains_key(&self.codec.headers().response_signature);
-                if status.is_success() && !is_signed {
+                if self.is_unsigned_success(status, &headers) {
+                    log_unsigned(route, request, &ended.instance);
                     ended.instance.record_failure(now);
                     return self.result_after_failure(route);
                 }
@@ -698,6 +705,12 @@
         }
     }
 
+    /// Returns whether a response is a success without the instance's signature, which is no answer to
+    /// its client.
+    fn is_unsigned_success(&self, status: StatusCode, headers: &HeaderMap) -> bool {
+        status.is_success() && !headers.contains_key(&self.codec.headers().response_signature)
+    }
+
     /// Counts a request for its tenant from the start of its first successful attempt.
     fn count_usage(&self, request: &LiveRequest, started: Instant) {
         if let Some(tenant) = request.caller.tenant() {
@@ -729,6 +742,15 @@
     }
 }
 
+fn log_unsigned(route: &Route, request: &LiveRequest, instance: &Instance) {
+    log::warn!(
+        "event=unsigned_success request={} route={} instance={}",
+        request.id(),
+        route.name,
+        instance.id()
+    );
+}
+
 fn log_attempt(
     route: &Route,
     request: &LiveRequest,
