--- a/crates/daemon/tests/journal/copies.rs
+++ b/crates/daemon/tests/journal/copies.rs
@@ -189,3 +189,28 @@
     assert_eq!(network.failing_exports("n1"), 0);
     assert!(network.exported_bytes("n3") > 0);
 }
+
+/// Guards against a copy that comes from fewer replicas than it could, because others that have lost
+/// their disks are asked for their logs.
+#[tokio::test]
+async fn logs_are_copied_from_all_intact_replicas_while_two_disks_are_replaced() {
+    let server = KeyValueServer::start().await;
+    let network = start_with_replicas(&server, 6, 5, 5).await;
+    let written = write_logs(&network, "n5", "shard/t").await;
+    for name in ["n0", "n1"] {
+        network.stop_node(name).await;
+        network.erase(name);
+    }
+    for name in ["n0", "n1"] {
+        network.start_node(name, true);
+        network.store_bundle(&[name]).await;
+    }
+    until_version(&network, 5).await;
+    for name in ["n0", "n1"] {
+        check_stored(&network, name, &written).await;
+    }
+    for name in ["n2", "n3", "n4"] {
+        let sent = network.exported_bytes(name);
+        assert!(sent > LOGS * ENTRY_BYTES / 8, "{name} sent {sent}");
+    }
+}
--- a/crates/journal/src/replica_set/copy.rs
+++ b/crates/journal/src/replica_set/copy.rs
@@ -202,7 +202,7 @@
                 sources.close_all();
                 continue;
             }
-            // Checked last, to detect a disk that was replaced during the copy.
+            // Checked again, to detect a disk that was replaced during the copy.
             let bundle_revision = self.check_sources(&mut sources).await;
             if sources.is_sufficient() {
                 break bundle_revision;
@@ -422,7 +422,7 @@
 
     /// Checks that the node still has the disk that the set lists; returns the revision of its
     /// bundle.
-    async fn check_disk(&self, member: &ReplicaMember) -> Result<u64, ReplicaError> {
+    pub(super) async fn check_disk(&self, member: &ReplicaMember) -> Result<u64, ReplicaError> {
         // The reply to an empty heartbeat contains the replica id and the bundle revision.
         let request = RequestKind::owner_heartbeat(OwnerHeartbeat::default());
         let ResponseKind::owner_heartbeat(reply) = self.call(member, request).await? else {
--- a/crates/journal/src/replica_set/copy_source.rs
+++ b/crates/journal/src/replica_set/copy_source.rs
@@ -157,6 +157,8 @@
             ..
         } = source;
         timed(&mut received.fencing, self.call(member, fence(set).kind)).await?;
+        // A replaced disk would list few logs, and all others would be copied from fewer replicas.
+        self.check_disk(member).await?;
         let mut after = String::new();
         loop {
             let request = ExportLogs {
