--- a/crates/journal/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -5,11 +5,15 @@
 
 mod bootstrap;
 mod copy;
+mod copy_plan;
+mod copy_source;
 mod health;
 mod key_value_records;
+mod log_transfer;
 mod long_log;
 mod records;
 mod replacement;
+mod source_load;
 pub mod zones;
 
 use std::collections::BTreeMap;
