--- a/crates/daemon/tests/journal/copies.rs
+++ b/crates/daemon/tests/journal/copies.rs
@@ -205,7 +205,15 @@
         network.start_node(name, true);
         network.store_bundle(&[name]).await;
     }
-    until_version(&network, 5).await;
+    let joined = ["n0", "n1"].map(|name| network.member(name));
+    until("both new disks are replicas", async || {
+        network.ping();
+        network.sets().iter().all(|set| {
+            let mut joined = joined.iter();
+            set.next.is_empty() && joined.all(|member| set.current.contains(member))
+        })
+    })
+    .await;
     for name in ["n0", "n1"] {
         check_stored(&network, name, &written).await;
     }
