applications: only a length or chunks mark the end of an answer

What callers saw: an answer that its back end cut passed on with outcome `completed`, where the answer names an encoding of its transfer other than chunked, whose body ends with its connection.

Cause: parse_body took any Transfer-Encoding for an end mark, as the runs of items did.

Change: only chunked as the last encoding is one; any other answer without a length is lost, as one without both fields was before.

Evidence: answers_whose_encoding_has_no_end_mark_are_errors before: status 200, Whole(b"hi"); after: all six tests of application pass. answers_that_stop_after_any_byte_of_their_head_are_errors holds before and after.

--- a/crates/platform/src/application/mod.rs
+++ b/crates/platform/src/application/mod.rs
@@ -173,14 +173,22 @@
         return Ok(ApplicationBody::Sized(SizedBody { response, length }));
     }
     // Truncation cannot be detected if the end of the connection ends the body.
-    if !response.headers().contains_key(TRANSFER_ENCODING) {
+    if !is_chunked(response.headers()) {
         return Err(DispatchError::Unknown(
-            "answer has neither a length nor a transfer encoding".to_owned(),
+            "answer has neither a length nor chunks".to_owned(),
         ));
     }
     read_chunked(response).await.map(ApplicationBody::Whole)
 }
 
+/// Returns whether the body is sent in chunks, the last of which marks its end. A body of any other transfer encoding
+/// ends with its connection.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let last = last.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 fn has_no_body(method: &Method, status: StatusCode) -> bool {
     method == Method::HEAD || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED
 }
--- a/crates/platform/tests/application.rs
+++ b/crates/platform/tests/application.rs
@@ -70,6 +70,26 @@
     }
 }
 
+#[tokio::test]
+async fn answers_whose_encoding_has_no_end_mark_are_errors() {
+    for encoding in ["identity", "chunked, identity"] {
+        let answer = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: {encoding}\r\n\r\nhi");
+        let error = forward(&answer).await.expect_err(encoding);
+        assert!(matches!(error, DispatchError::Unknown(_)), "{error:?}");
+    }
+}
+
+#[tokio::test]
+async fn answers_that_stop_after_any_byte_of_their_head_are_errors() {
+    for field in ["Content-Length: 12", "Transfer-Encoding: chunked"] {
+        let head = format!("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n{field}\r\n\r\n");
+        for sent in 0..head.len() {
+            let error = forward(&head[..sent]).await.expect_err(&head[..sent]);
+            assert!(matches!(error, DispatchError::Unknown(_)), "{error:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn refused_and_unsent_requests_did_not_run() {
     let refusal =
