--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -17,13 +17,14 @@
 use samples::{Message, samples};
 
 /// Samples encoded by earlier builds, by commit.
-const EARLIER: [(&str, &str); 6] = [
+const EARLIER: [(&str, &str); 7] = [
     ("b6915e3", include_str!("formats/b6915e3.txt")),
     ("c0c1299", include_str!("formats/c0c1299.txt")),
     ("6acf4f4", include_str!("formats/6acf4f4.txt")),
     ("e3862ae", include_str!("formats/e3862ae.txt")),
     ("2316edf", include_str!("formats/2316edf.txt")),
     ("4e6b332", include_str!("formats/4e6b332.txt")),
+    ("371f339", include_str!("formats/371f339.txt")),
 ];
 
 /// Environment variable that names the file to which this build's samples are written.
--- a/crates/wire/tests/formats/samples.rs
+++ b/crates/wire/tests/formats/samples.rs
@@ -437,6 +437,15 @@
                 ..OwnerHeartbeatReply::default()
             }),
         ),
+        (
+            "owner_heartbeat_reply_after_a_copy",
+            ResponseKind::owner_heartbeat(OwnerHeartbeatReply {
+                replica_id: 22,
+                replica_set_version: 8,
+                copied_set_version: 8,
+                ..OwnerHeartbeatReply::default()
+            }),
+        ),
         ("done", ResponseKind::done(Done::default())),
         ("replica_set", ResponseKind::replica_set(replica_set())),
         (
