store: a list of all logs reads no entries

A new replica lists the logs with a limit of one byte for their entries. The export read the first entry of each log to see that it is longer: that of a job is the whole job, 50 KiB. Each entry now counts as at least one byte, so that a log with more entries than that is known to be longer.

--- a/crates/storage/src/export.rs
+++ b/crates/storage/src/export.rs
@@ -110,11 +110,15 @@
             page.more = true;
             break;
         }
-        let mut exported = describe(log, LogRecord::from_row(row.value()).state);
+        let state = LogRecord::from_row(row.value()).state;
+        let stored_length = stored_length(&state);
+        let mut exported = describe(log, state);
         if let Some(known) = known.get(log) {
             replica::omit_known(&mut exported, known);
         }
-        if exported.is_long {
+        // Each entry counts as at least one byte, so that a list of all logs reads no entries.
+        let is_longer = limits.log_bytes > 0 && stored_length > limits.log_bytes as u64;
+        if exported.is_long && !is_longer {
             let max_page_bytes = match page.logs.is_empty() {
                 true => usize::MAX,
                 false => EXPORT_BYTES.saturating_sub(size),
