--- a/crates/front/src/nodes/mod.rs
+++ b/crates/front/src/nodes/mod.rs
@@ -560,6 +560,12 @@
         self.shared_level(NodeRole::Store) >= FormatLevel::JOINT_COPIES
     }
 
+    fn knows_earlier_builds(&self) -> bool {
+        let stores = self.with_role(NodeRole::Store);
+        let mut levels = stores.iter().map(|record| record.formats);
+        levels.any(|level| level < FormatLevel::JOINT_COPIES)
+    }
+
     fn has_exited(&self, process: ProcessId) -> bool {
         let is_own = self.own().process == process;
         let known = lock(&self.known);
--- a/crates/front/tests/formats.rs
+++ b/crates/front/tests/formats.rs
@@ -18,6 +18,7 @@
 use ladderstage_front::roster::Roster;
 use ladderstage_front::suspects::SuspectRecord;
 use ladderstage_front::usage::CommittedReports;
+use ladderstage_journal::Peers;
 use proptest::prelude::*;
 use serde::Deserialize;
 use support::memory_store::MemoryStore;
@@ -259,6 +260,33 @@
     }
 }
 
+/// Guards against a store that rolls a change of the replica set back because it has just started.
+#[tokio::test(start_paused = true)]
+async fn replicas_join_together_once_all_stores_are_known_to_wait_for_each_other() {
+    let store = MemoryStore::default();
+    let coordination: Arc<dyn Coordination> = Arc::new(store.of("own"));
+    let nodes = Nodes::new(record("own", NodeRole::Store, FormatLevel::OWN));
+    let known = || (nodes.replicas_join_together(), nodes.knows_earlier_builds());
+    assert_eq!(known(), (false, false), "no records were read yet");
+    let activity = Activity::default();
+    let _work = activity.start();
+    let put = async |level: FormatLevel| {
+        let other = serde_json::to_vec(&record("other", NodeRole::Store, level)).unwrap();
+        store.write("ladderstage/node/other", other);
+        sleep(APPLIED).await;
+    };
+    let scenario = async {
+        put(FormatLevel::PACKED_ROSTER).await;
+        assert_eq!(known(), (false, true));
+        put(FormatLevel::JOINT_COPIES).await;
+        assert_eq!(known(), (true, false));
+    };
+    tokio::select! {
+        () = nodes.run(coordination, &activity) => {}
+        () = scenario => {}
+    }
+}
+
 proptest! {
     /// The lowest level among the nodes with the role decides.
     #[test]
--- a/crates/journal/src/peers.rs
+++ b/crates/journal/src/peers.rs
@@ -29,6 +29,12 @@
         false
     }
 
+    /// Returns whether a node with a disk is known that does not wait for the others when several replicas
+    /// join at once.
+    fn knows_earlier_builds(&self) -> bool {
+        false
+    }
+
     /// Returns whether a process is known to have exited. This is a hint that only speeds up the
     /// take-over of its logs.
     fn has_exited(&self, _process: ProcessId) -> bool {
--- a/crates/journal/src/replica_set/copy.rs
+++ b/crates/journal/src/replica_set/copy.rs
@@ -75,8 +75,7 @@
     Storage(#[from] StorageError),
 }
 
-/// Amount and duration of a copy to this node. Its text is the value of the field `logs` in a log
-/// line, with the fields after it.
+/// Amount and duration of a copy to this node, shown as the fields of a log line.
 #[derive(Debug)]
 pub(crate) struct CopyReport {
     /// Number of copied logs; a log that several replicas sent is counted each time.
@@ -91,7 +90,7 @@
         let elapsed_ms = self.elapsed.as_millis();
         write!(
             formatter,
-            "{} bytes={} elapsed_ms={elapsed_ms}",
+            "logs={} bytes={} elapsed_ms={elapsed_ms}",
             self.logs, self.bytes
         )
     }
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -119,6 +119,7 @@
     pub record_read_at: Option<Instant>,
     /// Time at which this node first tried to leave the set.
     pub leaving_since: Option<Instant>,
+    /// Reports to operators whether the set is whole.
     pub health: SetHealth,
     /// Last logged wait for joining replicas.
     pub logged_wait: String,
@@ -134,7 +135,7 @@
             // A new set that this node joins ends the pause.
             let is_joining = |set: &Option<Arc<ReplicaSet>>| {
                 let set = set.as_deref();
-                set.is_some_and(|set| set.version > checked_version && self.is_newcomer(set))
+                set.is_some_and(|set| set.version > checked_version && self.is_joining_node(set))
             };
             let pausing = crate::jitter::jittered(pause);
             let _ = tokio::time::timeout(pausing, known.wait_for(is_joining)).await;
@@ -158,7 +159,7 @@
         if self.replica_sets.own_replica_id().is_some() {
             self.health.observe(set, &alive, self.target_count);
         }
-        if self.is_newcomer(set) && self.join(set).await? {
+        if self.is_joining_node(set) && self.join(set).await? {
             return Ok(());
         }
         if let Some(rolled_back) = self.roll_back_beside_earlier_builds(set) {
@@ -183,20 +184,31 @@
         if replica_set::is_shrinking_without(set, &lost) && self.completes_shrink(set, &alive) {
             return self.complete_shrink(set).await;
         }
-        if !self.is_coordinator(set, &alive) || !can_copy(set, &alive) {
-            return Ok(());
+        if self.is_coordinator(set, &alive) && can_copy(set, &alive) {
+            return self.coordinate(set, &lost, &spares, &alive).await;
         }
+        Ok(())
+    }
+
+    /// Completes the change in progress, or else replaces lost replicas, removes them or adds missing ones.
+    async fn coordinate(
+        &mut self,
+        set: &ReplicaSet,
+        lost: &BTreeSet<u64>,
+        spares: &[ReplicaMember],
+        alive: &[Member],
+    ) -> Result<(), ReplacementError> {
         // Joining replicas that cannot reach each other depend on it.
         let has_joining = !replica_set::joining_replicas(set).is_empty();
         if has_joining && self.complete_if_copied(set).await? {
             return Ok(());
         }
         let proposal = if self.missing_since.is_empty() {
-            self.propose_addition(set, &spares)
+            self.propose_addition(set, spares)
         } else {
             // While a replica is missing, spares are reserved for its replacement.
-            self.propose_replacement(set, &lost, &spares)
-                .or_else(|| self.propose_removal_of_lost(set, &lost, &alive))
+            self.propose_replacement(set, lost, spares)
+                .or_else(|| self.propose_removal_of_lost(set, lost, alive))
         };
         match proposal {
             Some(proposal) => Ok(self.swap(set, proposal).await?),
@@ -224,7 +236,7 @@
     fn roll_back_beside_earlier_builds(&self, set: &ReplicaSet) -> Option<ReplicaSet> {
         let has_disk = self.replica_sets.own_replica_id().is_some();
         let rolled_back = replica_set::roll_back_several(set)?;
-        (has_disk && !self.peers.replicas_join_together()).then_some(rolled_back)
+        (has_disk && self.peers.knows_earlier_builds()).then_some(rolled_back)
     }
 
     /// Returns the set with so many spares more that it has its target size, or with one while not all
@@ -356,7 +368,7 @@
         Ok(copy.push_to_next_members(set).await?)
     }
 
-    fn is_newcomer(&self, set: &ReplicaSet) -> bool {
+    fn is_joining_node(&self, set: &ReplicaSet) -> bool {
         let own_id = self.replica_sets.own_replica_id();
         let joining_replicas = replica_set::joining_replicas(set);
         joining_replicas
@@ -470,8 +482,8 @@
             storage: storage.clone(),
             part_bytes: self.part_bytes,
         };
-        let logs = copy.copy_from_replicas(set).await?;
-        log::info!("event=logs_copied version={} logs={logs}", set.version);
+        let report = copy.copy_from_replicas(set).await?;
+        log::info!("event=logs_copied version={} {report}", set.version);
         Ok(())
     }
 
--- a/crates/ladderstage/src/journal/replica_set.rs
+++ b/crates/ladderstage/src/journal/replica_set.rs
@@ -2,16 +2,15 @@
 //! node that stores copies of the journal's logs.
 //!
 //! For a replacement, the first update creates the joint set: `current` is unchanged, and `next`
-//! has a new replica in place of each lost one. Writers then need majorities of both. Each new
-//! replica fences current replicas against older sets and copies their logs, from as many as
-//! intersect every quorum of the current set, so that it holds all that any quorum holds. Once
-//! every new replica has copied under this version of the joint set, the second update makes `next`
-//! the current set.
+//! has a joining replica in place of each lost one. Writers then need majorities of both. Each
+//! joining replica fences current replicas against older sets and copies their logs, from enough of
+//! them to intersect every quorum of the current set. Once every joining replica has copied under
+//! this version of the joint set, the second update makes `next` the current set.
 //!
-//! A quorum of the old set leaves out fewer than half of the places of the set. All others are held
-//! by its replicas that stay or by new ones, so everything held by a majority of the old set is then
-//! held by a majority of the new one. A new replica without its copy may have taken the place of one
-//! of that quorum, so no new replica may complete the set for the others.
+//! Why nothing committed is lost: an entry that a quorum of the current set held is held by every
+//! joining replica, and by those of the quorum that stay. The next set has as many places, so they
+//! are a majority of it. A joining replica without its copy may stand in the place of one that held
+//! the entry, so all of them must have copied.
 
 use std::collections::{BTreeMap, BTreeSet};
 
