--- a/crates/journal/src/replica_set/mod.rs
+++ b/crates/journal/src/replica_set/mod.rs
@@ -8,6 +8,7 @@
 mod copy_plan;
 mod copy_source;
 mod health;
+mod joining;
 mod key_value_records;
 mod log_transfer;
 mod long_log;
--- a/crates/journal/src/replica_set/replacement.rs
+++ b/crates/journal/src/replica_set/replacement.rs
@@ -7,22 +7,20 @@
 )]
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use ladderstage::journal::{Quorum, quorum, replica_set};
 use ladderstage::routing::rendezvous_first;
-use ladderstage_transport::CallError;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
-use ladderstage_wire::messages::mod_Response::OneOfkind as ResponseKind;
 use ladderstage_wire::messages::{
-    FenceReplicaSet, Member, MemberState, OwnerHeartbeat, ReplicaMember, ReplicaSet, Request,
+    FenceReplicaSet, Member, MemberState, ReplicaMember, ReplicaSet, Request,
 };
 
 use super::ReplicaSets;
 use super::copy::{CopyError, LogCopier};
 use super::health::SetHealth;
+use super::joining::{JoiningCopy, joining_copies};
 use super::zones::spares_by_need;
 use super::{RecordError, SetRecords};
 use crate::Peers;
@@ -58,47 +56,6 @@
     Copy(#[from] CopyError),
 }
 
-/// Reason why it is unknown whether a joining replica has copied the logs.
-#[derive(Debug, thiserror::Error)]
-enum CopyUnknown {
-    #[error(transparent)]
-    Call(#[from] CallError),
-    #[error("the node's disk was replaced")]
-    DiskReplaced,
-    #[error("unexpected response kind")]
-    UnexpectedResponse,
-}
-
-/// Copy of a joining replica, as it reports it.
-#[derive(Debug)]
-struct JoiningCopy {
-    member: ReplicaMember,
-    /// Version of the joint set under which it has copied all logs; 0 if it has copied none.
-    answer: Result<u64, CopyUnknown>,
-}
-
-impl JoiningCopy {
-    /// Returns the replica's id and the version of its copy, if known.
-    fn version(&self) -> Option<(u64, u64)> {
-        let version = self.answer.as_ref().ok()?;
-        Some((self.member.replica_id, *version))
-    }
-
-    fn is_done(&self, version: u64) -> bool {
-        matches!(self.answer, Ok(copied) if copied == version)
-    }
-}
-
-impl fmt::Display for JoiningCopy {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let node = &self.member.node;
-        match &self.answer {
-            Ok(_) => write!(formatter, "{node}"),
-            Err(error) => write!(formatter, "{node}: {error}"),
-        }
-    }
-}
-
 /// Task that monitors the replicas and changes the set when one is lost or leaves.
 pub(crate) struct Replacement {
     pub node: String,
@@ -409,7 +366,9 @@
 
     /// Makes the next set current if all joining replicas have copied the logs. Returns whether they have.
     async fn complete_if_copied(&mut self, set: &ReplicaSet) -> Result<bool, ReplacementError> {
-        let joining = self.joining_copies(set).await;
+        let own = self.replica_sets.own_replica_id();
+        let own = own.map(|id| (id, self.replica_sets.copied_version()));
+        let joining = joining_copies(self.peers.as_ref(), set, own).await;
         let copied = joining.iter().filter_map(JoiningCopy::version);
         if !replica_set::have_all_joined(set, &copied.collect()) {
             self.log_waiting(set, &joining);
@@ -436,42 +395,6 @@
         }
     }
 
-    /// Asks all joining replicas under which joint set they have copied the logs.
-    async fn joining_copies(&self, set: &ReplicaSet) -> Vec<JoiningCopy> {
-        let joining = replica_set::joining_replicas(set).into_iter();
-        let copies = joining.map(|member| async move {
-            JoiningCopy {
-                member: member.clone(),
-                answer: self.copied_version_of(member).await,
-            }
-        });
-        futures_util::future::join_all(copies).await
-    }
-
-    /// Returns the version of the joint set under which a joining replica has copied all logs; 0 if it has
-    /// copied none.
-    async fn copied_version_of(&self, member: &ReplicaMember) -> Result<u64, CopyUnknown> {
-        if Some(member.replica_id) == self.replica_sets.own_replica_id() {
-            return Ok(self.replica_sets.copied_version());
-        }
-        // The reply to an empty heartbeat contains the replica id and the version of the copy.
-        let request = Request {
-            kind: RequestKind::owner_heartbeat(OwnerHeartbeat::default()),
-        };
-        let answer = self
-            .peers
-            .call(&member.node, request, FENCE_TIMEOUT)
-            .await?;
-        match answer.kind {
-            ResponseKind::owner_heartbeat(reply) if reply.replica_id == member.replica_id => {
-                Ok(reply.copied_set_version)
-            }
-            ResponseKind::owner_heartbeat(_) => Err(CopyUnknown::DiskReplaced),
-            ResponseKind::refused(refused) => Err(CallError::Refused(refused).into()),
-            _ => Err(CopyUnknown::UnexpectedResponse),
-        }
-    }
-
     async fn copy(&self, set: &ReplicaSet) -> Result<(), ReplacementError> {
         let Some(storage) = self.replica_sets.storage() else {
             return Ok(());
