--- a/crates/daemon/tests/journal/network.rs
+++ b/crates/daemon/tests/journal/network.rs
@@ -543,6 +543,25 @@
     }
 }
 
+/// Writes the entries that a log lacks; starts over if no majority answers in time, as on a busy disk.
+pub async fn write_log(
+    network: &Network,
+    node: &str,
+    log: &str,
+    entries: &[LogEntry],
+    close: bool,
+) {
+    until("the log is written", async || {
+        let Ok((mut writer, found)) = network.journal(node).take_over(log).await else {
+            return false;
+        };
+        assert_eq!(found, entries[..found.len()], "{log}");
+        let missing = entries[found.len()..].to_vec();
+        missing.is_empty() || writer.append(missing, close).await.is_ok()
+    })
+    .await;
+}
+
 pub fn entry(text: &str) -> LogEntry {
     LogEntry {
         payload: text.as_bytes().to_vec(),
