--- a/crates/journal/src/replica_set/copy_plan.rs
+++ b/crates/journal/src/replica_set/copy_plan.rs
@@ -4,8 +4,12 @@
 
 use ladderstage::journal::replica::ContentVersion;
 
-/// Maximum number of logs that are requested at once. Those of large jobs fill about one page.
-const LOGS_PER_REQUEST: usize = 4;
+/// Maximum number of logs that are requested at once.
+const LOGS_PER_REQUEST: usize = 64;
+
+/// Maximum number of entries that are requested at once, unless a single log has more. The answer should
+/// fit into one page, as further pages are only requested when the first one is stored.
+const ENTRIES_PER_REQUEST: u64 = 512;
 
 /// Version of each log that one replica holds.
 pub(super) type Listing = BTreeMap<String, ContentVersion>;
@@ -24,6 +28,17 @@
     pub logs: Vec<String>,
     /// Indexes of the replicas that hold the newest version of each of them.
     pub holders: Vec<usize>,
+    /// Total number of entries.
+    entries: u64,
+}
+
+impl WantedLogs {
+    /// Returns whether a log that these replicas hold can be requested together with these.
+    fn admits(&self, holders: &[usize], entries: u64) -> bool {
+        self.holders == holders
+            && self.logs.len() < LOGS_PER_REQUEST
+            && self.entries + entries <= ENTRIES_PER_REQUEST
+    }
 }
 
 /// Selects the logs of which a replica lists a newer version than the one that `stored` returns, in
@@ -39,12 +54,14 @@
         }
         let holders = holders_of(sources, log, newest);
         match wanted.last_mut() {
-            Some(last) if last.holders == holders && last.logs.len() < LOGS_PER_REQUEST => {
+            Some(last) if last.admits(&holders, newest.length) => {
                 last.logs.push(log.to_owned());
+                last.entries += newest.length;
             }
             _ => wanted.push(WantedLogs {
                 logs: vec![log.to_owned()],
                 holders,
+                entries: newest.length,
             }),
         }
     }
