--- a/crates/journal/src/replica_set/copy_plan.rs
+++ b/crates/journal/src/replica_set/copy_plan.rs
@@ -4,8 +4,8 @@
 
 use ladderstage::journal::replica::ContentVersion;
 
-/// Maximum number of logs that are requested at once.
-const LOGS_PER_REQUEST: usize = 64;
+/// Maximum number of logs that are requested at once. More would leave replicas without requests.
+const LOGS_PER_REQUEST: usize = 4;
 
 /// Maximum number of entries that are requested at once, unless a single log has more. The answer should
 /// fit into one page, as further pages are only requested when the first one is stored.
