--- a/crates/journal/src/replica_set/copy_source.rs
+++ b/crates/journal/src/replica_set/copy_source.rs
@@ -4,6 +4,7 @@
 use std::ops::Bound;
 use std::time::Duration;
 
+use ladderstage::journal::DEFAULT_PART_BYTES;
 use ladderstage::journal::replica::ContentVersion;
 use ladderstage_clock::Instant;
 use ladderstage_wire::messages::mod_Request::OneOfkind as RequestKind;
@@ -24,6 +25,10 @@
 /// above it come without entries, also from replicas of earlier versions.
 const DESCRIBED_LOG_BYTES: u64 = 1;
 
+/// Maximum size of the entries of a log that is copied in one message, in bytes: that of a page. Larger
+/// logs are staged in parts, each with a sync, and stored a second time as a whole.
+const WHOLE_LOG_BYTES: u64 = DEFAULT_PART_BYTES as u64;
+
 /// A fenced replica with the logs that it listed afterwards.
 #[derive(Debug)]
 pub(super) struct SourceReplica {
@@ -229,7 +234,7 @@
         source: &SourceReplica,
     ) -> Result<FetchedPage, ReplicaError> {
         let mut received = Received::default();
-        let request = source.page_request(set, wanted, after, self.part_bytes as u64);
+        let request = source.page_request(set, wanted, after, WHOLE_LOG_BYTES);
         let fetching = self.fetch_page(&source.member, request, &mut received);
         let reply = fetching.await?;
         Ok(FetchedPage { reply, received })
